--- /dev/null
+++ b/cranberryline/configs/__init__.py
@@ -0,0 +1,1 @@
+"""The configs package."""
--- /dev/null
+++ b/cranberryline/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, free of network, clock and log."""
--- /dev/null
+++ b/cranberryline/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry package."""
--- /dev/null
+++ b/cranberryline/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Small pieces that every domain uses."""
--- /dev/null
+++ b/cranberryline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Ports to what the platform gives, and their HTTP clients."""
--- /dev/null
+++ b/cranberryline/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The requests package."""
--- /dev/null
+++ b/cranberryline/samples/__init__.py
@@ -0,0 +1,1 @@
+"""The samples package."""
--- /dev/null
+++ b/cranberryline/side/__init__.py
@@ -0,0 +1,1 @@
+"""The side package."""
--- /dev/null
+++ b/cranberryline/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and peer connections between the system's own processes."""
--- /dev/null
+++ b/cranberryline/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The upstreams package."""
--- /dev/null
+++ b/cranberryline/weights/__init__.py
@@ -0,0 +1,1 @@
+"""The weights package."""
