--- /dev/null
+++ b/cranberryline/platform/const.py
@@ -0,0 +1,21 @@
+"""Constants of the platform's clients."""
+
+from datetime import timedelta
+
+DEFAULT_CALL_TIMEOUT = timedelta(seconds=5)
+DEFAULT_CONNECT_TIMEOUT = timedelta(seconds=2)
+
+CHUNK_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 1024 * 1024 * 1024
+MAX_JSON_BYTES = 64 * 1024 * 1024
+MAX_QUEUED_CHUNKS = 4
+
+HEADER_RETRY_AFTER = "Retry-After"
+
+STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
+STATUS_CONFLICT = 409
+STATUS_TOO_MANY = 429
+
+ERROR_STALE_FENCE = "stale_fence"
--- /dev/null
+++ b/cranberryline/platform/http.py
@@ -0,0 +1,221 @@
+"""One HTTP exchange on a connection of its own, over tornado's HTTP/1.1 implementation.
+
+tornado's AsyncHTTPClient is not used: it cannot let go of a connection that has gone silent before
+its timeout, it queues past ten requests, and it does not say whether a connection was ever made.
+Connections are not kept alive: a request written to a kept connection that the other end has just
+closed may or may not have run, and a new connection never leaves that doubt.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from urllib.parse import urlsplit
+
+from result import Err, Ok, Result
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from .const import (
+    CHUNK_BYTES,
+    DEFAULT_CONNECT_TIMEOUT,
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    MAX_QUEUED_CHUNKS,
+)
+from .errors import PlatformError, PlatformReason, UpstreamCut
+from .model import UpstreamBody, UpstreamHead, UpstreamRequest
+
+__all__ = ["HttpOrigin", "async_exchange"]
+
+_HOP_HEADERS = frozenset(
+    ("connection", "content-length", "host", "keep-alive", "transfer-encoding", "upgrade", "te")
+)
+_PARAMS = HTTP1ConnectionParameters(
+    no_keep_alive=True,
+    chunk_size=CHUNK_BYTES,
+    max_header_size=MAX_HEADER_BYTES,
+    max_body_size=MAX_BODY_BYTES,
+)
+
+
+class HttpOrigin:
+    """The address of an HTTP server, taken from its URL."""
+
+    def __init__(self, url: str) -> None:
+        parts = urlsplit(url)
+        if parts.scheme != "http" or not parts.hostname:
+            raise ValueError(f"expected http://HOST:PORT, got {url!r}")
+        self.host = parts.hostname
+        self.port = parts.port or 80
+        self.base_path = parts.path.rstrip("/")
+
+    @property
+    def authority(self) -> str:
+        """Return the value of the Host header."""
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+class _Receiver(HTTPMessageDelegate):
+    """Turn tornado's callbacks into a head and a bounded queue of chunks."""
+
+    def __init__(self) -> None:
+        self.head: asyncio.Future[UpstreamHead] = asyncio.get_running_loop().create_future()
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
+        self.whole = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head, passing over interim answers."""
+        if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:  # noqa: PLR2004
+            return
+        if not self.head.done():
+            self.head.set_result(UpstreamHead(start_line.code, tuple(headers.get_all())))
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Queue a chunk; waiting for room is what slows the sender down."""
+        await self.queue.put(chunk)
+
+    def finish(self) -> None:
+        """Note that the answer reached its own declared end."""
+        self.whole = True
+
+
+class _HttpBody(UpstreamBody):
+    """An answer being received on its own connection."""
+
+    def __init__(
+        self, stream: IOStream, receiver: _Receiver, task: asyncio.Task[None], deadline: float
+    ) -> None:
+        self._stream = stream
+        self._receiver = receiver
+        self._task = task
+        self._deadline = deadline
+
+    @property
+    def head(self) -> UpstreamHead:
+        """Return the status and headers."""
+        return self._receiver.head.result()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise UpstreamCut when it ends before its own declared end."""
+        try:
+            while (chunk := await self._async_next()) is not None:
+                yield chunk
+        finally:
+            await self.async_close()
+        if not self._receiver.whole:
+            raise UpstreamCut("the connection ended before the answer did")
+
+    async def _async_next(self) -> bytes | None:
+        """Return the next chunk, or None at the end; time out like a cut."""
+        try:
+            async with asyncio.timeout_at(self._deadline):
+                return await self._receiver.queue.get()
+        except TimeoutError:
+            raise UpstreamCut("no end of the answer within the time allowed") from None
+
+    async def async_close(self) -> None:
+        """Stop receiving and let go of the connection."""
+        self._task.cancel()
+        self._stream.close()
+
+
+async def _async_receive(conn: HTTP1Connection, receiver: _Receiver) -> None:
+    """Read one answer; the receiver's `whole` says afterwards how it ended."""
+    try:
+        await conn.read_response(receiver)
+    except StreamClosedError:
+        pass
+    finally:
+        conn.close()
+        if not receiver.head.done():
+            receiver.head.set_exception(UpstreamCut("no answer before the connection ended"))
+            receiver.head.exception()
+    await receiver.queue.put(None)
+
+
+async def _async_connect(origin: HttpOrigin, timeout: float) -> Result[IOStream, PlatformError]:
+    """Connect; every error here means that nothing was sent."""
+    stream: IOStream | None = None
+    try:
+        async with asyncio.timeout(timeout):
+            family = socket.AF_INET6 if ":" in origin.host else socket.AF_INET
+            stream = IOStream(socket.socket(family), max_buffer_size=4 * CHUNK_BYTES)
+            await stream.connect((origin.host, origin.port))
+    except (OSError, StreamClosedError, TimeoutError) as exc:
+        if stream is not None:
+            stream.close()
+        detail = str(exc) or type(exc).__name__
+        return Err(PlatformError(PlatformReason.UNREACHABLE, detail, may_have_run=False))
+    except asyncio.CancelledError:
+        if stream is not None:
+            stream.close()
+        raise
+    stream.set_nodelay(True)
+    return Ok(stream)
+
+
+def _headers(origin: HttpOrigin, req: UpstreamRequest) -> HTTPHeaders:
+    """Return the request's headers with our own framing in place of the sender's."""
+    headers = HTTPHeaders()
+    for name, value in req.headers:
+        if name.lower() not in _HOP_HEADERS:
+            headers.add(name, value)
+    headers["Host"] = origin.authority
+    headers["Connection"] = "close"
+    if req.body or req.method not in ("GET", "HEAD", "OPTIONS", "DELETE"):
+        headers["Content-Length"] = str(len(req.body))
+    return headers
+
+
+async def async_exchange(
+    origin: HttpOrigin, req: UpstreamRequest, timeout: timedelta
+) -> Result[UpstreamBody, PlatformError]:
+    """Send a request and return once its answer's head is there; `timeout` bounds it all."""
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout.total_seconds()
+    connect_s = min(timeout, DEFAULT_CONNECT_TIMEOUT).total_seconds()
+    match await _async_connect(origin, connect_s):
+        case Err() as err:
+            return err
+        case Ok(stream):
+            pass
+    conn = HTTP1Connection(stream, is_client=True, params=_PARAMS)
+    receiver = _Receiver()
+    try:
+        start = RequestStartLine(req.method, origin.base_path + req.path, "")
+        conn.write_headers(start, _headers(origin, req), req.body or None)
+        conn.finish()
+    except ValueError as exc:
+        stream.close()
+        return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc), may_have_run=False))
+    task = asyncio.create_task(_async_receive(conn, receiver))
+    return await _async_head(_HttpBody(stream, receiver, task, deadline), receiver, deadline)
+
+
+async def _async_head(
+    body: _HttpBody, receiver: _Receiver, deadline: float
+) -> Result[UpstreamBody, PlatformError]:
+    """Wait for the answer's head, and let go of the connection if it does not come."""
+    try:
+        async with asyncio.timeout_at(deadline):
+            await asyncio.shield(receiver.head)
+    except TimeoutError:
+        await body.async_close()
+        return Err(PlatformError(PlatformReason.TIMEOUT, "no answer within the time allowed"))
+    except UpstreamCut as exc:
+        await body.async_close()
+        return Err(PlatformError(PlatformReason.CUT, str(exc)))
+    except asyncio.CancelledError:
+        await body.async_close()
+        raise
+    return Ok(body)
