--- a/cranberryline/platform/http.py
+++ b/cranberryline/platform/http.py
@@ -88,6 +88,12 @@
         """Note that the answer reached its own declared end."""
         self.whole = True
 
+    def abandon(self) -> None:
+        """Wake a reader that still waits, so that it does not wait for the time limit."""
+        while not self.queue.empty():
+            self.queue.get_nowait()
+        self.queue.put_nowait(None)
+
 
 class _HttpBody(UpstreamBody):
     """An answer being received on its own connection."""
@@ -127,6 +133,7 @@
         """Stop receiving and let go of the connection."""
         self._task.cancel()
         self._stream.close()
+        self._receiver.abandon()
 
 
 async def _async_receive(conn: HTTP1Connection, receiver: _Receiver) -> None:
