--- /dev/null
+++ b/cranberryline/helpers/metrics.py
@@ -0,0 +1,98 @@
+"""Counters, gauges and histograms of one process, with a reason on everything not delivered."""
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client.core import CollectorRegistry
+from prometheus_client.metrics import Counter, Gauge, Histogram
+from prometheus_client.process_collector import ProcessCollector
+from tornado.web import RequestHandler
+
+__all__ = ["Metrics", "MetricsHandler"]
+
+_NAMESPACE = "cranberryline"
+_LABEL_REASON = "reason"
+# From a loopback answer to the longest sample that a trainer would still wait for.
+_LATENCY_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
+
+
+class Metrics:
+    """All metrics of one process, in a registry of its own so that tests do not share them."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        ProcessCollector(registry=self.registry)
+        self.requests = self._counter("requests", "Requests taken in.", "kind")
+        self.answers = self._counter("answers", "Answers handed over whole.", "kind")
+        self.refusals = self._counter("refusals", "Requests refused.", _LABEL_REASON)
+        self.failures = self._counter(
+            "failures", "Requests that ended after they may have run.", _LABEL_REASON
+        )
+        self.retries = self._counter("retries", "Attempts made again.", _LABEL_REASON)
+        self.drops = self._counter("drops", "Frames, events or log lines dropped.", _LABEL_REASON)
+        self.discards = self._counter("discards", "Samples discarded.", _LABEL_REASON)
+        self.bad_frames = self._counter(
+            "bad_frames", "Frames from a peer that could not be read.", _LABEL_REASON
+        )
+        self.samples = self._counter("samples", "Samples handed to trainers.", "trainer")
+        self.orders = self._counter("weight_orders", "Orders to load weights.", "outcome")
+        self.stops = self._counter("stops", "Planned stops, by how they ended.", "outcome")
+        self.in_flight = self._gauge("in_flight", "Requests taken in and not yet answered.")
+        self.queued = self._gauge("queued", "Requests that wait for a place.")
+        self.peers = self._gauge("peers", "Peers connected.")
+        self.config_offset = self._gauge("config_offset", "Log offset of the fold in force.")
+        self.latency = Histogram(
+            "request_seconds",
+            "Time from taking a request in to the end of its answer.",
+            ("kind",),
+            namespace=_NAMESPACE,
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        """Register a counter with one label."""
+        return Counter(name, text, (label,), namespace=_NAMESPACE, registry=self.registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        """Register a gauge."""
+        return Gauge(name, text, namespace=_NAMESPACE, registry=self.registry)
+
+    def refuse(self, reason: str) -> None:
+        """Count a refusal."""
+        self.refusals.labels(reason).inc()
+
+    def fail(self, reason: str) -> None:
+        """Count a request that ended in failure after it may have run."""
+        self.failures.labels(reason).inc()
+
+    def retry(self, reason: str) -> None:
+        """Count an attempt made again."""
+        self.retries.labels(reason).inc()
+
+    def drop(self, reason: str) -> None:
+        """Count something dropped."""
+        self.drops.labels(reason).inc()
+
+    def discard(self, reason: str) -> None:
+        """Count a sample discarded."""
+        self.discards.labels(reason).inc()
+
+    def bad_frame(self, reason: str) -> None:
+        """Count a frame that could not be read."""
+        self.bad_frames.labels(reason).inc()
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return a metric's value by its full name, 0 when nothing was counted."""
+        return self.registry.get_sample_value(name, labels) or 0.0
+
+
+class MetricsHandler(RequestHandler):
+    """Serve the metrics as text."""
+
+    def initialize(self, metrics: Metrics) -> None:
+        """Take the metrics of the process."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Write all metrics."""
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.finish(generate_latest(self._metrics.registry))
--- /dev/null
+++ b/cranberryline/settings/__init__.py
@@ -0,0 +1,14 @@
+"""Settings of one process: a YAML file, checked whole before anything starts."""
+
+from .errors import SettingsError, SettingsMistake
+from .loader import load_settings, load_settings_text
+from .model import EntrySettings, SideSettings
+
+__all__ = [
+    "EntrySettings",
+    "SettingsError",
+    "SettingsMistake",
+    "SideSettings",
+    "load_settings",
+    "load_settings_text",
+]
--- /dev/null
+++ b/cranberryline/settings/model.py
@@ -0,0 +1,108 @@
+"""The settings of each role."""
+
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from .const import (
+    DEFAULT_ENTRY_LISTEN,
+    DEFAULT_ENTRY_PEER,
+    DEFAULT_LOG_LEVEL,
+    DEFAULT_MAX_BODY_BYTES,
+    DEFAULT_MAX_HEADER_BYTES,
+    DEFAULT_SIDE_LISTEN,
+    DEFAULT_SIDE_PEER,
+    DEFAULT_SLOW_SENDER_TIMEOUT,
+    DEFAULT_STOP_TIMEOUT,
+    LOG_LEVELS,
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    MIN_BODY_BYTES,
+    MIN_HEADER_BYTES,
+)
+from .fields import Address, Choice, FieldKind, Identifier, PeerAddress, Seconds, Size, Text, Url
+
+__all__ = ["ATTR_HELP", "ATTR_KEY", "ATTR_KIND", "EntrySettings", "SideSettings"]
+
+ATTR_HELP = "help"
+ATTR_KEY = "key"
+ATTR_KIND = "kind"
+
+
+def _setting(kind: FieldKind, text: str, default: Any = attrs.NOTHING, key: str = "") -> Any:
+    """Declare one setting: its kind, what it is for, its default, its key if not the name."""
+    return attrs.field(
+        default=default, metadata={ATTR_KIND: kind, ATTR_HELP: text, ATTR_KEY: key or None}
+    )
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """Settings of an entry process."""
+
+    vm_id: str = _setting(Identifier(), "The id that the VM list gives this VM.")
+    data_center: str = _setting(Identifier(), "The data center that this VM stands in.")
+    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.")
+    vm_list_url: str = _setting(Url(), "Base URL of the platform's VM list.")
+    listen: str = _setting(
+        Address(), "Where callers, trainers and operators reach it over HTTP.", DEFAULT_ENTRY_LISTEN
+    )
+    peer: str = _setting(PeerAddress(), "Where other entries reach it.", DEFAULT_ENTRY_PEER)
+    scorer_url: str | None = _setting(
+        Url(), "Base URL of the service that scores samples; without it no sample is scored.", None
+    )
+    tokens_file: str | None = _setting(
+        Text(),
+        "File of the tokens and their roles; without it operator and trainer endpoints refuse.",
+        None,
+    )
+    stop_timeout: timedelta = _setting(
+        Seconds(),
+        "How long a planned stop waits for work in flight.",
+        DEFAULT_STOP_TIMEOUT,
+        key="stop_seconds",
+    )
+    max_body_bytes: int = _setting(
+        Size(MIN_BODY_BYTES, MAX_BODY_BYTES),
+        "Longest request body; a longer one gets 413.",
+        DEFAULT_MAX_BODY_BYTES,
+    )
+    max_header_bytes: int = _setting(
+        Size(MIN_HEADER_BYTES, MAX_HEADER_BYTES),
+        "Longest request line and headers together; longer ones get 431.",
+        DEFAULT_MAX_HEADER_BYTES,
+    )
+    slow_sender_timeout: timedelta = _setting(
+        Seconds(),
+        "How long a caller may take to send its whole request.",
+        DEFAULT_SLOW_SENDER_TIMEOUT,
+        key="slow_sender_seconds",
+    )
+    log_level: str = _setting(
+        Choice(*LOG_LEVELS), "Lowest level that is logged.", DEFAULT_LOG_LEVEL
+    )
+
+
+@attrs.frozen(kw_only=True)
+class SideSettings:
+    """Settings of a side process."""
+
+    vm_id: str = _setting(Identifier(), "The id that the VM list gives this VM.")
+    data_center: str = _setting(Identifier(), "The data center that this VM stands in.")
+    service: str = _setting(Identifier(), "The service that the upstream belongs to.")
+    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.")
+    upstream_url: str = _setting(Url(), "Base URL of the upstream on this VM.")
+    listen: str = _setting(
+        Address(), "Where /health, /ready and /metrics are served.", DEFAULT_SIDE_LISTEN
+    )
+    peer: str = _setting(PeerAddress(), "Where entries reach it.", DEFAULT_SIDE_PEER)
+    stop_timeout: timedelta = _setting(
+        Seconds(),
+        "How long a planned stop waits for work in flight.",
+        DEFAULT_STOP_TIMEOUT,
+        key="stop_seconds",
+    )
+    log_level: str = _setting(
+        Choice(*LOG_LEVELS), "Lowest level that is logged.", DEFAULT_LOG_LEVEL
+    )
