Add the requests' aggregates: side book, entry attempt and claim fold

A side process binds each request to its connection and vouches only for what it has not started; an entry turns the frames of one dispatch into one outcome; the claim fold decides in log order which claim of a key runs.

--- a/cranberryline/requests/__init__.py
+++ b/cranberryline/requests/__init__.py
@@ -1,1 +1,46 @@
-"""The requests package."""
+"""Requests: what may run, what was not run, and what the caller may be told of it."""
+
+from .attempt import EntryAttempt
+from .claims import ClaimFold, fingerprint, scoped_key
+from .errors import NotRunReason, RecordFault, SequenceFault
+from .model import (
+    AttemptBroken,
+    AttemptDone,
+    AttemptNotRun,
+    AttemptOutcome,
+    AttemptUnknown,
+    CancelOutcome,
+    Claim,
+    ClaimOutcome,
+    ClaimState,
+    Ran,
+    RequestKey,
+    SubmitOutcome,
+    WithdrawOutcome,
+)
+from .side_book import LostConnection, SideBook
+
+__all__ = [
+    "AttemptBroken",
+    "AttemptDone",
+    "AttemptNotRun",
+    "AttemptOutcome",
+    "AttemptUnknown",
+    "CancelOutcome",
+    "Claim",
+    "ClaimFold",
+    "ClaimOutcome",
+    "ClaimState",
+    "EntryAttempt",
+    "LostConnection",
+    "NotRunReason",
+    "Ran",
+    "RecordFault",
+    "RequestKey",
+    "SequenceFault",
+    "SideBook",
+    "SubmitOutcome",
+    "WithdrawOutcome",
+    "fingerprint",
+    "scoped_key",
+]
