Serve a caller through an entry and a side process, end to end

Cause: nothing served a request yet; every later measurement needs the whole path first. Ruled out: zmq.asyncio (a future and a poll for each message); the library's own reconnect, which would hide a peer's restart; connection-independent request ids. Left: admission, queueing and routing are placeholders until the decisions land; no tests of these modules yet.

--- /dev/null
+++ b/cranberryline/entry/model.py
@@ -0,0 +1,76 @@
+"""A caller's request on its way through the entry, and where its answer goes."""
+
+import abc
+import enum
+from datetime import timedelta
+
+import attrs
+
+__all__ = ["AnswerSink", "CallerClass", "CallerRequest", "CollectingSink"]
+
+
+class CallerClass(enum.IntEnum):
+    """Who asks; a lower number is served first under load."""
+
+    APPLICATION = 0
+    TRAINER = 1
+    BACKGROUND = 2
+
+
+@attrs.frozen
+class CallerRequest:
+    """One request as the entry accepted it; `deadline` is on the monotonic clock.
+
+    `tokens` is the expected work on a model engine, 0 for a plain service; `avoid` names upstreams
+    that should not serve it, such as those already making the same sample.
+    """
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: timedelta
+    caller: str
+    caller_class: CallerClass = CallerClass.APPLICATION
+    idempotent: bool = True
+    key: str = ""
+    tokens: int = 0
+    prefix_key: str = ""
+    avoid: frozenset[str] = frozenset()
+
+
+class AnswerSink(abc.ABC):
+    """Take an answer as it arrives."""
+
+    @abc.abstractmethod
+    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Take the status and headers; True when the caller may have seen them already."""
+
+    @abc.abstractmethod
+    async def async_chunk(self, data: bytes) -> None:
+        """Take a part of the body; return when there is room for more."""
+
+
+class CollectingSink(AnswerSink):
+    """Keep the whole answer in memory."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self._parts: list[bytes] = []
+
+    @property
+    def body(self) -> bytes:
+        """Return what has arrived so far."""
+        return b"".join(self._parts)
+
+    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Take the status and headers, and forget an earlier attempt's part of an answer."""
+        self.status, self.headers = status, headers
+        self._parts.clear()
+        return False
+
+    async def async_chunk(self, data: bytes) -> None:
+        """Keep a part of the body."""
+        self._parts.append(data)
--- /dev/null
+++ b/cranberryline/entry/peers.py
@@ -0,0 +1,275 @@
+"""The entry's connections to side processes: one task per peer, written straight down."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
+import zmq
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.transport import BadFrame, DealerSocket, PeerGone
+from cranberryline.transport.const import (
+    HEARTBEAT_BUSY,
+    HEARTBEAT_IDLE,
+    SILENT_AFTER,
+    WELCOME_TIMEOUT,
+)
+from cranberryline.transport.model import (
+    Chunk,
+    ConfigDelta,
+    ConfigRequest,
+    Credit,
+    Drain,
+    End,
+    Failed,
+    Head,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    Load,
+    Message,
+    NotRun,
+    Submit,
+    Welcome,
+    Withdrawn,
+)
+
+__all__ = ["Exchange", "Lost", "PeerEvents", "SidePeer"]
+
+_REDIAL_FIRST = timedelta(milliseconds=100)
+_REDIAL_MOST = timedelta(seconds=5)
+
+
+class Lost(Message):
+    """Take the place of an answer's next message when its connection has ended."""
+
+
+class Exchange:
+    """One request on one connection: what goes out, and what comes back in order."""
+
+    def __init__(self, peer: "SidePeer", request_id: int, tokens: int) -> None:
+        self.id = request_id
+        self.tokens = tokens
+        self.peer = peer
+        self._events: deque[Message] = deque()
+        self._waiter: asyncio.Future[None] | None = None
+
+    def push(self, msg: Message) -> None:
+        """Take a message that belongs to this request."""
+        self._events.append(msg)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def async_next(self, timeout: timedelta) -> Message | None:
+        """Return the next message of the answer, or None after the timeout."""
+        if not self._events:
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            timer = loop.call_later(max(timeout.total_seconds(), 0.0), self._wake)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
+                self._waiter = None
+        return self._events.popleft() if self._events else None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def send(self, msg: Message) -> None:
+        """Send a message about this request; a lost connection is seen as Lost by the receiver."""
+        self.peer.send(msg)
+
+    def close(self) -> None:
+        """Forget the request; later messages for its id are dropped."""
+        self.peer.forget(self.id)
+
+
+class PeerEvents:
+    """What a peer connection tells the entry; the default ignores everything."""
+
+    def on_up(self, peer: "SidePeer", welcome: Welcome) -> None:
+        """Handle a connection that is ready."""
+
+    def on_down(self, peer: "SidePeer") -> None:
+        """Handle a connection that has ended."""
+
+    def on_drain(self, peer: "SidePeer", msg: Drain) -> None:
+        """Handle the announcement of a planned stop."""
+
+    def on_load(self, peer: "SidePeer", msg: Load) -> None:
+        """Handle a load report."""
+
+    def on_config(self, peer: "SidePeer", msg: ConfigDelta | ConfigRequest) -> None:
+        """Handle configuration records, or a request for them."""
+
+    def on_bad_frame(self, bad: BadFrame) -> None:
+        """Handle a frame that could not be read."""
+
+    def config_offset(self) -> int:
+        """Return how much configuration this entry has."""
+        return 0
+
+
+class SidePeer:
+    """One side process as this entry knows it, and the task that keeps the connection."""
+
+    def __init__(
+        self,
+        ctx: zmq.Context,
+        clock: Clock,
+        vm_id: str,
+        address: str,
+        hello: Callable[[], Hello],
+        events: PeerEvents,
+        next_id: Callable[[], int],
+    ) -> None:
+        self.vm_id = vm_id
+        self.address = address
+        self.welcome: Welcome | None = None
+        self.load: Load | None = None
+        self.load_at = timedelta()
+        self.draining = False
+        self.peer_config_offset = 0
+        self._ctx = ctx
+        self._clock = clock
+        self._hello = hello
+        self._events = events
+        self._next_id = next_id
+        self._sock: DealerSocket | None = None
+        self._exchanges: dict[int, Exchange] = {}
+        self._tokens = 0
+        self._heartbeat_seq = 0
+        self._heard_at = timedelta()
+        self._probed_at = timedelta()
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether new work may be sent here."""
+        return self.welcome is not None and not self.draining
+
+    @property
+    def outstanding(self) -> int:
+        """Count the requests whose answer has not ended."""
+        return len(self._exchanges)
+
+    @property
+    def outstanding_tokens(self) -> int:
+        """Count the expected tokens of the requests whose answer has not ended."""
+        return self._tokens
+
+    def open(self, make: Callable[[int, str], Submit], tokens: int) -> Exchange | None:
+        """Send a request; None when there is no connection, so that nothing was sent."""
+        if self.welcome is None or self._sock is None:
+            return None
+        exchange = Exchange(self, self._next_id(), tokens)
+        try:
+            self._sock.send(make(exchange.id, self.welcome.incarnation))
+        except PeerGone:
+            return None
+        if not self._exchanges:
+            # The idle interval may be far from over: probe from now on at the busy pace.
+            self._heard_at = self._clock.monotonic()
+            self._sock.interrupt()
+        self._exchanges[exchange.id] = exchange
+        self._tokens += tokens
+        return exchange
+
+    def send(self, msg: Message) -> bool:
+        """Send a message if there is a connection, and tell whether there was."""
+        if self._sock is None:
+            return False
+        try:
+            self._sock.send(msg)
+        except PeerGone:
+            return False
+        return True
+
+    def forget(self, request_id: int) -> None:
+        """Drop the record of a request that is over for the entry."""
+        exchange = self._exchanges.pop(request_id, None)
+        if exchange is not None:
+            self._tokens -= exchange.tokens
+
+    async def async_run(self) -> None:
+        """Keep a connection until cancelled, dialling anew with a growing pause."""
+        pause = _REDIAL_FIRST
+        while True:
+            sock = DealerSocket(self._ctx, self.address, self._events.on_bad_frame)
+            self._sock = sock
+            try:
+                if await self._async_greet(sock):
+                    pause = _REDIAL_FIRST
+                    await self._async_receive_all(sock)
+            except PeerGone:
+                pass
+            finally:
+                self._sock = None
+                sock.close()
+                self._settle_lost()
+            await self._clock.async_sleep(pause)
+            pause = min(pause * 2, _REDIAL_MOST)
+
+    async def _async_greet(self, sock: DealerSocket) -> bool:
+        sock.send(self._hello())
+        welcome = await sock.async_receive(WELCOME_TIMEOUT.total_seconds())
+        if not isinstance(welcome, Welcome):
+            return False
+        self.welcome = welcome
+        self.draining = welcome.draining
+        self.peer_config_offset = welcome.config_offset
+        self._heard_at = self._probed_at = self._clock.monotonic()
+        self._events.on_up(self, welcome)
+        return True
+
+    async def _async_receive_all(self, sock: DealerSocket) -> None:
+        while True:
+            interval = HEARTBEAT_BUSY if self._exchanges else HEARTBEAT_IDLE
+            due = self._probed_at + interval - self._clock.monotonic()
+            msg = await sock.async_receive(max(due.total_seconds(), 0.0))
+            now = self._clock.monotonic()
+            if msg is not None:
+                self._heard_at = now
+                self._handle(msg)
+            # A connection that is open and carries nothing looks idle: something between the ends
+            # has lost it, or the peer is frozen. TCP sees neither, so silence is a lost connection.
+            if self._exchanges and now - self._heard_at > SILENT_AFTER:
+                return
+            if now - self._heard_at > HEARTBEAT_IDLE * 2:
+                return
+            if now - self._probed_at >= (HEARTBEAT_BUSY if self._exchanges else HEARTBEAT_IDLE):
+                self._probed_at = now
+                self._heartbeat_seq += 1
+                sock.send(Heartbeat(self._heartbeat_seq, self._events.config_offset()))
+
+    def _handle(self, msg: Message) -> None:
+        if isinstance(msg, Head | Chunk | End | NotRun | Failed | Withdrawn):
+            exchange = self._exchanges.get(msg.id)
+            if exchange is not None:
+                exchange.push(msg)
+        elif isinstance(msg, Load):
+            self.load, self.load_at = msg, self._clock.monotonic()
+            self.peer_config_offset = msg.config_offset
+            self._events.on_load(self, msg)
+        elif isinstance(msg, Drain):
+            self.draining = True
+            self._events.on_drain(self, msg)
+        elif isinstance(msg, HeartbeatAck):
+            self.peer_config_offset = msg.config_offset
+        elif isinstance(msg, ConfigDelta | ConfigRequest):
+            self._events.on_config(self, msg)
+
+    def _settle_lost(self) -> None:
+        was_up = self.welcome is not None
+        self.welcome = None
+        exchanges, self._exchanges, self._tokens = self._exchanges, {}, 0
+        for exchange in exchanges.values():
+            exchange.push(Lost())
+        if was_up:
+            self._events.on_down(self)
+
+    def grant(self, request_id: int, size: int) -> None:
+        """Allow more bytes of an answer."""
+        self.send(Credit(request_id, size))
--- /dev/null
+++ b/cranberryline/entry/proxy.py
@@ -0,0 +1,289 @@
+"""HTTP handlers for application callers: plain services and model engines."""
+
+import asyncio
+import itertools
+import json
+import uuid
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+from tornado.iostream import StreamClosedError
+from tornado.web import RequestHandler
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.problem import write_problem
+
+from .attempt import CallerLeft
+from .dispatch import Dispatcher
+from .errors import Ran, Refusal, RefusalReason
+from .model import AnswerSink, CallerClass, CallerRequest
+
+__all__ = ["CompletionHandler", "ProxyContext", "ServiceHandler"]
+
+HEADER_PRIORITY = "X-Priority"
+HEADER_DEADLINE = "X-Deadline-Ms"
+HEADER_KEY = "Idempotency-Key"
+HEADER_IDEMPOTENT = "X-Idempotent"
+HEADER_CALLER = "X-Caller"
+HEADER_REQUEST_ID = "X-Request-Id"
+
+DEFAULT_TIMEOUT = timedelta(seconds=60)
+DEFAULT_MAX_TOKENS = 256
+# A prompt's leading part decides which engine has it cached; group members share all of it.
+_PREFIX_CHARS = 256
+_CHARS_PER_TOKEN = 4
+_MAX_DEADLINE_DIGITS = 9
+
+_IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+# Hop-by-hop headers belong to one connection (RFC 9110, 7.6.1), ours belong to the entry.
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "host",
+        HEADER_PRIORITY.lower(),
+        HEADER_DEADLINE.lower(),
+        HEADER_IDEMPOTENT.lower(),
+    }
+)
+
+
+@attrs.define
+class ProxyContext:
+    """What the handlers of callers share."""
+
+    clock: Clock
+    metrics: Metrics
+    dispatcher: Dispatcher
+    service_for_model: Callable[[str], str | None]
+    timeout_for: Callable[[str], timedelta]
+    knows: Callable[[str], bool]
+    accepting: Callable[[], bool]
+
+
+class _HandlerSink(AnswerSink):
+    """Write an answer to the caller as it arrives."""
+
+    def __init__(self, handler: "_CallerHandler") -> None:
+        self._handler = handler
+
+    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Set the status and headers; they leave with the first part of the body."""
+        self._handler.clear()
+        self._handler.set_status(status)
+        for name in ("Content-Type", "Date", "Server"):
+            self._handler.clear_header(name)
+        for name, value in headers:
+            if name.lower() not in _DROPPED_HEADERS or name.lower() == "content-length":
+                self._handler.add_header(name, value)
+        return False
+
+    async def async_chunk(self, data: bytes) -> None:
+        """Write a part of the body and wait until the caller has taken it."""
+        try:
+            self._handler.write(data)
+            await self._handler.flush()
+        except StreamClosedError as exc:
+            raise CallerLeft from exc
+
+
+class _CallerHandler(RequestHandler):
+    """What plain services and engines have in common."""
+
+    _ids = itertools.count()
+    _process = uuid.uuid4().hex[:8]
+
+    def initialize(self, context: ProxyContext) -> None:
+        """Take the shared context."""
+        self.context = context
+
+    def prepare(self) -> None:
+        """Name the request."""
+        given = self.request.headers.get(HEADER_REQUEST_ID, "")
+        self.request_id = given[:64] or f"{self._process}-{next(self._ids)}"
+        self._work: asyncio.Task[Any] | None = None
+
+    def set_default_headers(self) -> None:
+        """Leave out the server's name."""
+        self.clear_header("Server")
+
+    def on_connection_close(self) -> None:
+        """Stop working for a caller that has gone."""
+        if self._work is not None:
+            self._work.cancel()
+
+    def compute_etag(self) -> None:
+        """Leave entity tags to the upstream."""
+        return
+
+    def refuse(self, refusal: Refusal) -> None:
+        """End with a refusal, or cut the connection when a part of an answer has left."""
+        ctx = self.context
+        counted = ctx.metrics.refuse if refusal.ran is Ran.NO else ctx.metrics.fail
+        counted(refusal.reason.value)
+        if self._headers_written or refusal.begun:
+            # The status has left: a tidy end would make a part look like the whole.
+            self._cut()
+            return
+        write_problem(
+            self,
+            refusal.status,
+            refusal.reason.value,
+            refusal.reason.value.replace("_", " "),
+            ran=refusal.ran.value,
+            retry_after=refusal.retry_after,
+            detail=refusal.detail,
+        )
+
+    def _cut(self) -> None:
+        stream = self.request.connection.detach()  # type: ignore[union-attr]
+        stream.close()
+        self._finished = True
+
+    async def async_serve(self, req: CallerRequest) -> None:
+        """Run a request and write its answer."""
+        if not self.context.accepting():
+            self.refuse(Refusal(RefusalReason.STOPPING, retry_after=timedelta(seconds=1)))
+            return
+        sink = _HandlerSink(self)
+        result = await self.context.dispatcher.async_run(req, sink)
+        if result.is_err():
+            self.refuse(result.unwrap_err())
+            return
+        self.context.metrics.answers.labels("caller").inc()
+        await self.finish()
+
+    def caller(self) -> str:
+        """Name the caller for fair shares."""
+        return self.request.headers.get(HEADER_CALLER, "") or self.request.remote_ip or "anonymous"
+
+    def caller_class(self) -> Result[CallerClass, Refusal]:
+        """Read the class of the request."""
+        text = self.request.headers.get(HEADER_PRIORITY, "application").upper()
+        if text not in CallerClass.__members__:
+            allowed = ", ".join(c.name.lower() for c in CallerClass)
+            return Err(_bad(f"{HEADER_PRIORITY} must be one of {allowed}"))
+        return Ok(CallerClass[text])
+
+    def deadline(self, service: str) -> Result[timedelta, Refusal]:
+        """Read the deadline, on the monotonic clock."""
+        text = self.request.headers.get(HEADER_DEADLINE)
+        if text is None:
+            return Ok(self.context.clock.monotonic() + self.context.timeout_for(service))
+        if not text.isdecimal() or len(text) > _MAX_DEADLINE_DIGITS:
+            return Err(_bad(f"{HEADER_DEADLINE} must be a whole number of milliseconds"))
+        return Ok(self.context.clock.monotonic() + timedelta(milliseconds=int(text)))
+
+    def idempotent(self, default: bool) -> Result[bool, Refusal]:
+        """Read whether the request may be repeated."""
+        text = self.request.headers.get(HEADER_IDEMPOTENT, "").lower()
+        if text not in ("", "true", "false"):
+            return Err(_bad(f"{HEADER_IDEMPOTENT} must be true or false"))
+        return Ok(default if text == "" else text == "true")
+
+    def build(
+        self, service: str, path: str, idempotent: bool, tokens: int = 0, prefix: str = ""
+    ) -> Result[CallerRequest, Refusal]:
+        """Check the headers and put the request together."""
+        if not self.context.knows(service):
+            return Err(Refusal(RefusalReason.UNKNOWN_SERVICE, detail=service[:100]))
+        caller_class, deadline = self.caller_class(), self.deadline(service)
+        repeatable = self.idempotent(idempotent)
+        for part in (caller_class, deadline, repeatable):
+            if part.is_err():
+                return Err(part.unwrap_err())
+        headers = [
+            (name, value)
+            for name, value in self.request.headers.get_all()
+            if name.lower() not in _DROPPED_HEADERS
+        ]
+        if HEADER_REQUEST_ID not in self.request.headers:
+            headers.append((HEADER_REQUEST_ID, self.request_id))
+        return Ok(
+            CallerRequest(
+                service=service,
+                method=self.request.method or "GET",
+                path=path,
+                headers=tuple(headers),
+                body=self.request.body,
+                deadline=deadline.unwrap(),
+                caller=self.caller(),
+                caller_class=caller_class.unwrap(),
+                idempotent=repeatable.unwrap(),
+                key=self.request.headers.get(HEADER_KEY, "")[:200],
+                tokens=tokens,
+                prefix_key=prefix,
+            )
+        )
+
+    async def async_build_and_serve(self, built: Result[CallerRequest, Refusal]) -> None:
+        """Serve a request that was put together, or refuse it."""
+        if built.is_err():
+            self.refuse(built.unwrap_err())
+            return
+        self._work = asyncio.ensure_future(self.async_serve(built.unwrap()))
+        try:
+            await self._work
+        except asyncio.CancelledError:
+            self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
+
+
+class ServiceHandler(_CallerHandler):
+    """Pass any request to a plain service."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
+
+    async def async_handle(self, service: str, path: str) -> None:
+        """Pass the request on."""
+        query = f"?{self.request.query}" if self.request.query else ""
+        repeatable = self.request.method in _IDEMPOTENT_METHODS
+        await self.async_build_and_serve(self.build(service, f"/{path}{query}", repeatable))
+
+    get = head = post = delete = patch = put = options = async_handle
+
+
+class CompletionHandler(_CallerHandler):
+    """Pass a completion request to the engines that serve its model."""
+
+    async def post(self, path: str) -> None:
+        """Pass the request on."""
+        await self.async_build_and_serve(self._read(path))
+
+    def _read(self, path: str) -> Result[CallerRequest, Refusal]:
+        try:
+            body = json.loads(self.request.body)
+        except (ValueError, RecursionError):
+            return Err(_bad("the body is not JSON"))
+        if not isinstance(body, dict) or not isinstance(body.get("model"), str):
+            return Err(_bad("the body must be an object with a model"))
+        max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+        if not isinstance(max_tokens, int) or isinstance(max_tokens, bool) or max_tokens < 1:
+            return Err(_bad("max_tokens must be a whole number above 0"))
+        service = self.context.service_for_model(body["model"])
+        if service is None:
+            return Err(Refusal(RefusalReason.UNKNOWN_SERVICE, detail=body["model"][:100]))
+        prompt = _prompt_text(body)
+        tokens = max_tokens + len(prompt) // _CHARS_PER_TOKEN
+        return self.build(service, f"/v1/{path}", True, tokens, prompt[:_PREFIX_CHARS])
+
+
+def _prompt_text(body: dict[str, Any]) -> str:
+    if isinstance(body.get("prompt"), str):
+        return body["prompt"]
+    return json.dumps(body.get("messages", body.get("prompt", "")))
+
+
+def _bad(detail: str) -> Refusal:
+    return Refusal(RefusalReason.BAD_REQUEST, detail=detail)
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -43,14 +43,17 @@
 
     vm_id: str = _setting(Identifier(), "The id that the VM list gives this VM.")
     data_center: str = _setting(Identifier(), "The data center that this VM stands in.")
-    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.")
-    vm_list_url: str = _setting(Url(), "Base URL of the platform's VM list.")
+    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.", key="log")
+    vm_list_url: str = _setting(Url(), "Base URL of the platform's VM list.", key="vm_list")
     listen: str = _setting(
         Address(), "Where callers, trainers and operators reach it over HTTP.", DEFAULT_ENTRY_LISTEN
     )
     peer: str = _setting(PeerAddress(), "Where other entries reach it.", DEFAULT_ENTRY_PEER)
     scorer_url: str | None = _setting(
-        Url(), "Base URL of the service that scores samples; without it no sample is scored.", None
+        Url(),
+        "Base URL of the service that scores samples; without it no sample is scored.",
+        None,
+        key="scorer",
     )
     tokens_file: str | None = _setting(
         Text(),
@@ -91,8 +94,8 @@
     vm_id: str = _setting(Identifier(), "The id that the VM list gives this VM.")
     data_center: str = _setting(Identifier(), "The data center that this VM stands in.")
     service: str = _setting(Identifier(), "The service that the upstream belongs to.")
-    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.")
-    upstream_url: str = _setting(Url(), "Base URL of the upstream on this VM.")
+    log_url: str = _setting(Url(), "Base URL of the platform's append-only log.", key="log")
+    upstream_url: str = _setting(Url(), "Base URL of the upstream on this VM.", key="upstream")
     listen: str = _setting(
         Address(), "Where /health, /ready and /metrics are served.", DEFAULT_SIDE_LISTEN
     )
--- /dev/null
+++ b/cranberryline/side/runner.py
@@ -0,0 +1,196 @@
+"""Run requests at the upstream: wait for a place, run, stream the answer, say what became of it."""
+
+import asyncio
+import heapq
+import itertools
+from datetime import timedelta
+
+from result import Err
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.platform.errors import PlatformError, PlatformReason, UpstreamCut
+from cranberryline.platform.model import PlainServicePort, UpstreamBody, UpstreamRequest
+from cranberryline.requests import CancelOutcome, RequestKey, SideBook, SubmitOutcome
+from cranberryline.transport.model import Failed, NotRun, Submit
+
+from .errors import FailReason, RunnerReason
+from .model import Held, Reply
+from .stream import AnswerStream
+
+__all__ = ["Runner"]
+
+# A refusal here means that this one upstream cannot take it; the entry has others to ask, so the
+# pause is only for a caller that finds all of them so.
+_RETRY_AFTER = timedelta(seconds=1)
+
+
+class Runner:
+    """Hold this upstream's requests; nothing else reaches the upstream."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        upstream: PlainServicePort,
+        metrics: Metrics,
+        book: SideBook,
+        concurrency: int = 8,
+    ) -> None:
+        self.concurrency = concurrency
+        self.book = book
+        self._clock = clock
+        self._upstream = upstream
+        self._metrics = metrics
+        self._seq = itertools.count()
+        self._queue: list[Held] = []
+        self._held: dict[RequestKey, Held] = {}
+
+    @property
+    def queued_tokens(self) -> int:
+        """Count the tokens of the requests that are held."""
+        return sum(held.msg.tokens for held in self._held.values())
+
+    def submit(self, key: RequestKey, msg: Submit, reply: Reply) -> None:
+        """Take a request, or vouch at once that it will not run."""
+        now = self._clock.monotonic()
+        deadline = now + timedelta(milliseconds=msg.budget_ms)
+        taken = self.book.submit(key, msg.incarnation, deadline, msg.idempotent, now)
+        if isinstance(taken, Err):
+            self._tell_not_run(msg.id, taken.unwrap_err().value, reply)
+            return
+        outcome = taken.unwrap()
+        if outcome is SubmitOutcome.FORGOTTEN:
+            reply(Failed(msg.id, FailReason.FORGOTTEN.value, "unknown"))
+        if outcome is not SubmitOutcome.QUEUED:
+            return
+        held = Held(key, msg, reply, deadline, next(self._seq), AnswerStream(msg.id, reply))
+        self._held[key] = held
+        heapq.heappush(self._queue, held)
+        self._start_next()
+        if held.task is None:
+            loop = asyncio.get_running_loop()
+            held.timer = loop.call_later(msg.budget_ms / 1000, self._expire, key)
+
+    def withdraw(self, key: RequestKey) -> str:
+        """Take a request back if it has not been started; a late Submit of it is refused."""
+        outcome = self.book.withdraw(key)
+        held = self._held.get(key)
+        if held is not None and held.task is None:
+            self._drop(key)
+        return outcome.value
+
+    def cancel(self, key: RequestKey) -> None:
+        """Stop a request that waits, or that runs and may be stopped."""
+        outcome = self.book.cancel(key)
+        if outcome is CancelOutcome.DROPPED:
+            self._drop(key)
+        elif outcome is CancelOutcome.STOP:
+            self._stop(key)
+
+    def grant(self, key: RequestKey, size: int) -> None:
+        """Allow more bytes of an answer."""
+        held = self._held.get(key)
+        if held is not None:
+            held.stream.grant(size)
+
+    def connection_lost(self, connection: str) -> None:
+        """Let go of what an entry that has gone was waiting for."""
+        lost = self.book.lose(connection)
+        for key in lost.dropped:
+            self._drop(key)
+        for key, held in self._held.items():
+            if key.connection == connection:
+                # Nobody grants more any more; a run that must end would wait for room for ever.
+                held.stream.discard()
+        for key in lost.cancel:
+            self._stop(key)
+
+    def drain(self) -> None:
+        """Refuse what has not been started, and everything that comes."""
+        for key in self.book.drain():
+            held = self._held[key]
+            self._drop(key)
+            self._tell_not_run(held.msg.id, RunnerReason.DRAINING.value, held.reply)
+
+    async def async_wait_idle(self) -> None:
+        """Return when nothing runs any more."""
+        while tasks := [held.task for held in self._held.values() if held.task is not None]:
+            await asyncio.wait(tasks)
+
+    def _expire(self, key: RequestKey) -> None:
+        """Give a request that waited too long its final answer at once."""
+        held = self._held.get(key)
+        if held is not None and self.book.refuse(key):
+            self._drop(key)
+            self._tell_not_run(held.msg.id, RunnerReason.DEADLINE.value, held.reply)
+
+    def _drop(self, key: RequestKey) -> None:
+        held = self._held.pop(key, None)
+        if held is not None:
+            held.stop_timer()
+
+    def _stop(self, key: RequestKey) -> None:
+        held = self._held.get(key)
+        if held is not None and held.task is not None:
+            held.task.cancel()
+
+    def _start_next(self) -> None:
+        while self._queue and self.book.running < self.concurrency:
+            held = heapq.heappop(self._queue)
+            if self._held.get(held.key) is not held:
+                continue
+            if not self.book.start(held.key, self._clock.monotonic()):
+                self._expire(held.key)
+                continue
+            held.stop_timer()
+            held.task = asyncio.get_running_loop().create_task(self._async_run(held))
+            held.task.add_done_callback(lambda _, key=held.key: self._ended(key))
+
+    def _ended(self, key: RequestKey) -> None:
+        self._held.pop(key, None)
+        self.book.finish(key)
+        self._start_next()
+
+    def _tell_not_run(self, request_id: int, reason: str, reply: Reply) -> None:
+        self._metrics.refuse(reason)
+        reply(NotRun(request_id, reason, int(_RETRY_AFTER / timedelta(milliseconds=1))))
+
+    async def _async_run(self, held: Held) -> None:
+        msg = held.msg
+        budget = held.deadline - self._clock.monotonic()
+        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body)
+        try:
+            sent = await self._upstream.async_send(req, budget)
+            if isinstance(sent, Err):
+                self._tell_unsent(held, sent.unwrap_err())
+                return
+            await self._async_stream(held, sent.unwrap())
+        except asyncio.CancelledError:
+            held.reply(Failed(msg.id, FailReason.CANCELLED.value, "unknown"))
+            raise
+
+    def _tell_unsent(self, held: Held, error: PlatformError) -> None:
+        if not error.may_have_run:
+            reason = RunnerReason.UPSTREAM_UNREACHABLE.value
+            self._tell_not_run(held.msg.id, reason, held.reply)
+            return
+        timed_out = error.reason is PlatformReason.TIMEOUT
+        reason = FailReason.UPSTREAM_TIMEOUT if timed_out else FailReason.UPSTREAM_ERROR
+        self._metrics.fail(reason.value)
+        held.reply(Failed(held.msg.id, reason.value, "unknown"))
+
+    async def _async_stream(self, held: Held, body: UpstreamBody) -> None:
+        budget = (held.deadline - self._clock.monotonic()).total_seconds()
+        reason, ran = FailReason.UPSTREAM_TIMEOUT, "unknown"
+        try:
+            async with asyncio.timeout(max(budget, 0.0)):
+                await held.stream.async_send_all(body)
+            return
+        except UpstreamCut:
+            reason, ran = FailReason.UPSTREAM_CUT, "yes"
+        except TimeoutError:
+            pass
+        finally:
+            await body.async_close()
+        self._metrics.fail(reason.value)
+        held.reply(Failed(held.msg.id, reason.value, ran))
