--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -1,1 +1,82 @@
-"""Decisions under load, free of network, clock and log."""
+"""Decisions under load, free of network, clock and log.
+
+Each module is one decision; its docstring names the load that it answers.
+"""
+
+from .admission import (
+    AdmissionLimits,
+    AdmissionPolicy,
+    AdmissionRequest,
+    AdmissionView,
+    Admit,
+    Refuse,
+)
+from .errors import DecisionError, DuplicateItemError
+from .health import HealthPolicy, HealthState, HealthView
+from .idle import IdlePolicy
+from .model import AttemptOutcome, Priority, RefusalReason, WorkItem
+from .outstanding import Outstanding
+from .pace import RateMeter
+from .queueing import QueueSettings, WorkQueue
+from .retry import GiveUp, GiveUpReason, RetryBudget, RetryElsewhere, RetryPolicy, RetryRequest
+from .rollout import (
+    GroupView,
+    RolloutPlan,
+    RolloutPolicy,
+    RolloutSettings,
+    RolloutView,
+    SampleView,
+    StartSamples,
+    StepView,
+    StragglerAction,
+    StragglerDecision,
+)
+from .routing import RouteRequest, RoutingPolicy, UpstreamView
+from .subset import subset
+from .weight_shift import ShiftPlan, ShiftSettings, swap_delay
+
+__all__ = [
+    "AdmissionLimits",
+    "AdmissionPolicy",
+    "AdmissionRequest",
+    "AdmissionView",
+    "Admit",
+    "AttemptOutcome",
+    "DecisionError",
+    "DuplicateItemError",
+    "GiveUp",
+    "GiveUpReason",
+    "GroupView",
+    "HealthPolicy",
+    "HealthState",
+    "HealthView",
+    "IdlePolicy",
+    "Outstanding",
+    "Priority",
+    "QueueSettings",
+    "RateMeter",
+    "RefusalReason",
+    "Refuse",
+    "RetryBudget",
+    "RetryElsewhere",
+    "RetryPolicy",
+    "RetryRequest",
+    "RolloutPlan",
+    "RolloutPolicy",
+    "RolloutSettings",
+    "RolloutView",
+    "RouteRequest",
+    "RoutingPolicy",
+    "SampleView",
+    "ShiftPlan",
+    "ShiftSettings",
+    "StartSamples",
+    "StepView",
+    "StragglerAction",
+    "StragglerDecision",
+    "UpstreamView",
+    "WorkItem",
+    "WorkQueue",
+    "subset",
+    "swap_delay",
+]
--- /dev/null
+++ b/cranberryline/decisions/rollout.py
@@ -0,0 +1,247 @@
+"""Decide which samples a trainer's steps start, and what becomes of the stragglers.
+
+Load answered: trainers that wait for a whole step, samples of very unlike length, upstreams that
+crawl or stall, and weights that change every few minutes. Starting a step's groups only when the
+trainer is ready leaves it idle for as long as the longest sample takes. Starting everything that
+is declared makes samples that are stale when received. Waiting for one stalled sample stalls the
+whole step.
+
+Staleness of a sample is known when it starts: a step is taken when the trainer reaches the
+version that it is taken at, and the sample's oldest segment has the version that the samplers
+serve now. So `start` never starts a sample that is expected to miss the bound.
+
+`freshness` is the one setting between trainer idle time and staleness. It is the share of a
+step's samples that wait for the newest weights; the rest may start one version ahead, longest
+first, since the longest decide when the step is whole and gain most from an early start. At 0 all
+may start ahead and at 1 none. More than one version ahead is started only where a sample takes
+longer than the trainer's step, since nothing else gains by it. No more is started than there is
+room for: a sample that waits at a sampler gets no weights newer than one that waits here.
+
+Stragglers: a sample of the next step is continued elsewhere, from the tokens received, when that
+is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. The cost is one
+prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND` times the
+typical first-token time is started a second time beside the first (hedged), for it may only wait
+in a queue. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
+everything, in which no move helps, does not become a storm of prefills.
+"""
+
+import enum
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+
+import attrs
+
+from .const import ZERO
+
+__all__ = [
+    "GroupView",
+    "RolloutPlan",
+    "RolloutPolicy",
+    "RolloutSettings",
+    "RolloutView",
+    "SampleView",
+    "StartSamples",
+    "StepView",
+    "StragglerAction",
+    "StragglerDecision",
+]
+
+DEFAULT_FRESHNESS = 0.5
+DEFAULT_STALENESS_BOUND = 2
+MOVE_GAIN = 1.5
+MIN_SAVING = timedelta(seconds=2)
+MOVE_SHARE = 0.1
+STALL_BOUND = 4
+MIN_STALL = timedelta(seconds=2)
+MAX_COPIES = 2
+RESIDUAL_SHARE = 0.5
+
+
+class StragglerAction(enum.StrEnum):
+    """What becomes of a sample in flight."""
+
+    RESUME = "resume"  # cancel it there, continue elsewhere from the tokens received
+    HEDGE = "hedge"  # start it elsewhere too; the first that is whole counts
+    GIVE_UP = "give_up"  # it would be too stale; cancel it and make its place again
+
+
+@attrs.frozen
+class RolloutSettings:
+    """What an operator sets for a trainer."""
+
+    freshness: float = DEFAULT_FRESHNESS
+    staleness_bound: int = DEFAULT_STALENESS_BOUND
+
+
+@attrs.frozen
+class GroupView:
+    """A group with `samples` that are not started; `expected_tokens` is of one sample."""
+
+    id: str
+    step: int
+    samples: int
+    expected_tokens: int
+
+
+@attrs.frozen
+class StepView:
+    """How many samples a step has, and how many were started."""
+
+    samples: int
+    started: int
+
+
+@attrs.frozen
+class SampleView:
+    """A sample in flight; `version` is its oldest segment's, or its sampler's before the first."""
+
+    id: str
+    step: int
+    version: int
+    expected_tokens: int
+    tokens_done: int
+    running: timedelta
+    since_progress: timedelta
+    tokens_per_second: float
+    copies: int = 1
+
+
+@attrs.frozen
+class RolloutView:
+    """A trainer's work as its owner sees it.
+
+    The trainer takes `next_step` next, at version `version_at_pull`, in about `until_pull`.
+    `sample_tokens_per_second` and `first_token` are typical (median) of samples in flight.
+    """
+
+    next_step: int
+    version_at_pull: int
+    until_pull: timedelta
+    step_time: timedelta
+    sampler_version: int
+    room: int
+    sample_tokens_per_second: float
+    first_token: timedelta
+    steps: Mapping[int, StepView]
+    waiting: Sequence[GroupView]
+    in_flight: Sequence[SampleView] = ()
+
+
+@attrs.frozen
+class StartSamples:
+    """Start that many samples of a group."""
+
+    group: str
+    samples: int
+
+
+@attrs.frozen
+class StragglerDecision:
+    """Do something about a sample in flight."""
+
+    sample: str
+    action: StragglerAction
+
+
+@attrs.frozen
+class RolloutPlan:
+    """What to do now, in this order."""
+
+    stragglers: tuple[StragglerDecision, ...] = ()
+    start: tuple[StartSamples, ...] = ()
+
+
+@attrs.frozen
+class RolloutPolicy:
+    """Start and straggler rules of one trainer."""
+
+    settings: RolloutSettings = RolloutSettings()
+
+    def plan(self, view: RolloutView) -> RolloutPlan:
+        """Return what to do now."""
+        stragglers = self.stragglers(view)
+        extra = sum(decision.action is StragglerAction.HEDGE for decision in stragglers)
+        return RolloutPlan(stragglers, self.start(view, view.room - extra))
+
+    def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
+        """Return the samples to start within the room, the most urgent first."""
+        ahead: dict[int, int] = {}
+        starts = []
+        for group in sorted(view.waiting, key=lambda group: (group.step, -group.expected_tokens)):
+            if room <= 0:
+                break
+            allowed = self._allowed(view, group, ahead.get(group.step, 0))
+            count = min(group.samples, allowed, room)
+            if count <= 0:
+                continue
+            ahead[group.step] = ahead.get(group.step, 0) + count
+            room -= count
+            starts.append(StartSamples(group.id, count))
+        return tuple(starts)
+
+    def stragglers(self, view: RolloutView) -> tuple[StragglerDecision, ...]:
+        """Return what becomes of samples in flight that are too stale or too slow."""
+        decisions = [
+            StragglerDecision(sample.id, StragglerAction.GIVE_UP)
+            for sample in view.in_flight
+            if _staleness(view, sample.step, sample.version) > self.settings.staleness_bound
+        ]
+        given_up = {decision.sample for decision in decisions}
+        slow = [
+            (saving, sample)
+            for sample in view.in_flight
+            if sample.id not in given_up and (saving := _saving(view, sample)) >= MIN_SAVING
+        ]
+        slow.sort(key=lambda pair: (-pair[0], pair[1].id))
+        moves = max(1, int(len(view.in_flight) * MOVE_SHARE))
+        decisions += [StragglerDecision(sample.id, _move(sample)) for _, sample in slow[:moves]]
+        return tuple(decisions)
+
+    def _allowed(self, view: RolloutView, group: GroupView, already: int) -> int:
+        staleness = _staleness(view, group.step, view.sampler_version)
+        if staleness > self.settings.staleness_bound:
+            return 0
+        if staleness <= 0 or group.step == view.next_step and view.until_pull <= ZERO:
+            return group.samples
+        if staleness > 1 and _duration(view, group.expected_tokens) <= view.step_time:
+            return 0
+        step = view.steps[group.step]
+        share = 1.0 - self.settings.freshness
+        return max(0, round(share * step.samples) - step.started - already)
+
+
+def _staleness(view: RolloutView, step: int, version: int) -> int:
+    return view.version_at_pull + (step - view.next_step) - version
+
+
+def _duration(view: RolloutView, tokens: float) -> timedelta:
+    if view.sample_tokens_per_second <= 0:
+        return view.first_token
+    return view.first_token + timedelta(seconds=tokens / view.sample_tokens_per_second)
+
+
+def _remaining_tokens(sample: SampleView) -> float:
+    # A sample that outgrew its estimate is expected to go on for a part of what it has.
+    return max(sample.expected_tokens - sample.tokens_done, RESIDUAL_SHARE * sample.tokens_done)
+
+
+def _saving(view: RolloutView, sample: SampleView) -> timedelta:
+    """Return how much earlier the sample is expected to end elsewhere, or 0 if not worthwhile."""
+    if sample.step != view.next_step or sample.copies >= MAX_COPIES:
+        return ZERO
+    left = _remaining_tokens(sample)
+    elsewhere = _duration(view, left)
+    stalled = sample.since_progress > max(view.first_token * STALL_BOUND, MIN_STALL)
+    if stalled:
+        here = elsewhere * MOVE_GAIN + MIN_SAVING + sample.since_progress
+    elif sample.tokens_per_second > 0:
+        here = timedelta(seconds=left / sample.tokens_per_second)
+    else:
+        return ZERO
+    if here <= view.until_pull or here < elsewhere * MOVE_GAIN:
+        return ZERO
+    return here - elsewhere
+
+
+def _move(sample: SampleView) -> StragglerAction:
+    return StragglerAction.RESUME if sample.tokens_done else StragglerAction.HEDGE
--- /dev/null
+++ b/cranberryline/decisions/routing.py
@@ -0,0 +1,136 @@
+"""Choose the upstream for a request.
+
+Load answered: upstreams of unlike speed, load reports that lag, and prompts that share prefixes.
+Random or round-robin choice sends a slow upstream as much as a fast one, and its callers wait.
+Following the reports alone goes wrong in herds: every entry sees the same idle upstream until the
+next report. Following the prefix cache alone sends a popular prefix to one upstream.
+
+The measure is the expected time until the work sent there is done: tokens outstanding there plus
+this request's, over the measured rate. Own outstanding tokens count in full, for they are known.
+What a report shows beyond them is the work of other entries; it counts in full when fresh and
+half after `REPORT_HALF_LIFE`, about the time in which an engine turns over its work. Of
+`SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
+reports do not all choose the same upstream; own counts alone would allow the best of all.
+
+Prefix affinity: the first `AFFINITY_CHOICES` upstreams by rendezvous hash of the prefix key are
+preferred while their expected time is at most `AFFINITY_BOUND` times the mean. A prefix that is
+too popular for them spills to the others; affinity costs at most that factor in wait. The group
+of a step shares its prompt and so goes together as far as the bound lets it.
+
+An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
+down by `health` counts as slower by its weight; a due probe goes first, as one request.
+"""
+
+from collections.abc import Sequence
+from datetime import timedelta
+from random import Random
+from statistics import fmean, median
+
+import attrs
+
+from . import rendezvous
+from .const import ZERO
+from .health import HealthView
+
+__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView"]
+
+REPORT_HALF_LIFE = timedelta(seconds=2)
+SAMPLE_SIZE = 4
+AFFINITY_CHOICES = 2
+AFFINITY_BOUND = 1.25
+FAR_PENALTY = 0.05
+FALLBACK_TOKENS_PER_SECOND = 1000.0
+
+
+@attrs.frozen
+class UpstreamView:
+    """An upstream as one entry sees it; a rate of 0 means that none was measured yet."""
+
+    id: str
+    data_center: str = ""
+    slots: int = 1
+    own_requests: int = 0
+    own_tokens: int = 0
+    reported_tokens: int = 0
+    report_age: timedelta | None = None
+    tokens_per_second: float = 0.0
+    weight_version: int | None = None
+    health: HealthView = HealthView()
+    draining: bool = False
+
+
+@attrs.frozen
+class RouteRequest:
+    """A request as routing sees it."""
+
+    tokens: int
+    data_center: str = ""
+    prefix_key: str | None = None
+    min_weight_version: int | None = None
+    excluded: frozenset[str] = frozenset()
+    may_probe: bool = True
+
+
+@attrs.frozen
+class RoutingPolicy:
+    """Routing by expected time, with bounded affinity."""
+
+    sample_size: int = SAMPLE_SIZE
+    affinity_bound: float = AFFINITY_BOUND
+    affinity_choices: int = AFFINITY_CHOICES
+    report_half_life: timedelta = REPORT_HALF_LIFE
+
+    def choose(
+        self, upstreams: Sequence[UpstreamView], req: RouteRequest, rng: Random
+    ) -> str | None:
+        """Return the id of the upstream to send to, or None when none may be chosen."""
+        usable = [upstream for upstream in upstreams if _is_usable(upstream, req)]
+        if req.may_probe:
+            probes = [upstream.id for upstream in usable if upstream.health.probe_due]
+            if probes:
+                return rng.choice(probes)
+        healthy = [upstream for upstream in usable if upstream.health.weight > 0]
+        if not healthy:
+            return None
+        rate = _typical_rate(healthy)
+        if req.prefix_key is not None:
+            chosen = self._by_affinity(healthy, req, rate)
+            if chosen is not None:
+                return chosen
+        drawn = rng.sample(healthy, min(self.sample_size, len(healthy)))
+        return min(drawn, key=lambda upstream: self.expected_seconds(upstream, req, rate)).id
+
+    def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
+        """Return the time in which the upstream would be done with the request, roughly."""
+        tokens = upstream.own_tokens + self._others_tokens(upstream) + req.tokens
+        speed = (upstream.tokens_per_second or rate) * upstream.health.weight
+        far = bool(req.data_center) and upstream.data_center != req.data_center
+        return tokens / speed * (1 + FAR_PENALTY * far)
+
+    def _others_tokens(self, upstream: UpstreamView) -> float:
+        if upstream.report_age is None:
+            return 0.0
+        trust = 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
+        return trust * max(0, upstream.reported_tokens - upstream.own_tokens)
+
+    def _by_affinity(
+        self, healthy: Sequence[UpstreamView], req: RouteRequest, rate: float
+    ) -> str | None:
+        seconds = {u.id: self.expected_seconds(u, req, rate) for u in healthy}
+        bound = self.affinity_bound * fmean(seconds.values())
+        ranked = rendezvous.rank(req.prefix_key or "", seconds)[: self.affinity_choices]
+        return next((member for member in ranked if seconds[member] <= bound), None)
+
+
+def _is_usable(upstream: UpstreamView, req: RouteRequest) -> bool:
+    if upstream.draining or upstream.id in req.excluded or not upstream.health.usable:
+        return False
+    if req.min_weight_version is None:
+        return True
+    version = upstream.weight_version
+    return version is not None and version >= req.min_weight_version
+
+
+def _typical_rate(upstreams: Sequence[UpstreamView]) -> float:
+    known = [u.tokens_per_second for u in upstreams if u.tokens_per_second > 0]
+    return median(known) if known else FALLBACK_TOKENS_PER_SECOND
