Add the command line

Cause: operators publish and read records, and the roles have to be started. Change: fire commands entry, side, config publish|get|list|history, status, check-settings, version, with documented exit codes; a client of the entry's operator endpoints that tells a conflict, an unavailable entry and an unknown outcome apart. A command runs only after all of its line is read: fire calls a method first and complains of a misspelt flag after that. Ruled out: fire's SetParseFn, which shows its metadata as a group in each command's help.

--- /dev/null
+++ b/cranberryline/cli.py
@@ -0,0 +1,271 @@
+"""The command line: both roles, the operator's commands and the check of settings."""
+
+import functools
+import json
+import os
+import platform
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import fire
+import yaml
+from fire.parser import DefaultParseValue
+from result import Err, Result
+
+from . import __version__
+from .exit_code import ExitCode
+from .settings import EntrySettings, SettingsError, SideSettings, load_settings
+
+__all__ = ["ExitCode", "main"]
+
+PROGRAM = "cranberryline"
+
+_FIRE_HELP = ("--", "--help")
+_HELP_FLAGS = ("-h", "--help")
+
+_ROLES: dict[str, type[EntrySettings] | type[SideSettings]] = {
+    "entry": EntrySettings,
+    "side": SideSettings,
+}
+
+
+@attrs.frozen
+class _Command:
+    """A command whose arguments are read; it runs only after all of the line is understood.
+
+    `fire` calls a method as soon as it has its arguments and complains of left-over ones after
+    that: a misspelt flag would be reported when the record has already been published.
+    """
+
+    _run: Callable[[], int]
+
+    def __dir__(self) -> list[str]:
+        """Hide all members from `fire`, which would take left-over arguments for their names."""
+        return []
+
+
+def _command(run: Callable[..., int], *texts: object) -> _Command:
+    """Return a command, or one that complains if `fire` read a flag without its value as True."""
+    if not all(isinstance(text, str) for text in texts):
+        return _Command(lambda: _usage("a flag lacks its value; --help tells the flags"))
+    return _Command(functools.partial(run, *texts))
+
+
+def _operator(name: str) -> Callable[..., int]:
+    """Return an operator's command, imported when it runs: the roles need no HTTP client of it."""
+
+    def run(*texts: str) -> int:
+        from . import operator_commands  # noqa: PLC0415
+
+        function: Callable[..., int] = getattr(operator_commands, name)
+        return function(*texts)
+
+    return run
+
+
+class ConfigCommands:
+    """Publish and read configuration records."""
+
+    def publish(self, file: str, entry: str = "", token_file: str = "") -> _Command:
+        """Publish the records in a YAML file, in their order, and stop at the first refusal.
+
+        A record is a mapping with kind, name, schema, spec and, optionally, amends: the revision
+        that it replaces (0 for a new record). Without amends the current revision is taken.
+
+        Args:
+            file: A YAML file with one record, a list of them, or several documents.
+            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
+            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
+
+        """
+        return _command(_operator("publish"), file, entry, token_file)
+
+    def get(self, kind: str, name: str, entry: str = "", token_file: str = "") -> _Command:
+        """Print the record in force, as YAML that can be edited and published.
+
+        Args:
+            kind: Kind of the record: service, trainer, weights or caller.
+            name: Name of the record.
+            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
+            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
+
+        """
+        return _command(_operator("get"), kind, name, entry, token_file)
+
+    def list(self, entry: str = "", token_file: str = "") -> _Command:
+        """Print a line for each record in force: revision, kind, name, schema, time.
+
+        Args:
+            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
+            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
+
+        """
+        return _command(_operator("list_records"), entry, token_file)
+
+    def history(self, kind: str, name: str, entry: str = "", token_file: str = "") -> _Command:
+        """Print what the log still keeps of a record, the oldest first, as YAML.
+
+        Args:
+            kind: Kind of the record: service, trainer, weights or caller.
+            name: Name of the record.
+            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
+            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
+
+        """
+        return _command(_operator("history"), kind, name, entry, token_file)
+
+
+class Commands:
+    """Rollout service for reinforcement learning on shared engines.
+
+    Exit codes: 0 done; 1 failed or refused; 2 wrong usage or settings; 3 conflict with a newer
+    record; 4 entry unavailable; 5 outcome unknown; 130 interrupted.
+    """
+
+    def __init__(self) -> None:
+        self.config = ConfigCommands()
+
+    def entry(self, settings: str) -> _Command:
+        """Run an entry process until SIGTERM or SIGINT; a second signal stops it at once.
+
+        Args:
+            settings: YAML file of settings; docs/SETTINGS.md describes its keys.
+
+        """
+        return _command(_run_role, "entry", settings)
+
+    def side(self, settings: str) -> _Command:
+        """Run a side process until SIGTERM or SIGINT; a second signal stops it at once.
+
+        Args:
+            settings: YAML file of settings; docs/SETTINGS.md describes its keys.
+
+        """
+        return _command(_run_role, "side", settings)
+
+    def status(self, entry: str = "", token_file: str = "") -> _Command:
+        """Print what is in force where, as an entry sees it, as YAML.
+
+        Args:
+            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
+            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
+
+        """
+        return _command(_operator("status"), entry, token_file)
+
+    def check_settings(self, settings: str, role: str = "") -> _Command:
+        """Check a settings file, and the tokens it names, and print every mistake.
+
+        Args:
+            settings: YAML file of settings.
+            role: entry or side; without it, a file that has `service` is a side's.
+
+        """
+        return _command(_check_settings, settings, role)
+
+    def version(self) -> _Command:
+        """Print the version."""
+        return _command(_version)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    # The help of `fire` would start a pager as a second process; "-" takes the one built in.
+    os.environ["PAGER"] = "-"
+    args = [_as_text(arg) for arg in (sys.argv[1:] if argv is None else argv)]
+    if args and args[-1] in _HELP_FLAGS:
+        args = [*args[:-1], *_FIRE_HELP]
+    try:
+        command = _parse(args)
+        if isinstance(command, _Command):
+            return command._run()
+        _parse([*args, *_FIRE_HELP])
+        return ExitCode.USAGE
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+
+
+def _parse(args: list[str]) -> object:
+    """Let `fire` read the line; a wrong line or a call for help gives the exit code as a command."""
+    try:
+        return fire.Fire(Commands(), command=args, name=PROGRAM, serialize=_silent)
+    except fire.core.FireExit as exc:
+        code = ExitCode.USAGE if exc.code else ExitCode.OK
+        return _Command(lambda: code)
+
+
+def _as_text(arg: str) -> str:
+    """Quote an argument that `fire` would take for a number, a list or a boolean.
+
+    A record named 007 would be looked up as 7, and a file named [a] as a list.
+    """
+    flag, equals, value = arg.partition("=") if arg.startswith("--") else ("", "", arg)
+    if isinstance(DefaultParseValue(value), str):
+        return arg
+    return f"{flag}{equals}{json.dumps(value)}"
+
+
+def _silent(_component: object) -> None:
+    """Keep `fire` from printing the command object."""
+
+
+def _run_role(role: str, path: str) -> int:
+    """Check the settings, set up the logs and run a role until it stops."""
+    loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
+    if isinstance(loaded, Err):
+        return _usage(str(loaded.unwrap_err()))
+    settings = loaded.unwrap()
+    from .helpers.logging import set_up_logging  # noqa: PLC0415 - only the roles log
+
+    run: Callable[[Any], int | None]
+    if role == "entry":
+        from .entry.app import run  # noqa: PLC0415 - keeps the other role out of memory
+    else:
+        from .side.app import run  # noqa: PLC0415 - keeps the other role out of memory
+    writer = set_up_logging(settings.log_level, vm_id=settings.vm_id, role=role)
+    try:
+        return run(settings) or ExitCode.OK
+    finally:
+        writer.close()
+
+
+def _check_settings(path: str, role: str) -> int:
+    """Check a settings file and the tokens file that it names."""
+    if role and role not in _ROLES:
+        return _usage(f"role: {role!r}; allowed: one of {', '.join(_ROLES)}")
+    role = role or _guess_role(path)
+    loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
+    if isinstance(loaded, Err):
+        return _usage(str(loaded.unwrap_err()))
+    if role == "entry":
+        from .helpers.tokens import load_tokens  # noqa: PLC0415 - only entries have tokens
+
+        tokens = load_tokens(loaded.unwrap().tokens_file)
+        if isinstance(tokens, Err):
+            return _usage(str(tokens.unwrap_err()))
+    print(f"{path}: valid settings of role {role}")
+    return ExitCode.OK
+
+
+def _guess_role(path: str) -> str:
+    """Return the role that a file's keys speak of; a file that can't be read is the entry's."""
+    try:
+        raw = yaml.safe_load(Path(path).read_text())
+    except (OSError, ValueError, yaml.YAMLError):
+        return "entry"
+    return "side" if isinstance(raw, dict) and {"service", "upstream_url"} & set(raw) else "entry"
+
+
+def _usage(message: str) -> int:
+    """Say what is wrong with the usage or the settings."""
+    print(f"{PROGRAM}: {message}", file=sys.stderr)
+    return ExitCode.USAGE
+
+
+def _version() -> int:
+    """Print the versions of the program and of its Python."""
+    print(f"{PROGRAM} {__version__} (Python {platform.python_version()})")
+    return ExitCode.OK
--- /dev/null
+++ b/cranberryline/operator_commands.py
@@ -0,0 +1,167 @@
+"""The operator's commands: each calls an entry, prints what came and returns an exit code."""
+
+import asyncio
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import attrs
+import yaml
+from result import Err, Ok, Result
+
+from .config_client import ApiClient, ApiError, ApiReason, RecordDraft, read_records
+from .exit_code import ExitCode
+from .settings.fields import Url
+
+__all__ = ["get", "history", "list_records", "publish", "status"]
+
+ATTR_KIND = "kind"
+ATTR_NAME = "name"
+ATTR_REVISION = "revision"
+DEFAULT_ENTRY = "http://127.0.0.1:8001"
+ENV_ENTRY = "CRANBERRYLINE_ENTRY"
+ENV_TOKEN = "CRANBERRYLINE_TOKEN"  # noqa: S105 - the name of a variable
+
+_EXIT_CODES = {
+    ApiReason.REFUSED: ExitCode.FAILURE,
+    ApiReason.CONFLICT: ExitCode.CONFLICT,
+    ApiReason.UNAVAILABLE: ExitCode.UNAVAILABLE,
+    ApiReason.UNKNOWN: ExitCode.UNKNOWN,
+}
+
+
+def publish(file: str, entry: str, token_file: str) -> int:
+    """Publish the records of a file in their order, up to the first that is not accepted."""
+    drafts = read_records(file)
+    if isinstance(drafts, Err):
+        return _complain("\n".join(drafts.unwrap_err().mistakes), ExitCode.USAGE)
+
+    async def async_run(client: ApiClient) -> Result[None, ApiError]:
+        return await _async_publish(client, drafts.unwrap())
+
+    return _call(entry, token_file, async_run, lambda _: None)
+
+
+def get(kind: str, name: str, entry: str, token_file: str) -> int:
+    """Print the record in force, with `amends` set so that an edited copy can be published."""
+    found: list[dict[str, Any]] = []
+
+    def show(records: list[dict[str, Any]]) -> None:
+        found.extend(row for row in records if _key(row) == (kind, name))
+
+    code = _call(entry, token_file, lambda client: client.async_records(), show)
+    if code != ExitCode.OK:
+        return code
+    if not found:
+        return _complain(f"{kind}/{name}: no such record in force", ExitCode.FAILURE)
+    row = found[0]
+    _print_yaml(
+        {
+            ATTR_KIND: kind,
+            ATTR_NAME: name,
+            "schema": row.get("schema"),
+            "amends": row.get(ATTR_REVISION),
+            "spec": row.get("spec"),
+        }
+    )
+    return ExitCode.OK
+
+
+def list_records(entry: str, token_file: str) -> int:
+    """Print a line for each record in force."""
+
+    def show(records: list[dict[str, Any]]) -> None:
+        print(f"{'REVISION':>8}  {'KIND':10}{'NAME':24}{'SCHEMA':>6}  TIME")
+        for row in sorted(records, key=_key):
+            kind, name = _key(row)
+            revision, schema = row.get(ATTR_REVISION, ""), row.get("schema", "")
+            print(f"{revision:>8}  {kind:10}{name:24}{schema:>6}  {row.get('time', '')}")
+
+    return _call(entry, token_file, lambda client: client.async_records(), show)
+
+
+def history(kind: str, name: str, entry: str, token_file: str) -> int:
+    """Print what the log still keeps of a record."""
+    return _call(entry, token_file, lambda client: client.async_history(kind, name), _print_yaml)
+
+
+def status(entry: str, token_file: str) -> int:
+    """Print an entry's status."""
+    return _call(entry, token_file, lambda client: client.async_status(), _print_yaml)
+
+
+async def _async_publish(client: ApiClient, drafts: list[RecordDraft]) -> Result[None, ApiError]:
+    """Publish drafts, those without `amends` against the revisions that the entry tells."""
+    revisions: dict[tuple[str, str], int] = {}
+    if any(draft.amends is None for draft in drafts):
+        current = await client.async_records()
+        if isinstance(current, Err):
+            return current
+        revisions = {_key(row): row.get(ATTR_REVISION, 0) for row in current.unwrap()}
+    for draft in drafts:
+        label = f"{draft.kind}/{draft.name}"
+        amends = draft.amends
+        if amends is None:
+            amends = revisions.get((draft.kind, draft.name), 0)
+            print(f"{label}: amends not given, taken from the entry: {amends}")
+        answer = await client.async_publish(attrs.evolve(draft, amends=amends))
+        if isinstance(answer, Err):
+            print(f"{label}: not accepted", file=sys.stderr)
+            return answer
+        revision = answer.unwrap().get(ATTR_REVISION, 0)
+        revisions[draft.kind, draft.name] = revision
+        print(f"{label}: in force as revision {revision}")
+    return Ok(None)
+
+
+def _call(
+    entry: str,
+    token_file: str,
+    call: Callable[[ApiClient], Awaitable[Result[Any, ApiError]]],
+    show: Callable[[Any], None],
+) -> int:
+    """Make calls to an entry and show what came, or say what went wrong."""
+    token = _token(token_file)
+    if isinstance(token, Err):
+        return _complain(token.unwrap_err(), ExitCode.USAGE)
+    base_url = Url().parse(entry or os.environ.get(ENV_ENTRY, "") or DEFAULT_ENTRY)
+    if isinstance(base_url, Err):
+        return _complain(f"entry: allowed: {base_url.unwrap_err()}", ExitCode.USAGE)
+
+    async def async_run() -> Result[Any, ApiError]:
+        return await call(ApiClient(base_url.unwrap(), token.unwrap()))
+
+    answer = asyncio.run(async_run())
+    if isinstance(answer, Err):
+        error = answer.unwrap_err()
+        return _complain(error.message, _EXIT_CODES[error.reason])
+    show(answer.unwrap())
+    return ExitCode.OK
+
+
+def _token(token_file: str) -> Result[str, str]:
+    """Return the operator's token, from the file if one is named."""
+    if not token_file:
+        return Ok(os.environ.get(ENV_TOKEN, "").strip())
+    try:
+        return Ok(Path(token_file).read_text().strip())
+    except (OSError, UnicodeDecodeError) as exc:
+        return Err(f"token_file: {token_file}: not readable ({type(exc).__name__})")
+
+
+def _key(row: dict[str, Any]) -> tuple[str, str]:
+    """Return what names a record."""
+    return str(row.get(ATTR_KIND, "")), str(row.get(ATTR_NAME, ""))
+
+
+def _print_yaml(data: Any) -> None:
+    """Print data as YAML, its keys in the order given."""
+    print(yaml.safe_dump(data, sort_keys=False, allow_unicode=True), end="")
+
+
+def _complain(message: str, code: ExitCode) -> int:
+    """Say what went wrong and return the exit code."""
+    print(f"cranberryline: {message}", file=sys.stderr)
+    return code
