--- a/cranberryline/requests/__init__.py
+++ b/cranberryline/requests/__init__.py
@@ -2,7 +2,7 @@
 
 from .attempt import EntryAttempt
 from .claims import ClaimFold, fingerprint, scoped_key
-from .errors import NotRunReason, RecordFault, SequenceFault
+from .errors import ClaimReason, ClaimRefused, NotRunReason, RecordFault, SequenceFault
 from .model import (
     AttemptBroken,
     AttemptDone,
@@ -30,6 +30,8 @@
     "Claim",
     "ClaimFold",
     "ClaimOutcome",
+    "ClaimReason",
+    "ClaimRefused",
     "ClaimState",
     "EntryAttempt",
     "LostConnection",
--- a/cranberryline/requests/errors.py
+++ b/cranberryline/requests/errors.py
@@ -1,10 +1,13 @@
 """Errors of requests."""
 
 import enum
+from datetime import timedelta
 
 import attrs
 
-__all__ = ["NotRunReason", "RecordFault", "SequenceFault"]
+from .model import ClaimOutcome
+
+__all__ = ["ClaimReason", "ClaimRefused", "NotRunReason", "RecordFault", "SequenceFault"]
 
 
 class NotRunReason(enum.StrEnum):
@@ -32,3 +35,22 @@
     """A record on the claims' stream that is none of ours; it changes nothing."""
 
     detail: str
+
+
+class ClaimReason(enum.StrEnum):
+    """Why a keyed request was not run by this call."""
+
+    IN_PROGRESS = "in_progress"
+    RECORDED = "recorded"
+    UNKNOWN = "unknown"
+    LOG_UNAVAILABLE = "log_unavailable"
+    KEY_REUSED_WITH_OTHER_BODY = "key_reused_with_other_body"
+
+
+@attrs.frozen
+class ClaimRefused:
+    """A refused claim; `outcome` is the answer of the run that held the key before."""
+
+    reason: ClaimReason
+    outcome: ClaimOutcome | None = None
+    retry_after: timedelta | None = None
