--- /dev/null
+++ b/cranberryline/samples/attribution.py
@@ -0,0 +1,171 @@
+"""Read an engine's answer into text and segments; what can't be attributed is an error."""
+
+import codecs
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .const import (
+    ATTR_CHOICES,
+    ATTR_CONTENT,
+    ATTR_DELTA,
+    ATTR_FINISH_REASON,
+    ATTR_MESSAGE,
+    ATTR_SEGMENTS,
+    ATTR_TEXT,
+    ATTR_TOKENS,
+    ATTR_WEIGHT_VERSION,
+    MAX_SSE_LINE,
+    MAX_TOKENS,
+    MAX_VERSION,
+    SSE_DATA,
+    SSE_DONE,
+)
+from .errors import AttributionError, DiscardReason
+from .model import Completion, Segment
+
+__all__ = ["CompletionStream", "read_completion"]
+
+
+class CompletionStream:
+    """Take in a stream of server-sent events piece by piece, split anywhere.
+
+    Versions come only from what the engine says about its tokens, never from what was ordered:
+    a swap that failed half way would otherwise be named as the version it did not reach.
+    """
+
+    def __init__(self) -> None:
+        self._decoder = codecs.getincrementaldecoder("utf-8")()
+        self._line = ""
+        self._texts: list[str] = []
+        self._segments: list[Segment] = []
+        self._finished = False
+        self._done = False
+        self._error: AttributionError | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens came so far."""
+        return sum(segment.tokens for segment in self._segments)
+
+    def feed(self, data: bytes) -> None:
+        """Take in the next bytes of the body; after an error the rest is skipped."""
+        if self._error is not None:
+            return
+        try:
+            self._line += self._decoder.decode(data)
+        except UnicodeDecodeError:
+            self._fail(DiscardReason.MALFORMED, "not UTF-8")
+            return
+        *lines, self._line = self._line.replace("\r\n", "\n").split("\n")
+        for line in lines:
+            self._take_line(line)
+        if len(self._line) > MAX_SSE_LINE:
+            self._fail(DiscardReason.MALFORMED, "a line without an end")
+
+    def finish(self, upstream: str = "") -> Result[Completion, AttributionError]:
+        """Return the whole answer, once the body has ended."""
+        if self._error is not None:
+            return Err(self._error)
+        # A stream that breaks off between two events is valid up to there and looks like a short
+        # sample. Only the end marks, the engine's and the stream's, tell the two apart.
+        if not self._done or not self._finished:
+            return Err(AttributionError(DiscardReason.CUT, "the stream ended before its end mark"))
+        return _completion("".join(self._texts), self._segments, upstream)
+
+    def _take_line(self, line: str) -> None:
+        if self._error is not None or not line.startswith(SSE_DATA):
+            return
+        payload = line.removeprefix(SSE_DATA).strip()
+        if self._done:
+            self._fail(DiscardReason.MALFORMED, "an event after the end mark")
+        elif payload == SSE_DONE:
+            self._done = True
+        else:
+            self._take_event(payload)
+
+    def _take_event(self, payload: str) -> None:
+        try:
+            event = json.loads(payload)
+            choice = event[ATTR_CHOICES][0]
+            text = _text(choice)
+        except (ValueError, LookupError, TypeError, AttributeError, RecursionError):
+            self._fail(DiscardReason.MALFORMED, "an event of another shape")
+            return
+        tokens = event.get(ATTR_TOKENS, 0)
+        if not text and tokens == 0:
+            self._finished = self._finished or bool(choice.get(ATTR_FINISH_REASON))
+            return
+        segment = _segment(event.get(ATTR_WEIGHT_VERSION), tokens)
+        if isinstance(segment, AttributionError):
+            self._error = segment
+            return
+        self._texts.append(text)
+        _append(self._segments, segment)
+        self._finished = self._finished or bool(choice.get(ATTR_FINISH_REASON))
+
+    def _fail(self, reason: DiscardReason, detail: str) -> None:
+        if self._error is None:
+            self._error = AttributionError(reason, detail)
+        self._line = ""
+
+
+def read_completion(data: Any, upstream: str = "") -> Result[Completion, AttributionError]:
+    """Read an answer that was not streamed, with its list of segments."""
+    try:
+        choice = data[ATTR_CHOICES][0]
+        text = _text(choice)
+        finished = bool(choice.get(ATTR_FINISH_REASON))
+    except (LookupError, TypeError, AttributeError):
+        return Err(AttributionError(DiscardReason.MALFORMED, "an answer of another shape"))
+    if not finished:
+        return Err(AttributionError(DiscardReason.CUT, "no finish reason"))
+    rows = data.get(ATTR_SEGMENTS)
+    if not isinstance(rows, list):
+        return Err(AttributionError(DiscardReason.VERSION_MISSING, "no segments"))
+    segments: list[Segment] = []
+    for row in rows:
+        if not isinstance(row, dict):
+            return Err(AttributionError(DiscardReason.MALFORMED, "a segment of another shape"))
+        segment = _segment(row.get(ATTR_WEIGHT_VERSION), row.get(ATTR_TOKENS))
+        if isinstance(segment, AttributionError):
+            return Err(segment)
+        _append(segments, segment)
+    return _completion(text, segments, upstream)
+
+
+def _completion(
+    text: str, segments: list[Segment], upstream: str
+) -> Result[Completion, AttributionError]:
+    if not segments:
+        return Err(AttributionError(DiscardReason.VERSION_MISSING, "no token has a version"))
+    return Ok(Completion(text, tuple(segments), upstream))
+
+
+def _text(choice: dict[str, Any]) -> str:
+    holder = choice.get(ATTR_DELTA) or choice.get(ATTR_MESSAGE)
+    text = holder.get(ATTR_CONTENT) if holder else choice.get(ATTR_TEXT)
+    if text is None:
+        return ""
+    if not isinstance(text, str):
+        raise TypeError("text is no text")
+    return text
+
+
+def _segment(version: Any, tokens: Any) -> Segment | AttributionError:
+    if version is None:
+        return AttributionError(DiscardReason.VERSION_MISSING, "tokens without a version")
+    if type(version) is not int or not 0 <= version <= MAX_VERSION:
+        return AttributionError(DiscardReason.VERSION_INVALID, f"{version!r:.40}")
+    if type(tokens) is not int or not 0 < tokens <= MAX_TOKENS:
+        return AttributionError(DiscardReason.TOKENS_INVALID, f"{tokens!r:.40}")
+    return Segment(version, tokens)
+
+
+def _append(segments: list[Segment], segment: Segment) -> None:
+    last = segments[-1] if segments else None
+    if last is None or last.weight_version != segment.weight_version:
+        segments.append(segment)
+        return
+    segments[-1] = Segment(last.weight_version, last.tokens + segment.tokens)
--- /dev/null
+++ b/cranberryline/samples/cursor.py
@@ -0,0 +1,118 @@
+"""The cursor: the one durable record of which samples of a step a trainer has received."""
+
+import base64
+import binascii
+import struct
+import zlib
+
+import attrs
+from result import Err, Ok, Result
+
+from .const import CURSOR_START, CURSOR_VERSION, MAX_SAMPLES_PER_STEP
+from .errors import CursorError, CursorReason
+from .model import StepDeclaration
+
+__all__ = ["Cursor", "decode_cursor"]
+
+# Format version, step, digest of the declaration, number of samples in the step; then the
+# compressed bitmap, then a checksum of all before it.
+_HEADER = struct.Struct("!BQ8sI")
+_CHECKSUM = struct.Struct("!I")
+_MAX_TOKEN = 2 * MAX_SAMPLES_PER_STEP
+
+
+@attrs.frozen
+class Cursor:
+    """The set of received samples; bit `p` of `received` stands for position `p` of the step.
+
+    A step of 8,192 samples makes a token of 1.4 KB at worst, one of 64 samples about 56 bytes.
+    """
+
+    step: int
+    digest: bytes
+    size: int
+    received: int = 0
+
+    @classmethod
+    def start(cls, declaration: StepDeclaration) -> "Cursor":
+        """Return the cursor of a trainer that has received nothing."""
+        return cls(declaration.step, declaration.digest, declaration.size)
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every sample of the step was received."""
+        return self.received == (1 << self.size) - 1
+
+    def covers(self, position: int) -> bool:
+        """Return whether a sample was received."""
+        return bool(self.received >> position & 1)
+
+    def with_received(self, positions: list[int]) -> "Cursor":
+        """Return the cursor that covers these samples too."""
+        received = self.received
+        for position in positions:
+            received |= 1 << position
+        return attrs.evolve(self, received=received)
+
+    def encode(self) -> str:
+        """Return the token; the start of a step is the empty one."""
+        if not self.received:
+            return CURSOR_START
+        bitmap = self.received.to_bytes((self.size + 7) // 8, "little")
+        head = _HEADER.pack(CURSOR_VERSION, self.step, self.digest, self.size)
+        payload = head + zlib.compress(bitmap, 9)
+        payload += _CHECKSUM.pack(zlib.crc32(payload))
+        return base64.urlsafe_b64encode(payload).decode().rstrip("=")
+
+
+def decode_cursor(token: str, declaration: StepDeclaration) -> Result[Cursor, CursorError]:
+    """Read a token back and check that it belongs to this declaration."""
+    if token == CURSOR_START:
+        return Ok(Cursor.start(declaration))
+    payload = _payload(token)
+    if payload is None:
+        return _malformed("it is no cursor, or was damaged")
+    if payload[0] != CURSOR_VERSION:
+        return Err(CursorError(CursorReason.UNKNOWN_VERSION, f"format version {payload[0]}"))
+    _, step, digest, size = _HEADER.unpack_from(payload)
+    expected = (declaration.step, declaration.digest, declaration.size)
+    # Positions mean nothing under another declaration: samples would be skipped as received.
+    if (step, digest, size) != expected:
+        return Err(
+            CursorError(CursorReason.OTHER_STEP, f"it belongs to step {step}, or its groups differ")
+        )
+    received = _received(payload[_HEADER.size : -_CHECKSUM.size], size)
+    if received is None:
+        return _malformed("its set of samples does not fit the step")
+    return Ok(Cursor(step, digest, size, received))
+
+
+def _payload(token: str) -> bytes | None:
+    if len(token) > _MAX_TOKEN:
+        return None
+    try:
+        raw = token.encode("ascii")
+        payload = base64.b64decode(raw + b"=" * (-len(raw) % 4), altchars=b"-_", validate=True)
+    except (UnicodeEncodeError, binascii.Error, ValueError):
+        return None
+    if len(payload) <= _HEADER.size + _CHECKSUM.size:
+        return None
+    (checksum,) = _CHECKSUM.unpack(payload[-_CHECKSUM.size :])
+    return payload if zlib.crc32(payload[: -_CHECKSUM.size]) == checksum else None
+
+
+def _received(compressed: bytes, size: int) -> int | None:
+    length = (size + 7) // 8
+    inflate = zlib.decompressobj()
+    try:
+        bitmap = inflate.decompress(compressed, length + 1)
+    except zlib.error:
+        return None
+    if len(bitmap) != length or not inflate.eof or inflate.unused_data:
+        return None
+    received = int.from_bytes(bitmap, "little")
+    return received if received >> size == 0 else None
+
+
+def _malformed(detail: str) -> Result[Cursor, CursorError]:
+    return Err(CursorError(CursorReason.MALFORMED, detail))
