--- /dev/null
+++ b/cranberryline/configs/envelope.py
@@ -0,0 +1,120 @@
+"""The envelope of a configuration record on the log: kind, name, schema, amends, spec."""
+
+import re
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from .const import (
+    ATTR_AMENDS,
+    ATTR_AUTHOR,
+    ATTR_KIND,
+    ATTR_NAME,
+    ATTR_SCHEMA,
+    ATTR_SPEC,
+    MAX_TEXT_LENGTH,
+    MAX_VERSION,
+)
+from .errors import Mistake, RejectReason
+from .fields import Field, choice, name_field, read_fields, whole
+from .model import Kind, Spec
+from .schema import known_schemas, read_spec
+
+__all__ = ["Amendment", "EnvelopeError", "read_amendment", "read_amendment_spec"]
+
+OPERATOR_KINDS = [kind.value for kind in Kind if kind is not Kind.CHECKPOINT]
+ID_PATTERN = re.compile(r"[!-~]{1,200}")
+RECORD_ID = Field(
+    "1..200 printable ASCII characters without spaces",
+    lambda value: isinstance(value, str) and bool(ID_PATTERN.fullmatch(value)),
+)
+AUTHOR = Field(
+    f"a string of at most {MAX_TEXT_LENGTH} characters",
+    lambda value: isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH,
+    "",
+)
+ENVELOPE = {
+    ATTR_KIND: choice(OPERATOR_KINDS),
+    ATTR_NAME: name_field(),
+    ATTR_SCHEMA: whole(1, MAX_VERSION),
+    ATTR_AMENDS: whole(0, MAX_VERSION, 0),
+    ATTR_SPEC: Field("a mapping, or null to delete", lambda v: v is None or isinstance(v, dict)),
+    ATTR_AUTHOR: AUTHOR,
+}
+
+
+@attrs.frozen
+class Amendment:
+    """One operator's record: `amends` is the revision it replaces, 0 where there is none."""
+
+    kind: Kind
+    name: str
+    schema: int
+    amends: int
+    raw: dict[str, Any] | None
+    author: str = ""
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the record as it stands on the log."""
+        return {
+            ATTR_KIND: self.kind.value,
+            ATTR_NAME: self.name,
+            ATTR_SCHEMA: self.schema,
+            ATTR_AMENDS: self.amends,
+            ATTR_SPEC: self.raw,
+            ATTR_AUTHOR: self.author,
+        }
+
+
+@attrs.frozen
+class EnvelopeError:
+    """Why a record cannot be read; the amendment is there when only its spec is at fault."""
+
+    reason: RejectReason
+    detail: str
+    mistakes: tuple[Mistake, ...] = ()
+    amendment: Amendment | None = None
+
+
+def read_amendment(data: Any) -> Result[Amendment, EnvelopeError]:
+    """Read a record's envelope; its spec is not looked at."""
+    values, mistakes = read_fields(data, ENVELOPE)
+    if mistakes:
+        reason = RejectReason.MALFORMED
+        if isinstance(data, dict) and [mistake.key for mistake in mistakes] == [ATTR_KIND]:
+            reason = RejectReason.UNKNOWN_KIND
+        return Err(EnvelopeError(reason, "not a configuration record", tuple(mistakes)))
+    return Ok(
+        Amendment(
+            Kind(values[ATTR_KIND]),
+            values[ATTR_NAME],
+            values[ATTR_SCHEMA],
+            values[ATTR_AMENDS],
+            values[ATTR_SPEC],
+            values[ATTR_AUTHOR],
+        )
+    )
+
+
+def read_amendment_spec(amendment: Amendment) -> Result[Spec | None, EnvelopeError]:
+    """Read the spec of an amendment; None for a deletion."""
+    known = known_schemas(amendment.kind)
+    if amendment.schema not in known:
+        allowed = "one of " + ", ".join(str(version) for version in known)
+        detail = (
+            f"schema {amendment.schema} of kind {amendment.kind.value} is not known here; "
+            f"known: {', '.join(str(version) for version in known)}"
+        )
+        mistake = Mistake(ATTR_SCHEMA, amendment.schema, allowed)
+        return Err(EnvelopeError(RejectReason.UNKNOWN_SCHEMA, detail, (mistake,), amendment))
+    if amendment.raw is None:
+        return Ok(None)
+    match read_spec(amendment.kind, amendment.schema, amendment.raw):
+        case Ok(spec):
+            return Ok(spec)
+        case Err(mistakes):
+            prefixed = tuple(attrs.evolve(m, key=f"{ATTR_SPEC}.{m.key}") for m in mistakes)
+            return Err(
+                EnvelopeError(RejectReason.INVALID, "the spec is not valid", prefixed, amendment)
+            )
--- /dev/null
+++ b/cranberryline/configs/fields.py
@@ -0,0 +1,120 @@
+"""Checks of single fields, which collect every mistake instead of stopping at the first."""
+
+import math
+import re
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from .const import MAX_NAME_LENGTH, MAX_TEXT_LENGTH
+from .errors import Mistake
+
+__all__ = ["Field", "choice", "fraction", "name_field", "number", "text", "whole", "read_fields"]
+
+NAME_PATTERN = re.compile(rf"[A-Za-z0-9][A-Za-z0-9._-]{{0,{MAX_NAME_LENGTH - 1}}}")
+NAME_ALLOWED = (
+    f"a name of letters, digits, '.', '_' and '-', at most {MAX_NAME_LENGTH} characters, "
+    "starting with a letter or digit"
+)
+SHOWN_LENGTH = 120
+REQUIRED = object()
+
+
+@attrs.frozen
+class Field:
+    """One field: what is allowed, the test for it, and the default where it may be left out."""
+
+    allowed: str
+    test: Callable[[Any], bool]
+    default: Any = REQUIRED
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+
+
+def number(low: float, high: float, default: Any = REQUIRED, above: bool = False) -> Field:
+    """Allow a finite number in a range; with `above`, only above its lower end."""
+
+    def test(value: Any) -> bool:
+        return _is_number(value) and low <= value <= high and not (above and value == low)
+
+    words = f"a number above {low:g} and up to {high:g}" if above else f"a number {low:g}..{high:g}"
+    return Field(words, test, default)
+
+
+def fraction(default: Any = REQUIRED, above: bool = False) -> Field:
+    """Allow a number from 0 to 1."""
+    return number(0, 1, default, above)
+
+
+def whole(low: int, high: int, default: Any = REQUIRED) -> Field:
+    """Allow an integer in a range."""
+
+    def test(value: Any) -> bool:
+        return isinstance(value, int) and not isinstance(value, bool) and low <= value <= high
+
+    return Field(f"an integer {low}..{high}", test, default)
+
+
+def text(default: Any = REQUIRED) -> Field:
+    """Allow a string that is not empty, unless it may be left out."""
+    low = 0 if default == "" else 1
+
+    def test(value: Any) -> bool:
+        return isinstance(value, str) and low <= len(value) <= MAX_TEXT_LENGTH
+
+    return Field(f"a string of {low}..{MAX_TEXT_LENGTH} characters", test, default)
+
+
+def name_field() -> Field:
+    """Allow a record's name."""
+    return Field(
+        NAME_ALLOWED, lambda value: isinstance(value, str) and bool(NAME_PATTERN.fullmatch(value))
+    )
+
+
+def choice(values: list[str], default: Any = REQUIRED) -> Field:
+    """Allow one of a few strings."""
+    return Field(
+        "one of " + ", ".join(values),
+        lambda value: isinstance(value, str) and value in values,
+        default,
+    )
+
+
+def shown(value: Any) -> Any:
+    """Return a value fit for a message: short, and JSON."""
+    if value is None or isinstance(value, bool | int):
+        return value
+    if isinstance(value, float):
+        return value if math.isfinite(value) else repr(value)
+    rendered = value if isinstance(value, str) else repr(value)
+    return rendered if len(rendered) <= SHOWN_LENGTH else rendered[:SHOWN_LENGTH] + "..."
+
+
+def read_fields(
+    data: Any, fields: dict[str, Field], prefix: str = ""
+) -> tuple[dict[str, Any], list[Mistake]]:
+    """Read the fields of a mapping; return the good ones and all the mistakes."""
+    if not isinstance(data, dict):
+        return {}, [Mistake(prefix.rstrip(".") or "spec", shown(data), "a mapping")]
+    values: dict[str, Any] = {}
+    mistakes = [
+        Mistake(f"{prefix}{key}", shown(data[key]), "one of the keys " + ", ".join(fields))
+        for key in data
+        if key not in fields
+    ]
+    for key, field in fields.items():
+        if key not in data:
+            if field.default is REQUIRED:
+                mistakes.append(Mistake(f"{prefix}{key}", None, f"{field.allowed} (required)"))
+            else:
+                values[key] = field.default
+            continue
+        if field.test(data[key]):
+            values[key] = data[key]
+        else:
+            mistakes.append(Mistake(f"{prefix}{key}", shown(data[key]), field.allowed))
+    return values, mistakes
--- /dev/null
+++ b/cranberryline/configs/snapshot.py
@@ -0,0 +1,233 @@
+"""Snapshots of the fold, as carried by checkpoints and handed to starters."""
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+from result import Err, Ok, Result
+
+from .const import (
+    ATTR_AMENDS,
+    ATTR_AS_OF,
+    ATTR_AUTHOR,
+    ATTR_DIGEST,
+    ATTR_ENTRIES,
+    ATTR_ID,
+    ATTR_KIND,
+    ATTR_NAME,
+    ATTR_OFFSET,
+    ATTR_READS,
+    ATTR_SCHEMA,
+    ATTR_SNAPSHOT,
+    ATTR_SPEC,
+    ATTR_TIME,
+    ATTR_UNREAD,
+    CHECKPOINT_SCHEMA,
+)
+from .envelope import Amendment, read_amendment, read_amendment_spec
+from .model import Kind, Revision
+from .schema import known_schemas
+
+__all__ = [
+    "Checkpoint",
+    "Snapshot",
+    "SnapshotError",
+    "Unread",
+    "checkpoint_data",
+    "digest_of",
+    "known_reads",
+    "read_checkpoint",
+    "revision_digest",
+    "read_snapshot",
+]
+
+DIGEST_BITS = 256
+
+
+@attrs.frozen
+class Unread:
+    """A record that only a newer release can read, kept for a process of that release."""
+
+    offset: int
+    time: str
+    id: str
+    amendment: Amendment
+
+
+@attrs.frozen
+class Snapshot:
+    """The whole fold as of an offset."""
+
+    as_of: int
+    entries: tuple[Revision, ...]
+    unread: tuple[Unread, ...]
+    reads: dict[str, list[int]]
+
+
+@attrs.frozen
+class Checkpoint:
+    """A checkpoint record: a snapshot, and the digest that a full fold has there."""
+
+    snapshot: Snapshot
+    digest: int
+
+
+@attrs.frozen
+class SnapshotError:
+    """Why a snapshot was refused as a whole."""
+
+    detail: str
+
+
+def known_reads() -> dict[str, list[int]]:
+    """Return the schema versions that this release can read, by kind."""
+    return {kind.value: known_schemas(kind) for kind in Kind if kind is not Kind.CHECKPOINT}
+
+
+def revision_digest(revision: Revision) -> int:
+    """Return the digest of one revision; the record's time plays no part."""
+    fields = [
+        revision.kind.value,
+        revision.name,
+        revision.offset,
+        revision.id,
+        revision.schema,
+        revision.amends,
+        revision.raw,
+    ]
+    text = json.dumps(fields, sort_keys=True, separators=(",", ":"))
+    return int.from_bytes(hashlib.sha256(text.encode()).digest(), "big")
+
+
+def digest_of(revisions: tuple[Revision, ...]) -> int:
+    """Return the digest of a set of revisions: their sum, so that it can be kept up to date."""
+    return sum(revision_digest(revision) for revision in revisions) % 2**DIGEST_BITS
+
+
+def revision_data(revision: Revision) -> dict[str, Any]:
+    """Return a revision as it stands in a snapshot."""
+    return {
+        ATTR_OFFSET: revision.offset,
+        ATTR_TIME: revision.time,
+        ATTR_ID: revision.id,
+        ATTR_KIND: revision.kind.value,
+        ATTR_NAME: revision.name,
+        ATTR_SCHEMA: revision.schema,
+        ATTR_AMENDS: revision.amends,
+        ATTR_SPEC: revision.raw,
+        ATTR_AUTHOR: revision.author,
+    }
+
+
+def snapshot_data(snapshot: Snapshot) -> dict[str, Any]:
+    """Return a snapshot as JSON data."""
+    unread = [
+        {ATTR_OFFSET: u.offset, ATTR_TIME: u.time, ATTR_ID: u.id, **u.amendment.as_dict()}
+        for u in snapshot.unread
+    ]
+    return {
+        ATTR_AS_OF: snapshot.as_of,
+        ATTR_READS: snapshot.reads,
+        ATTR_ENTRIES: [revision_data(revision) for revision in snapshot.entries],
+        ATTR_UNREAD: unread,
+    }
+
+
+def _is_offset(value: Any, high: int) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool) and 0 < value <= high
+
+
+def _read_head(row: Any, as_of: int) -> Result[Unread, SnapshotError]:
+    if not isinstance(row, dict):
+        return Err(SnapshotError("a row is not a mapping"))
+    rest = dict(row)
+    offset, time, id_ = (rest.pop(key, None) for key in (ATTR_OFFSET, ATTR_TIME, ATTR_ID))
+    if not _is_offset(offset, as_of) or not isinstance(time, str) or not isinstance(id_, str):
+        return Err(SnapshotError("a row's offset, time or id is not one"))
+    match read_amendment(rest):
+        case Err(error):
+            return Err(SnapshotError(f"row {offset}: {error.detail}"))
+        case Ok(amendment):
+            return Ok(Unread(offset, time, id_, amendment))
+
+
+def _read_revision(row: Any, as_of: int) -> Result[Revision, SnapshotError]:
+    head = _read_head(row, as_of)
+    if isinstance(head, Err):
+        return head
+    unread = head.ok_value
+    amendment = unread.amendment
+    match read_amendment_spec(amendment):
+        case Err(error):
+            return Err(SnapshotError(f"row {unread.offset}: {error.detail}"))
+        case Ok(spec):
+            return Ok(
+                Revision(
+                    unread.offset,
+                    unread.time,
+                    unread.id,
+                    amendment.kind,
+                    amendment.name,
+                    amendment.schema,
+                    amendment.amends,
+                    amendment.raw,
+                    spec,
+                    amendment.author,
+                )
+            )
+
+
+def read_snapshot(data: Any) -> Result[Snapshot, SnapshotError]:
+    """Read a snapshot; one bad row refuses the whole, since a part would lack records."""
+    if not isinstance(data, dict):
+        return Err(SnapshotError("not a mapping"))
+    as_of, rows = data.get(ATTR_AS_OF), data.get(ATTR_ENTRIES)
+    reads, kept = data.get(ATTR_READS), data.get(ATTR_UNREAD, [])
+    if not isinstance(as_of, int) or isinstance(as_of, bool) or as_of < 0:
+        return Err(SnapshotError("as_of is not an offset"))
+    if not isinstance(rows, list | tuple) or not isinstance(kept, list | tuple):
+        return Err(SnapshotError("entries or unread is not a list"))
+    if not isinstance(reads, dict):
+        return Err(SnapshotError("reads is not a mapping"))
+    entries: list[Revision] = []
+    for row in rows:
+        revision = _read_revision(row, as_of)
+        if isinstance(revision, Err):
+            return revision
+        entries.append(revision.ok_value)
+    unread: list[Unread] = []
+    for row in kept:
+        head = _read_head(row, as_of)
+        if isinstance(head, Err):
+            return head
+        unread.append(head.ok_value)
+    if len({(entry.kind, entry.name) for entry in entries}) != len(entries):
+        return Err(SnapshotError("a name stands twice"))
+    return Ok(Snapshot(as_of, tuple(entries), tuple(unread), reads))
+
+
+def checkpoint_data(snapshot: Snapshot) -> dict[str, Any]:
+    """Return a checkpoint record's data."""
+    return {
+        ATTR_KIND: Kind.CHECKPOINT.value,
+        ATTR_SCHEMA: CHECKPOINT_SCHEMA,
+        ATTR_DIGEST: f"{digest_of(snapshot.entries):064x}",
+        ATTR_SNAPSHOT: snapshot_data(snapshot),
+    }
+
+
+def read_checkpoint(offset: int, data: dict[str, Any]) -> Result[Checkpoint, SnapshotError]:
+    """Read a checkpoint record; it must be older than its own offset and match its digest."""
+    if data.get(ATTR_SCHEMA) != CHECKPOINT_SCHEMA:
+        return Err(SnapshotError(f"checkpoint schema {data.get(ATTR_SCHEMA)!r} is not known"))
+    match read_snapshot(data.get(ATTR_SNAPSHOT)):
+        case Err(error):
+            return Err(error)
+        case Ok(snapshot):
+            digest = digest_of(snapshot.entries)
+            if data.get(ATTR_DIGEST) != f"{digest:064x}":
+                return Err(SnapshotError("the digest does not match the entries"))
+            if snapshot.as_of >= offset:
+                return Err(SnapshotError("as_of is not older than the record"))
+            return Ok(Checkpoint(snapshot, digest))
--- /dev/null
+++ b/tests/configs/test_fold.py
@@ -0,0 +1,127 @@
+"""The fold of configuration records: what is in force, and what is refused."""
+
+from datetime import UTC, datetime
+from typing import Any
+
+import pytest
+
+from cranberryline.configs import ConfigFold, Kind, RejectReason, ServiceType
+from cranberryline.platform.model import LogRecord
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+def record(offset: int, data: dict[str, Any], record_id: str = "") -> LogRecord:
+    """Return a log record."""
+    return LogRecord(offset, NOW, record_id or f"id-{offset}", data)
+
+
+def weights(version: Any, amends: int = 0, schema: int = 1, name: str = "s") -> dict[str, Any]:
+    """Return a weights record's data."""
+    spec = {"version": version}
+    return {"kind": "weights", "name": name, "schema": schema, "amends": amends, "spec": spec}
+
+
+def service(schema: int, spec: dict[str, Any], amends: int = 0) -> dict[str, Any]:
+    """Return a service record's data."""
+    return {"kind": "service", "name": "s", "schema": schema, "amends": amends, "spec": spec}
+
+
+@pytest.fixture
+def fold() -> ConfigFold:
+    """Return an empty fold."""
+    return ConfigFold()
+
+
+def test_record_in_force_has_its_offset_as_revision(fold: ConfigFold) -> None:
+    """The revision of a record is the offset that the log gave it."""
+    assert fold.apply(record(1, weights(4))).is_ok()
+    found = fold.weights("s")
+    assert found is not None
+    assert (found[0].version, found[1]) == (4, 1)
+
+
+def test_losing_amendment_is_told_the_revision_in_force(fold: ConfigFold) -> None:
+    """Of two amendments of one revision the first on the log wins."""
+    fold.apply(record(1, weights(1)))
+    assert fold.apply(record(2, weights(2, amends=1))).is_ok()
+    lost = fold.apply(record(3, weights(3, amends=1))).unwrap_err()
+    assert (lost.reason, lost.revision) == (RejectReason.CONFLICT, 2)
+    assert fold.weights("s")[0].version == 2
+
+
+def test_old_schema_is_upgraded_on_reading(fold: ConfigFold) -> None:
+    """Schema 1 keeps the queue's seconds flat, schema 2 nests them; both read alike."""
+    fold.apply(record(1, service(1, {"type": "plain", "queue_seconds": 7})))
+    old = fold.services()["s"]
+    fold.apply(record(2, service(2, {"type": "plain", "queue": {"seconds": 7}}, amends=1)))
+    assert fold.services()["s"] == old
+    assert (old.queue_seconds, old.type) == (7, ServiceType.PLAIN)
+
+
+def test_unknown_schema_leaves_the_older_in_force(fold: ConfigFold) -> None:
+    """A record of a newer release is refused with the versions known here."""
+    fold.apply(record(1, weights(1)))
+    refused = fold.apply(record(2, weights(2, amends=1, schema=9))).unwrap_err()
+    assert refused.reason is RejectReason.UNKNOWN_SCHEMA
+    assert "known: 1" in refused.detail
+    assert fold.weights("s")[0].version == 1
+
+
+def test_all_mistakes_are_reported_together(fold: ConfigFold) -> None:
+    """Each mistake names its key, the value and what is allowed."""
+    spec = {"type": "engin", "concurrency": 0, "queue": {"second": 1}, "leave_seconds": True}
+    refused = fold.apply(record(1, service(2, spec))).unwrap_err()
+    assert {m.key for m in refused.mistakes} == {
+        "spec.type",
+        "spec.concurrency",
+        "spec.queue.second",
+        "spec.leave_seconds",
+    }
+    assert all(m.allowed for m in refused.mistakes)
+
+
+def test_gap_and_repeat_change_nothing(fold: ConfigFold) -> None:
+    """Only the next record is folded."""
+    fold.apply(record(1, weights(1)))
+    assert fold.apply(record(3, weights(2, 1))).unwrap_err().reason is RejectReason.GAP
+    assert fold.apply(record(1, weights(2, 1))).unwrap_err().reason is RejectReason.STALE
+    assert fold.offset == 1
+
+
+def test_deleted_record_keeps_its_revision(fold: ConfigFold) -> None:
+    """A record made again has to amend the deletion, so that a delayed one cannot revive it."""
+    fold.apply(record(1, weights(1)))
+    fold.apply(record(2, {**weights(1, amends=1), "spec": None}))
+    assert fold.weights("s") is None
+    assert fold.current_revision(Kind.WEIGHTS, "s") == 2
+    assert fold.apply(record(3, weights(5))).is_err()
+    assert fold.apply(record(4, weights(5, amends=2))).is_ok()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        {},
+        {"kind": 3},
+        {"kind": "weights"},
+        {"kind": "unheard"},
+        {"kind": "checkpoint"},
+        {"kind": "checkpoint", "schema": 1, "snapshot": []},
+        {**weights(1), "name": "../x"},
+        {**weights(1), "amends": -1},
+        {**weights(1), "spec": []},
+        {**weights(1), "schema": "1"},
+        weights(float("nan")),
+        weights(0),
+        weights(True),
+    ],
+)
+def test_record_that_is_not_ours_changes_nothing_but_the_offset(
+    fold: ConfigFold, data: dict[str, Any]
+) -> None:
+    """Nonsense on the stream is refused, counted and passed."""
+    refused = fold.apply(record(1, data)).unwrap_err()
+    assert refused.folded
+    assert fold.rejections[refused.reason] == 1
+    assert (fold.offset, fold.records()) == (1, [])
