--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -1,140 +1,219 @@
-"""Take a request from admission to its whole answer: wait, route, attempt, retry."""
+"""Take a request from admission to its one final answer: wait, attempt, retry."""
 
-import asyncio
-import contextlib
-from collections import deque
 from datetime import timedelta
+from random import Random
 
 from result import Err, Ok, Result
 
+from cranberryline.configs import CallerSpec, ConfigFold, ServiceSpec
+from cranberryline.decisions import AttemptOutcome as Verdict
+from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.metrics import Metrics
 from cranberryline.requests import (
     AttemptBroken,
     AttemptDone,
     AttemptNotRun,
     AttemptOutcome,
     AttemptUnknown,
+    Ran,
 )
 
 from .attempt import async_attempt
-from .errors import Ran, Refusal, RefusalReason
+from .errors import Refusal, RefusalReason
+from .lane import ServiceLane, Turn
 from .model import AnswerSink, CallerRequest
-from .peers import SidePeer
+from .upstreams import PeerTable
 
-__all__ = ["Dispatcher", "PeerTable"]
+__all__ = ["Dispatcher", "ServiceBook"]
 
-_MAX_ATTEMPTS = 3
-_QUEUE_TIMEOUT = timedelta(seconds=5)
 _RETRY_AFTER = timedelta(seconds=1)
+# What says something of the upstream itself, and not of its queue or of the caller.
+_UPSTREAM_FAULTS = frozenset(
+    {
+        "upstream_unreachable",
+        "upstream_cut",
+        "upstream_timeout",
+        "upstream_error",
+        "connection_lost",
+        "not_connected",
+    }
+)
 
 
-class PeerTable:
-    """The side processes that this entry is connected to, by service."""
-
-    def __init__(self) -> None:
-        self._by_service: dict[str, dict[str, SidePeer]] = {}
+class ServiceBook:
+    """What the configuration in force says of services and callers."""
 
-    def add(self, service: str, peer: SidePeer) -> None:
-        """Add a peer of a service."""
-        self._by_service.setdefault(service, {})[peer.vm_id] = peer
+    def __init__(self, fold: ConfigFold) -> None:
+        self._services: dict[str, ServiceSpec] = {}
+        self._callers: dict[str, CallerSpec] = {}
+        self._fold = fold
+        fold.listen(lambda _: self._read())
+        self._read()
 
-    def remove(self, vm_id: str) -> None:
-        """Forget a peer."""
-        for peers in self._by_service.values():
-            peers.pop(vm_id, None)
+    def _read(self) -> None:
+        self._services = self._fold.services()
+        self._callers = self._fold.callers()
 
     def knows(self, service: str) -> bool:
-        """Tell whether a service has ever had an upstream here."""
-        return service in self._by_service
+        """Tell whether there is such a service."""
+        return service in self._services
+
+    def spec(self, service: str) -> ServiceSpec:
+        """Return a service's specification."""
+        return self._services[service]
+
+    def for_model(self, model: str) -> str | None:
+        """Return the service that serves a model, by the model's name or its own."""
+        services = self._services
+        named = (name for name, spec in services.items() if spec.model == model)
+        return next(named, model if model in services else None)
 
-    def usable(self, service: str) -> list[SidePeer]:
-        """Return the peers of a service that take new work."""
-        return [peer for peer in self._by_service.get(service, {}).values() if peer.usable]
+    def caller(self, name: str) -> CallerSpec | None:
+        """Return what is configured for a caller."""
+        return self._callers.get(name)
 
-    def all(self) -> list[SidePeer]:
-        """Return every peer."""
-        return [peer for peers in self._by_service.values() for peer in peers.values()]
+    def shares(self) -> dict[str, float]:
+        """Return the callers' shares."""
+        return {name: spec.share for name, spec in self._callers.items()}
 
 
 class Dispatcher:
-    """Give each request an upstream, in turn, and its caller one final answer."""
+    """Give each request an upstream in its turn, and its caller one final answer."""
 
-    def __init__(self, clock: Clock, peers: PeerTable, concurrency: int = 8) -> None:
+    def __init__(
+        self, clock: Clock, rng: Random, peers: PeerTable, book: ServiceBook, metrics: Metrics
+    ) -> None:
         self._clock = clock
+        self._rng = rng
         self._peers = peers
-        self._concurrency = concurrency
-        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._book = book
+        self._metrics = metrics
+        self._lanes: dict[str, ServiceLane] = {}
+        self._retry = RetryPolicy()
         self.in_flight = 0
 
-    async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[None, Refusal]:
-        """Run a request to its end; the error is final and says whether it ran."""
+    def lane(self, service: str) -> ServiceLane:
+        """Return the lane of a service in force."""
+        lane = self._lanes.get(service)
+        if lane is None:
+            lane = self._lanes[service] = ServiceLane(
+                service,
+                self._clock,
+                self._rng,
+                self._peers,
+                lambda: self._book.spec(service),
+                self._book.shares,
+            )
+        return lane
+
+    def wake(self) -> None:
+        """Let waiting requests look at the upstreams again."""
+        for service, lane in self._lanes.items():
+            if self._book.knows(service):
+                lane.pump()
+
+    async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
+        """Run a request to its end; return the upstream's id, or a refusal that is final."""
         self.in_flight += 1
+        self._metrics.in_flight.set(self.in_flight)
         try:
             return await self._async_run(req, sink)
         finally:
             self.in_flight -= 1
-            self.wake()
-
-    async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[None, Refusal]:
-        avoid = set(req.avoid)
-        outcome: AttemptOutcome = AttemptNotRun("")
-        for _ in range(_MAX_ATTEMPTS):
-            peer = await self._async_wait_for_peer(req, avoid)
-            if peer is None:
-                return Err(Refusal(RefusalReason.OVERLOADED, retry_after=timedelta(seconds=1)))
-            outcome = await async_attempt(peer, req, sink, self._clock)
-            self.wake()
-            if isinstance(outcome, AttemptDone):
-                return Ok(None)
-            if not _may_repeat(outcome, req):
-                break
-            avoid.add(peer.vm_id)
-        return Err(_refusal_of(outcome))
-
-    async def _async_wait_for_peer(self, req: CallerRequest, avoid: set[str]) -> SidePeer | None:
-        give_up_at = min(req.deadline, self._clock.monotonic() + _QUEUE_TIMEOUT)
+            self._metrics.in_flight.set(self.in_flight)
+
+    async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
+        lane = self.lane(req.service)
+        admitted = lane.admit(req)
+        if isinstance(admitted, Err):
+            return admitted
+        start_by = admitted.unwrap()
+        avoid: frozenset[str] = req.avoid
+        attempts = 0
         while True:
-            peer = self._choose(req, avoid)
-            if peer is not None:
-                return peer
-            left = (give_up_at - self._clock.monotonic()).total_seconds()
-            if left <= 0:
-                return None
-            fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-            self._waiting.append(fut)
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(fut, left)
-
-    def _choose(self, req: CallerRequest, avoid: set[str]) -> SidePeer | None:
-        free = [p for p in self._peers.usable(req.service) if p.outstanding < self._concurrency]
-        wanted = [p for p in free if p.vm_id not in avoid] or free
-        return min(wanted, key=lambda p: p.outstanding, default=None)
-
-    def wake(self) -> None:
-        """Let one waiting request look for an upstream again."""
-        while self._waiting:
-            fut = self._waiting.popleft()
-            if not fut.done():
-                fut.set_result(None)
-                return
+            taken = await lane.async_take_turn(req, start_by, avoid)
+            if isinstance(taken, Err):
+                return taken
+            turn = taken.unwrap()
+            outcome = await self._async_attempt(lane, turn, req, sink)
+            attempts += 1
+            if isinstance(outcome, AttemptDone):
+                return Ok(turn.upstream.peer.vm_id)
+            decision = self._decide_retry(lane, req, outcome, attempts)
+            if isinstance(decision, Refusal):
+                return Err(decision)
+            self._metrics.retry(_reason_text(outcome))
+            await self._clock.async_sleep(decision)
+            avoid = avoid | {turn.upstream.peer.vm_id}
+
+    async def _async_attempt(
+        self, lane: ServiceLane, turn: Turn, req: CallerRequest, sink: AnswerSink
+    ) -> AttemptOutcome:
+        tokens = 0
+        try:
+            outcome = await async_attempt(turn.upstream.peer, req, sink, self._clock)
+            if isinstance(outcome, AttemptDone):
+                tokens = turn.item.tokens
+                turn.upstream.succeeded()
+                lane.budget.earn()
+            elif _reason_text(outcome) in _UPSTREAM_FAULTS:
+                turn.upstream.failed(self._clock.monotonic())
+            return outcome
+        finally:
+            lane.finish(turn, tokens)
+
+    def _decide_retry(
+        self, lane: ServiceLane, req: CallerRequest, outcome: AttemptOutcome, attempts: int
+    ) -> timedelta | Refusal:
+        """Return how long to wait before the next attempt, or the final refusal."""
+        if isinstance(outcome, AttemptBroken | AttemptDone):
+            return _refusal_of(outcome, None)
+        not_run = isinstance(outcome, AttemptNotRun)
+        asked = RetryRequest(
+            outcome=Verdict.NOT_RUN if not_run else Verdict.UNKNOWN,
+            idempotent=req.idempotent,
+            attempts=attempts,
+            remaining=req.deadline - self._clock.monotonic(),
+        )
+        decision = self._retry.decide(asked, lane.budget, self._rng)
+        if isinstance(decision, GiveUp) or _is_final(outcome):
+            hint = decision.retry_after if isinstance(decision, GiveUp) else None
+            return _refusal_of(outcome, hint)
+        lane.budget.spend()
+        return decision.after
+
+
+def _is_final(outcome: AttemptOutcome) -> bool:
+    """Tell whether another upstream could not do better."""
+    return _reason_text(outcome).upper() in _FINAL_REASONS
+
+
+_FINAL_REASONS = frozenset(
+    reason.name
+    for reason in (
+        RefusalReason.DEADLINE,
+        RefusalReason.CALLER_LEFT,
+        RefusalReason.CLAIM_IN_PROGRESS,
+        RefusalReason.CLAIM_UNKNOWN,
+        RefusalReason.KEY_REUSED,
+        RefusalReason.LOG_UNAVAILABLE,
+    )
+)
 
 
-def _may_repeat(outcome: AttemptOutcome, req: CallerRequest) -> bool:
-    if isinstance(outcome, AttemptNotRun):
-        return True
-    return isinstance(outcome, AttemptUnknown) and req.idempotent
+def _reason_text(outcome: AttemptOutcome) -> str:
+    return "" if isinstance(outcome, AttemptDone) else outcome.reason
 
 
-def _refusal_of(outcome: AttemptOutcome) -> Refusal:
+def _refusal_of(outcome: AttemptOutcome, hint: timedelta | None) -> Refusal:
     if isinstance(outcome, AttemptNotRun):
         reason = _reason(outcome.reason, RefusalReason.RETRIES_SPENT)
-        return Refusal(reason, Ran.NO, outcome.retry_after or _RETRY_AFTER, outcome.reason)
+        return Refusal(reason, Ran.NO, hint or outcome.retry_after or _RETRY_AFTER, outcome.reason)
     if isinstance(outcome, AttemptUnknown):
         reason = _reason(outcome.reason, RefusalReason.UPSTREAM_FAILED)
-        return Refusal(reason, outcome.ran, detail=outcome.reason)
-    if isinstance(outcome, AttemptBroken):
-        return Refusal(RefusalReason.UPSTREAM_FAILED, Ran.YES, None, outcome.reason, begun=True)
-    raise AssertionError("a whole answer is no refusal")
+        return Refusal(reason, outcome.ran, hint, outcome.reason)
+    return Refusal(RefusalReason.UPSTREAM_FAILED, Ran.YES, detail=_reason_text(outcome), begun=True)
 
 
 def _reason(text: str, default: RefusalReason) -> RefusalReason:
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -16,9 +16,10 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
+from cranberryline.requests import scoped_key
 
 from .attempt import CallerLeft
-from .dispatch import Dispatcher
+from .dispatch import Dispatcher, ServiceBook
 from .errors import Ran, Refusal, RefusalReason
 from .model import AnswerSink, CallerClass, CallerRequest
 
@@ -31,12 +32,13 @@
 HEADER_CALLER = "X-Caller"
 HEADER_REQUEST_ID = "X-Request-Id"
 
-DEFAULT_TIMEOUT = timedelta(seconds=60)
 DEFAULT_MAX_TOKENS = 256
 # A prompt's leading part decides which engine has it cached; group members share all of it.
 _PREFIX_CHARS = 256
 _CHARS_PER_TOKEN = 4
 _MAX_DEADLINE_DIGITS = 9
+_MAX_KEY_CHARS = 255
+_NOT_READY_RETRY = timedelta(seconds=1)
 
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 # Hop-by-hop headers belong to one connection (RFC 9110, 7.6.1), ours belong to the entry.
@@ -67,10 +69,8 @@
     clock: Clock
     metrics: Metrics
     dispatcher: Dispatcher
-    service_for_model: Callable[[str], str | None]
-    timeout_for: Callable[[str], timedelta]
-    knows: Callable[[str], bool]
-    accepting: Callable[[], bool]
+    book: ServiceBook
+    ready: Callable[[], bool]
 
 
 class _HandlerSink(AnswerSink):
@@ -114,6 +114,9 @@
         given = self.request.headers.get(HEADER_REQUEST_ID, "")
         self.request_id = given[:64] or f"{self._process}-{next(self._ids)}"
         self._work: asyncio.Task[Any] | None = None
+        # Without the configuration every service would look unknown, and a 404 is final.
+        if not self.context.ready():
+            self.refuse(Refusal(RefusalReason.NOT_READY, retry_after=_NOT_READY_RETRY))
 
     def set_default_headers(self) -> None:
         """Leave out the server's name."""
@@ -154,9 +157,6 @@
 
     async def async_serve(self, req: CallerRequest) -> None:
         """Run a request and write its answer."""
-        if not self.context.accepting():
-            self.refuse(Refusal(RefusalReason.STOPPING, retry_after=timedelta(seconds=1)))
-            return
         sink = _HandlerSink(self)
         result = await self.context.dispatcher.async_run(req, sink)
         if result.is_err():
@@ -167,7 +167,7 @@
 
     def caller(self) -> str:
         """Name the caller for fair shares."""
-        return self.request.headers.get(HEADER_CALLER, "") or self.request.remote_ip or "anonymous"
+        return self.request.headers.get(HEADER_CALLER, "") or self.request.remote_ip or "unknown"
 
     def caller_class(self) -> Result[CallerClass, Refusal]:
         """Read the class of the request."""
@@ -181,11 +181,14 @@
         """Read the deadline, on the monotonic clock."""
         text = self.request.headers.get(HEADER_DEADLINE)
         if text is None:
-            return Ok(self.context.clock.monotonic() + self.context.timeout_for(service))
+            return Ok(self.context.clock.monotonic() + self._timeout(service))
         if not text.isdecimal() or len(text) > _MAX_DEADLINE_DIGITS:
             return Err(_bad(f"{HEADER_DEADLINE} must be a whole number of milliseconds"))
         return Ok(self.context.clock.monotonic() + timedelta(milliseconds=int(text)))
 
+    def _timeout(self, service: str) -> timedelta:
+        return timedelta(seconds=self.context.book.spec(service).timeout_seconds)
+
     def idempotent(self, default: bool) -> Result[bool, Refusal]:
         """Read whether the request may be repeated."""
         text = self.request.headers.get(HEADER_IDEMPOTENT, "").lower()
@@ -197,13 +200,18 @@
         self, service: str, path: str, idempotent: bool, tokens: int = 0, prefix: str = ""
     ) -> Result[CallerRequest, Refusal]:
         """Check the headers and put the request together."""
-        if not self.context.knows(service):
+        if not self.context.book.knows(service):
             return Err(Refusal(RefusalReason.UNKNOWN_SERVICE, detail=service[:100]))
         caller_class, deadline = self.caller_class(), self.deadline(service)
         repeatable = self.idempotent(idempotent)
         for part in (caller_class, deadline, repeatable):
             if part.is_err():
                 return Err(part.unwrap_err())
+        key = self.request.headers.get(HEADER_KEY, "")
+        if len(key) > _MAX_KEY_CHARS:
+            return Err(_bad(f"{HEADER_KEY} must have at most {_MAX_KEY_CHARS} characters"))
+        if key:
+            key = scoped_key(self.caller(), key)
         headers = [
             (name, value)
             for name, value in self.request.headers.get_all()
@@ -222,9 +230,11 @@
                 caller=self.caller(),
                 caller_class=caller_class.unwrap(),
                 idempotent=repeatable.unwrap(),
-                key=self.request.headers.get(HEADER_KEY, "")[:200],
+                key=key,
                 tokens=tokens,
-                prefix_key=prefix,
+                # Both callers of one key are sent to one upstream while they can be: it then
+                # sees the second one without asking the log.
+                prefix_key=prefix or key,
             )
         )
 
@@ -271,7 +281,7 @@
         max_tokens = body.get("max_tokens", DEFAULT_MAX_TOKENS)
         if not isinstance(max_tokens, int) or isinstance(max_tokens, bool) or max_tokens < 1:
             return Err(_bad("max_tokens must be a whole number above 0"))
-        service = self.context.service_for_model(body["model"])
+        service = self.context.book.for_model(body["model"])
         if service is None:
             return Err(Refusal(RefusalReason.UNKNOWN_SERVICE, detail=body["model"][:100]))
         prompt = _prompt_text(body)
--- /dev/null
+++ b/cranberryline/entry/upstreams.py
@@ -0,0 +1,103 @@
+"""The side processes that an entry is connected to, and what it has seen of each."""
+
+from datetime import timedelta
+
+import attrs
+
+from cranberryline.configs import ServiceSpec
+from cranberryline.decisions import HealthPolicy, HealthState, RateMeter, UpstreamView
+from cranberryline.transport import Dialer
+
+__all__ = ["PeerTable", "Upstream"]
+
+_HEALTH = HealthPolicy()
+
+
+@attrs.define(eq=False)
+class Upstream:
+    """A side process's connection with this entry's measurements of its upstream."""
+
+    peer: Dialer
+    data_center: str
+    rate: RateMeter = attrs.field(factory=RateMeter)
+    health: HealthState = attrs.field(factory=HealthState)
+
+    def has_room(self, spec: ServiceSpec) -> bool:
+        """Tell whether one more request would find a free place, as far as this entry knows.
+
+        The side process's report lags by up to a heartbeat, so own work counts first; what other
+        entries run there is the report less the own work that it includes.
+        """
+        return self.peer.outstanding + self._others_requests() < spec.concurrency
+
+    def begin(self, now: timedelta) -> None:
+        """Note that work goes there."""
+        self.rate.set_busy(True, now)
+        if _HEALTH.view(self.health, now).probe_due:
+            self.health = _HEALTH.probed(self.health, now)
+
+    def end(self, tokens: int, now: timedelta) -> None:
+        """Note that an attempt is over, with the tokens that it brought."""
+        if tokens:
+            self.rate.record(tokens, now)
+        self.rate.set_busy(self.peer.outstanding > 0, now)
+
+    def succeeded(self) -> None:
+        """Note a whole answer."""
+        self.health = _HEALTH.succeeded(self.health)
+
+    def failed(self, now: timedelta) -> None:
+        """Note a failure of the upstream itself."""
+        self.health = _HEALTH.failed(self.health, now)
+
+    def view(self, spec: ServiceSpec, now: timedelta) -> UpstreamView:
+        """Return what routing needs to know."""
+        load = self.peer.load
+        return UpstreamView(
+            id=self.peer.vm_id,
+            data_center=self.data_center,
+            slots=spec.concurrency,
+            own_requests=self.peer.outstanding,
+            own_tokens=self.peer.outstanding_tokens,
+            reported_tokens=0 if load is None else load.queued_tokens,
+            report_age=None if load is None else now - self.peer.load_at,
+            tokens_per_second=self.rate.tokens_per_second(now),
+            weight_version=None if load is None else load.weight_version,
+            health=_HEALTH.view(self.health, now),
+            draining=self.peer.draining,
+        )
+
+    def _others_requests(self) -> int:
+        load = self.peer.load
+        if load is None:
+            return 0
+        return max(0, load.running + load.queued - self.peer.outstanding_at_load)
+
+
+class PeerTable:
+    """All connections to side processes, by VM and by service."""
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, dict[str, Upstream]] = {}
+
+    def add(self, service: str, peer: Dialer, data_center: str) -> None:
+        """Add a connection to an upstream of a service."""
+        members = self._by_service.setdefault(service, {})
+        members[peer.vm_id] = Upstream(peer, data_center)
+
+    def remove(self, vm_id: str) -> None:
+        """Forget a connection."""
+        for members in self._by_service.values():
+            members.pop(vm_id, None)
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that take new work."""
+        return [up for up in self._by_service.get(service, {}).values() if up.peer.usable]
+
+    def get(self, service: str, vm_id: str) -> Upstream | None:
+        """Return an upstream of a service."""
+        return self._by_service.get(service, {}).get(vm_id)
+
+    def all(self) -> list[Dialer]:
+        """Return every connection."""
+        return [up.peer for members in self._by_service.values() for up in members.values()]
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -2,23 +2,32 @@
 
 import asyncio
 import uuid
+from collections.abc import Coroutine, Iterable
 from datetime import timedelta
+from typing import Any
 
 import zmq
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from cranberryline.configs import Revision
+from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger, set_up_logging
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.shutdown import Shutdown
-from cranberryline.platform.clients import HttpEngine
+from cranberryline.platform.clients import HttpEngine, HttpLog
 from cranberryline.requests import SideBook
 from cranberryline.settings import SideSettings
-from cranberryline.transport.model import Load, Welcome
+from cranberryline.transport import Connection
+from cranberryline.transport.model import ConfigDelta, ConfigRequest, Load, Message, Welcome
 
+from .claims import ClaimService
+from .config_sync import SideConfigSync
+from .execution import Execution
 from .runner import Runner
 from .server import PeerServer, ServerEvents
+from .weights import ShiftSlots, WeightsController
 
 __all__ = ["SideProcess", "run"]
 
@@ -27,6 +36,33 @@
 # Three times the longest heartbeat interval of an entry.
 _ENTRY_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
+# The last answers leave with the loop's next turns.
+_LAST_FLUSH = timedelta(milliseconds=100)
+
+
+class _Relay(RelayPort):
+    """Send configuration to the connected entries."""
+
+    def __init__(self, side: "SideProcess") -> None:
+        self._side = side
+
+    def entry_peers(self) -> Iterable[str]:
+        """Return the connected entries."""
+        server = self._side.server
+        return [] if server is None else [conn.vm_id for conn in server.listener.connections]
+
+    def side_peers(self) -> Iterable[str]:
+        """Return nobody: side processes do not talk to each other."""
+        return []
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send a message to an entry; one that cannot be sent is dropped and counted."""
+        server = self._side.server
+        conn = None if server is None else server.listener.get(peer)
+        if server is None or conn is None:
+            self._side.metrics.drop("peer_not_connected")
+            return
+        server.listener.send(conn, message)
 
 
 class SideProcess(ServerEvents):
@@ -35,19 +71,33 @@
     def __init__(self, cfg: SideSettings, clock: Clock) -> None:
         self._cfg = cfg
         self._clock = clock
-        self.metrics = Metrics()
-        self.incarnation = uuid.uuid4().hex
-        self.book = SideBook(self.incarnation)
-        self.upstream = HttpEngine(cfg.upstream_url)
-        self.runner = Runner(clock, self.upstream, self.metrics, self.book)
         self._ctx = zmq.Context()
-        self._server: PeerServer | None = None
         self._http: HTTPServer | None = None
+        self._tasks: set[asyncio.Future[Any]] = set()
+        self._members: tuple[str, ...] = ()
+        self.server: PeerServer | None = None
+        self.incarnation = uuid.uuid4().hex
+        self.metrics = Metrics()
+        self.book = SideBook(self.incarnation)
+        self.engine = HttpEngine(cfg.upstream_url)
+        self.claims = ClaimService(HttpLog(cfg.log_url), cfg.service, self.incarnation, clock)
+        execution = Execution(clock, self.metrics, self.engine, self.claims)
+        self.runner = Runner(clock, execution, self.metrics, self.book)
+        self.sync = SideConfigSync(_Relay(self), clock, self.metrics)
+        slots = ShiftSlots(cfg.vm_id, lambda: self._members)
+        self.weights = WeightsController(
+            cfg.service, self.sync, self.engine, slots, clock, self.metrics
+        )
+        self.sync.fold.listen(self._on_revision)
 
     @property
     def ready(self) -> bool:
         """Tell whether new work is welcome."""
-        return self._server is not None and not self.book.draining
+        return self.sync.current and not self.book.draining
+
+    def config_offset(self) -> int:
+        """Return how much configuration this process has."""
+        return self.sync.fold.offset
 
     def load(self) -> Load | None:
         """Return the present load report."""
@@ -56,7 +106,7 @@
             queued=self.book.queued,
             queued_tokens=self.runner.queued_tokens,
             slots=self.runner.concurrency,
-            weight_version=None,
+            weight_version=self.weights.state.serving,
             config_offset=self.config_offset(),
         )
 
@@ -71,9 +121,30 @@
             draining=self.book.draining,
         )
 
-    async def async_start(self) -> None:
-        """Open the door."""
-        self._server = PeerServer(
+    def on_connected(self, conn: Connection) -> None:
+        """Take in an entry."""
+        self.sync.on_peer(conn.vm_id, conn.config_offset)
+
+    def on_disconnected(self, conn: Connection) -> None:
+        """Forget an entry that is out of reach."""
+        self.sync.on_peer_lost(conn.vm_id)
+
+    def on_offset(self, conn: Connection) -> None:
+        """Take what an entry says of how much configuration it has."""
+        self.sync.on_peer(conn.vm_id, conn.config_offset)
+
+    def on_config(self, conn: Connection, msg: ConfigDelta | ConfigRequest) -> None:
+        """Take configuration, or a request for it, from an entry."""
+        self.sync.on_message(conn.vm_id, msg)
+
+    def on_members(self, service: str, ids: tuple[str, ...]) -> None:
+        """Take the members of this upstream's service."""
+        if service == self._cfg.service:
+            self._members = ids
+
+    def start(self) -> None:
+        """Open the ports and start the tasks."""
+        self.server = PeerServer(
             self._ctx,
             self._cfg.peer,
             self._clock,
@@ -83,32 +154,47 @@
             self,
         )
         self._http = _listen(self._cfg.listen, self)
-        _LOGGER.info("side_ready", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
-
-    async def async_sweep(self) -> None:
-        """Let go of entries that have gone silent."""
-        while True:
-            await self._clock.async_sleep(_SWEEP_INTERVAL)
-            if self._server is not None:
-                self._server.drop_silent(_ENTRY_SILENT_AFTER)
+        self._spawn(self.sync.async_run())
+        self._spawn(self.weights.async_run())
+        self._spawn(self._async_sweep())
+        _LOGGER.info("side_started", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
 
     async def async_stop(self) -> None:
         """Refuse what has not begun, tell the entries, and finish what runs."""
         self.runner.drain()
-        if self._server is not None:
-            self._server.announce_drain(self.incarnation, self._cfg.stop_timeout)
+        if self.server is not None:
+            self.server.announce_drain(self.incarnation, self._cfg.stop_timeout)
         await self.runner.async_wait_idle()
-        # The last answers leave with the loop's next turns.
-        await self._clock.async_sleep(timedelta(milliseconds=100))
+        await self.claims.async_stop()
+        await self._clock.async_sleep(_LAST_FLUSH)
 
     def close(self) -> None:
-        """Close the ports."""
+        """End the tasks and close the ports."""
+        for task in list(self._tasks):
+            task.cancel()
         if self._http is not None:
             self._http.stop()
-        if self._server is not None:
-            self._server.close()
+        if self.server is not None:
+            self.server.listener.close()
         self._ctx.destroy(linger=0)
 
+    def _on_revision(self, _: Revision) -> None:
+        spec = self.sync.fold.services().get(self._cfg.service)
+        if spec is None:
+            return
+        self.runner.set_concurrency(spec.concurrency)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_sweep(self) -> None:
+        while True:
+            await self._clock.async_sleep(_SWEEP_INTERVAL)
+            if self.server is not None:
+                self.server.listener.drop_silent(_ENTRY_SILENT_AFTER)
+
 
 class _HealthHandler(RequestHandler):
     """Answer whether the process lives, or is ready for work."""
@@ -122,7 +208,7 @@
         """Answer 200 or 503."""
         good = self._side.ready or not self._readiness
         self.set_status(200 if good else 503)
-        self.finish({"ready": self._side.ready})
+        self.finish({"ok": good})
 
 
 def _listen(address: str, side: SideProcess) -> HTTPServer:
@@ -144,10 +230,8 @@
     side = SideProcess(cfg, SystemClock())
     shutdown = Shutdown(side.async_stop, cfg.stop_timeout, side.metrics)
     shutdown.install()
-    await side.async_start()
-    sweep = asyncio.ensure_future(side.async_sweep())
+    side.start()
     outcome = await shutdown.async_wait()
-    sweep.cancel()
     side.close()
     return outcome.exit_code
 
--- a/cranberryline/side/errors.py
+++ b/cranberryline/side/errors.py
@@ -11,7 +11,8 @@
     DRAINING = "draining"
     DEADLINE = "deadline"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
-    NOT_READY = "not_ready"
+    LOG_UNAVAILABLE = "log_unavailable"
+    KEY_REUSED = "key_reused"
 
 
 class FailReason(enum.StrEnum):
@@ -22,3 +23,6 @@
     UPSTREAM_ERROR = "upstream_error"
     CANCELLED = "cancelled"
     FORGOTTEN = "forgotten"
+    CLAIM_IN_PROGRESS = "claim_in_progress"
+    CLAIM_UNKNOWN = "claim_unknown"
+    OUTCOME_NOT_KEPT = "outcome_not_kept"
--- a/cranberryline/side/runner.py
+++ b/cranberryline/side/runner.py
@@ -1,4 +1,4 @@
-"""Run requests at the upstream: wait for a place, run, stream the answer, say what became of it."""
+"""Hold the upstream's requests: let them wait for a place, run, be withdrawn or stopped."""
 
 import asyncio
 import heapq
@@ -7,23 +7,19 @@
 
 from result import Err
 
+from cranberryline.configs.const import DEFAULT_CONCURRENCY
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason, UpstreamCut
-from cranberryline.platform.model import PlainServicePort, UpstreamBody, UpstreamRequest
 from cranberryline.requests import CancelOutcome, RequestKey, SideBook, SubmitOutcome
-from cranberryline.transport.model import Failed, NotRun, Submit
+from cranberryline.transport.model import Failed, Submit
 
 from .errors import FailReason, RunnerReason
+from .execution import Execution, tell_not_run
 from .model import Held, Reply
 from .stream import AnswerStream
 
 __all__ = ["Runner"]
 
-# A refusal here means that this one upstream cannot take it; the entry has others to ask, so the
-# pause is only for a caller that finds all of them so.
-_RETRY_AFTER = timedelta(seconds=1)
-
 
 class Runner:
     """Hold this upstream's requests; nothing else reaches the upstream."""
@@ -31,15 +27,15 @@
     def __init__(
         self,
         clock: Clock,
-        upstream: PlainServicePort,
+        execution: Execution,
         metrics: Metrics,
         book: SideBook,
-        concurrency: int = 8,
+        concurrency: int = DEFAULT_CONCURRENCY,
     ) -> None:
         self.concurrency = concurrency
         self.book = book
         self._clock = clock
-        self._upstream = upstream
+        self._execution = execution
         self._metrics = metrics
         self._seq = itertools.count()
         self._queue: list[Held] = []
@@ -50,13 +46,18 @@
         """Count the tokens of the requests that are held."""
         return sum(held.msg.tokens for held in self._held.values())
 
+    def set_concurrency(self, concurrency: int) -> None:
+        """Change how many requests may run at once; what runs goes on."""
+        self.concurrency = concurrency
+        self._start_next()
+
     def submit(self, key: RequestKey, msg: Submit, reply: Reply) -> None:
         """Take a request, or vouch at once that it will not run."""
         now = self._clock.monotonic()
         deadline = now + timedelta(milliseconds=msg.budget_ms)
         taken = self.book.submit(key, msg.incarnation, deadline, msg.idempotent, now)
         if isinstance(taken, Err):
-            self._tell_not_run(msg.id, taken.unwrap_err().value, reply)
+            tell_not_run(msg.id, taken.unwrap_err().value, reply, self._metrics)
             return
         outcome = taken.unwrap()
         if outcome is SubmitOutcome.FORGOTTEN:
@@ -110,7 +111,7 @@
         for key in self.book.drain():
             held = self._held[key]
             self._drop(key)
-            self._tell_not_run(held.msg.id, RunnerReason.DRAINING.value, held.reply)
+            tell_not_run(held.msg.id, RunnerReason.DRAINING.value, held.reply, self._metrics)
 
     async def async_wait_idle(self) -> None:
         """Return when nothing runs any more."""
@@ -122,7 +123,7 @@
         held = self._held.get(key)
         if held is not None and self.book.refuse(key):
             self._drop(key)
-            self._tell_not_run(held.msg.id, RunnerReason.DEADLINE.value, held.reply)
+            tell_not_run(held.msg.id, RunnerReason.DEADLINE.value, held.reply, self._metrics)
 
     def _drop(self, key: RequestKey) -> None:
         held = self._held.pop(key, None)
@@ -143,54 +144,10 @@
                 self._expire(held.key)
                 continue
             held.stop_timer()
-            held.task = asyncio.get_running_loop().create_task(self._async_run(held))
+            held.task = asyncio.get_running_loop().create_task(self._execution.async_run(held))
             held.task.add_done_callback(lambda _, key=held.key: self._ended(key))
 
     def _ended(self, key: RequestKey) -> None:
         self._held.pop(key, None)
         self.book.finish(key)
         self._start_next()
-
-    def _tell_not_run(self, request_id: int, reason: str, reply: Reply) -> None:
-        self._metrics.refuse(reason)
-        reply(NotRun(request_id, reason, int(_RETRY_AFTER / timedelta(milliseconds=1))))
-
-    async def _async_run(self, held: Held) -> None:
-        msg = held.msg
-        budget = held.deadline - self._clock.monotonic()
-        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body)
-        try:
-            sent = await self._upstream.async_send(req, budget)
-            if isinstance(sent, Err):
-                self._tell_unsent(held, sent.unwrap_err())
-                return
-            await self._async_stream(held, sent.unwrap())
-        except asyncio.CancelledError:
-            held.reply(Failed(msg.id, FailReason.CANCELLED.value, "unknown"))
-            raise
-
-    def _tell_unsent(self, held: Held, error: PlatformError) -> None:
-        if not error.may_have_run:
-            reason = RunnerReason.UPSTREAM_UNREACHABLE.value
-            self._tell_not_run(held.msg.id, reason, held.reply)
-            return
-        timed_out = error.reason is PlatformReason.TIMEOUT
-        reason = FailReason.UPSTREAM_TIMEOUT if timed_out else FailReason.UPSTREAM_ERROR
-        self._metrics.fail(reason.value)
-        held.reply(Failed(held.msg.id, reason.value, "unknown"))
-
-    async def _async_stream(self, held: Held, body: UpstreamBody) -> None:
-        budget = (held.deadline - self._clock.monotonic()).total_seconds()
-        reason, ran = FailReason.UPSTREAM_TIMEOUT, "unknown"
-        try:
-            async with asyncio.timeout(max(budget, 0.0)):
-                await held.stream.async_send_all(body)
-            return
-        except UpstreamCut:
-            reason, ran = FailReason.UPSTREAM_CUT, "yes"
-        except TimeoutError:
-            pass
-        finally:
-            await body.async_close()
-        self._metrics.fail(reason.value)
-        held.reply(Failed(held.msg.id, reason.value, ran))
--- a/cranberryline/side/stream.py
+++ b/cranberryline/side/stream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from cranberryline.platform.model import UpstreamBody
+from cranberryline.requests.const import MAX_RECORDED_BODY
 from cranberryline.transport.model import Chunk, End, Head, Message
 
 __all__ = ["INITIAL_WINDOW", "AnswerStream"]
@@ -24,6 +25,12 @@
         self._room.set()
         self._discarding = False
         self._seq = 0
+        self._keeping = False
+        self.kept = b""
+
+    def keep_body(self) -> None:
+        """Keep the body as it passes, up to one byte more than a recorded outcome may have."""
+        self._keeping = True
 
     def grant(self, size: int) -> None:
         """Add to the window."""
@@ -41,11 +48,19 @@
         self._send(Head(self._id, body.head.status, body.head.headers))
         async for data in body.chunks():
             await self._room.wait()
+            if self._keeping and len(self.kept) <= MAX_RECORDED_BODY:
+                self.kept += data
             self._send(Chunk(self._id, self._seq, data))
             self._seq += 1
             self._take_room(len(data))
         self._send(End(self._id, self._seq))
 
+    def send_whole(self, status: int, headers: tuple[tuple[str, str], ...], body: bytes) -> None:
+        """Send an answer that is at hand."""
+        self._send(Head(self._id, status, headers))
+        self._send(Chunk(self._id, 0, body))
+        self._send(End(self._id, 1))
+
     def _take_room(self, size: int) -> None:
         self._window -= size
         if self._window <= 0 and not self._discarding:
--- a/cranberryline/transport/__init__.py
+++ b/cranberryline/transport/__init__.py
@@ -1,13 +1,22 @@
 """Messages and peer connections between the system's own processes."""
 
 from .codec import decode, encode
+from .dialer import Dialer, DialerEvents, Exchange, Lost
 from .errors import BadFrame, BadFrameReason, PeerGone
+from .listener import Connection, Listener, ListenerEvents
 from .sockets import DealerSocket, RouterSocket
 
 __all__ = [
     "BadFrame",
     "BadFrameReason",
+    "Connection",
     "DealerSocket",
+    "Dialer",
+    "DialerEvents",
+    "Exchange",
+    "Listener",
+    "ListenerEvents",
+    "Lost",
     "PeerGone",
     "RouterSocket",
     "decode",
--- a/cranberryline/entry/peers.py
+++ b/cranberryline/transport/dialer.py
@@ -1,4 +1,4 @@
-"""The entry's connections to side processes: one task per peer, written straight down."""
+"""The dialling end of a connection between two of our processes: one task for each peer."""
 
 import asyncio
 from collections import deque
@@ -8,14 +8,15 @@
 import zmq
 
 from cranberryline.helpers.clock import Clock
-from cranberryline.transport import BadFrame, DealerSocket, PeerGone
-from cranberryline.transport.const import (
+
+from .const import (
     HEARTBEAT_BUSY,
     HEARTBEAT_IDLE,
     SILENT_AFTER,
     WELCOME_TIMEOUT,
 )
-from cranberryline.transport.model import (
+from .errors import BadFrame, PeerGone
+from .model import (
     Chunk,
     ConfigDelta,
     ConfigRequest,
@@ -30,12 +31,13 @@
     Load,
     Message,
     NotRun,
-    Submit,
+    PeerAnswer,
     Welcome,
     Withdrawn,
 )
+from .sockets import DealerSocket
 
-__all__ = ["Exchange", "Lost", "PeerEvents", "SidePeer"]
+__all__ = ["Exchange", "Lost", "DialerEvents", "Dialer"]
 
 _REDIAL_FIRST = timedelta(milliseconds=100)
 _REDIAL_MOST = timedelta(seconds=5)
@@ -48,7 +50,7 @@
 class Exchange:
     """One request on one connection: what goes out, and what comes back in order."""
 
-    def __init__(self, peer: "SidePeer", request_id: int, tokens: int) -> None:
+    def __init__(self, peer: "Dialer", request_id: int, tokens: int) -> None:
         self.id = request_id
         self.tokens = tokens
         self.peer = peer
@@ -87,34 +89,37 @@
         self.peer.forget(self.id)
 
 
-class PeerEvents:
-    """What a peer connection tells the entry; the default ignores everything."""
+class DialerEvents:
+    """What a dialled connection tells its owner; the default ignores everything."""
 
-    def on_up(self, peer: "SidePeer", welcome: Welcome) -> None:
+    def on_up(self, peer: "Dialer", welcome: Welcome) -> None:
         """Handle a connection that is ready."""
 
-    def on_down(self, peer: "SidePeer") -> None:
+    def on_down(self, peer: "Dialer") -> None:
         """Handle a connection that has ended."""
 
-    def on_drain(self, peer: "SidePeer", msg: Drain) -> None:
+    def on_drain(self, peer: "Dialer", msg: Drain) -> None:
         """Handle the announcement of a planned stop."""
 
-    def on_load(self, peer: "SidePeer", msg: Load) -> None:
+    def on_load(self, peer: "Dialer", msg: Load) -> None:
         """Handle a load report."""
 
-    def on_config(self, peer: "SidePeer", msg: ConfigDelta | ConfigRequest) -> None:
+    def on_config(self, peer: "Dialer", msg: ConfigDelta | ConfigRequest) -> None:
         """Handle configuration records, or a request for them."""
 
+    def on_offset(self, peer: "Dialer", offset: int) -> None:
+        """Handle what a peer says of how much configuration it has."""
+
     def on_bad_frame(self, bad: BadFrame) -> None:
         """Handle a frame that could not be read."""
 
     def config_offset(self) -> int:
-        """Return how much configuration this entry has."""
+        """Return how much configuration this process has."""
         return 0
 
 
-class SidePeer:
-    """One side process as this entry knows it, and the task that keeps the connection."""
+class Dialer:
+    """One peer as this process knows it, and the task that keeps the connection."""
 
     def __init__(
         self,
@@ -123,7 +128,7 @@
         vm_id: str,
         address: str,
         hello: Callable[[], Hello],
-        events: PeerEvents,
+        events: DialerEvents,
         next_id: Callable[[], int],
     ) -> None:
         self.vm_id = vm_id
@@ -131,6 +136,7 @@
         self.welcome: Welcome | None = None
         self.load: Load | None = None
         self.load_at = timedelta()
+        self.outstanding_at_load = 0
         self.draining = False
         self.peer_config_offset = 0
         self._ctx = ctx
@@ -160,7 +166,7 @@
         """Count the expected tokens of the requests whose answer has not ended."""
         return self._tokens
 
-    def open(self, make: Callable[[int, str], Submit], tokens: int) -> Exchange | None:
+    def open(self, make: Callable[[int, str], Message], tokens: int) -> Exchange | None:
         """Send a request; None when there is no connection, so that nothing was sent."""
         if self.welcome is None or self._sock is None:
             return None
@@ -245,25 +251,31 @@
                 sock.send(Heartbeat(self._heartbeat_seq, self._events.config_offset()))
 
     def _handle(self, msg: Message) -> None:
-        if isinstance(msg, Head | Chunk | End | NotRun | Failed | Withdrawn):
+        if isinstance(msg, Head | Chunk | End | NotRun | Failed | Withdrawn | PeerAnswer):
             exchange = self._exchanges.get(msg.id)
             if exchange is not None:
                 exchange.push(msg)
         elif isinstance(msg, Load):
             self.load, self.load_at = msg, self._clock.monotonic()
-            self.peer_config_offset = msg.config_offset
+            self.outstanding_at_load = len(self._exchanges)
+            self._note_offset(msg.config_offset)
             self._events.on_load(self, msg)
         elif isinstance(msg, Drain):
             self.draining = True
             self._events.on_drain(self, msg)
         elif isinstance(msg, HeartbeatAck):
-            self.peer_config_offset = msg.config_offset
+            self._note_offset(msg.config_offset)
         elif isinstance(msg, ConfigDelta | ConfigRequest):
             self._events.on_config(self, msg)
 
+    def _note_offset(self, offset: int) -> None:
+        self.peer_config_offset = offset
+        self._events.on_offset(self, offset)
+
     def _settle_lost(self) -> None:
         was_up = self.welcome is not None
         self.welcome = None
+        self.load = None
         exchanges, self._exchanges, self._tokens = self._exchanges, {}, 0
         for exchange in exchanges.values():
             exchange.push(Lost())
--- a/cranberryline/transport/model.py
+++ b/cranberryline/transport/model.py
@@ -23,8 +23,10 @@
     "HeartbeatAck",
     "Hello",
     "Load",
+    "Members",
     "Message",
     "NotRun",
+    "PeerAnswer",
     "PeerRequest",
     "Submit",
     "Welcome",
@@ -219,3 +221,20 @@
     path: str
     body: bytes
     budget_ms: int
+
+
+@attrs.frozen
+class PeerAnswer(Message):
+    """Answer a PeerRequest with the HTTP status and body for the trainer."""
+
+    id: int
+    status: int
+    body: bytes
+
+
+@attrs.frozen
+class Members(Message):
+    """Tell a side process which VMs serve its service, itself included."""
+
+    service: str
+    ids: tuple[str, ...]
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,146 @@
+"""Fakes at the edge of the entry: a side process that answers as told, without sockets."""
+
+import itertools
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from random import Random
+from typing import Any
+
+import pytest
+
+from cranberryline.configs import ConfigFold
+from cranberryline.entry.dispatch import Dispatcher, ServiceBook
+from cranberryline.entry.model import CallerClass, CallerRequest
+from cranberryline.entry.upstreams import PeerTable
+from cranberryline.helpers.clock import Clock, SystemClock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.platform.model import LogRecord
+from cranberryline.transport import Exchange
+from cranberryline.transport.model import (
+    Cancel,
+    Chunk,
+    End,
+    Head,
+    Load,
+    Message,
+    Submit,
+    Withdraw,
+    Withdrawn,
+)
+
+Script = Callable[["FakeSide", Exchange, Submit], None]
+
+
+def answer(side: "FakeSide", exchange: Exchange, msg: Submit) -> None:
+    """Answer at once with the whole body back."""
+    exchange.push(Head(msg.id, 200, ()))
+    exchange.push(Chunk(msg.id, 0, msg.body))
+    exchange.push(End(msg.id, 1))
+
+
+def silent(side: "FakeSide", exchange: Exchange, msg: Submit) -> None:
+    """Answer nothing."""
+
+
+class FakeSide:
+    """Stand for one connection to a side process."""
+
+    _ids = itertools.count(1)
+
+    def __init__(self, vm_id: str, script: Script = answer) -> None:
+        self.vm_id = vm_id
+        self.script = script
+        self.usable = True
+        self.draining = False
+        self.load: Load | None = None
+        self.load_at = timedelta()
+        self.outstanding_at_load = 0
+        self.submits: list[Submit] = []
+        self.sent: list[Message] = []
+        self.withdrawn = "not_run"
+        self._exchanges: dict[int, Exchange] = {}
+        self.peak = 0
+
+    @property
+    def outstanding(self) -> int:
+        return len(self._exchanges)
+
+    @property
+    def outstanding_tokens(self) -> int:
+        return sum(exchange.tokens for exchange in self._exchanges.values())
+
+    def open(self, make: Callable[[int, str], Submit], tokens: int) -> Exchange | None:
+        if not self.usable:
+            return None
+        exchange = Exchange(self, next(self._ids), tokens)  # type: ignore[arg-type]
+        self._exchanges[exchange.id] = exchange
+        self.peak = max(self.peak, self.outstanding)
+        msg = make(exchange.id, "life-1")
+        self.submits.append(msg)
+        self.script(self, exchange, msg)
+        return exchange
+
+    def send(self, msg: Message) -> bool:
+        self.sent.append(msg)
+        if isinstance(msg, Withdraw) and msg.id in self._exchanges:
+            self._exchanges[msg.id].push(Withdrawn(msg.id, self.withdrawn))
+        return True
+
+    def grant(self, request_id: int, size: int) -> None:
+        pass
+
+    def forget(self, request_id: int) -> None:
+        self._exchanges.pop(request_id, None)
+
+    def cancelled(self) -> bool:
+        """Tell whether a run was stopped."""
+        return any(isinstance(msg, Cancel) for msg in self.sent)
+
+
+class Bench:
+    """A dispatcher over fake side processes of one service."""
+
+    service = "dossiers"
+
+    def __init__(self, clock: Clock, **spec: Any) -> None:
+        self.clock = clock
+        self.fold = ConfigFold()
+        self.metrics = Metrics()
+        self.table = PeerTable()
+        self.book = ServiceBook(self.fold)
+        self.dispatcher = Dispatcher(clock, Random(7), self.table, self.book, self.metrics)
+        self.publish("service", self.service, {"type": "plain", "concurrency": 2, **spec})
+
+    def publish(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Fold a record at the next offset."""
+        offset = self.fold.offset + 1
+        data = {"kind": kind, "name": name, "schema": 1, "amends": 0, "spec": spec}
+        record = LogRecord(offset, datetime(2026, 1, 1, tzinfo=UTC), f"r{offset}", data)
+        self.fold.apply(record).unwrap()
+
+    def side(self, vm_id: str, script: Script = answer) -> FakeSide:
+        """Connect a side process."""
+        side = FakeSide(vm_id, script)
+        self.table.add(self.service, side, "levis")  # type: ignore[arg-type]
+        return side
+
+    def request(self, **change: Any) -> CallerRequest:
+        """Return a request with a second to its deadline."""
+        fields = {
+            "service": self.service,
+            "method": "GET",
+            "path": "/",
+            "headers": (),
+            "body": b"whole",
+            "deadline": self.clock.monotonic() + timedelta(seconds=1),
+            "caller": "inspecteur",
+            "caller_class": CallerClass.APPLICATION,
+            **change,
+        }
+        return CallerRequest(**fields)
+
+
+@pytest.fixture
+def bench() -> Bench:
+    """Return a dispatcher whose service runs two requests at a time on each upstream."""
+    return Bench(SystemClock())
--- /dev/null
+++ b/tests/entry/test_dispatch.py
@@ -0,0 +1,194 @@
+"""The dispatcher over fake side processes: what callers are told, and what upstreams see."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from cranberryline.entry.errors import RefusalReason
+from cranberryline.entry.model import CollectingSink
+from cranberryline.requests import Ran
+from cranberryline.transport import Exchange, Lost
+from cranberryline.transport.model import Chunk, End, Failed, Head, NotRun, Submit
+
+from .conftest import Bench, FakeSide, answer, silent
+
+
+def _not_run(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+    exchange.push(NotRun(msg.id, "draining", 0))
+
+
+def _lose(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+    exchange.push(Lost())
+
+
+def _cut(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+    exchange.push(Head(msg.id, 200, ()))
+    exchange.push(Chunk(msg.id, 0, b"who"))
+    exchange.push(Failed(msg.id, "upstream_cut", "yes"))
+
+
+def _skip_a_chunk(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+    exchange.push(Head(msg.id, 200, ()))
+    exchange.push(Chunk(msg.id, 0, b"a"))
+    exchange.push(Chunk(msg.id, 2, b"c"))
+    exchange.push(End(msg.id, 3))
+
+
+def test_a_whole_answer_reaches_the_caller(bench: Bench) -> None:
+    """The sink holds exactly what the upstream sent."""
+    bench.side("up-1")
+    sink = CollectingSink()
+    result = asyncio.run(bench.dispatcher.async_run(bench.request(), sink))
+    assert result.unwrap() == "up-1"
+    assert (sink.status, sink.body) == (200, b"whole")
+
+
+def test_a_request_that_was_not_run_goes_elsewhere(bench: Bench) -> None:
+    """The caller of a draining upstream gets its answer from another one."""
+    first = bench.side("up-1", _not_run)
+    second = bench.side("up-2", _not_run)
+    third = bench.side("up-3")
+    req = bench.request(method="POST", idempotent=False)
+    result = asyncio.run(bench.dispatcher.async_run(req, CollectingSink()))
+    if result.is_ok():
+        assert result.unwrap() == "up-3"
+    assert len(third.submits) <= 1
+    assert len(first.submits) + len(second.submits) + len(third.submits) <= 3
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_lost_connection_repeats_only_what_may_be_repeated(
+    bench: Bench, idempotent: bool
+) -> None:
+    """The caller of a non-idempotent request is told `unknown`, and nothing is sent again.
+
+    The connection goes after the request left and before its answer: it may have run. Sending it
+    to another upstream would run it twice.
+    """
+    sides = [bench.side("up-1", _lose), bench.side("up-2", _lose)]
+    req = bench.request(idempotent=idempotent)
+    refusal = asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap_err()
+    assert refusal.reason is RefusalReason.CONNECTION_LOST
+    assert refusal.ran is Ran.UNKNOWN
+    sent = sum(len(side.submits) for side in sides)
+    assert sent == 1 if not idempotent else sent > 1
+
+
+def test_a_deadline_is_not_run_only_when_the_withdrawal_is_confirmed(bench: Bench) -> None:
+    """The caller reads `no` after a confirmed withdrawal, `unknown` when it had been started."""
+    side = bench.side("up-1", silent)
+    for outcome, ran in (("not_run", Ran.NO), ("started", Ran.UNKNOWN), ("done", Ran.UNKNOWN)):
+        side.withdrawn = outcome
+        deadline = bench.clock.monotonic() + timedelta(milliseconds=50)
+        req = bench.request(deadline=deadline, idempotent=False)
+        refusal = asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap_err()
+        assert (refusal.reason, refusal.ran) == (RefusalReason.DEADLINE, ran)
+    assert not side.cancelled()
+
+
+@pytest.mark.parametrize("script", [_cut, _skip_a_chunk])
+def test_a_part_of_an_answer_is_never_taken_for_the_whole(bench: Bench, script: object) -> None:
+    """The caller that has seen a part sees the connection cut, not a short answer.
+
+    The upstream's body ends early, or a chunk is lost on the way; no attempt may follow, for its
+    beginning would be appended to what the caller already has.
+    """
+    side = bench.side("up-1", script)  # type: ignore[arg-type]
+    other = bench.side("up-2", script)  # type: ignore[arg-type]
+    refusal = asyncio.run(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+    assert refusal.unwrap_err().begun
+    assert len(side.submits) + len(other.submits) == 1
+
+
+def test_concurrency_is_never_exceeded_and_the_queue_drains(bench: Bench) -> None:
+    """Twenty callers of an upstream that runs two at a time all get their answers."""
+    held: list[tuple[Exchange, Submit]] = []
+    side = bench.side("up-1", lambda _, exchange, msg: held.append((exchange, msg)))
+
+    async def async_case() -> None:
+        work = [
+            asyncio.ensure_future(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+            for _ in range(20)
+        ]
+        while not all(task.done() for task in work):
+            await asyncio.sleep(0)
+            for exchange, msg in held:
+                answer(side, exchange, msg)
+            held.clear()
+        assert all(task.result().is_ok() for task in work)
+
+    asyncio.run(async_case())
+    assert side.peak == 2
+    assert bench.dispatcher.in_flight == 0
+
+
+def test_a_wait_that_ends_is_refused_at_once_with_when_to_come_back(bench: Bench) -> None:
+    """The caller behind a stuck upstream hears `not run` when its wait is over, and when to ask."""
+    side = bench.side("up-1", silent)
+
+    async def async_case() -> None:
+        running = [
+            asyncio.ensure_future(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+            for _ in range(2)
+        ]
+        await asyncio.sleep(0)
+        late = bench.request(deadline=bench.clock.monotonic() + timedelta(milliseconds=50))
+        refusal = (await bench.dispatcher.async_run(late, CollectingSink())).unwrap_err()
+        assert refusal.ran is Ran.NO
+        assert refusal.retry_after is not None
+        assert len(side.submits) == 2
+        for task in running:
+            task.cancel()
+
+    asyncio.run(async_case())
+
+
+def test_a_caller_that_leaves_frees_its_place(bench: Bench) -> None:
+    """Whoever hangs up while waiting or running leaves nothing held."""
+    side = bench.side("up-1", silent)
+
+    async def async_case() -> None:
+        work = [
+            asyncio.ensure_future(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+            for _ in range(5)
+        ]
+        await asyncio.sleep(0.01)
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+        assert side.outstanding == 0
+        side.script = answer
+        result = await bench.dispatcher.async_run(bench.request(), CollectingSink())
+        assert result.is_ok()
+
+    asyncio.run(async_case())
+    assert side.cancelled()
+
+
+def test_waiting_requests_go_when_an_upstream_appears(bench: Bench) -> None:
+    """The caller that came before any upstream was reached is served when one is."""
+
+    async def async_case() -> None:
+        task = asyncio.ensure_future(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+        await asyncio.sleep(0.02)
+        bench.side("up-1")
+        bench.dispatcher.wake()
+        assert (await task).is_ok()
+
+    asyncio.run(async_case())
+
+
+def test_retries_end_with_the_budget(bench: Bench) -> None:
+    """In an outage attempts stay below 1.2 times the requests once the budget is spent."""
+    sides = [bench.side(f"up-{i}", _lose) for i in range(4)]
+    requests = 200
+
+    async def async_case() -> None:
+        for _ in range(requests):
+            req = bench.request(deadline=bench.clock.monotonic() + timedelta(seconds=5))
+            await bench.dispatcher.async_run(req, CollectingSink())
+
+    bench.publish("service", "other", {"type": "plain"})
+    asyncio.run(async_case())
+    assert sum(len(side.submits) for side in sides) <= 1.2 * requests
