--- a/cranberryline/configs/const.py
+++ b/cranberryline/configs/const.py
@@ -5,6 +5,7 @@
 ATTR_AMENDS = "amends"
 ATTR_AS_OF = "as_of"
 ATTR_AUTHOR = "author"
+ATTR_CHECKPOINT = "checkpoint"
 ATTR_DIGEST = "digest"
 ATTR_ENTRIES = "entries"
 ATTR_ID = "id"
@@ -46,3 +47,7 @@
 VERDICTS_KEPT = 4096
 DIGESTS_KEPT = 4096
 MAX_UNREAD = 1000
+
+# A receiver takes a shorter delta for all that its sender has.
+DELTA_RECORDS = 256
+RECORDS_KEPT = 2000
--- a/cranberryline/configs/fold.py
+++ b/cranberryline/configs/fold.py
@@ -21,6 +21,7 @@
 from .model import CallerSpec, Kind, Revision, ServiceSpec, Spec, TrainerSpec, WeightsSpec
 from .snapshot import (
     DIGEST_BITS,
+    CheckpointMark,
     Snapshot,
     SnapshotError,
     Unread,
@@ -62,13 +63,13 @@
         self._unread: OrderedDict[Key, Unread] = OrderedDict()
         self._history: dict[Key, deque[Revision]] = {}
         self._verdicts: OrderedDict[int, Verdict] = OrderedDict()
+        self._verdict_ids: OrderedDict[str, int] = OrderedDict()
         self._digest = 0
         self._digests: deque[tuple[int, int]] = deque([(0, 0)], maxlen=DIGESTS_KEPT)
         self._listeners: list[Listener] = []
         self.rejections: Counter[RejectReason] = Counter()
         self.digest_mismatches = 0
-        self.checkpoint_as_of = 0
-        self.checkpoint_offset = 0
+        self.checkpoint = CheckpointMark()
 
     @property
     def offset(self) -> int:
@@ -133,6 +134,11 @@
         """Return what became of a record folded lately; None when it is not known any more."""
         return self._verdicts.get(offset)
 
+    def verdict_of(self, record_id: str) -> Verdict | None:
+        """Return what became of the first record with an id, if it was folded lately."""
+        offset = self._verdict_ids.get(record_id)
+        return None if offset is None else self._verdicts.get(offset)
+
     def accepted_as(self, record_id: str, kind: Kind, name: str) -> Revision | None:
         """Return the accepted revision that a record id led to, if it is still remembered."""
         key = (Kind(kind), name)
@@ -151,7 +157,7 @@
         verdict = self._judge(record)
         self._offset = record.offset
         self._digests.append((self._offset, self._digest))
-        self._remember_verdict(record.offset, verdict)
+        self._remember_verdict(record, verdict)
         if isinstance(verdict, Err):
             return self._refuse(verdict.err_value)
         if verdict.ok_value.revision is not None:
@@ -166,7 +172,7 @@
         """Return the whole fold, typed."""
         entries = tuple(revision for _, revision in sorted(self._entries.items()))
         unread = tuple(entry for _, entry in sorted(self._unread.items()))
-        return Snapshot(self._offset, entries, unread, known_reads())
+        return Snapshot(self._offset, entries, unread, known_reads(), self.checkpoint)
 
     @classmethod
     def from_snapshot(cls, data: Any) -> Result["ConfigFold", SnapshotError]:
@@ -193,6 +199,7 @@
             ((entry.amendment.kind, entry.amendment.name), entry) for entry in snapshot.unread
         )
         self._offset = snapshot.as_of
+        self.checkpoint = snapshot.mark
         self._resolve_unread()
         self._digest = sum(map(revision_digest, self._entries.values())) % 2**DIGEST_BITS
         self._digests.append((self._offset, self._digest))
@@ -259,8 +266,9 @@
             case Err(error):
                 return Err(Rejected(RejectReason.MALFORMED, record.offset, detail=error.detail))
             case Ok(checkpoint):
-                self.checkpoint_as_of = max(self.checkpoint_as_of, checkpoint.snapshot.as_of)
-                self.checkpoint_offset = record.offset
+                self.checkpoint = CheckpointMark(
+                    checkpoint.snapshot.as_of, record.offset, record.time.isoformat()
+                )
                 matches = self._digest_matches(checkpoint.snapshot, checkpoint.digest)
                 self.digest_mismatches += not matches
                 return Ok(Applied(record.offset, None, matches))
@@ -309,10 +317,13 @@
         key = (revision.kind, revision.name)
         self._history.setdefault(key, deque(maxlen=HISTORY_LENGTH)).append(revision)
 
-    def _remember_verdict(self, offset: int, verdict: Verdict) -> None:
-        self._verdicts[offset] = verdict
+    def _remember_verdict(self, record: LogRecord, verdict: Verdict) -> None:
+        self._verdicts[record.offset] = verdict
+        self._verdict_ids.setdefault(record.id, record.offset)
         if len(self._verdicts) > VERDICTS_KEPT:
             self._verdicts.popitem(last=False)
+        if len(self._verdict_ids) > VERDICTS_KEPT:
+            self._verdict_ids.popitem(last=False)
 
     def _refuse(self, rejected: Rejected) -> Verdict:
         self.rejections[rejected.reason] += 1
--- a/cranberryline/configs/snapshot.py
+++ b/cranberryline/configs/snapshot.py
@@ -11,6 +11,7 @@
     ATTR_AMENDS,
     ATTR_AS_OF,
     ATTR_AUTHOR,
+    ATTR_CHECKPOINT,
     ATTR_DIGEST,
     ATTR_ENTRIES,
     ATTR_ID,
@@ -31,6 +32,7 @@
 
 __all__ = [
     "Checkpoint",
+    "CheckpointMark",
     "Snapshot",
     "SnapshotError",
     "Unread",
@@ -55,6 +57,15 @@
     amendment: Amendment
 
 
+@attrs.frozen
+class CheckpointMark:
+    """The last checkpoint folded: what it holds, where it stands, when it was written."""
+
+    as_of: int = 0
+    offset: int = 0
+    time: str = ""
+
+
 @attrs.frozen
 class Snapshot:
     """The whole fold as of an offset."""
@@ -63,6 +74,7 @@
     entries: tuple[Revision, ...]
     unread: tuple[Unread, ...]
     reads: dict[str, list[int]]
+    mark: CheckpointMark = CheckpointMark()
 
 
 @attrs.frozen
@@ -131,6 +143,7 @@
         ATTR_READS: snapshot.reads,
         ATTR_ENTRIES: [revision_data(revision) for revision in snapshot.entries],
         ATTR_UNREAD: unread,
+        ATTR_CHECKPOINT: [snapshot.mark.as_of, snapshot.mark.offset, snapshot.mark.time],
     }
 
 
@@ -178,6 +191,14 @@
             )
 
 
+def _read_mark(value: Any) -> CheckpointMark | None:
+    match value:
+        case [int() as as_of, int() as offset, str() as time] if 0 <= as_of <= offset:
+            return CheckpointMark(as_of, offset, time)
+        case _:
+            return None
+
+
 def read_snapshot(data: Any) -> Result[Snapshot, SnapshotError]:
     """Read a snapshot; one bad row refuses the whole, since a part would lack records."""
     if not isinstance(data, dict):
@@ -202,9 +223,12 @@
         if isinstance(head, Err):
             return head
         unread.append(head.ok_value)
+    mark = _read_mark(data.get(ATTR_CHECKPOINT))
+    if mark is None:
+        return Err(SnapshotError("the mark of the last checkpoint is not one"))
     if len({(entry.kind, entry.name) for entry in entries}) != len(entries):
         return Err(SnapshotError("a name stands twice"))
-    return Ok(Snapshot(as_of, tuple(entries), tuple(unread), reads))
+    return Ok(Snapshot(as_of, tuple(entries), tuple(unread), reads, mark))
 
 
 def checkpoint_data(snapshot: Snapshot) -> dict[str, Any]:
--- /dev/null
+++ b/cranberryline/configs/tail.py
@@ -0,0 +1,110 @@
+"""Read the configuration stream of the log into the fold."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+from result import Err, Ok, Result
+
+from cranberryline.platform.errors import PlatformError, PlatformReason
+from cranberryline.platform.model import LogPage, LogPort, LogRecord
+
+from .checkpoint import find_start
+from .const import CONFIG_STREAM
+from .errors import Rejected
+from .relay import ConfigRelay
+
+__all__ = ["LogTail", "PageTaken"]
+
+PAGE_RECORDS = 500
+
+
+@attrs.frozen
+class PageTaken:
+    """What a page did: how far the fold moved, and whether the log had no more then."""
+
+    moved: int
+    at_end: bool
+
+
+class LogTail:
+    """Fold pages of the log; `on_rejected` hears of each record that is not in force."""
+
+    def __init__(
+        self,
+        log: LogPort,
+        relay: ConfigRelay,
+        on_rejected: Callable[[LogRecord, Rejected], None],
+    ) -> None:
+        self._log = log
+        self._relay = relay
+        self._on_rejected = on_rejected
+        self.first_kept = 1
+
+    async def async_read(self, wait: timedelta = timedelta()) -> Result[PageTaken, PlatformError]:
+        """Read and fold the next page, holding the call open while there is none."""
+        start = self._relay.fold.offset + 1
+        answer = await self._log.async_read(CONFIG_STREAM, start, PAGE_RECORDS, wait)
+        if isinstance(answer, Err):
+            return answer
+        page = answer.ok_value
+        self.first_kept = page.first
+        before = self._relay.fold.offset
+        if page.first > before + 1:
+            started = await self._async_start_from_checkpoint(page)
+            if isinstance(started, Err):
+                return started
+        else:
+            self._fold(page.records)
+            if page.records and self._relay.fold.offset < start:
+                return Err(PlatformError(PlatformReason.BAD_ANSWER, "records are missing"))
+        moved = self._relay.fold.offset - before
+        return Ok(PageTaken(moved, len(page.records) < PAGE_RECORDS))
+
+    async def async_read_to_end(self) -> Result[int, PlatformError]:
+        """Fold all that the log has now; return how far the fold moved."""
+        moved = 0
+        while True:
+            read = await self.async_read()
+            if isinstance(read, Err):
+                return read
+            moved += read.ok_value.moved
+            if read.ok_value.at_end or not read.ok_value.moved:
+                return Ok(moved)
+
+    def fold_one(self, record: LogRecord) -> bool:
+        """Fold one record if it is the next; return whether the fold moved."""
+        return record.offset == self._relay.fold.offset + 1 and self._fold_record(record)
+
+    async def _async_start_from_checkpoint(self, page: LogPage) -> Result[None, PlatformError]:
+        """Start where the log has forgotten what comes next for this fold.
+
+        Folding on from the oldest record kept would lack everything older: limits and weights would
+        be those of nobody. A checkpoint after which nothing was forgotten holds the rest.
+        """
+        first, records = page.first, list(page.records)
+        while len(page.records) >= PAGE_RECORDS:
+            more = await self._log.async_read(CONFIG_STREAM, page.next, PAGE_RECORDS)
+            if isinstance(more, Err):
+                return more
+            page = more.ok_value
+            records += page.records
+        snapshot = find_start(records, first)
+        if snapshot is not None:
+            self._relay.install(snapshot)
+        if first > self._relay.fold.offset + 1:
+            return Err(PlatformError(PlatformReason.BAD_ANSWER, "no checkpoint to start from"))
+        self._fold(records)
+        return Ok(None)
+
+    def _fold(self, records: tuple[LogRecord, ...] | list[LogRecord]) -> None:
+        for record in records:
+            if record.offset > self._relay.fold.offset and not self._fold_record(record):
+                return
+
+    def _fold_record(self, record: LogRecord) -> bool:
+        moved = self._relay.fold_record(record)
+        verdict = self._relay.fold.verdict(record.offset)
+        if isinstance(verdict, Err):
+            self._on_rejected(record, verdict.err_value)
+        return moved
