--- a/cranberryline/configs/checkpoint.py
+++ b/cranberryline/configs/checkpoint.py
@@ -25,6 +25,7 @@
 # Four chances within the log's memory: one lost append or one outage of half of it does no harm.
 CHECKPOINTS_PER_RETENTION = 4
 DEFAULT_MAX_RECORDS = 500
+DEFAULT_CHECK = timedelta(seconds=5)
 RANK_DELAY = timedelta(seconds=3)
 MAX_JITTER = timedelta(seconds=2)
 
@@ -35,6 +36,7 @@
 
     retention: timedelta = DEFAULT_RETENTION
     max_records: int = DEFAULT_MAX_RECORDS
+    check: timedelta = DEFAULT_CHECK
 
     @property
     def interval(self) -> timedelta:
--- a/cranberryline/configs/publish.py
+++ b/cranberryline/configs/publish.py
@@ -97,7 +97,7 @@
         """Fold all that the log has now; return the offset."""
 
     @abc.abstractmethod
-    async def async_fold(self, record: LogRecord) -> None:
+    def fold_next(self, record: LogRecord) -> None:
         """Fold a record whose offset is known, if it is the next."""
 
     @abc.abstractmethod
@@ -169,7 +169,7 @@
         caught_up = await self._source.async_catch_up()
         if isinstance(caught_up, Err) or self._source.fold.offset < offset:
             record = LogRecord(offset, self._clock.now(), record_id, amendment.as_dict())
-            await self._source.async_fold(record)
+            self._source.fold_next(record)
 
     def _settle(
         self, amendment: Amendment, record_id: str
--- a/cranberryline/configs/relay.py
+++ b/cranberryline/configs/relay.py
@@ -39,7 +39,7 @@
         """Return the connected side processes."""
 
     @abc.abstractmethod
-    async def async_send(self, peer: str, message: Message) -> None:
+    def send(self, peer: str, message: Message) -> None:
         """Send a message to a peer; one that cannot be sent is dropped and counted."""
 
 
--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -32,7 +32,6 @@
 __all__ = ["EntryConfigSync", "SyncTimings"]
 
 DROP_BAD_OFFSET = "config_bad_offset"
-DROP_NOT_AN_ENTRY = "config_delta_not_from_entry"
 DROP_CHECKPOINT = "config_checkpoint_failed"
 DROP_DIGEST = "config_digest_mismatch"
 DROP_PREFIX = "config_"
@@ -95,7 +94,7 @@
         self._last_sign = clock.monotonic()
         self._last_read: timedelta | None = None
         self._last_beat: timedelta | None = None
-        self._checkpoint_at: timedelta | None = None
+        self._mismatches = 0
 
     @property
     def fold(self) -> ConfigFold:
@@ -136,33 +135,34 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._async_tail(), name="config-tail")
             group.create_task(self._async_ticks(), name="config-tick")
+            group.create_task(self._async_checkpoints(), name="config-checkpoint")
 
     def on_members(self) -> None:
         """Look anew at who tails; call it when the live entries change."""
         self._role_changed.notify()
 
-    async def async_on_peer(self, peer: str, offset: int) -> None:
+    def on_peer(self, peer: str, offset: int) -> None:
         """Take the offset that a peer named in a Hello, Welcome, heartbeat or load report."""
         if not isinstance(offset, int) or isinstance(offset, bool) or offset < 0:
             self._drop(DROP_BAD_OFFSET, peer=peer)
             return
         self.relay.set_known(peer, offset)
         if offset > self.fold.offset:
-            await self._port.async_send(peer, ConfigRequest(self.fold.offset + 1))
+            self._port.send(peer, ConfigRequest(self.fold.offset + 1))
         elif self.relay.behind(peer):
-            await self._async_push(peer)
+            self._push(peer)
 
     def on_peer_lost(self, peer: str) -> None:
         """Forget a peer whose connection ended."""
         self.relay.forget(peer)
         self._resends.done(peer)
 
-    async def async_on_message(self, peer: str, message: Message) -> None:
+    def on_message(self, peer: str, message: Message) -> None:
         """Take a ConfigDelta or ConfigRequest from a peer."""
         if isinstance(message, ConfigRequest):
-            await self._async_on_request(peer, message)
+            self._on_request(peer, message)
         elif isinstance(message, ConfigDelta):
-            await self._async_on_delta(peer, message)
+            self._on_delta(peer, message)
 
     async def async_catch_up(self) -> Result[int, PlatformError]:
         """Fold all that the log has now; return the offset."""
@@ -173,17 +173,17 @@
             return Err(_timed_out())
         if isinstance(read, Err):
             return read
-        await self._async_after_read(read.ok_value, at_end=True)
+        self._after_read(read.ok_value, at_end=True)
         return Ok(self.fold.offset)
 
-    async def async_fold(self, record: LogRecord) -> None:
+    def fold_next(self, record: LogRecord) -> None:
         """Fold a record that the log gave an offset, if it is the next."""
         if self._tail.fold_one(record):
-            await self._async_after_move()
+            self._after_move()
 
     async def async_spread(self, offset: int, wait: timedelta) -> int:
         """Push to all peers; return how many entries were seen to have the offset."""
-        await self._async_push_all()
+        self._push_all()
         peers = list(self._port.entry_peers())
         wanted = min(len(peers), max(1, self._timings.tailers - 1))
         until = self._clock.monotonic() + wait
@@ -202,7 +202,7 @@
         stagger = min(self._timings.stagger * over, self._timings.max_stagger)
         return self._clock.monotonic() - self._last_sign > self._timings.silence + stagger
 
-    async def _async_on_request(self, peer: str, request: ConfigRequest) -> None:
+    def _on_request(self, peer: str, request: ConfigRequest) -> None:
         answer = self.relay.on_request(peer, request)
         if answer is None:
             self._drop(DROP_PREFIX + "bad_request", peer=peer)
@@ -213,21 +213,19 @@
         # An entry that has just started knows little. Its "nothing newer" would make another
         # starter take an empty configuration for the one in force.
         if self.current or isinstance(answer, ConfigRequest):
-            await self._port.async_send(peer, answer)
+            self._port.send(peer, answer)
 
-    async def _async_on_delta(self, peer: str, delta: ConfigDelta) -> None:
-        if peer not in self._port.entry_peers():
-            self._drop(DROP_NOT_AN_ENTRY, peer=peer)
-            return
+    def _on_delta(self, peer: str, delta: ConfigDelta) -> None:
         taken = self.relay.on_delta(peer, delta)
         if taken.refused:
             self._drop(taken.refused, peer=peer)
             return
-        self._last_sign = self._clock.monotonic()
+        if peer in self._port.entry_peers():
+            self._last_sign = self._clock.monotonic()
         if taken.reply is not None:
-            await self._port.async_send(peer, taken.reply)
+            self._port.send(peer, taken.reply)
         became_current = taken.complete and delta.next <= self.fold.offset + 1
-        await self._async_after_read(taken.applied, became_current)
+        self._after_read(taken.applied, became_current)
 
     def _on_rejected(self, record: LogRecord, rejected: Rejected) -> None:
         self._drop(
@@ -241,28 +239,31 @@
         self._metrics.drop(reason)
         self._logger.warning(reason, **fields)
 
-    async def _async_after_read(self, moved: int, at_end: bool) -> None:
+    def _after_read(self, moved: int, at_end: bool) -> None:
         newly_current = at_end and not self.current
         if newly_current:
             self._current.set()
         if moved or newly_current:
-            await self._async_after_move()
+            self._after_move()
 
-    async def _async_after_move(self) -> None:
+    def _after_move(self) -> None:
         self._metrics.config_offset.set(self.fold.offset)
+        if self.fold.digest_mismatches > self._mismatches:
+            self._mismatches = self.fold.digest_mismatches
+            self._drop(DROP_DIGEST, offset=self.fold.offset)
         self._moved.notify()
-        await self._async_push_all()
+        self._push_all()
 
-    async def _async_push_all(self) -> None:
+    def _push_all(self) -> None:
         for peer in self._peers():
             if self.relay.behind(peer):
-                await self._async_push(peer)
+                self._push(peer)
 
-    async def _async_push(self, peer: str) -> None:
+    def _push(self, peer: str) -> None:
         if not self.current:
             return
         self._resends.sent(peer, self._clock.monotonic())
-        await self._port.async_send(peer, self.relay.push_for(peer))
+        self._port.send(peer, self.relay.push_for(peer))
 
     def _peers(self) -> list[str]:
         return [*self._port.entry_peers(), *self._port.side_peers()]
@@ -271,6 +272,7 @@
         backoff = self._timings.min_backoff
         while True:
             if not self.tailing:
+                self._last_read = None
                 await self._role_changed.async_wait(self._timings.tick)
                 continue
             read = await self._async_poll()
@@ -283,7 +285,8 @@
 
     async def _async_poll(self) -> Result[None, PlatformError]:
         """Read on from the fold, holding the call open once all that exists has been read."""
-        wait = self._timings.poll if self.current else timedelta()
+        reading = self.current and self._last_read is not None
+        wait = self._timings.poll if reading else timedelta()
         limit = wait + (self._timings.call if self.current else self._timings.start)
         try:
             async with asyncio.timeout(limit.total_seconds()):
@@ -293,38 +296,37 @@
         if isinstance(read, Err):
             return read
         self._last_read = self._clock.monotonic()
-        await self._async_after_read(read.ok_value.moved, read.ok_value.at_end)
+        self._after_read(read.ok_value.moved, read.ok_value.at_end)
         return Ok(None)
 
     async def _async_ticks(self) -> None:
         while True:
             await self._clock.async_sleep(self._timings.tick)
             now = self._clock.monotonic()
-            await self._async_resend(now)
+            self._resend(now)
             if not self.current:
-                await self._async_ask_peers()
+                self._ask_peers()
                 continue
             if self.tailing:
-                await self._async_beat(now)
-                await self._async_checkpoint(now)
+                self._beat(now)
 
-    async def _async_ask_peers(self) -> None:
+    def _ask_peers(self) -> None:
         for peer in self._port.entry_peers():
-            await self._port.async_send(peer, ConfigRequest(self.fold.offset + 1))
+            self._port.send(peer, ConfigRequest(self.fold.offset + 1))
 
-    async def _async_resend(self, now: timedelta) -> None:
+    def _resend(self, now: timedelta) -> None:
         for peer in self._peers():
             if not self.relay.behind(peer):
                 self._resends.done(peer)
             elif self._resends.due(peer, now):
                 self._metrics.retry(RETRY_PUSH)
-                await self._async_push(peer)
+                self._push(peer)
 
-    async def _async_beat(self, now: timedelta) -> None:
+    def _beat(self, now: timedelta) -> None:
         """Give a sign of life to the entries that do not tail.
 
-        A tailer whose own reads have stopped gives none, or the others would rely on it and miss
-        records until its connection to the log is given up.
+        A tailer whose own reads have stopped, or have not begun, gives none. Otherwise entries that
+        all fell silent would reassure each other, and nobody would read.
         """
         if self._last_beat is not None and now - self._last_beat < self._timings.sign:
             return
@@ -336,18 +338,22 @@
         sign = self.relay.delta_since(self.fold.offset + 1)
         for peer in self._port.entry_peers():
             if peer not in tailers:
-                await self._port.async_send(peer, sign)
+                self._port.send(peer, sign)
 
-    async def _async_checkpoint(self, now: timedelta) -> None:
-        if not self._checkpoints.due(self.fold, self._tail.first_kept, self._clock.now()):
-            self._checkpoint_at = None
-            return
-        rank = self._ranking.rank()
-        if self._checkpoint_at is None:
-            self._checkpoint_at = now + self._checkpoints.delay(rank, random.random())
-        if now < self._checkpoint_at:
-            return
-        self._checkpoint_at = now + self._checkpoints.delay(rank + 1, random.random())
+    async def _async_checkpoints(self) -> None:
+        while True:
+            await self._clock.async_sleep(self._checkpoints.check)
+            if not self.current or not self.tailing or not self._checkpoint_due():
+                continue
+            delay = self._checkpoints.delay(self._ranking.rank(), random.random())
+            await self._clock.async_sleep(delay)
+            if self._checkpoint_due():
+                await self._async_checkpoint()
+
+    def _checkpoint_due(self) -> bool:
+        return self._checkpoints.due(self.fold, self._tail.first_kept, self._clock.now())
+
+    async def _async_checkpoint(self) -> None:
         record = checkpoint_record(self.fold, self._vm_id)
         answer = await self._log.async_append(CONFIG_STREAM, [record])
         if isinstance(answer, Err):
--- /dev/null
+++ b/tests/configs/config_fakes.py
@@ -0,0 +1,296 @@
+"""Fakes at the interfaces: the log, and connections that lose, delay and repeat messages."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import Any
+
+from result import Err, Ok, Result
+from virtual_time import LoopClock
+
+from cranberryline.configs.checkpoint import CheckpointPolicy
+from cranberryline.configs.relay import RelayPort
+from cranberryline.entry.config_sync import EntryConfigSync, SyncTimings
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.platform.errors import PlatformError, PlatformReason
+from cranberryline.platform.model import LogPage, LogPort, LogRecord
+from cranberryline.side.config_sync import SideConfigSync
+from cranberryline.transport.model import Message
+
+OUTAGE = PlatformError(PlatformReason.REFUSED, "outage", status=503)
+LOST = PlatformError(PlatformReason.CUT, "answer lost")
+UNREACHABLE = PlatformError(PlatformReason.UNREACHABLE, "no connection", may_have_run=False)
+
+
+def weights_data(version: Any, amends: int = 0, name: str = "samplers") -> dict[str, Any]:
+    """Return a weights record's data."""
+    spec = {"version": version}
+    return {"kind": "weights", "name": name, "schema": 1, "amends": amends, "spec": spec}
+
+
+def service_data(amends: int = 0, name: str = "samplers", **spec: Any) -> dict[str, Any]:
+    """Return a service record's data."""
+    spec = {"type": "engine", "model": "m", **spec}
+    return {"kind": "service", "name": name, "schema": 2, "amends": amends, "spec": spec}
+
+
+class FakeLog(LogPort):
+    """A log in memory with outages, lost answers, silent readers and retention."""
+
+    def __init__(self) -> None:
+        self.clock = LoopClock()
+        self.records: list[LogRecord] = []
+        self.first = 1
+        self.out = False
+        self.lose_answers = 0
+        self.append_errors: list[PlatformError] = []
+        self.appends = 0
+        self.reads = 0
+        self._grown = asyncio.Condition()
+
+    @property
+    def next(self) -> int:
+        """Return the offset of the next record."""
+        return self.first + len(self.records)
+
+    def put(self, data: Any, record_id: str = "") -> int:
+        """Append a record at once, as another process would."""
+        offset = self.next
+        record_id = record_id or f"put-{offset}"
+        self.records.append(LogRecord(offset, self.clock.now(), record_id, data))
+        return offset
+
+    def forget(self, first: int) -> None:
+        """Drop the records before an offset."""
+        self.records = [record for record in self.records if record.offset >= first]
+        self.first = first
+
+    async def async_put(self, data: Any, record_id: str = "") -> int:
+        """Append a record and wake the readers."""
+        offset = self.put(data, record_id)
+        async with self._grown:
+            self._grown.notify_all()
+        return offset
+
+    async def async_append(
+        self, stream: str, records: list[tuple[str, dict[str, Any]]]
+    ) -> Result[list[int], PlatformError]:
+        """Append, unless out; lose the answer where told to."""
+        self.appends += 1
+        await asyncio.sleep(0.002)
+        if self.out:
+            return Err(OUTAGE)
+        if self.append_errors:
+            return Err(self.append_errors.pop(0))
+        offsets = [await self.async_put(data, record_id) for record_id, data in records]
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Err(LOST)
+        return Ok(offsets)
+
+    async def async_read(
+        self, stream: str, start: int, limit: int = 500, wait: timedelta = timedelta()
+    ) -> Result[LogPage, PlatformError]:
+        """Read a page, waiting for the first record where asked to."""
+        self.reads += 1
+        await asyncio.sleep(0.002)
+        if self.out:
+            return Err(OUTAGE)
+        if wait and self.next <= start:
+            try:
+                async with asyncio.timeout(wait.total_seconds()), self._grown:
+                    await self._grown.wait_for(lambda: self.next > start)
+            except TimeoutError:
+                pass
+        if self.out:
+            return Err(OUTAGE)
+        start = max(start, self.first)
+        rows = [record for record in self.records if record.offset >= start][:limit]
+        return Ok(LogPage(self.first, start + len(rows), tuple(rows)))
+
+
+class SilentLog(FakeLog):
+    """A view of another log through a connection that, once silent, carries nothing."""
+
+    def __init__(self, behind: FakeLog) -> None:
+        super().__init__()
+        self.behind = behind
+        self.silent = False
+
+    async def async_append(
+        self, stream: str, records: list[tuple[str, dict[str, Any]]]
+    ) -> Result[list[int], PlatformError]:
+        """Pass on, or wait for ever."""
+        if self.silent:
+            await asyncio.sleep(10**6)
+        return await self.behind.async_append(stream, records)
+
+    async def async_read(
+        self, stream: str, start: int, limit: int = 500, wait: timedelta = timedelta()
+    ) -> Result[LogPage, PlatformError]:
+        """Pass on, or wait for ever; an answer that is under way is lost too."""
+        answer = await self.behind.async_read(stream, start, limit, wait)
+        if self.silent:
+            await asyncio.sleep(10**6)
+        return answer
+
+
+class Node:
+    """One process of the cluster: an entry or a side process, and its tasks."""
+
+    def __init__(self, name: str, sync: EntryConfigSync | SideConfigSync) -> None:
+        self.name = name
+        self.sync = sync
+        self.alive = True
+        self.offsets: list[int] = []
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def entry(self) -> bool:
+        """Return whether it is an entry."""
+        return isinstance(self.sync, EntryConfigSync)
+
+
+class NodePort(RelayPort):
+    """One node's connections."""
+
+    def __init__(self, cluster: "Cluster", name: str) -> None:
+        self._cluster = cluster
+        self._name = name
+
+    def entry_peers(self) -> Iterable[str]:
+        """Return the connected entries."""
+        return self._cluster.peers(self._name, entries=True)
+
+    def side_peers(self) -> Iterable[str]:
+        """Return the connected side processes."""
+        return self._cluster.peers(self._name, entries=False)
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send through the cluster's network."""
+        self._cluster.carry(self._name, peer, message)
+
+
+class Cluster:
+    """Entries and side processes that all know each other, over a network that may lose."""
+
+    def __init__(self, log: FakeLog, seed: int = 1) -> None:
+        self.log = log
+        self.clock = LoopClock()
+        self.nodes: dict[str, Node] = {}
+        self.loss = 0.0
+        self.repeat = 0.0
+        self.max_delay = 0.003
+        self.cut: set[frozenset[str]] = set()
+        self.listed: list[str] = []
+        self.messages = 0
+        self._rng = random.Random(seed)
+
+    def add_entry(
+        self,
+        name: str,
+        log: LogPort | None = None,
+        timings: SyncTimings | None = None,
+        checkpoints: CheckpointPolicy | None = None,
+    ) -> EntryConfigSync:
+        """Start an entry."""
+        sync = EntryConfigSync(
+            name,
+            log or self.log,
+            NodePort(self, name),
+            lambda: self.listed,
+            self.clock,
+            Metrics(),
+            timings,
+            checkpoints,
+        )
+        self.listed.append(name)
+        self._start(name, sync)
+        return sync
+
+    def add_side(self, name: str) -> SideConfigSync:
+        """Start a side process."""
+        sync = SideConfigSync(NodePort(self, name), self.clock, Metrics())
+        self._start(name, sync)
+        return sync
+
+    def kill(self, name: str, listed: bool = True) -> None:
+        """Kill a process; the VM list lags, so that it stays listed unless told otherwise."""
+        node = self.nodes.pop(name)
+        node.alive = False
+        if node.task is not None:
+            node.task.cancel()
+        if not listed:
+            self.listed.remove(name)
+        for other in self.nodes.values():
+            other.sync.on_peer_lost(name)
+
+    def close(self) -> None:
+        """Kill all."""
+        for name in list(self.nodes):
+            self.kill(name)
+
+    def peers(self, name: str, entries: bool) -> list[str]:
+        """Return the nodes that one is connected to; side processes only know entries."""
+        if name not in self.nodes or (not entries and not self.nodes[name].entry):
+            return []
+        return [
+            node.name for node in self.nodes.values() if node.name != name and node.entry == entries
+        ]
+
+    def carry(self, source: str, target: str, message: Message) -> None:
+        """Carry a message, later and perhaps not at all or twice."""
+        self.messages += 1
+        if source not in self.nodes or frozenset((source, target)) in self.cut:
+            return
+        if self._rng.random() < self.loss:
+            return
+        copies = 2 if self._rng.random() < self.repeat else 1
+        for _ in range(copies):
+            delay = self._rng.random() * self.max_delay
+            asyncio.get_running_loop().call_later(delay, self._deliver, source, target, message)
+
+    def offsets(self) -> dict[str, int]:
+        """Return the offset in force on each process."""
+        return {node.name: node.sync.fold.offset for node in self.nodes.values()}
+
+    def all_have(self, offset: int) -> bool:
+        """Return whether every process has an offset."""
+        return all(found >= offset for found in self.offsets().values())
+
+    async def async_until_all_have(self, offset: int, within: float) -> float:
+        """Wait until every process has an offset; return how long it took, or fail."""
+        loop = asyncio.get_running_loop()
+        start = loop.time()
+        while not self.all_have(offset):
+            assert loop.time() - start <= within, f"{offset} not in {within} s: {self.offsets()}"
+            await asyncio.sleep(0.01)
+        return loop.time() - start
+
+    def check_agreement(self) -> None:
+        """Check that processes at one offset hold the same, and that none has gone back."""
+        by_offset: dict[int, Any] = {}
+        for node in self.nodes.values():
+            snapshot = node.sync.fold.snapshot()
+            assert by_offset.setdefault(snapshot["as_of"], snapshot) == snapshot
+            assert node.offsets == sorted(node.offsets)
+
+    def _start(self, name: str, sync: EntryConfigSync | SideConfigSync) -> None:
+        node = Node(name, sync)
+        self.nodes[name] = node
+        node.task = asyncio.get_running_loop().create_task(sync.async_run())
+        for other in self._greeted(node):
+            sync.on_peer(other.name, other.sync.fold.offset)
+            other.sync.on_peer(name, sync.fold.offset)
+
+    def _greeted(self, node: Node) -> list[Node]:
+        names = [*self.peers(node.name, entries=True), *self.peers(node.name, entries=False)]
+        return [self.nodes[name] for name in names]
+
+    def _deliver(self, source: str, target: str, message: Message) -> None:
+        node = self.nodes.get(target)
+        if node is None:
+            return
+        node.sync.on_message(source, message)
+        node.offsets.append(node.sync.fold.offset)
--- /dev/null
+++ b/tests/configs/test_config_sync.py
@@ -0,0 +1,252 @@
+"""Configuration on every process within 4 s: relay, tailers' deaths, outages, starters."""
+
+import asyncio
+
+import pytest
+from config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
+from result import Ok
+from virtual_time import LoopClock, run_virtual
+
+from cranberryline.configs.publish import ConfigPublisher
+from cranberryline.decisions import rendezvous
+
+ENTRIES = [f"entry-{number}" for number in range(6)]
+SIDES = [f"side-{number}" for number in range(4)]
+BOUND = 4.0
+
+
+def ranked() -> list[str]:
+    """Return the entries as the tailers' ranking has them."""
+    return rendezvous.rank("config-tailers", ENTRIES)
+
+
+async def async_start(log: FakeLog) -> Cluster:
+    """Start a cluster and wait until all know a first record."""
+    cluster = Cluster(log)
+    log.put(service_data())
+    for name in ENTRIES:
+        cluster.add_entry(name)
+    for name in SIDES:
+        cluster.add_side(name)
+    await cluster.async_until_all_have(1, 2.0)
+    await asyncio.sleep(3)
+    return cluster
+
+
+def publisher(cluster: Cluster, name: str) -> ConfigPublisher:
+    """Return a publisher at an entry."""
+    return ConfigPublisher(cluster.log, cluster.nodes[name].sync, LoopClock())
+
+
+def test_accepted_is_everywhere_well_within_the_bound() -> None:
+    """An operator publishes at an entry that does not tail; all have it in a fraction of 4 s."""
+
+    async def async_case() -> float:
+        cluster = await async_start(FakeLog())
+        answer = await publisher(cluster, ranked()[5]).async_publish(weights_data(7), "p1")
+        assert isinstance(answer, Ok)
+        took = await cluster.async_until_all_have(answer.ok_value.revision.offset, BOUND)
+        cluster.check_agreement()
+        cluster.close()
+        return took
+
+    assert run_virtual(async_case()) < 0.1
+
+
+def test_only_the_first_few_read_the_log() -> None:
+    """Entries that hear signs of life leave the log alone: 3 tailers, 5 s a poll."""
+
+    async def async_case() -> int:
+        log = FakeLog()
+        cluster = await async_start(log)
+        before = log.reads
+        await asyncio.sleep(60)
+        cluster.close()
+        return log.reads - before
+
+    assert run_virtual(async_case()) <= 3 * 60 / 5 + 3
+
+
+@pytest.mark.parametrize("victims", [1, 2, 3])
+def test_record_arrives_though_tailers_die(victims: int) -> None:
+    """Another tool appends a record just after tailers were killed.
+
+    What is seen: every live process has it within 4 s. The dead stay in the VM list, so the
+    ranking still counts on them; with all three dead nobody reads until the others have heard
+    no sign for 2.5 s and tail the log themselves.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        for name in ranked()[:victims]:
+            cluster.kill(name)
+        offset = await cluster.log.async_put(weights_data(7))
+        await cluster.async_until_all_have(offset, BOUND)
+        cluster.check_agreement()
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_record_arrives_though_the_log_fails_right_after_acceptance() -> None:
+    """An operator is told "accepted", and the log goes out in the same instant, for good.
+
+    What is seen: the record is in force on every process within 4 s, also after the entry that
+    took it is killed at once. It told its peers before it told the operator.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        name = ranked()[4]
+        answer = await publisher(cluster, name).async_publish(weights_data(7), "p1")
+        assert isinstance(answer, Ok)
+        assert answer.ok_value.confirmed_by >= 2
+        cluster.log.out = True
+        cluster.kill(name)
+        await cluster.async_until_all_have(answer.ok_value.revision.offset, BOUND)
+        cluster.check_agreement()
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_starters_in_an_outage_take_the_fold_from_peers() -> None:
+    """The log is out; an entry and a side process start.
+
+    What is seen: both are current within 4 s, at the offset that the others have. They ask every
+    peer, and one that has the fold answers with its records or a snapshot.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        offset = await cluster.log.async_put(weights_data(7))
+        await cluster.async_until_all_have(offset, BOUND)
+        cluster.log.out = True
+        entry = cluster.add_entry("entry-new")
+        side = cluster.add_side("side-new")
+        await cluster.async_until_all_have(offset, BOUND)
+        assert entry.current
+        assert side.current
+        cluster.check_agreement()
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_entries_replaced_in_an_outage_take_the_fold_from_side_processes() -> None:
+    """All entries are replaced while the log is out, so only side processes have the records.
+
+    What is seen: the new entries are current, at the old offset. A side process answers a request
+    for records as an entry does.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        offset = await cluster.log.async_put(weights_data(7))
+        await cluster.async_until_all_have(offset, BOUND)
+        cluster.log.out = True
+        for name in ENTRIES:
+            cluster.kill(name, listed=False)
+        first, second = cluster.add_entry("entry-a"), cluster.add_entry("entry-b")
+        await cluster.async_until_all_have(offset, BOUND)
+        assert first.current
+        assert second.current
+        cluster.check_agreement()
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_nobody_is_current_when_all_start_in_an_outage() -> None:
+    """All processes start while the log is out.
+
+    What is seen: none claims to know the configuration, and all do once the log is back. An entry
+    that knows nothing must not tell another that there is nothing newer.
+    """
+
+    async def async_case() -> None:
+        log = FakeLog()
+        log.put(service_data())
+        log.out = True
+        cluster = Cluster(log)
+        syncs = [cluster.add_entry(name) for name in ENTRIES[:3]]
+        syncs += [cluster.add_side(name) for name in SIDES[:2]]
+        await asyncio.sleep(10)
+        assert not any(sync.current for sync in syncs)
+        log.out = False
+        await cluster.async_until_all_have(1, BOUND)
+        assert all(sync.current for sync in syncs)
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_record_arrives_over_a_network_that_loses_and_repeats() -> None:
+    """A third of all messages between processes is lost and a third comes twice, out of order.
+
+    What is seen: each record is everywhere within 4 s. What is not acknowledged is sent again.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        cluster.loss, cluster.repeat, cluster.max_delay = 0.33, 0.33, 0.05
+        amends = 0
+        for version in range(1, 11):
+            amends = await cluster.log.async_put(weights_data(version, amends))
+            await cluster.async_until_all_have(amends, BOUND)
+            cluster.check_agreement()
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_tailer_whose_log_connection_went_silent_gives_no_signs() -> None:
+    """The only tailer's connection to the log stays open and carries nothing more.
+
+    What is seen: the others read the log themselves once it has given no sign for long enough.
+    If it gave signs all the same, the others would wait for records that it never gets.
+    """
+
+    async def async_case() -> float:
+        log = FakeLog()
+        log.put(service_data())
+        cluster = Cluster(log)
+        cut = {name: SilentLog(log) for name in ENTRIES}
+        for name in ENTRIES:
+            cluster.add_entry(name, cut[name])
+        await cluster.async_until_all_have(1, 2.0)
+        await asyncio.sleep(3)
+        for name in ranked()[:3]:
+            cut[name].silent = True
+        offset = await log.async_put(weights_data(7))
+        # Longer than 4 s: three connections went silent at once, and a poll has to be overdue.
+        took = await cluster.async_until_all_have(offset, 14.0)
+        cluster.close()
+        return took
+
+    assert run_virtual(async_case()) > 0
+
+
+def test_paused_entry_catches_up_and_never_goes_back() -> None:
+    """An entry misses many records, as after a pause, and gets old deltas late.
+
+    What is seen: it has all of them in the end, and its offset never went down.
+    """
+
+    async def async_case() -> None:
+        cluster = await async_start(FakeLog())
+        name = ranked()[5]
+        others = [other for other in [*ENTRIES, *SIDES] if other != name]
+        cluster.cut = {frozenset((name, other)) for other in others}
+        amends = 0
+        for version in range(1, 6):
+            amends = await cluster.log.async_put(weights_data(version, amends))
+        old = cluster.nodes[others[0]].sync.relay.delta_since(1)
+        cluster.cut = set()
+        await cluster.async_until_all_have(amends, BOUND)
+        cluster.nodes[name].sync.on_message(others[0], old)
+        cluster.check_agreement()
+        assert cluster.nodes[name].sync.fold.offset == amends
+        cluster.close()
+
+    run_virtual(async_case())
