--- /dev/null
+++ b/cranberryline/entry/trainers.py
@@ -0,0 +1,363 @@
+"""The trainers' HTTP surface: declare a step, pull its samples, here or at the step's owner."""
+
+import abc
+import asyncio
+import json
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+from result import Err, Result
+from tornado.web import RequestHandler
+
+from cranberryline.helpers.problem import problem_body, write_problem
+from cranberryline.samples.const import (
+    DEFAULT_PULL,
+    MAX_PULL,
+    MAX_PULL_WAIT,
+    MAX_VERSION,
+)
+from cranberryline.samples.declaration import read_declaration
+from cranberryline.samples.errors import CursorReason, StepRefusal
+from cranberryline.samples.model import Batch, Sample, StepDeclaration
+from cranberryline.samples.ports import RolloutConfig
+from cranberryline.samples.runner import Pull, sample_name
+from cranberryline.samples.table import StepTable
+
+__all__ = [
+    "OwnerPort",
+    "PullHandler",
+    "StepHandler",
+    "TrainerAnswer",
+    "TrainerService",
+    "trainer_routes",
+]
+
+ATTR_CURSOR = "cursor"
+ATTR_MAX = "max"
+ATTR_STEP = "step"
+ATTR_VERSION = "version"
+ATTR_WAIT_S = "wait_s"
+
+REASON_BAD_REQUEST = "bad_request"
+REASON_NOT_CONFIGURED = "trainer_not_configured"
+REASON_NOT_FOUND = "not_found"
+REASON_STEP_UNKNOWN = "step_unknown"
+
+MAX_STEP = 2**53
+# A forwarded call is given up this much after the owner should have answered it.
+FORWARD_MARGIN = timedelta(seconds=2)
+DECLARE_BUDGET = timedelta(seconds=5)
+RETRY_AFTER_FULL = timedelta(seconds=5)
+
+_CURSOR_STATUS = {CursorReason.OTHER_STEP: 409}
+
+
+class OwnerPort(abc.ABC):
+    """Find the entry that owns a trainer's steps, and pass calls to it."""
+
+    @abc.abstractmethod
+    def owner_of(self, trainer: str) -> str | None:
+        """Return the owner's entry id, or None when it is this entry."""
+
+    @abc.abstractmethod
+    async def async_forward(
+        self, entry_id: str, method: str, path: str, body: bytes, budget: timedelta
+    ) -> Result[tuple[int, bytes], Any]:
+        """Pass a call on; an error means that the owner gave no answer."""
+
+
+@attrs.frozen
+class TrainerAnswer:
+    """An answer to a trainer; `reason` is set on refusals."""
+
+    status: int
+    payload: dict[str, Any] = attrs.field(factory=dict)
+    reason: str = ""
+    title: str = ""
+    detail: str = ""
+    retry_after: timedelta | None = None
+
+    def body(self) -> bytes:
+        """Return the answer as JSON, for the entry that passed the call on."""
+        if self.reason:
+            retry_after_s = self.retry_after.total_seconds() if self.retry_after else 0
+            return problem_body(
+                self.status,
+                self.reason,
+                self.title,
+                detail=self.detail,
+                retry_after_s=retry_after_s,
+            )
+        return json.dumps(self.payload).encode()
+
+
+def _answer_from(status: int, body: bytes) -> TrainerAnswer | None:
+    """Read an owner's answer; None when it is not one."""
+    try:
+        data = json.loads(body)
+    except ValueError:
+        return None
+    if not isinstance(data, dict):
+        return None
+    if "reason" not in data:
+        return TrainerAnswer(status, data)
+    retry_after_s = data.get("retry_after_s") or 0
+    return TrainerAnswer(
+        status,
+        reason=str(data["reason"]),
+        title=str(data.get("title", "")),
+        detail=str(data.get("detail", "")),
+        retry_after=timedelta(seconds=retry_after_s) if retry_after_s else None,
+    )
+
+
+class TrainerService:
+    """Answer trainers' calls; a step has one owner among the entries, and any can stand in."""
+
+    def __init__(self, table: StepTable, config: RolloutConfig, owners: OwnerPort) -> None:
+        self._table = table
+        self._config = config
+        self._owners = owners
+
+    async def async_declare(self, trainer: str, step: int, body: bytes) -> TrainerAnswer:
+        """Declare a step at its owner, or here when the owner can't be reached."""
+        path = f"/trainers/{trainer}/steps/{step}"
+        owner = self._owners.owner_of(trainer)
+        if owner is not None:
+            answer = await self._async_forward(owner, "PUT", path, body, DECLARE_BUDGET)
+            if answer is not None:
+                return answer
+        return self._declare(trainer, step, body, owner is None)
+
+    async def async_pull(self, trainer: str, body: bytes) -> TrainerAnswer:
+        """Pull from a step's owner, or from here when the owner can't be reached."""
+        pull = read_pull(body)
+        if isinstance(pull, TrainerAnswer):
+            return pull
+        owner = self._owners.owner_of(trainer)
+        if owner is not None:
+            path = f"/trainers/{trainer}/pull"
+            budget = pull.pull.wait + FORWARD_MARGIN
+            answer = await self._async_forward(owner, "POST", path, body, budget)
+            if answer is not None:
+                return answer
+        return await self._async_pull_here(trainer, pull, owner is None)
+
+    async def async_serve_peer(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+        """Answer a call that another entry passed on; it is never passed on again.
+
+        Two entries that disagree on the owner would otherwise pass a call to and fro.
+        """
+        answer = await self._async_serve_peer(method, path, body)
+        return answer.status, answer.body()
+
+    async def _async_serve_peer(self, method: str, path: str, body: bytes) -> TrainerAnswer:
+        parts = path.strip("/").split("/")
+        match method, parts:
+            case "PUT", ["trainers", trainer, "steps", step] if step.isdecimal():
+                return self._declare(trainer, int(step), body, owner=True)
+            case "POST", ["trainers", trainer, "pull"]:
+                pull = read_pull(body)
+                if isinstance(pull, TrainerAnswer):
+                    return pull
+                return await self._async_pull_here(trainer, pull, owner=True)
+        return TrainerAnswer(404, reason=REASON_NOT_FOUND, title="No such trainer's call")
+
+    def _declare(self, trainer: str, step: int, body: bytes, owner: bool) -> TrainerAnswer:
+        if step > MAX_STEP:
+            return _bad_request("step", f"a whole number up to {MAX_STEP}")
+        read = read_declaration(trainer, step, _json(body))
+        if isinstance(read, Err):
+            error = read.unwrap_err()
+            return _bad_request(error.field, error.detail)
+        declaration = read.unwrap()
+        if self._config.limits(trainer, declaration.service) is None:
+            return _not_configured(declaration)
+        result = self._table.declare(declaration, owner)
+        if isinstance(result, Err):
+            return _refused_step(result.unwrap_err())
+        return TrainerAnswer(200, {"trainer": trainer, "step": step, "samples": declaration.size})
+
+    async def _async_pull_here(self, trainer: str, pull: "PullCall", owner: bool) -> TrainerAnswer:
+        runner = self._table.find(trainer, pull.step, owner)
+        if runner is None:
+            return TrainerAnswer(
+                409,
+                reason=REASON_STEP_UNKNOWN,
+                title="This entry does not know the step",
+                detail="declare the step again, then pull with the same cursor",
+            )
+        result = await runner.async_pull(pull.pull)
+        if isinstance(result, Err):
+            error = result.unwrap_err()
+            status = _CURSOR_STATUS.get(error.reason, 400)
+            title = "The cursor is not one of this step"
+            return TrainerAnswer(
+                status, reason=error.reason.value, title=title, detail=error.detail
+            )
+        return TrainerAnswer(200, _batch_payload(runner.declaration, result.unwrap()))
+
+    async def _async_forward(
+        self, owner: str, method: str, path: str, body: bytes, budget: timedelta
+    ) -> TrainerAnswer | None:
+        result = await self._owners.async_forward(owner, method, path, body, budget)
+        if isinstance(result, Err):
+            return None
+        return _answer_from(*result.unwrap())
+
+
+@attrs.frozen
+class PullCall:
+    """A pull as it came, with the step that it is about."""
+
+    step: int
+    pull: Pull
+
+
+def read_pull(body: bytes) -> PullCall | TrainerAnswer:
+    """Read the body of a pull, or return the refusal that names the wrong field."""
+    data = _json(body)
+    if not isinstance(data, dict):
+        return _bad_request("body", "a JSON object")
+    cursor, wait_s = data.get(ATTR_CURSOR, ""), data.get(ATTR_WAIT_S, 0)
+    if not isinstance(cursor, str):
+        return _bad_request(ATTR_CURSOR, "the text of the last next_cursor, or an empty text")
+    most_wait = MAX_PULL_WAIT.total_seconds()
+    if type(wait_s) not in (int, float) or not 0 <= wait_s <= most_wait:
+        return _bad_request(ATTR_WAIT_S, f"seconds from 0 to {most_wait:g}")
+    limit = data.get(ATTR_MAX, DEFAULT_PULL)
+    whole = ((ATTR_STEP, data.get(ATTR_STEP), 0, MAX_STEP), (ATTR_MAX, limit, 1, MAX_PULL))
+    version = (ATTR_VERSION, data.get(ATTR_VERSION), 0, MAX_VERSION)
+    for name, value, least, most in (*whole, version):
+        if type(value) is not int or not least <= value <= most:
+            return _bad_request(name, f"a whole number from {least} to {most}")
+    wait = timedelta(seconds=wait_s)
+    return PullCall(data[ATTR_STEP], Pull(cursor, data[ATTR_VERSION], limit, wait))
+
+
+def _json(body: bytes) -> Any:
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        return None
+
+
+def _batch_payload(declaration: StepDeclaration, batch: Batch) -> dict[str, Any]:
+    return {
+        "cursor": batch.cursor,
+        "next_cursor": batch.next_cursor,
+        "samples": [_sample_payload(declaration, sample) for sample in batch.samples],
+        "done": batch.done,
+    }
+
+
+def _sample_payload(declaration: StepDeclaration, sample: Sample) -> dict[str, Any]:
+    completion = sample.completion
+    return {
+        "group": sample.id.group,
+        "index": sample.id.index,
+        "id": sample_name(declaration, sample.id),
+        "text": completion.text,
+        "score": sample.score,
+        "segments": [
+            {"weight_version": segment.weight_version, "tokens": segment.tokens}
+            for segment in completion.segments
+        ],
+    }
+
+
+def _bad_request(field: str, allowed: str) -> TrainerAnswer:
+    title = f"{field} is not valid"
+    detail = f"allowed: {allowed}"
+    return TrainerAnswer(400, reason=REASON_BAD_REQUEST, title=title, detail=detail)
+
+
+def _not_configured(declaration: StepDeclaration) -> TrainerAnswer:
+    return TrainerAnswer(
+        404,
+        reason=REASON_NOT_CONFIGURED,
+        title="No configuration in force for this trainer and service",
+        detail=f"publish records for {declaration.trainer} and {declaration.service}",
+    )
+
+
+def _refused_step(refusal: StepRefusal) -> TrainerAnswer:
+    if refusal is StepRefusal.TOO_MANY_STEPS:
+        title = "This entry works on too many steps"
+        return TrainerAnswer(503, reason=refusal.value, title=title, retry_after=RETRY_AFTER_FULL)
+    title = "The step was declared with other groups"
+    return TrainerAnswer(409, reason=refusal.value, title=title)
+
+
+# Returns whether the token allows the trainer's call; if not, it has written the refusal.
+TokenCheck = Callable[[RequestHandler, str], bool]
+
+
+class _TrainerHandler(RequestHandler):
+    """What both calls share: the token, and one task that ends with the connection."""
+
+    def initialize(self, service: TrainerService, token_check: TokenCheck) -> None:
+        """Take in the service and the token check."""
+        self._service = service
+        self._token_check = token_check
+        self._work: asyncio.Task[TrainerAnswer] | None = None
+
+    def on_connection_close(self) -> None:
+        """Stop waiting for samples on behalf of a trainer that has gone."""
+        if self._work is not None:
+            self._work.cancel()
+
+    async def async_answer(self, trainer: str, work: Any) -> None:
+        """Run a call and write its answer."""
+        if not self._token_check(self, trainer):
+            work.close()
+            return
+        self._work = asyncio.ensure_future(work)
+        try:
+            answer = await self._work
+        except asyncio.CancelledError:
+            return
+        self._write(answer)
+
+    def _write(self, answer: TrainerAnswer) -> None:
+        if answer.reason:
+            write_problem(
+                self,
+                answer.status,
+                answer.reason,
+                answer.title,
+                retry_after=answer.retry_after,
+                detail=answer.detail,
+            )
+            return
+        self.set_status(answer.status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(answer.body())
+
+
+class StepHandler(_TrainerHandler):
+    """Declare a step."""
+
+    async def put(self, trainer: str, step: str) -> None:
+        """Declare a step; the same declaration again changes nothing."""
+        work = self._service.async_declare(trainer, int(step), self.request.body)
+        await self.async_answer(trainer, work)
+
+
+class PullHandler(_TrainerHandler):
+    """Pull samples."""
+
+    async def post(self, trainer: str) -> None:
+        """Hand over finished samples, waiting for the first as long as the call allows."""
+        await self.async_answer(trainer, self._service.async_pull(trainer, self.request.body))
+
+
+def trainer_routes(service: TrainerService, token_check: TokenCheck) -> list[Any]:
+    """Return the routes of the trainers' surface."""
+    args = {"service": service, "token_check": token_check}
+    return [
+        (r"/trainers/([A-Za-z0-9._-]{1,128})/steps/([0-9]{1,16})", StepHandler, args),
+        (r"/trainers/([A-Za-z0-9._-]{1,128})/pull", PullHandler, args),
+    ]
--- a/cranberryline/samples/__init__.py
+++ b/cranberryline/samples/__init__.py
@@ -3,7 +3,14 @@
 from .attribution import CompletionStream, read_completion
 from .cursor import Cursor, decode_cursor
 from .declaration import read_declaration
-from .errors import AttributionError, CursorError, CursorReason, DeclarationError, DiscardReason
+from .errors import (
+    AttributionError,
+    CursorError,
+    CursorReason,
+    DeclarationError,
+    DiscardReason,
+    StepRefusal,
+)
 from .ledger import FinishOutcome, StepLedger
 from .model import (
     Batch,
@@ -32,6 +39,7 @@
     "Segment",
     "StepDeclaration",
     "StepLedger",
+    "StepRefusal",
     "decode_cursor",
     "read_completion",
     "read_declaration",
--- a/cranberryline/samples/const.py
+++ b/cranberryline/samples/const.py
@@ -30,3 +30,10 @@
 
 # A step whose trainer has not called for this long is dropped; the trainer declares it again.
 DEFAULT_QUIET_AFTER = timedelta(minutes=10)
+# One that serves a step in place of an owner it can't reach goes on this long without a call.
+NOT_OWNER_QUIET_AFTER = timedelta(seconds=30)
+MAX_STEPS = 1024
+
+MAX_PULL = 4096
+DEFAULT_PULL = 64
+MAX_PULL_WAIT = timedelta(seconds=30)
--- a/cranberryline/samples/errors.py
+++ b/cranberryline/samples/errors.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-__all__ = ["AttributionError", "CursorError", "CursorReason", "DeclarationError", "DiscardReason"]
+__all__ = [
+    "AttributionError",
+    "CursorError",
+    "CursorReason",
+    "DeclarationError",
+    "DiscardReason",
+    "StepRefusal",
+]
 
 
 class CursorReason(enum.StrEnum):
@@ -49,3 +56,10 @@
 
     field: str
     detail: str
+
+
+class StepRefusal(enum.StrEnum):
+    """Why a declared step is not taken in."""
+
+    STEP_DIFFERS = "step_differs"
+    TOO_MANY_STEPS = "too_many_steps"
--- /dev/null
+++ b/cranberryline/samples/table.py
@@ -0,0 +1,96 @@
+"""The steps that an entry works on."""
+
+import asyncio
+from datetime import timedelta
+
+from result import Err, Ok, Result
+
+from .const import DEFAULT_QUIET_AFTER, MAX_STEPS, NOT_OWNER_QUIET_AFTER
+from .errors import StepRefusal
+from .model import StepDeclaration
+from .ports import RolloutConfig
+from .runner import RunnerPorts, StepRunner
+
+__all__ = ["StepTable"]
+
+
+class StepTable:
+    """Keep one runner for each declared step; in-flight work is bounded for each trainer."""
+
+    def __init__(
+        self,
+        ports: RunnerPorts,
+        config: RolloutConfig,
+        quiet_after: timedelta = DEFAULT_QUIET_AFTER,
+    ) -> None:
+        self._ports = ports
+        self._config = config
+        self._quiet_after = quiet_after
+        self._runners: dict[tuple[str, int], StepRunner] = {}
+
+    def declare(self, declaration: StepDeclaration, owner: bool) -> Result[StepRunner, StepRefusal]:
+        """Begin a step; declared again it is the same one, and with other groups refused."""
+        self._forget_closed()
+        key = (declaration.trainer, declaration.step)
+        runner = self._runners.get(key)
+        if runner is None:
+            if len(self._runners) >= MAX_STEPS:
+                return Err(StepRefusal.TOO_MANY_STEPS)
+            runner = self._new_runner(declaration)
+            self._runners[key] = runner
+            runner.start()
+        elif runner.declaration != declaration:
+            return Err(StepRefusal.STEP_DIFFERS)
+        runner.touch(self._quiet(owner))
+        return Ok(runner)
+
+    def find(self, trainer: str, step: int, owner: bool) -> StepRunner | None:
+        """Return a step's runner and note that its trainer called; None when it is not known."""
+        runner = self._runners.get((trainer, step))
+        if runner is None or runner.closed:
+            return None
+        runner.touch(self._quiet(owner))
+        return runner
+
+    def wake(self) -> None:
+        """Let all steps look at the configuration in force again."""
+        for runner in self._runners.values():
+            runner.wake()
+
+    async def async_close(self) -> None:
+        """Stop all steps."""
+        runners = list(self._runners.values())
+        self._runners.clear()
+        await asyncio.gather(*(runner.async_close() for runner in runners))
+
+    def _quiet(self, owner: bool) -> timedelta:
+        # An entry that serves a step only because its owner could not be reached makes samples
+        # that the owner makes too; it stops soon after the trainer is back at the owner.
+        return self._quiet_after if owner else min(NOT_OWNER_QUIET_AFTER, self._quiet_after)
+
+    def _new_runner(self, declaration: StepDeclaration) -> StepRunner:
+        trainer, service = declaration.trainer, declaration.service
+        return StepRunner(
+            declaration,
+            self._ports,
+            limits=lambda: self._config.limits(trainer, service),
+            room=lambda: self._room(trainer, service),
+            on_freed=lambda: self._wake_trainer(trainer),
+            quiet_after=self._quiet_after,
+        )
+
+    def _room(self, trainer: str, service: str) -> int:
+        limits = self._config.limits(trainer, service)
+        if limits is None:
+            return 0
+        running = sum(r.running for (name, _), r in self._runners.items() if name == trainer)
+        return limits.max_in_flight - running
+
+    def _wake_trainer(self, trainer: str) -> None:
+        for (name, _), runner in sorted(self._runners.items()):
+            if name == trainer:
+                runner.wake()
+
+    def _forget_closed(self) -> None:
+        for key in [key for key, runner in self._runners.items() if runner.closed]:
+            del self._runners[key]
