--- a/cranberryline/client/client.py
+++ b/cranberryline/client/client.py
@@ -8,7 +8,7 @@
 
 import attrs
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from cranberryline.helpers.clock import Clock, SystemClock
@@ -123,25 +123,31 @@
         pause = BACKOFF_START
         while not position.done:
             reply, batch = await self._async_pull_here(position, limit, wait)
-            if batch is not None:
-                if self._take(position, batch):
-                    return Ok(batch.samples)
-            elif reply.refusal == REASON_STEP_UNKNOWN:
-                reply = await self._async_declare_here()
-                if not reply.worth_repeating and reply.status != STATUS_OK:
-                    return Err(_refused(reply))
-            elif not reply.worth_repeating:
-                return Err(_refused(reply))
-            if batch is None and reply.status != STATUS_OK:
-                pause = await self._async_move_on(reply, pause)
+            if batch is not None and self._take(position, batch):
+                return Ok(batch.samples)
+            if batch is None:
+                recovered = await self._async_recover(reply)
+                if isinstance(recovered, ClientError):
+                    return Err(recovered)
+                reply = recovered
             if self._clock.monotonic() >= give_up_at:
                 return Err(ClientError(ClientReason.UNAVAILABLE, reply.refusal))
+            if reply.status != STATUS_OK:
+                pause = await self._async_move_on(reply, pause)
         return Ok(())
 
     def close(self) -> None:
         """Let go of the connections."""
         self._http.close()
 
+    async def _async_recover(self, reply: _Reply) -> _Reply | ClientError:
+        """Declare the step again where it is not known; an error is final."""
+        if reply.refusal == REASON_STEP_UNKNOWN:
+            reply = await self._async_declare_here()
+        if reply.worth_repeating or reply.status == STATUS_OK:
+            return reply
+        return _refused(reply)
+
     def _take(self, position: Position, batch: PulledBatch) -> bool:
         outcome = position.take(batch)
         if outcome is TakeOutcome.TAKEN:
@@ -198,14 +204,11 @@
         )
         try:
             return _read_reply(await self._http.fetch(req, raise_error=False))
-        except (TimeoutError, OSError):
+        except (HTTPError, OSError):
             return _Reply(0)
 
 
 def _read_reply(response: HTTPResponse) -> _Reply:
-    # tornado answers a lost connection or a timeout with a status of its own.
-    if response.error is not None and response.code in (0, 599):
-        return _Reply(0)
     try:
         data = json.loads(response.body)
     except ValueError:
