--- a/stand_ins/__main__.py
+++ b/stand_ins/__main__.py
@@ -1,6 +1,7 @@
 """Command line of the stand-ins: `python -m stand_ins NAME --port N [--control VALUE ...]`."""
 
 import asyncio
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -39,18 +40,32 @@
         """Serve the weight store."""
         _serve(lambda: StoreStandIn(StoreControls(**controls)), port)
 
-    def engine(self, port: int, name: str, model: str, store: str, **controls: Any) -> None:
+    def engine(
+        self, port: int, name: str, model: str, store: str, journal: str = "", **controls: Any
+    ) -> None:
         """Serve a model engine."""
-        _serve(lambda: EngineStandIn(EngineControls(**controls), name, model, store), port)
+        _serve(lambda: EngineStandIn(EngineControls(**controls), name, model, store, journal), port)
 
-    def service(self, port: int, name: str, **controls: Any) -> None:
+    def service(self, port: int, name: str, journal: str = "", **controls: Any) -> None:
         """Serve a plain service."""
-        _serve(lambda: ServiceStandIn(ServiceControls(**controls), name), port)
+        _serve(lambda: ServiceStandIn(ServiceControls(**controls), name, journal), port)
 
     def scorer(self, port: int, **controls: Any) -> None:
         """Serve the scoring service."""
         _serve(lambda: ScorerStandIn(Controls(**controls)), port)
 
+    def run(self, example: str = "beaulieu") -> None:
+        """Run an example deployment until interrupted."""
+        from .run import run  # noqa: PLC0415 - a stand-in needs nothing of the launcher
+
+        sys.exit(run(example))
+
+    def demo(self, seconds: float = 10.0) -> None:
+        """Run both examples in turn under load, and check the promises."""
+        from .demo import demo  # noqa: PLC0415 - a stand-in needs nothing of the launcher
+
+        sys.exit(demo(seconds))
+
 
 if __name__ == "__main__":
     fire.Fire(Commands)
--- a/stand_ins/batch.py
+++ b/stand_ins/batch.py
@@ -3,18 +3,17 @@
 import asyncio
 import bisect
 import time
-from collections import deque
 from typing import Any
 
 import attrs
 
 from .cache import PrefixCache
 from .http import Controls
+from .journal import Journal
 from .text import token_at, tokens_wanted
 
 __all__ = ["Batch", "BatchControls", "Run"]
 
-JOURNAL_ROWS = 200_000
 CHARS_PER_TOKEN = 4
 
 
@@ -77,6 +76,7 @@
         """Return the journal's row of this run."""
         segments = [{"weight_version": v, "tokens": n} for v, n in self.segments]
         return {
+            "kind": "run",
             "run": self.tag,
             "request_id": self.request_id,
             "state": self.state,
@@ -88,8 +88,10 @@
 class Batch:
     """Run requests side by side."""
 
-    def __init__(self, name: str, controls: BatchControls, cache: PrefixCache) -> None:
-        self.name = name
+    def __init__(
+        self, name: str, controls: BatchControls, cache: PrefixCache, book: Journal
+    ) -> None:
+        self.name = name if book.boot == 1 else f"{name}.{book.boot}"
         self.controls = controls
         self.cache = cache
         self.version: int | None = 1
@@ -97,7 +99,7 @@
         self.running: list[Run] = []
         self.waiting: list[Run] = []
         self.by_id: dict[str, Run] = {}
-        self.ended: deque[dict[str, Any]] = deque(maxlen=JOURNAL_ROWS)
+        self.book = book
         self.tokens_made = 0
         self.busy_s = 0.0
         self._count = 0
@@ -179,6 +181,6 @@
                 self._close(run)
 
     def _close(self, run: Run) -> None:
-        self.ended.append(run.row())
+        self.book.append(run.row())
         if self.by_id.get(run.request_id) is run:
             del self.by_id[run.request_id]
--- a/stand_ins/engine.py
+++ b/stand_ins/engine.py
@@ -14,11 +14,10 @@
 from .batch import Batch, BatchControls, Run
 from .cache import PrefixCache
 from .http import Handler, StandIn
+from .journal import Journal
 
 __all__ = ["EngineControls", "EngineStandIn"]
 
-ORDERS_KEPT = 10_000
-
 
 @attrs.define
 class EngineControls(BatchControls):
@@ -39,20 +38,22 @@
 class EngineStandIn(StandIn):
     """The engine; `name` goes into every text, so that a run can be found in the journal."""
 
-    def __init__(self, controls: EngineControls, name: str, model: str, store: str) -> None:
+    def __init__(
+        self, controls: EngineControls, name: str, model: str, store: str, journal: str = ""
+    ) -> None:
         super().__init__(controls)
         self.name = name
         self.model = model
         self.store = store
         self.fence = 0
-        self.orders: deque[dict[str, Any]] = deque(maxlen=ORDERS_KEPT)
+        self.book = Journal(journal)
         cache = PrefixCache(
             controls.cache_blocks,
             controls.event_lag_s,
             controls.event_gap_share,
             random.Random(name),
         )
-        self.batch = Batch(name, controls, cache)
+        self.batch = Batch(name, controls, cache, self.book)
         self.swapping = asyncio.Lock()
         self._reports: deque[tuple[float, dict[str, Any]]] = deque([(0.0, self.report())])
         self._tasks: list[asyncio.Task[None]] = []
@@ -75,8 +76,8 @@
             "name": self.name,
             "weight_version": self.batch.version,
             "fence": self.fence,
-            "orders": list(self.orders),
-            "runs": list(self.batch.ended) + live,
+            "orders": self.book.of_kind("order"),
+            "runs": self.book.of_kind("run") + live,
             "tokens_made": self.batch.tokens_made,
             "busy_s": self.batch.busy_s,
         }
@@ -272,7 +273,7 @@
         order = self.payload()
         async with engine.swapping:
             status, answer = await self._async_obey(engine, order)
-        engine.orders.append({**order, "status": status, "at": time.time()})
+        engine.book.append({"kind": "order", **order, "status": status, "at": time.time()})
         if status == 200:
             self.answer_effect(answer)
             return
--- a/stand_ins/service.py
+++ b/stand_ins/service.py
@@ -2,16 +2,15 @@
 
 import asyncio
 import json
-from collections import deque
 from typing import Any
 
 import attrs
 
 from .http import Controls, Handler, StandIn
+from .journal import Journal
 
 __all__ = ["ServiceControls", "ServiceStandIn"]
 
-JOURNAL_ROWS = 200_000
 HEADER_CALL_ID = "X-Call-Id"
 
 
@@ -31,16 +30,16 @@
 class ServiceStandIn(StandIn):
     """A plain service."""
 
-    def __init__(self, controls: ServiceControls, name: str) -> None:
+    def __init__(self, controls: ServiceControls, name: str, journal: str = "") -> None:
         super().__init__(controls)
         self.name = name
-        self.runs: deque[dict[str, Any]] = deque(maxlen=JOURNAL_ROWS)
-        self.count = 0
+        self.book = Journal(journal)
+        self.count = len(self.book.of_kind("run"))
         self.busy = asyncio.Semaphore(controls.slots)
 
     def journal(self) -> Any:
         """Tell each request that ran, in the order in which it took effect."""
-        return {"name": self.name, "count": self.count, "runs": list(self.runs)}
+        return {"name": self.name, "count": self.count, "runs": self.book.of_kind("run")}
 
     def routes(self) -> list[Any]:
         """Take any path."""
@@ -65,8 +64,9 @@
         service: ServiceStandIn = self.stand_in
         service.count += 1
         self.run = service.count
-        service.runs.append(
+        service.book.append(
             {
+                "kind": "run",
                 "run": self.run,
                 "method": self.request.method,
                 "path": self.request.uri,
--- a/tests/stand_ins/test_stand_ins.py
+++ b/tests/stand_ins/test_stand_ins.py
@@ -8,6 +8,7 @@
 
 from stand_ins.batch import Batch, BatchControls
 from stand_ins.cache import BLOCK_CHARS, PrefixCache, prefixes
+from stand_ins.journal import Journal
 from stand_ins.text import TextError, check_text, token_at, tokens_wanted
 
 
@@ -63,7 +64,9 @@
 
 def test_batch_serves_lower_priority_numbers_first() -> None:
     """A trainer's request that arrived later than background work starts before it."""
-    batch = Batch("e", BatchControls(slots=1), PrefixCache(8, 0.0, 0.0, random.Random(0)))
+    batch = Batch(
+        "e", BatchControls(slots=1), PrefixCache(8, 0.0, 0.0, random.Random(0)), Journal()
+    )
     late = batch.submit("b", "p", 40, 9)
     soon = batch.submit("a", "p", 40, 0)
     batch._admit()
