--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -44,7 +44,9 @@
     data: Any
 
 
-def call(url: str, payload: Any = None, token: str = "", method: str = "") -> Answer:
+def call(
+    url: str, payload: Any = None, token: str = "", method: str = "", timeout_s: float = 15.0
+) -> Answer:
     """Call a JSON endpoint and wait for the whole answer of any status."""
     body = None if payload is None else json.dumps(payload).encode()
     headers = {"Content-Type": "application/json"}
@@ -52,7 +54,7 @@
         headers["Authorization"] = f"Bearer {token}"
     req = urllib.request.Request(url, body, headers, method=method or None)
     try:
-        with urllib.request.urlopen(req, timeout=15) as got:
+        with urllib.request.urlopen(req, timeout=timeout_s) as got:
             return Answer(got.status, json.loads(got.read() or b"null"))
     except urllib.error.HTTPError as exc:
         text = exc.read()
--- /dev/null
+++ b/tests/stand_ins/test_launcher.py
@@ -0,0 +1,51 @@
+"""A small deployment as real processes: start, faults by signal, stop."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from stand_ins.deployment import load_plan
+from stand_ins.launcher import Deployment, call, launched
+
+
+@pytest.fixture(scope="module")
+def deployment() -> Iterator[Deployment]:
+    """Run one upstream of each kind behind one entry."""
+    with launched(load_plan("giat-sach").shrunk(1, entries=1), publish=False) as deployment:
+        yield deployment
+
+
+def _book(deployment: Deployment, number: int) -> int:
+    url = f"{deployment.entries[0]}/services/pickup-app/bookings/{number}"
+    return call(url).status
+
+
+def test_journal_outlives_a_killed_service(deployment: Deployment) -> None:
+    """Runs before and after a kill stand in one journal, numbered on.
+
+    The service runs a request, is killed without warning and started anew. Its books must still
+    know the first run, or a request run twice across the kill would look like one.
+    """
+    assert _book(deployment, 1) == 200
+    deployment.process("pickup-app-1").kill()
+    deployment.restart("pickup-app-1")
+    assert _book(deployment, 2) == 200
+    runs = [(row["run"], row["path"]) for row in deployment.journal("pickup-app-1")]
+    assert runs == [(1, "/bookings/1"), (2, "/bookings/2")]
+
+
+def test_controls_refuse_unknown_names(deployment: Deployment) -> None:
+    """A misspelt control is an error, not a fault that silently never happens."""
+    deployment.control("pickup-app-1", latency_s=0.001)
+    with pytest.raises(Exception, match="unknown control"):
+        deployment.control("pickup-app-1", latency=1)
+
+
+def test_frozen_process_goes_on_after_a_thaw(deployment: Deployment) -> None:
+    """A frozen stand-in answers nothing until it is thawed."""
+    process = deployment.process("log")
+    process.freeze()
+    with pytest.raises(OSError):
+        call(deployment.urls["log"] + "/_journal", timeout_s=0.2)
+    process.thaw()
+    assert deployment.live_journal("log")["refused"] == 0
