Measure pace by request time and capacity by full slots

A rate over wall-clock time calls an upstream slow that is merely asked little; routing by it would then ask it less still.

--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -71,7 +71,10 @@
 
 @attrs.frozen
 class AdmissionView:
-    """What is held at the moment; a rate of 0 means that none was measured yet."""
+    """What is held at the moment.
+
+    `tokens_per_second` is the upstream's capacity (see `pace`), 0 when it is not known.
+    """
 
     queued: Outstanding
     running: Outstanding
--- a/cranberryline/decisions/pace.py
+++ b/cranberryline/decisions/pace.py
@@ -1,56 +1,53 @@
-"""Measure how fast an upstream works, in tokens a second of busy time.
+"""Measure how fast an upstream works.
 
-Load answered: an upstream that becomes slow, or that is much faster than its peers. Without a
-measured rate an estimated wait is a guess, and admission lets in what cannot be served in time.
-Idle time is left out, since an upstream that nobody asks is not slow.
+Load answered: an upstream that becomes slow, or that is faster than its peers. Without a measured
+rate an estimated wait is a guess, and admission lets in what cannot be served in time.
 
-The half-life of 5 s of busy time is a handful of request durations: a shorter one follows the
-jitter of single requests, a longer one keeps admitting at the old rate while an upstream stalls.
+A side process keeps two meters and records into them once a tick (half a second is enough):
+
+- *pace*, of one request: the tokens made, over the seconds that requests ran, summed over them.
+  Tokens over wall-clock time would call an upstream slow that is merely asked little, and routing
+  would then ask it less still.
+- *capacity*, of the whole: the tokens made, over the seconds in which all slots were taken.
+
+The half-life of 5 s is a few ticks and about one short request: a shorter one follows the jitter of
+single tokens, a longer one keeps sending to an upstream that has stalled. What was last measured
+`FORGET_AFTER` ago says nothing about now, and an upstream that was slow then is tried again.
 """
 
 from datetime import timedelta
 
 from .const import ZERO
 
-__all__ = ["DEFAULT_HALF_LIFE", "RateMeter"]
+__all__ = ["DEFAULT_HALF_LIFE", "FORGET_AFTER", "RateMeter"]
 
 DEFAULT_HALF_LIFE = timedelta(seconds=5)
+FORGET_AFTER = timedelta(seconds=30)
 
 
 class RateMeter:
-    """Tokens a second over recent busy time, by exponential decay."""
+    """Tokens a second, recent measurements weighing more."""
 
     def __init__(
-        self, half_life: timedelta = DEFAULT_HALF_LIFE, initial_tokens_per_second: float = 0.0
+        self, half_life: timedelta = DEFAULT_HALF_LIFE, forget_after: timedelta = FORGET_AFTER
     ) -> None:
-        self._half_life = half_life.total_seconds()
-        self._busy_seconds = self._half_life if initial_tokens_per_second else 0.0
-        self._tokens = initial_tokens_per_second * self._busy_seconds
-        self._since = ZERO
-        self._busy = False
-
-    def set_busy(self, busy: bool, now: timedelta) -> None:
-        """Tell whether the upstream has work from now on."""
-        self._advance(now)
-        self._busy = busy
-
-    def record(self, tokens: int, now: timedelta) -> None:
-        """Count tokens that the upstream finished."""
-        self._advance(now)
-        self._tokens += tokens
+        self._half_life = half_life
+        self._forget_after = forget_after
+        self._tokens = 0.0
+        self._seconds = 0.0
+        self._last: timedelta | None = None
+
+    def record(self, tokens: float, spent: timedelta, now: timedelta) -> None:
+        """Count tokens and the time spent on them; time without a token counts too."""
+        if spent <= ZERO:
+            return
+        kept = 0.0 if self._last is None else 0.5 ** ((now - self._last) / self._half_life)
+        self._tokens = self._tokens * kept + tokens
+        self._seconds = self._seconds * kept + spent.total_seconds()
+        self._last = now
 
     def tokens_per_second(self, now: timedelta) -> float:
-        """Return the rate, or 0 when there is no measurement yet."""
-        self._advance(now)
-        if not self._busy_seconds:
+        """Return the rate, or 0 when there is no recent measurement."""
+        if self._last is None or now - self._last > self._forget_after:
             return 0.0
-        return self._tokens / self._busy_seconds
-
-    def _advance(self, now: timedelta) -> None:
-        elapsed = (now - self._since).total_seconds()
-        self._since = now
-        if not self._busy or elapsed <= 0:
-            return
-        kept = 0.5 ** (elapsed / self._half_life)
-        self._tokens *= kept
-        self._busy_seconds = self._busy_seconds * kept + elapsed
+        return self._tokens / self._seconds
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -129,10 +129,11 @@
 
 @attrs.frozen
 class StartSamples:
-    """Start that many samples of a group."""
+    """Start that many samples of a group, on a sampler that serves `min_version` or newer."""
 
     group: str
     samples: int
+    min_version: int
 
 
 @attrs.frozen
@@ -176,7 +177,7 @@
                 continue
             ahead[group.step] = ahead.get(group.step, 0) + count
             room -= count
-            starts.append(StartSamples(group.id, count))
+            starts.append(StartSamples(group.id, count, view.sampler_version))
         return tuple(starts)
 
     def stragglers(self, view: RolloutView) -> tuple[StragglerDecision, ...]:
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -5,8 +5,9 @@
 Following the reports alone goes wrong in herds: every entry sees the same idle upstream until the
 next report. Following the prefix cache alone sends a popular prefix to one upstream.
 
-The measure is the expected time until the work sent there is done: tokens outstanding there plus
-this request's, over the measured rate. Own outstanding tokens count in full, for they are known.
+The measure is the expected time until this request is done there: its own tokens at the pace of
+one request, after the tokens outstanding there at that pace on all slots. The pace is measured
+(see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
 What a report shows beyond them is the work of other entries; it counts in full when fresh and
 half after `REPORT_HALF_LIFE`, about the time in which an engine turns over its work. Of
 `SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
@@ -39,12 +40,16 @@
 AFFINITY_CHOICES = 2
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
-FALLBACK_TOKENS_PER_SECOND = 1000.0
+FALLBACK_TOKENS_PER_SECOND = 50.0
+MIN_TOKENS_PER_SECOND = 0.01
 
 
 @attrs.frozen
 class UpstreamView:
-    """An upstream as one entry sees it; a rate of 0 means that none was measured yet."""
+    """An upstream as one entry sees it.
+
+    `tokens_per_second` is the pace of one request; 0 means that there is no recent measurement.
+    """
 
     id: str
     data_center: str = ""
@@ -102,10 +107,10 @@
 
     def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
         """Return the time in which the upstream would be done with the request, roughly."""
-        tokens = upstream.own_tokens + self._others_tokens(upstream) + req.tokens
-        speed = (upstream.tokens_per_second or rate) * upstream.health.weight
+        pace = (upstream.tokens_per_second or rate) * upstream.health.weight
+        ahead = (upstream.own_tokens + self._others_tokens(upstream)) / max(upstream.slots, 1)
         far = bool(req.data_center) and upstream.data_center != req.data_center
-        return tokens / speed * (1 + FAR_PENALTY * far)
+        return (req.tokens + ahead) / max(pace, MIN_TOKENS_PER_SECOND) * (1 + FAR_PENALTY * far)
 
     def _others_tokens(self, upstream: UpstreamView) -> float:
         if upstream.report_age is None:
