--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of the running system."""
--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -92,10 +92,14 @@
 
 @attrs.frozen
 class Refuse:
-    """Turn the request away; it was not run."""
+    """Turn the request away; it was not run.
+
+    `retry_after` is None where the same request would be refused at any time, since it takes longer
+    than its deadline allows.
+    """
 
     reason: RefusalReason
-    retry_after: timedelta
+    retry_after: timedelta | None
 
 
 @attrs.frozen
@@ -114,8 +118,10 @@
             return Refuse(reason, _retry_after(wait, rng))
         budget = self.limits.queue_seconds[req.priority]
         slack = None if req.remaining is None else req.remaining - req.service_time
+        if slack is not None and slack < ZERO:
+            return Refuse(RefusalReason.DEADLINE, None)
         if slack is not None and wait > slack:
-            return Refuse(RefusalReason.DEADLINE, _retry_after(wait - max(slack, ZERO), rng))
+            return Refuse(RefusalReason.DEADLINE, _retry_after(wait - slack, rng))
         if wait > budget:
             return Refuse(RefusalReason.QUEUE_WAIT, _retry_after(wait - budget, rng))
         return Admit(wait, budget if slack is None else min(budget, slack))
--- a/cranberryline/decisions/outstanding.py
+++ b/cranberryline/decisions/outstanding.py
@@ -59,14 +59,14 @@
         self._requests[item.caller] += 1
         self._add_tokens(item, item.tokens)
 
-    def progress(self, item_id: int | str, done: int) -> None:
-        """Take tokens that were made off what an item still has to do."""
+    def set_done(self, item_id: int | str, done: int) -> None:
+        """Tell how many of an item's tokens were made, so that only the rest counts."""
         item = self._items.get(item_id)
         if item is None:
             return
-        done = min(done, self._left[item_id])
-        self._left[item_id] -= done
-        self._add_tokens(item, -done)
+        left = max(0, item.tokens - done)
+        self._add_tokens(item, left - self._left[item_id])
+        self._left[item_id] = left
 
     def remove(self, item_id: int | str) -> WorkItem | None:
         """Let go of an item; return it, or None when it is not held."""
--- a/cranberryline/decisions/pace.py
+++ b/cranberryline/decisions/pace.py
@@ -23,6 +23,7 @@
 
 DEFAULT_HALF_LIFE = timedelta(seconds=5)
 FORGET_AFTER = timedelta(seconds=30)
+STALLED_TOKENS_PER_SECOND = 0.01
 
 
 class RateMeter:
@@ -47,7 +48,10 @@
         self._last = now
 
     def tokens_per_second(self, now: timedelta) -> float:
-        """Return the rate, or 0 when there is no recent measurement."""
+        """Return the rate, or 0 when there is no recent measurement.
+
+        A stalled upstream has a very low rate and not 0, so that it is not taken for unknown.
+        """
         if self._last is None or now - self._last > self._forget_after:
             return 0.0
-        return self._tokens / self._seconds
+        return max(self._tokens / self._seconds, STALLED_TOKENS_PER_SECOND)
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -41,7 +41,6 @@
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
 FALLBACK_TOKENS_PER_SECOND = 50.0
-MIN_TOKENS_PER_SECOND = 0.01
 
 
 @attrs.frozen
@@ -110,7 +109,7 @@
         pace = (upstream.tokens_per_second or rate) * upstream.health.weight
         ahead = (upstream.own_tokens + self._others_tokens(upstream)) / max(upstream.slots, 1)
         far = bool(req.data_center) and upstream.data_center != req.data_center
-        return (req.tokens + ahead) / max(pace, MIN_TOKENS_PER_SECOND) * (1 + FAR_PENALTY * far)
+        return (req.tokens + ahead) / pace * (1 + FAR_PENALTY * far)
 
     def _others_tokens(self, upstream: UpstreamView) -> float:
         if upstream.report_age is None:
