Test the command line and the one file

Cause: exit codes and the promise of one process have to hold for what operators run. Ruled out: the process table alone, which misses a process that lives for a millisecond.

--- /dev/null
+++ b/tests/test_build.py
@@ -0,0 +1,126 @@
+"""The one file: it runs by itself, as one process."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+import yaml
+
+_REPOSITORY = Path(__file__).resolve().parent.parent
+# Put into the child by the interpreter itself at its start; ends it at the first sign of another
+# process, however short-lived, which a look at the process table could miss.
+_GUARD = """
+import os, sys
+_FORBIDDEN = {"os.fork", "os.forkpty", "os.posix_spawn", "os.spawn", "os.exec", "os.system",
+              "subprocess.Popen"}
+def _hook(event, args):
+    if event in _FORBIDDEN:
+        os.write(2, event.encode())
+        os._exit(99)
+sys.addaudithook(_hook)
+"""
+_SETTINGS = {
+    "vm_id": "entry-1",
+    "data_center": "levis",
+    "log_url": "http://127.0.0.1:9001",
+    "vm_list_url": "http://127.0.0.1:9002",
+}
+
+
+@pytest.fixture(scope="module")
+def binary(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """Build the file once, from what the environment holds."""
+    target = tmp_path_factory.mktemp("dist") / "cranberryline"
+    env = {**os.environ, "VENV": sys.prefix}
+    subprocess.run([_REPOSITORY / "script/build", target], env=env, check=True, timeout=120)
+    return target
+
+
+@pytest.fixture
+def environment(tmp_path: Path) -> dict[str, str]:
+    """Return an environment without this checkout, and with the guard against other processes."""
+    guard = tmp_path / "guard"
+    guard.mkdir()
+    (guard / "sitecustomize.py").write_text(_GUARD)
+    return {
+        "PATH": f"{Path(sys.executable).resolve().parent}:{os.environ['PATH']}",
+        "PYTHONPATH": str(guard),
+        "SHIV_ROOT": str(tmp_path / "unpacked"),
+    }
+
+
+def _run(binary: Path, env: dict[str, str], *args: str) -> subprocess.CompletedProcess[str]:
+    """Run the file to its end, away from the checkout."""
+    return subprocess.run(
+        [binary, *args],
+        check=False,
+        env=env,
+        cwd=binary.parent,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+def _processes_of_session(session: int) -> list[int]:
+    """Return the processes of a session, by the process table."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            fields = path.read_text().rpartition(")")[2].split()
+        except (FileNotFoundError, ProcessLookupError):
+            continue
+        if int(fields[3]) == session:
+            found.append(int(path.parent.name))
+    return found
+
+
+def test_it_is_one_file_that_runs(
+    binary: Path, environment: dict[str, str], tmp_path: Path
+) -> None:
+    """Version and the check of settings, twice: the first run unpacks, the second one does not."""
+    path = tmp_path / "entry.yaml"
+    path.write_text(yaml.safe_dump(_SETTINGS))
+    for _ in range(2):
+        done = _run(binary, environment, "version")
+        assert (done.returncode, done.stderr) == (0, "")
+        assert done.stdout.startswith("cranberryline ")
+    assert _run(binary, environment, "check-settings", str(path)).returncode == 0
+    path.write_text("vm_id: 3")
+    done = _run(binary, environment, "check-settings", str(path))
+    assert done.returncode == 2
+    assert "data_center: missing" in done.stderr
+
+
+def test_the_guard_sees_other_processes(environment: dict[str, str]) -> None:
+    """Without this the test above could pass because the guard was never loaded."""
+    code = "import subprocess; subprocess.run(['true'])"
+    done = subprocess.run([sys.executable, "-c", code], check=False, env=environment, timeout=60)
+    assert done.returncode == 99
+
+
+def test_it_is_one_process(binary: Path, environment: dict[str, str]) -> None:
+    """While it runs, the process table shows the process that was started and no other."""
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        url = f"http://127.0.0.1:{silent.getsockname()[1]}"
+        process = subprocess.Popen(
+            [binary, "status", "--entry", url],
+            env=environment,
+            stdout=subprocess.DEVNULL,
+            start_new_session=True,
+        )
+        try:
+            silent.settimeout(60)
+            conn, _ = silent.accept()
+            with conn:
+                for _ in range(5):
+                    assert _processes_of_session(process.pid) == [process.pid]
+                    time.sleep(0.02)
+        finally:
+            process.send_signal(signal.SIGINT)
+            assert process.wait(timeout=30) == 130
