Wire configuration, trainers and operators into both processes

Cause: the parts existed, the processes did not use them. Pace is measured for each request, capacity only while no slot is free. Found: logs came twice, since both the command line and the role set them up; now only the former.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -3,20 +3,31 @@
 import asyncio
 import itertools
 import random
+import sys
 import uuid
 from collections.abc import Coroutine, Iterable
 from datetime import timedelta
 from typing import Any
 
 import zmq
+from result import Err, Ok
 from tornado.httpserver import HTTPServer
+from tornado.web import RequestHandler
 
+from cranberryline.configs import Revision
+from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
-from cranberryline.helpers.logging import get_logger, set_up_logging
+from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.problem import write_problem
 from cranberryline.helpers.shutdown import Shutdown
-from cranberryline.platform.clients import HttpLog, HttpVmList
+from cranberryline.helpers.tokens import Role, TokenRefusal, TokenTable, load_tokens
+from cranberryline.platform.clients import HttpLog, HttpScorer, HttpVmList
+from cranberryline.platform.model import VmEntry
+from cranberryline.samples.hedging import SlowestFirst
+from cranberryline.samples.runner import RunnerPorts
+from cranberryline.samples.table import StepTable
 from cranberryline.settings import EntrySettings
 from cranberryline.transport import BadFrame, Dialer, DialerEvents
 from cranberryline.transport.model import (
@@ -27,6 +38,7 @@
     Load,
     Members,
     Message,
+    PeerRequest,
     Welcome,
 )
 
@@ -35,8 +47,11 @@
 from .http import Route, async_close_http, listen_http
 from .links import SideLinks
 from .membership import MembershipWatch
-from .mesh import EntryMesh, MeshEvents
+from .mesh import EntryMesh, MeshEvents, PeerReply
+from .operators import OperatorContext, PeerStatus, operator_routes
 from .proxy import ProxyContext
+from .rollouts import DispatcherSamples, FoldRollouts, MeshOwners, NoScores
+from .trainers import TrainerService, trainer_routes
 from .upstreams import PeerTable
 
 __all__ = ["EntryProcess", "run"]
@@ -48,6 +63,7 @@
 _PEER_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
 _STOP_POLL = timedelta(milliseconds=50)
+EXIT_SETTINGS = 2
 
 
 class _Relay(RelayPort):
@@ -75,7 +91,7 @@
 class EntryProcess(DialerEvents, MeshEvents):
     """Put the parts of an entry together."""
 
-    def __init__(self, cfg: EntrySettings, clock: Clock) -> None:
+    def __init__(self, cfg: EntrySettings, tokens: TokenTable, clock: Clock) -> None:
         self._cfg = cfg
         self._clock = clock
         self._ctx = zmq.Context()
@@ -97,14 +113,27 @@
             cfg.vm_id,
             self.log,
             _Relay(self.mesh, self.links, self.metrics),
-            lambda: [vm.id for vm in self.members.entries()],
+            self._live_entries,
             clock,
             self.metrics,
         )
         self.book = ServiceBook(self.sync.fold)
         self.dispatcher = Dispatcher(clock, random.Random(), self.table, self.book, self.metrics)
+        self.tokens = tokens
+        scorer = NoScores() if cfg.scorer_url is None else HttpScorer(cfg.scorer_url)
+        rollouts = FoldRollouts(self.sync.fold)
+        ports = RunnerPorts(
+            DispatcherSamples(self.dispatcher, self.book, clock),
+            scorer,
+            SlowestFirst(),
+            self.metrics,
+            clock,
+        )
+        self.steps = StepTable(ports, rollouts)
+        owners = MeshOwners(cfg.vm_id, self.mesh, self._live_entries)
+        self.trainers = TrainerService(self.steps, rollouts, owners)
         self.members.listen(self._on_members)
-        self.sync.fold.listen(lambda _: self.dispatcher.wake())
+        self.sync.fold.listen(self._on_revision)
 
     @property
     def ready(self) -> bool:
@@ -200,6 +229,7 @@
         if self._http is None:
             return
         self._http.stop()
+        await self.steps.async_close()
         while self.dispatcher.in_flight:
             await self._clock.async_sleep(_STOP_POLL)
         await async_close_http(self._http)
@@ -212,8 +242,55 @@
         self.mesh.close()
         self._ctx.destroy(linger=0)
 
+    def _live_entries(self) -> list[str]:
+        return [vm.id for vm in self.members.entries()]
+
+    def _on_revision(self, _: Revision) -> None:
+        self.dispatcher.wake()
+        self.steps.wake()
+
+    async def async_serve_peer(self, req: PeerRequest) -> PeerReply:
+        """Answer a trainer's call that another entry passed on."""
+        status, body = await self.trainers.async_serve_peer(req.method, req.path, req.body)
+        return PeerReply(status, body)
+
     def _routes(self) -> list[Route]:
-        return []
+        operators = OperatorContext(
+            vm_id=self._cfg.vm_id,
+            fold=self.sync.fold,
+            publisher=ConfigPublisher(self.log, self.sync, self._clock),
+            metrics=self.metrics,
+            current=lambda: self.sync.current,
+            peers=self._peer_status,
+            tokens=self.tokens,
+        )
+        return [*operator_routes(operators), *trainer_routes(self.trainers, self._check_trainer)]
+
+    def _check_trainer(self, handler: RequestHandler, trainer: str) -> bool:
+        """Let a trainer ask for its own steps only."""
+        checked = self.tokens.check(handler.request.headers.get("Authorization"), Role.TRAINER)
+        if isinstance(checked, Ok) and checked.unwrap() == trainer:
+            return True
+        refusal = checked.err() or TokenRefusal.WRONG_ROLE
+        self.metrics.refuse(refusal.value)
+        write_problem(handler, refusal.status, refusal.value, "this trainer's token is needed")
+        return False
+
+    def _peer_status(self) -> list[PeerStatus]:
+        return [self._row_status(vm) for vm in self.members.all() if vm.id != self._cfg.vm_id]
+
+    def _row_status(self, vm: VmEntry) -> PeerStatus:
+        dialer = self.links.get(vm.id)
+        load = None if dialer is None else dialer.load
+        return PeerStatus(
+            id=vm.id,
+            role=vm.role.value,
+            service=vm.service,
+            state=self.members.state(vm.id).value,
+            connected=vm.id in self.links.connected() or vm.id in self.mesh.connected(),
+            config_offset=self.sync.relay.known(vm.id),
+            weight_version=None if load is None else load.weight_version,
+        )
 
     def _proxy_context(self) -> ProxyContext:
         return ProxyContext(
@@ -248,8 +325,8 @@
             self.mesh.drop_silent(_PEER_SILENT_AFTER)
 
 
-async def _async_run(cfg: EntrySettings) -> int:
-    entry = EntryProcess(cfg, SystemClock())
+async def _async_run(cfg: EntrySettings, tokens: TokenTable) -> int:
+    entry = EntryProcess(cfg, tokens, SystemClock())
     shutdown = Shutdown(entry.async_stop, cfg.stop_timeout, entry.metrics)
     shutdown.install()
     entry.start()
@@ -260,8 +337,8 @@
 
 def run(cfg: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
-    writer = set_up_logging(cfg.log_level, vm_id=cfg.vm_id, role="entry")
-    try:
-        return asyncio.run(_async_run(cfg))
-    finally:
-        writer.close()
+    tokens = load_tokens(cfg.tokens_file)
+    if isinstance(tokens, Err):
+        sys.stderr.write(f"{tokens.unwrap_err()}\n")
+        return EXIT_SETTINGS
+    return asyncio.run(_async_run(cfg, tokens.unwrap()))
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -136,6 +136,7 @@
             if isinstance(taken, Err):
                 return taken
             turn = taken.unwrap()
+            sink.dispatched(turn.upstream.peer.vm_id)
             outcome = await self._async_attempt(lane, turn, req, sink)
             attempts += 1
             if isinstance(outcome, AttemptDone):
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -45,6 +45,7 @@
 
     item: WorkItem
     upstream: Upstream
+    given: timedelta
 
 
 @attrs.define(eq=False)
@@ -74,7 +75,8 @@
         self._spec = spec
         self._queue = WorkQueue(0, QueueSettings(caller_weights=weights()))
         self._weights = weights
-        self._rate = RateMeter()
+        self._capacity = RateMeter()
+        self._full_since: timedelta | None = None
         self._waiters: dict[int | str, _Waiter] = {}
         self._ids = itertools.count()
         self._timer: asyncio.TimerHandle | None = None
@@ -92,7 +94,7 @@
             queued=self._queue.queued,
             running=self._queue.running,
             slots=self._slots(),
-            tokens_per_second=self._rate.tokens_per_second(now),
+            tokens_per_second=self._capacity.tokens_per_second(now),
         )
         asked = AdmissionRequest(
             caller=req.caller,
@@ -138,9 +140,10 @@
         """Give a turn back, with the tokens that it brought, and let the next one go."""
         now = self._clock.monotonic()
         self._queue.finish(turn.item.id)
-        turn.upstream.end(tokens, now)
-        if tokens:
-            self._rate.record(tokens, now)
+        turn.upstream.end(tokens, now - turn.given, now)
+        if self._full_since is not None:
+            self._capacity.record(tokens, now - self._full_since, now)
+            self._full_since = now
         self.pump()
 
     def pump(self) -> None:
@@ -156,7 +159,15 @@
                 break
             self._give_turn(item, free, now)
         self._expire()
-        self._rate.set_busy(len(self._queue.running) > 0, now)
+        self._note_full(now)
+
+    def _note_full(self, now: timedelta) -> None:
+        """Time only the periods without a free slot: the rest says nothing about capacity."""
+        full = len(self._queue) > 0 or len(self._queue.running) >= max(self._queue.slots, 1)
+        if not full:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
 
     def _give_turn(self, item: WorkItem, free: list[Upstream], now: timedelta) -> None:
         waiter = self._waiters.pop(item.id)
@@ -166,7 +177,7 @@
             self._settle(waiter, Err(_no_upstream()))
             return
         upstream.begin(now)
-        self._settle(waiter, Ok(Turn(item, upstream)))
+        self._settle(waiter, Ok(Turn(item, upstream, now)))
 
     def _route(self, waiter: _Waiter, free: list[Upstream], now: timedelta) -> Upstream | None:
         spec = self._spec()
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -52,6 +52,10 @@
         """Return the side processes that can be reached now."""
         return [vm_id for vm_id, dialer in self._dialers.items() if dialer.welcome is not None]
 
+    def get(self, vm_id: str) -> Dialer | None:
+        """Return the connection with a side process."""
+        return self._dialers.get(vm_id)
+
     def send(self, vm_id: str, msg: Message) -> bool:
         """Send a message to a side process; False when it cannot be reached."""
         dialer = self._dialers.get(vm_id)
--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -8,7 +8,7 @@
 import zmq
 from result import Err, Ok, Result
 
-from cranberryline.decisions import rendezvous
+from cranberryline.configs.push import TailerRanking
 from cranberryline.helpers.clock import Clock
 from cranberryline.platform.model import VmEntry
 from cranberryline.transport import (
@@ -30,8 +30,6 @@
     Welcome,
 )
 
-from .config_sync import TAILER_KEY
-
 __all__ = ["EntryMesh", "MeshEvents", "PeerReply"]
 
 # Up to this many entries every one dials every other; beyond, only those that tail the log, and
@@ -230,8 +228,8 @@
     def _wanted(self) -> list[str]:
         if len(self._rows) <= MAX_FULL_MESH:
             return list(self._rows)
-        ranked = rendezvous.rank(TAILER_KEY, {*self._rows, self._vm_id})
-        return [vm_id for vm_id in ranked[:TAILERS_DIALLED] if vm_id != self._vm_id]
+        ranking = TailerRanking(self._vm_id, lambda: self._rows, TAILERS_DIALLED)
+        return [vm_id for vm_id in ranking.tailers() if vm_id != self._vm_id]
 
     def _tell_lost(self, vm_id: str) -> None:
         if vm_id not in self.connected():
--- a/cranberryline/entry/model.py
+++ b/cranberryline/entry/model.py
@@ -43,6 +43,10 @@
 class AnswerSink(abc.ABC):
     """Take an answer as it arrives."""
 
+    def dispatched(self, upstream: str) -> None:
+        """Note which upstream an attempt goes to."""
+        return
+
     @abc.abstractmethod
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status and headers; True when the caller may have seen them already."""
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -34,8 +34,8 @@
 
 DEFAULT_MAX_TOKENS = 256
 # A prompt's leading part decides which engine has it cached; group members share all of it.
-_PREFIX_CHARS = 256
-_CHARS_PER_TOKEN = 4
+PREFIX_CHARS = 256
+CHARS_PER_TOKEN = 4
 _MAX_DEADLINE_DIGITS = 9
 _MAX_KEY_CHARS = 255
 _NOT_READY_RETRY = timedelta(seconds=1)
@@ -285,8 +285,8 @@
         if service is None:
             return Err(Refusal(RefusalReason.UNKNOWN_SERVICE, detail=body["model"][:100]))
         prompt = _prompt_text(body)
-        tokens = max_tokens + len(prompt) // _CHARS_PER_TOKEN
-        return self.build(service, f"/v1/{path}", True, tokens, prompt[:_PREFIX_CHARS])
+        tokens = max_tokens + len(prompt) // CHARS_PER_TOKEN
+        return self.build(service, f"/v1/{path}", True, tokens, prompt[:PREFIX_CHARS])
 
 
 def _prompt_text(body: dict[str, Any]) -> str:
--- /dev/null
+++ b/cranberryline/entry/rollouts.py
@@ -0,0 +1,164 @@
+"""Make samples over the callers' own path, and find the entry that owns a trainer's steps."""
+
+import json
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranberryline.configs import ConfigFold
+from cranberryline.decisions import rendezvous
+from cranberryline.helpers.clock import Clock
+from cranberryline.platform.errors import PlatformError
+from cranberryline.platform.model import ScorePort
+from cranberryline.samples.attribution import CompletionStream
+from cranberryline.samples.errors import DiscardReason
+from cranberryline.samples.model import Completion
+from cranberryline.samples.ports import (
+    DispatchError,
+    RolloutConfig,
+    RolloutLimits,
+    SampleDispatch,
+    SampleRequest,
+)
+
+from .dispatch import Dispatcher, ServiceBook
+from .errors import Refusal
+from .mesh import EntryMesh
+from .model import AnswerSink, CallerClass, CallerRequest
+from .proxy import CHARS_PER_TOKEN, HEADER_REQUEST_ID, PREFIX_CHARS
+from .trainers import OwnerPort
+
+__all__ = ["DispatcherSamples", "FoldRollouts", "MeshOwners", "NoScores"]
+
+_COMPLETIONS = "/v1/completions"
+STATUS_OK = 200
+
+
+class _SampleSink(AnswerSink):
+    """Feed an engine's stream to its attribution."""
+
+    def __init__(self, on_dispatched: Callable[[str], None]) -> None:
+        self._on_dispatched = on_dispatched
+        self.status = 0
+        self.stream = CompletionStream()
+
+    def dispatched(self, upstream: str) -> None:
+        """Tell the step which upstream makes the sample."""
+        self._on_dispatched(upstream)
+
+    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Begin anew: an earlier attempt's part belongs to another run."""
+        self.status = status
+        self.stream = CompletionStream()
+        return False
+
+    async def async_chunk(self, data: bytes) -> None:
+        """Take in a part of the stream."""
+        self.stream.feed(data)
+
+
+class DispatcherSamples(SampleDispatch):
+    """Run completions as requests of class `trainer`, in their turn with everyone's."""
+
+    def __init__(self, dispatcher: Dispatcher, book: ServiceBook, clock: Clock) -> None:
+        self._dispatcher = dispatcher
+        self._book = book
+        self._clock = clock
+
+    async def async_complete(
+        self, req: SampleRequest, on_dispatched: Callable[[str], None]
+    ) -> Result[Completion, DispatchError]:
+        """Return a whole, attributed completion; cancelling the call cancels the work."""
+        if not self._book.knows(req.service):
+            return Err(DispatchError(DiscardReason.FAILED, "the service is not configured"))
+        sink = _SampleSink(on_dispatched)
+        result = await self._dispatcher.async_run(self._request(req), sink)
+        if isinstance(result, Err):
+            refusal: Refusal = result.unwrap_err()
+            detail = f"{refusal.reason.value} {refusal.detail}"
+            return Err(DispatchError(DiscardReason.FAILED, detail, refusal.retry_after))
+        if sink.status != STATUS_OK:
+            return Err(DispatchError(DiscardReason.FAILED, f"status {sink.status}"))
+        finished = sink.stream.finish(result.unwrap())
+        if isinstance(finished, Err):
+            error = finished.unwrap_err()
+            return Err(DispatchError(error.reason, error.detail))
+        return Ok(finished.unwrap())
+
+    def _request(self, req: SampleRequest) -> CallerRequest:
+        spec = self._book.spec(req.service)
+        body = {
+            "model": spec.model or req.service,
+            "prompt": req.prompt,
+            "max_tokens": req.max_tokens,
+            "stream": True,
+        }
+        timeout = timedelta(seconds=spec.timeout_seconds)
+        return CallerRequest(
+            service=req.service,
+            method="POST",
+            path=_COMPLETIONS,
+            headers=(
+                ("Content-Type", "application/json"),
+                (HEADER_REQUEST_ID, f"{req.sample_id}#{req.attempt}"),
+            ),
+            body=json.dumps(body).encode(),
+            deadline=self._clock.monotonic() + timeout,
+            caller=req.sample_id.partition("/")[0],
+            caller_class=CallerClass.TRAINER,
+            idempotent=True,
+            tokens=req.max_tokens + len(req.prompt) // CHARS_PER_TOKEN,
+            prefix_key=req.prompt[:PREFIX_CHARS],
+            avoid=req.avoid,
+        )
+
+
+class FoldRollouts(RolloutConfig):
+    """Read trainers' limits from the configuration in force."""
+
+    def __init__(self, fold: ConfigFold) -> None:
+        self._fold = fold
+
+    def limits(self, trainer: str, service: str) -> RolloutLimits | None:
+        """Return a trainer's limits, or None when the trainer or its service is not configured."""
+        spec = self._fold.trainers().get(trainer)
+        if spec is None or spec.service != service or service not in self._fold.services():
+            return None
+        weights = self._fold.weights(service)
+        newest = 0 if weights is None else weights[0].version
+        return RolloutLimits(newest, spec.staleness_bound, spec.max_in_flight)
+
+
+class MeshOwners(OwnerPort):
+    """The owner of a trainer's steps is the live entry that ranks first for the trainer's name.
+
+    Two entries that see different members may both think so; the trainer's cursor keeps the count
+    right, and only the work of one of them is wasted.
+    """
+
+    def __init__(self, vm_id: str, mesh: EntryMesh, live: Callable[[], list[str]]) -> None:
+        self._vm_id = vm_id
+        self._mesh = mesh
+        self._live = live
+
+    def owner_of(self, trainer: str) -> str | None:
+        """Return the owner's entry id, or None when it is this entry."""
+        first = rendezvous.rank(trainer, {*self._live(), self._vm_id})[0]
+        return None if first == self._vm_id else first
+
+    async def async_forward(
+        self, entry_id: str, method: str, path: str, body: bytes, budget: timedelta
+    ) -> Result[tuple[int, bytes], Any]:
+        """Pass a call on; an error means that the owner gave no answer."""
+        result = await self._mesh.async_request(entry_id, method, path, body, budget)
+        return result.map(lambda reply: (reply.status, reply.body))
+
+
+class NoScores(ScorePort):
+    """Score nothing, where the settings name no scorer."""
+
+    async def async_score(self, sample: dict[str, Any]) -> Result[float, PlatformError]:
+        """Return 0."""
+        return Ok(0.0)
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -19,7 +19,7 @@
 
     peer: Dialer
     data_center: str
-    rate: RateMeter = attrs.field(factory=RateMeter)
+    pace: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
 
     def has_room(self, spec: ServiceSpec) -> bool:
@@ -32,15 +32,12 @@
 
     def begin(self, now: timedelta) -> None:
         """Note that work goes there."""
-        self.rate.set_busy(True, now)
         if _HEALTH.view(self.health, now).probe_due:
             self.health = _HEALTH.probed(self.health, now)
 
-    def end(self, tokens: int, now: timedelta) -> None:
-        """Note that an attempt is over, with the tokens that it brought."""
-        if tokens:
-            self.rate.record(tokens, now)
-        self.rate.set_busy(self.peer.outstanding > 0, now)
+    def end(self, tokens: int, spent: timedelta, now: timedelta) -> None:
+        """Note that an attempt is over, with the tokens that it brought in the time spent."""
+        self.pace.record(tokens, spent, now)
 
     def succeeded(self) -> None:
         """Note a whole answer."""
@@ -61,7 +58,7 @@
             own_tokens=self.peer.outstanding_tokens,
             reported_tokens=0 if load is None else load.queued_tokens,
             report_age=None if load is None else now - self.peer.load_at,
-            tokens_per_second=self.rate.tokens_per_second(now),
+            tokens_per_second=self.pace.tokens_per_second(now),
             weight_version=None if load is None else load.weight_version,
             health=_HEALTH.view(self.health, now),
             draining=self.peer.draining,
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -13,7 +13,7 @@
 from cranberryline.configs import Revision
 from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
-from cranberryline.helpers.logging import get_logger, set_up_logging
+from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.shutdown import Shutdown
 from cranberryline.platform.clients import HttpEngine, HttpLog
@@ -238,8 +238,4 @@
 
 def run(cfg: SideSettings) -> int:
     """Run a side process until it is told to stop; return the exit code."""
-    writer = set_up_logging(cfg.log_level, vm_id=cfg.vm_id, role="side")
-    try:
-        return asyncio.run(_async_run(cfg))
-    finally:
-        writer.close()
+    return asyncio.run(_async_run(cfg))
