--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -213,23 +213,17 @@
 
 
 def _run_role(role: str, path: str) -> int:
-    """Check the settings, set up the logs and run a role until it stops."""
+    """Check the settings and run a role until it stops."""
     loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
     if isinstance(loaded, Err):
         return _usage(str(loaded.unwrap_err()))
     settings = loaded.unwrap()
-    from .helpers.logging import set_up_logging  # noqa: PLC0415 - only the roles log
-
-    run: Callable[[Any], int | None]
+    run: Callable[[Any], int]
     if role == "entry":
         from .entry.app import run  # noqa: PLC0415 - keeps the other role out of memory
     else:
         from .side.app import run  # noqa: PLC0415 - keeps the other role out of memory
-    writer = set_up_logging(settings.log_level, vm_id=settings.vm_id, role=role)
-    try:
-        return run(settings) or ExitCode.OK
-    finally:
-        writer.close()
+    return run(settings)
 
 
 def _check_settings(path: str, role: str) -> int:
@@ -256,7 +250,7 @@
         raw = yaml.safe_load(Path(path).read_text())
     except (OSError, ValueError, yaml.YAMLError):
         return "entry"
-    return "side" if isinstance(raw, dict) and {"service", "upstream_url"} & set(raw) else "entry"
+    return "side" if isinstance(raw, dict) and {"service", "upstream"} & set(raw) else "entry"
 
 
 def _usage(message: str) -> int:
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -27,8 +27,8 @@
 _SETTINGS = {
     "vm_id": "entry-1",
     "data_center": "levis",
-    "log_url": "http://127.0.0.1:9001",
-    "vm_list_url": "http://127.0.0.1:9002",
+    "log": "http://127.0.0.1:9001",
+    "vm_list": "http://127.0.0.1:9002",
 }
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,8 +22,8 @@
 _ENTRY_SETTINGS = {
     "vm_id": "entry-1",
     "data_center": "levis",
-    "log_url": "http://127.0.0.1:9001",
-    "vm_list_url": "http://127.0.0.1:9002",
+    "log": "http://127.0.0.1:9001",
+    "vm_list": "http://127.0.0.1:9002",
 }
 
 
@@ -325,7 +325,7 @@
     assert main(["check-settings", str(path)]) == ExitCode.OK
     assert "valid settings of role entry" in capsys.readouterr().out
     assert main(["check-settings", str(path), "--role=side"]) == ExitCode.USAGE
-    assert "upstream_url: missing" in capsys.readouterr().err
+    assert "upstream: missing" in capsys.readouterr().err
     assert main(["check-settings", str(path), "--role=other"]) == ExitCode.USAGE
     tokens = tmp_path / "tokens.yaml"
     tokens.write_text("tokens: []")
@@ -334,7 +334,7 @@
     path.write_text("service: a\nvm_id: 3\n")
     capsys.readouterr()
     assert main(["check-settings", str(path)]) == ExitCode.USAGE
-    assert "upstream_url: missing" in capsys.readouterr().err
+    assert "upstream: missing" in capsys.readouterr().err
 
 
 @pytest.mark.parametrize("role", ["entry", "side"])
