Publish under an id, and ask again where the outcome is unknown

Cause: an answer lost after the record took effect looked like a failure; a second publication would conflict with the first or go over somebody else's change. Change: each record gets an id; an unknown outcome is asked for twice more under the same one. The id is never taken from the file, since a row copied from the history would be taken for its old self.

--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -106,7 +106,7 @@
         return _command(_operator("list_records"), entry, token_file)
 
     def history(self, kind: str, name: str, entry: str = "", token_file: str = "") -> _Command:
-        """Print what the log still keeps of a record, the oldest first, as YAML.
+        """Print the revisions of a record that an entry has seen, the oldest first, as YAML.
 
         Args:
             kind: Kind of the record: service, trainer, weights or caller.
--- a/cranberryline/config_client.py
+++ b/cranberryline/config_client.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import uuid
 from collections.abc import Iterator
 from datetime import timedelta
 from http import HTTPStatus
@@ -64,13 +65,18 @@
 
 @attrs.frozen
 class RecordDraft:
-    """A record to publish; `amends` is None where the file leaves it to the entry's state."""
+    """A record to publish; `amends` is None where the file leaves it to the entry's state.
+
+    The id makes a second attempt harmless. It is never taken from the file: a row copied from the
+    history to bring an old spec back would be taken for the accepted record that it was.
+    """
 
     kind: str
     name: str
     schema: int
     spec: dict[str, Any] | None
     amends: int | None = None
+    id: str = attrs.field(factory=lambda: uuid.uuid4().hex)
 
     def as_dict(self) -> dict[str, Any]:
         """Return the body to post."""
--- a/cranberryline/operator_commands.py
+++ b/cranberryline/operator_commands.py
@@ -4,6 +4,7 @@
 import os
 import sys
 from collections.abc import Awaitable, Callable
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 ENV_ENTRY = "CRANBERRYLINE_ENTRY"
 ENV_TOKEN = "CRANBERRYLINE_TOKEN"  # noqa: S105 - the name of a variable
 
+_PAUSES = (timedelta(milliseconds=200), timedelta(seconds=1))
 _EXIT_CODES = {
     ApiReason.REFUSED: ExitCode.FAILURE,
     ApiReason.CONFLICT: ExitCode.CONFLICT,
@@ -83,7 +85,7 @@
 
 
 def history(kind: str, name: str, entry: str, token_file: str) -> int:
-    """Print what the log still keeps of a record."""
+    """Print the revisions of a record that the entry has seen."""
     return _call(entry, token_file, lambda client: client.async_history(kind, name), _print_yaml)
 
 
@@ -106,7 +108,7 @@
         if amends is None:
             amends = revisions.get((draft.kind, draft.name), 0)
             print(f"{label}: amends not given, taken from the entry: {amends}")
-        answer = await client.async_publish(attrs.evolve(draft, amends=amends))
+        answer = await _async_publish_one(client, attrs.evolve(draft, amends=amends))
         if isinstance(answer, Err):
             print(f"{label}: not accepted", file=sys.stderr)
             return answer
@@ -116,6 +118,23 @@
     return Ok(None)
 
 
+async def _async_publish_one(
+    client: ApiClient, draft: RecordDraft
+) -> Result[dict[str, Any], ApiError]:
+    """Publish one record; where its outcome is unknown, ask again under the same id.
+
+    An answer that was lost looks like a failure, and the operator would publish the record a second
+    time, over a change that somebody made in between. Under its id it takes effect only once, and
+    the entry answers what became of it.
+    """
+    for pause in _PAUSES:
+        answer = await client.async_publish(draft)
+        if answer.is_ok() or answer.unwrap_err().reason is not ApiReason.UNKNOWN:
+            return answer
+        await asyncio.sleep(pause.total_seconds())
+    return await client.async_publish(draft)
+
+
 def _call(
     entry: str,
     token_file: str,
