--- a/stand_ins/__main__.py
+++ b/stand_ins/__main__.py
@@ -10,6 +10,7 @@
 from .engine import EngineControls, EngineStandIn
 from .http import Controls, StandIn, async_serve
 from .log import LogControls, LogStandIn
+from .relay import RelayControls, RelayStandIn
 from .scorer import ScorerStandIn
 from .service import ServiceControls, ServiceStandIn
 from .store import StoreControls, StoreStandIn
@@ -54,6 +55,10 @@
         """Serve the scoring service."""
         _serve(lambda: ScorerStandIn(Controls(**controls)), port)
 
+    def relay(self, port: int, links: str, **controls: Any) -> None:
+        """Serve a TCP relay; `links` is NAME:LISTEN:TARGET,... with ports on loopback."""
+        _serve(lambda: RelayStandIn(RelayControls(**controls), links), port)
+
     def run(self, example: str = "beaulieu") -> None:
         """Run an example deployment until interrupted."""
         from .run import run  # noqa: PLC0415 - a stand-in needs nothing of the launcher
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -24,13 +24,18 @@
 
 @attrs.frozen
 class DeploymentPlan:
-    """Places, services and configuration records of one deployment."""
+    """Places, services and configuration records of one deployment.
+
+    When `relayed`, the VM list shows for each peer the address of a relay in front of it, so that
+    tests can make open connections go silent; a link is named as its VM.
+    """
 
     name: str
     data_centers: tuple[str, ...]
     services: tuple[ServicePlan, ...]
     records: tuple[dict[str, Any], ...] = ()
     entries: int = 2
+    relayed: bool = False
     platform: dict[str, dict[str, Any]] = attrs.field(factory=dict)
 
     def of_type(self, kind: str) -> ServicePlan:
@@ -45,13 +50,13 @@
         """Return a record's specification."""
         return next(r["spec"] for r in self.records if (r["kind"], r["name"]) == (kind, name))
 
-    def shrunk(self, samplers: int, entries: int = 2) -> "DeploymentPlan":
+    def shrunk(self, samplers: int, entries: int = 2, relayed: bool = False) -> "DeploymentPlan":
         """Return the plan with fewer upstreams, for tests."""
         services = tuple(
             attrs.evolve(service, samplers=min(samplers, service.samplers))
             for service in self.services
         )
-        return attrs.evolve(self, services=services, entries=entries)
+        return attrs.evolve(self, services=services, entries=entries, relayed=relayed)
 
 
 def load_plan(name: str) -> DeploymentPlan:
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -67,8 +67,8 @@
 class Deployment:
     """A running deployment.
 
-    Processes are named `log`, `vms`, `store`, `scorer`, `entry-1`, ..., and for each upstream
-    `redacteurs-1` (the stand-in) and `side-redacteurs-1` (the side process).
+    Processes are named `log`, `vms`, `store`, `scorer`, `relay` (only where the plan is relayed),
+    `entry-1`, ..., and for each upstream `redacteurs-1` (the stand-in) and `side-redacteurs-1`.
     """
 
     def __init__(self, plan: DeploymentPlan, folder: Path) -> None:
@@ -78,6 +78,7 @@
         self.urls: dict[str, str] = {}
         self.vms: list[dict[str, Any]] = []
         self.tokens: dict[str, str] = {}
+        self._links: list[str] = []
         self._ports = iter(free_ports(self._port_count()))
         self._centers = itertools.cycle(plan.data_centers)
 
@@ -99,6 +100,9 @@
                 self._start_upstream(service, f"{service.name}-{number}")
         for number in range(1, self.plan.entries + 1):
             self._start_entry(f"entry-{number}")
+        if self.plan.relayed:
+            self._start_stand_in("relay", "relay", {"links": ",".join(self._links)})
+            self._wait(["relay"], "/_control")
         self._wait(self._upstream_names() + ["vms"], "/_control")
         self.set_vms()
         self._wait([n for n in self.urls if n.startswith(("entry-", "side-"))], "/ready")
@@ -140,6 +144,10 @@
         """Read an upstream's journal, also of one that has been killed."""
         return [row for row in read_journal(self._journal_path(name)) if row["kind"] == kind]
 
+    def silence(self, *vm_ids: str) -> None:
+        """Let the open connections to these VMs' peers go silent; new ones work."""
+        self.control("relay", silence=list(vm_ids))
+
     def set_vms(self) -> None:
         """Publish the VM list as it is in `vms`; it shows after the list's lag."""
         self.control("vms", vms=self.vms)
@@ -165,7 +173,8 @@
 
     def _port_count(self) -> int:
         upstreams = sum(service.samplers for service in self.plan.services)
-        return len(PLATFORM) + 3 * upstreams + 2 * self.plan.entries
+        # Beside the three or two ports of each VM there may be that of its relay.
+        return len(PLATFORM) + 1 + 4 * upstreams + 3 * self.plan.entries
 
     def _upstream_names(self) -> list[str]:
         return [vm["id"] for vm in self.vms if vm["role"] == "upstream"]
@@ -211,7 +220,7 @@
             "data_center": vm["data_center"],
             "service": service.name,
             "listen": f"127.0.0.1:{listen}",
-            "peer": vm["peer"],
+            "peer": f"tcp://127.0.0.1:{peer}",
             "upstream": self.urls[name],
             "log": self.urls["log"],
         }
@@ -224,7 +233,7 @@
             "vm_id": name,
             "data_center": vm["data_center"],
             "listen": f"127.0.0.1:{listen}",
-            "peer": vm["peer"],
+            "peer": f"tcp://127.0.0.1:{peer}",
             "log": self.urls["log"],
             "vm_list": self.urls["vms"],
             "scorer": self.urls["scorer"],
@@ -235,12 +244,16 @@
     def _add_vm(
         self, name: str, role: str, peer: int, service: str = "", address: str = ""
     ) -> dict[str, Any]:
+        shown = peer
+        if self.plan.relayed:
+            shown = next(self._ports)
+            self._links.append(f"{name}:{shown}:{peer}")
         vm = {
             "id": name,
             "role": role,
             "state": "live",
             "data_center": next(self._centers),
-            "peer": f"tcp://127.0.0.1:{peer}",
+            "peer": f"tcp://127.0.0.1:{shown}",
             "address": address,
             "service": service,
         }
--- /dev/null
+++ b/stand_ins/relay.py
@@ -0,0 +1,111 @@
+"""A TCP relay between two processes, whose open connections can go silent while new ones work."""
+
+import asyncio
+from typing import Any
+
+import attrs
+
+from .http import Controls, StandIn
+
+__all__ = ["RelayControls", "RelayStandIn"]
+
+READ_BYTES = 64 * 1024
+
+
+@attrs.define
+class RelayControls(Controls):
+    """`silence` names links ("*" for all) whose present connections carry nothing any more.
+
+    They stay open at both ends; connections made later work. `delay_s` holds back each piece.
+    """
+
+    silence: list[str] = attrs.field(factory=list)
+    delay_s: float = 0.0
+
+
+@attrs.define(eq=False)
+class _Link:
+    """One relayed connection."""
+
+    name: str
+    silent: bool = False
+    passed: int = 0
+
+
+class RelayStandIn(StandIn):
+    """Relay each link `name:listen:target`, ports on loopback."""
+
+    def __init__(self, controls: RelayControls, links: str) -> None:
+        super().__init__(controls)
+        self._plans = [link.split(":") for link in links.split(",") if link]
+        self._links: set[_Link] = set()
+        self._servers: list[asyncio.Server] = []
+        self.made = 0
+
+    def routes(self) -> list[Any]:
+        """Have no routes but those of every stand-in."""
+        return []
+
+    def journal(self) -> Any:
+        """Tell the open connections."""
+        return {"made": self.made, "open": [attrs.asdict(link) for link in self._links]}
+
+    async def async_start(self) -> None:
+        """Listen for each link."""
+        for name, listen, target in self._plans:
+            self._servers.append(await self._async_listen(name, int(listen), int(target)))
+
+    def changed(self) -> None:
+        """Silence the connections that are open now; the wish does not outlive them."""
+        wanted, self.controls.silence = set(self.controls.silence), []
+        for link in self._links:
+            if wanted & {link.name, "*"}:
+                link.silent = True
+
+    async def _async_listen(self, name: str, listen: int, target: int) -> asyncio.Server:
+        async def async_accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self._async_link(_Link(name), target, reader, writer)
+
+        return await asyncio.start_server(async_accept, "127.0.0.1", listen)
+
+    async def _async_link(
+        self, link: _Link, port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay one connection both ways until an end closes it."""
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
+        except OSError:
+            writer.close()
+            return
+        self.made += 1
+        self._links.add(link)
+        ways = [
+            asyncio.create_task(self._async_pass(link, reader, far_writer)),
+            asyncio.create_task(self._async_pass(link, far_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            while link.silent and not all(way.done() for way in ways):
+                await asyncio.wait(ways)
+        finally:
+            for way in ways:
+                way.cancel()
+            writer.close()
+            far_writer.close()
+            self._links.discard(link)
+
+    async def _async_pass(
+        self, link: _Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Pass pieces on; on a silent link swallow them, and an end's closing too."""
+        try:
+            while piece := await reader.read(READ_BYTES):
+                if link.silent:
+                    continue
+                if self.controls.delay_s:
+                    await asyncio.sleep(self.controls.delay_s)
+                link.passed += len(piece)
+                writer.write(piece)
+                await writer.drain()
+        except OSError:
+            return
--- a/tests/stand_ins/test_launcher.py
+++ b/tests/stand_ins/test_launcher.py
@@ -6,12 +6,15 @@
 
 from stand_ins.deployment import load_plan
 from stand_ins.launcher import Deployment, call, launched
+from stand_ins.process import wait_for
 
 
 @pytest.fixture(scope="module")
 def deployment() -> Iterator[Deployment]:
     """Run one upstream of each kind behind one entry."""
-    with launched(load_plan("giat-sach").shrunk(1, entries=1), publish=False) as deployment:
+    with launched(
+        load_plan("giat-sach").shrunk(1, entries=1, relayed=True), publish=False
+    ) as deployment:
         yield deployment
 
 
@@ -49,3 +52,18 @@
         call(deployment.urls["log"] + "/_journal", timeout_s=0.2)
     process.thaw()
     assert deployment.live_journal("log")["refused"] == 0
+
+
+def test_silenced_connection_stays_open_and_a_new_one_works(deployment: Deployment) -> None:
+    """The caller waits on the silent connection, and is served again over a new one.
+
+    The relay swallows what passes on the connections that are open now, and closes none of them.
+    The entry must notice by its own heartbeat, dial anew, and serve from then on.
+    """
+    assert _book(deployment, 3) == 200
+    made = deployment.live_journal("relay")["made"]
+    deployment.silence("pickup-app-1")
+    silent = [link for link in deployment.live_journal("relay")["open"] if link["silent"]]
+    assert [link["name"] for link in silent] == ["pickup-app-1"]
+    wait_for(lambda: _book(deployment, 4) == 200, "no new connection", 40.0)
+    assert deployment.live_journal("relay")["made"] > made
