--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -274,12 +274,18 @@
     def _wait(self, names: list[str], path: str) -> None:
         """Wait until each named process answers 200."""
         for name in names:
-            wait_for(self._answers(name, path), f"{name} was not ready", START_SECONDS)
+            wait_for(self._answers(name, path, names), f"{name} was not ready", START_SECONDS)
 
-    def _answers(self, name: str, path: str) -> Callable[[], bool]:
+    def _raise_ended(self, names: list[str]) -> None:
+        """Give up at once when one that is waited for has ended: it may be why others wait."""
+        for name in names:
+            process = self.processes[name]
+            if not process.running:
+                raise LaunchError(f"{name} ended:\n{process.output()[-3000:]}")
+
+    def _answers(self, name: str, path: str, waited: list[str]) -> Callable[[], bool]:
         def answers() -> bool:
-            if not self.processes[name].running:
-                raise LaunchError(f"{name} ended:\n{self.processes[name].output()[-3000:]}")
+            self._raise_ended(waited)
             try:
                 return call(self.urls[name] + path).status == 200
             except OSError:
