--- /dev/null
+++ b/tests/configs/test_config_agreement.py
@@ -0,0 +1,177 @@
+"""Stateful test: whatever is lost, repeated, reordered or forgotten, all processes agree.
+
+The machine holds a log and some processes. Operators race, messages wait in a bag from which any is
+delivered, dropped or delivered again, tailers read, write checkpoints, the log forgets, processes
+are replaced at any moment. A reference fold reads every record once, in order.
+"""
+
+from datetime import UTC, datetime
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from cranberryline.configs import ConfigFold, Kind
+from cranberryline.configs.checkpoint import checkpoint_record, find_start
+from cranberryline.configs.relay import ConfigRelay
+from cranberryline.platform.model import LogRecord
+from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
+
+NOW = datetime(2026, 1, 1, tzinfo=UTC)
+PROCESSES = 4
+RECORDS_KEPT = 3
+NAMES = ("a", "b")
+NODES = st.integers(0, PROCESSES - 1)
+
+
+class Agreement(RuleBasedStateMachine):
+    """Processes that relay one log's records over a network without any promise."""
+
+    @initialize()
+    def start(self) -> None:
+        """Start with an empty log and empty processes."""
+        self.log: list[LogRecord] = []
+        self.first = 1
+        self.reference = ConfigFold()
+        self.snapshots = {0: ConfigFold().snapshot()}
+        self.relays = [self.new_relay() for _ in range(PROCESSES)]
+        self.highest = [0] * PROCESSES
+        self.bag: list[tuple[int, int, Message]] = []
+
+    def new_relay(self) -> ConfigRelay:
+        """Return a process that knows nothing and keeps few records."""
+        return ConfigRelay(ConfigFold(), RECORDS_KEPT)
+
+    def append(self, data: Any) -> None:
+        """Append a record to the log and fold it into the reference."""
+        record = LogRecord(len(self.log) + 1, NOW, f"id-{len(self.log) + 1}", data)
+        self.log.append(record)
+        self.reference.apply(record)
+        self.snapshots[record.offset] = self.reference.snapshot()
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        version=st.integers(0, 5),
+        seen_by=NODES,
+        schema=st.sampled_from([1, 1, 1, 9]),
+        delete=st.booleans(),
+    )
+    def publish(self, name: str, version: int, seen_by: int, schema: int, delete: bool) -> None:
+        """Amend what one process has in force, which may be long past."""
+        amends = self.relays[seen_by].fold.current_revision(Kind.WEIGHTS, name)
+        spec = None if delete else {"version": version}
+        data = {"kind": "weights", "name": name, "schema": schema, "amends": amends, "spec": spec}
+        self.append(data)
+
+    @rule(data=st.sampled_from([{}, {"kind": "checkpoint"}, {"kind": 7}, [], "x"]))
+    def append_nonsense(self, data: Any) -> None:
+        """Append what is not ours."""
+        self.append(data)
+
+    @rule(node=NODES)
+    def write_checkpoint(self, node: int) -> None:
+        """Append a checkpoint of a fold that may be behind."""
+        if self.relays[node].fold.offset:
+            self.append(checkpoint_record(self.relays[node].fold, str(node))[1])
+
+    @rule(node=NODES, count=st.integers(1, 6))
+    def read_log(self, node: int, count: int) -> None:
+        """Read on from the log, or start from a checkpoint where it has forgotten."""
+        relay = self.relays[node]
+        kept = self.log[self.first - 1 :]
+        if self.first > relay.fold.offset + 1:
+            start = find_start(kept, self.first)
+            if start is not None:
+                relay.install(start)
+        if self.first <= relay.fold.offset + 1:
+            for record in [r for r in kept if r.offset > relay.fold.offset][:count]:
+                relay.fold_record(record)
+
+    @rule(by=st.integers(1, 5))
+    def forget(self, by: int) -> None:
+        """Let the log forget its oldest records."""
+        self.first = min(self.first + by, len(self.log) + 1)
+
+    @rule(source=NODES, dest=NODES, start=st.integers(1, 8))
+    def push(self, source: int, dest: int, start: int) -> None:
+        """Send a delta from anywhere, as a push or an answer that was asked for long ago."""
+        self.send(source, dest, self.relays[source].delta_since(start))
+
+    @rule(source=NODES, dest=NODES)
+    def ask(self, source: int, dest: int) -> None:
+        """Ask for what comes next."""
+        self.send(source, dest, ConfigRequest(self.relays[source].fold.offset + 1))
+
+    @rule(index=st.integers(0, 1000), keep=st.booleans())
+    def deliver(self, index: int, keep: bool) -> None:
+        """Deliver any message in the bag; it may stay there to come again."""
+        if not self.bag:
+            return
+        at = index % len(self.bag)
+        source, dest, message = self.bag[at]
+        if not keep:
+            del self.bag[at]
+        self.receive(source, dest, message)
+
+    @rule(index=st.integers(0, 1000))
+    def drop(self, index: int) -> None:
+        """Lose a message."""
+        if self.bag:
+            del self.bag[index % len(self.bag)]
+
+    @rule(node=NODES)
+    def replace(self, node: int) -> None:
+        """Replace a process by one that knows nothing."""
+        self.relays[node] = self.new_relay()
+        self.highest[node] = 0
+
+    @rule(node=NODES)
+    def settle(self, node: int) -> None:
+        """Let one process exchange with the others without loss: it ends at the highest offset."""
+        for other in range(PROCESSES):
+            for _ in range(len(self.log) + 2):
+                if self.relays[node].fold.offset >= self.relays[other].fold.offset:
+                    break
+                request = ConfigRequest(self.relays[node].fold.offset + 1)
+                answer = self.relays[other].on_request(str(node), request)
+                assert isinstance(answer, ConfigDelta)
+                self.relays[node].on_delta(str(other), answer)
+        highest = max(relay.fold.offset for relay in self.relays)
+        assert self.relays[node].fold.offset == highest
+
+    def send(self, source: int, dest: int, message: Message) -> None:
+        """Put a message into the bag."""
+        if source != dest and len(self.bag) < 50:
+            self.bag.append((source, dest, message))
+
+    def receive(self, source: int, dest: int, message: Message) -> None:
+        """Let a process take a message and answer."""
+        relay = self.relays[dest]
+        if isinstance(message, ConfigRequest):
+            answer = relay.on_request(str(source), message)
+            if answer is not None:
+                self.send(dest, source, answer)
+        elif isinstance(message, ConfigDelta):
+            taken = relay.on_delta(str(source), message)
+            assert not taken.refused
+            if taken.reply is not None:
+                self.send(dest, source, taken.reply)
+
+    @invariant()
+    def all_hold_what_the_reference_held(self) -> None:
+        """Each process holds exactly what a full fold holds at its offset."""
+        for relay in getattr(self, "relays", []):
+            assert relay.fold.snapshot() == self.snapshots[relay.fold.offset]
+            assert relay.fold.digest_mismatches == 0
+
+    @invariant()
+    def none_goes_back(self) -> None:
+        """No offset in force goes down while its process lives."""
+        for node, relay in enumerate(getattr(self, "relays", [])):
+            assert relay.fold.offset >= self.highest[node]
+            self.highest[node] = relay.fold.offset
+
+
+TestAgreement = Agreement.TestCase
+TestAgreement.settings = settings(max_examples=150, stateful_step_count=60)
--- a/tests/configs/virtual_time.py
+++ b/tests/configs/virtual_time.py
@@ -55,8 +55,12 @@
         return START + self.monotonic()
 
     def monotonic(self) -> timedelta:
-        """Return the virtual time."""
-        return timedelta(seconds=asyncio.get_running_loop().time())
+        """Return the virtual time; outside a loop it has not begun."""
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            return timedelta()
+        return timedelta(seconds=loop.time())
 
     async def async_sleep(self, duration: timedelta) -> None:
         """Sleep in virtual time."""
