Name the tailers' key where the mesh looks for it

main could not import cranberryline.entry.app: the key had moved to configs/push.py. Membership listeners now also hear of a row whose address changed.

Run: tests/upstreams, and the import of both processes.

--- a/bench/model/world.py
+++ b/bench/model/world.py
@@ -94,9 +94,7 @@
     return decisions.rollout(RolloutSettings(freshness, deployment.staleness_bound))
 
 
-def _sides(
-    sim: Simulation, deployment: Deployment, decisions: Decisions, seed: int
-) -> list[Side]:
+def _sides(sim: Simulation, deployment: Deployment, decisions: Decisions, seed: int) -> list[Side]:
     return [
         Side(
             sim,
--- a/cranberryline/configs/push.py
+++ b/cranberryline/configs/push.py
@@ -7,7 +7,7 @@
 
 from cranberryline.decisions import rendezvous
 
-__all__ = ["ResendSchedule", "TailerRanking"]
+__all__ = ["TAILER_KEY", "ResendSchedule", "TailerRanking"]
 
 TAILER_KEY = "config-tailers"
 
--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -18,7 +18,7 @@
 from cranberryline.configs.errors import Rejected
 from cranberryline.configs.fold import ConfigFold
 from cranberryline.configs.publish import FoldSource
-from cranberryline.configs.push import ResendSchedule, TailerRanking
+from cranberryline.configs.push import TAILER_KEY, ResendSchedule, TailerRanking
 from cranberryline.configs.relay import ConfigRelay, RelayPort
 from cranberryline.configs.signal import Signal
 from cranberryline.configs.tail import LogTail
@@ -29,7 +29,7 @@
 from cranberryline.platform.model import LogPort, LogRecord
 from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
 
-__all__ = ["EntryConfigSync", "SyncTimings"]
+__all__ = ["TAILER_KEY", "EntryConfigSync", "SyncTimings"]
 
 DROP_BAD_OFFSET = "config_bad_offset"
 DROP_CHECKPOINT = "config_checkpoint_failed"
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -54,7 +54,7 @@
         return self._version
 
     def listen(self, listener: Listener) -> None:
-        """Call back after each change of who is usable."""
+        """Call back after each change of the rows or of who is usable."""
         self._listeners.append(listener)
 
     def entries(self) -> list[VmEntry]:
@@ -98,7 +98,7 @@
         if problem is not None:
             self.refusals[problem.reason] += 1
             return Err(problem)
-        before = self._usable_ids()
+        before, rows_before = self._usable_ids(), self._rows
         rows, refused = self._read_rows(vm_list.vms)
         self._version = vm_list.version
         self._rows = rows
@@ -108,7 +108,7 @@
         self._forget()
         after = self._usable_ids()
         joined, left = tuple(sorted(after - before)), tuple(sorted(before - after))
-        self._notify(bool(joined or left))
+        self._notify(bool(joined or left) or rows != rows_before)
         return Ok(ListApplied(vm_list.version, joined, left, tuple(refused)))
 
     def apply_drain(self, vm_id: str, incarnation: str) -> Result[bool, MembershipRefused]:
