--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from virtual_time import LoopClock
 
 from cranberryline.configs.checkpoint import CheckpointPolicy
 from cranberryline.configs.relay import RelayPort
@@ -17,6 +16,7 @@
 from cranberryline.platform.model import LogPage, LogPort, LogRecord
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.transport.model import Message
+from tests.configs.virtual_time import LoopClock
 
 OUTAGE = PlatformError(PlatformReason.REFUSED, "outage", status=503)
 LOST = PlatformError(PlatformReason.CUT, "answer lost")
--- a/tests/configs/test_config_checkpoint.py
+++ b/tests/configs/test_config_checkpoint.py
@@ -5,14 +5,14 @@
 from typing import Any
 
 import pytest
-from config_fakes import Cluster, FakeLog, service_data, weights_data
-from virtual_time import run_virtual
 
 from cranberryline.configs import ConfigFold, RejectReason
 from cranberryline.configs.checkpoint import CheckpointPolicy, checkpoint_record, find_start
 from cranberryline.configs.model import Kind
 from cranberryline.configs.schema import READERS
 from cranberryline.platform.model import LogRecord
+from tests.configs.config_fakes import Cluster, FakeLog, service_data, weights_data
+from tests.configs.virtual_time import run_virtual
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 POLICY = CheckpointPolicy(retention=timedelta(seconds=60), check=timedelta(seconds=1))
--- a/tests/configs/test_config_publish.py
+++ b/tests/configs/test_config_publish.py
@@ -5,9 +5,7 @@
 from typing import Any
 
 import pytest
-from config_fakes import LOST, OUTAGE, UNREACHABLE, FakeLog, service_data, weights_data
 from result import Err, Ok, Result
-from virtual_time import LoopClock, run_virtual
 
 from cranberryline.configs import ConfigFold
 from cranberryline.configs.publish import (
@@ -22,6 +20,15 @@
 from cranberryline.configs.tail import LogTail
 from cranberryline.platform.errors import PlatformError, PlatformReason
 from cranberryline.platform.model import LogRecord
+from tests.configs.config_fakes import (
+    LOST,
+    OUTAGE,
+    UNREACHABLE,
+    FakeLog,
+    service_data,
+    weights_data,
+)
+from tests.configs.virtual_time import LoopClock, run_virtual
 
 Outcome = Result[Accepted, PublishRefused]
 
--- a/tests/configs/test_config_sync.py
+++ b/tests/configs/test_config_sync.py
@@ -3,12 +3,12 @@
 import asyncio
 
 import pytest
-from config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
 from result import Ok
-from virtual_time import LoopClock, run_virtual
 
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.decisions import rendezvous
+from tests.configs.config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
+from tests.configs.virtual_time import LoopClock, run_virtual
 
 ENTRIES = [f"entry-{number}" for number in range(6)]
 SIDES = [f"side-{number}" for number in range(4)]
