--- a/stand_ins/books.py
+++ b/stand_ins/books.py
@@ -1,6 +1,7 @@
 """The trainers' and callers' own books, kept without the product's counters."""
 
 from collections import Counter
+
 import attrs
 
 from .launcher import Deployment
--- a/stand_ins/faults.py
+++ b/stand_ins/faults.py
@@ -160,10 +160,10 @@
         thread.join()
         codes = deployment.stop()
         figures: dict[str, Any] = figures_of(deployment, loads[0])
-    figures["ungraceful_stops"] = sum(code != 0 for code in codes.values())
         for book in (caller.book for caller in loads[0].callers):
             for fault in call_faults(deployment, book):
                 print(f"  {fault}")
+    figures["ungraceful_stops"] = sum(code != 0 for code in codes.values())
     broken = broken_promises(figures)
     for text in broken:
         print(f"PROMISE BROKEN: {text}")
