Spend a staleness allowance on the samples that take longest

Before, freshness was the share of samples that start ahead. Now it is the mean staleness allowed, and the samples expected to take longest get it (least common wait).

--- a/bench/model/side.py
+++ b/bench/model/side.py
@@ -25,6 +25,7 @@
 
 TICK = 0.5
 FAILURE_SECONDS = 0.05
+URGENT_RESERVE = 1 / 8
 MAX_SERVICE = 1e6
 
 
@@ -146,6 +147,11 @@
         capacity = capacity or self._pace.tokens_per_second(self._sim.now) * self.queue.slots
         return AdmissionView(self.queue.queued, self.queue.running, self.queue.slots, capacity)
 
+    def free_slots_for(self, priority: Priority) -> int:
+        """Return the slots that a class may still take."""
+        reserve = 0 if priority is Priority.APPLICATION else int(self.queue.slots * URGENT_RESERVE)
+        return self.queue.slots - reserve - len(self.queue.running) - len(self.queue.queued)
+
     def _pump(self) -> None:
         for item in self.queue.expire(self._sim.now):
             attempt = self._attempts.pop(item.id)
--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -33,6 +33,7 @@
 SPEED_GUESS = 40.0
 FIRST_TOKEN = timedelta(seconds=0.5)
 STEPS_DECLARED = 3
+RATE_HALF_LIFE = 3.0
 
 
 @attrs.frozen
@@ -65,6 +66,7 @@
     seen: tuple[int, float] = (0, 0.0)
     rate: float = 0.0
     done: bool = False
+    early: int = 0
 
 
 class TrainerModel:
@@ -97,6 +99,7 @@
         self._idle_since = 0.0
         self._step_time = settings.train_seconds
         self._took = 0.0
+        self._first = 0.0
         self._steps: dict[int, dict[str, list[_Sample]]] = {}
         self._paces: list[float] = []
         self._planned = False
@@ -104,10 +107,12 @@
         sim.after(0.0, self._tick)
 
     def close(self, now: float) -> None:
-        """Count the time of a wait that is not over."""
+        """Count the time since the first step, and a wait that is not over."""
+        if not self._took:
+            return
         if self._training_until is None:
             self._metrics.idle_seconds += now - self._idle_since
-        self._metrics.trainer_seconds += now
+        self._metrics.trainer_seconds += now - self._first
 
     def _declare(self) -> None:
         for step in range(self._next_step, self._next_step + STEPS_DECLARED):
@@ -150,7 +155,9 @@
         for start in plan.start:
             step = int(start.group.split("/")[1])
             idle = [s for s in self._steps[step][start.group] if not s.calls and not s.done]
+            early = view.version_at_pull + step - view.next_step - start.min_version
             for sample in idle[: start.samples]:
+                sample.early = max(0, early)
                 self._start(sample, start.min_version)
 
     def _view(self) -> RolloutView:
@@ -158,20 +165,20 @@
         training = self._training_until is not None
         newest = max(side.version.get(self.name, 0) for side in self._sides)
         room = sum(
-            max(0, side.queue.slots - len(side.queue.running) - len(side.queue.queued))
+            max(0, side.free_slots_for(Priority.TRAINER))
             for side in self._sides
             if side.version.get(self.name, 0) >= newest
         )
         waiting, flying, steps = [], [], {}
         for step, groups in self._steps.items():
-            started = 0
+            early = 0
             for group, samples in groups.items():
                 idle = [s for s in samples if not s.calls and not s.done]
-                started += len(samples) - len(idle)
+                early += sum(s.early for s in samples if s.calls or s.done)
                 if idle:
                     waiting.append(GroupView(group, step, len(idle), idle[0].expected))
                 flying += [self._sample_view(s, newest) for s in samples if s.calls and not s.done]
-            steps[step] = StepView(self._cfg.groups * self._cfg.group_size, started)
+            steps[step] = StepView(self._cfg.groups * self._cfg.group_size, early)
         return RolloutView(
             next_step=self._next_step,
             version_at_pull=self._version + training,
@@ -194,7 +201,7 @@
         )
         before, since = sample.seen
         if made > before:
-            sample.rate = (made - before) / max(now - since, 1e-3) if before else sample.rate
+            self._note_rate(sample, made - before, now - since)
             sample.seen = (made, now)
         began = sample.started if sample.started is not None else now
         version = sample.version if sample.version is not None else newest
@@ -210,8 +217,14 @@
             len(sample.calls),
         )
 
+    def _note_rate(self, sample: _Sample, made: int, seconds: float) -> None:
+        kept = 0.5 ** (seconds / RATE_HALF_LIFE)
+        now = made / max(seconds, 1e-3)
+        sample.rate = now if not sample.rate else kept * sample.rate + (1 - kept) * now
+
     def _start(self, sample: _Sample, min_version: int, exclude: frozenset[str] = frozenset()) -> None:
         sample.started = self._sim.seconds
+        sample.rate = 0.0
         sample.seen = (sample.kept_tokens, self._sim.seconds)
         call = Call(
             caller=self.name,
@@ -240,7 +253,7 @@
         if action is StragglerAction.HEDGE:
             self._start(sample, 0, frozenset(held))
             return
-        made = max(c.attempt.tokens_made() for c in sample.calls if c.attempt is not None)
+        made = max((c.attempt.tokens_made() for c in sample.calls if c.attempt), default=0)
         give_up = action is StragglerAction.GIVE_UP
         for call in list(sample.calls):
             sample.calls.remove(call)
@@ -286,9 +299,11 @@
         self._metrics.staleness += [self._version - (s.version or 0) for s in samples]
         self._metrics.sample_tokens += sum(s.tokens for s in samples)
         self._metrics.steps += 1
-        self._metrics.idle_seconds += now - self._idle_since
         if self._took:
+            self._metrics.idle_seconds += now - self._idle_since
             self._step_time = 0.5 * self._step_time + 0.5 * (now - self._took)
+        else:
+            self._first = now
         self._took = now
         del self._steps[self._next_step]
         self._next_step += 1
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -10,12 +10,14 @@
 version that it is taken at, and the sample's oldest segment has the version that the samplers
 serve now. So `start` never starts a sample that is expected to miss the bound.
 
-`freshness` is the one setting between trainer idle time and staleness. It is the share of a
-step's samples that wait for the newest weights; the rest may start one version ahead, longest
-first, since the longest decide when the step is whole and gain most from an early start. At 0 all
-may start ahead and at 1 none. More than one version ahead is started only where a sample takes
-longer than the trainer's step, since nothing else gains by it. No more is started than there is
-room for: a sample that waits at a sampler gets no weights newer than one that waits here.
+`freshness` is the one setting between trainer idle time and staleness: the mean staleness that a
+step may have when received is `(1 - freshness) * staleness_bound`. At 1 nothing starts before the
+weights that its step is taken at; at 0 everything starts as early as the bound allows. Between
+them the allowance goes to the samples that are expected to take longest, because they alone decide
+when the step is whole: a sample that takes `d` and starts `k` versions early makes the trainer
+wait `d - k * step_time`, so the least wait for an allowance gives each sample the smallest `k` that
+brings it under one common wait (`_common_wait`). No more is started than there is room for: a
+sample that waits at a sampler holds a place and starts no earlier.
 
 Stragglers: a sample of the next step is continued elsewhere, from the tokens received, when that
 is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. The cost is one
@@ -28,6 +30,7 @@
 import enum
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
+from math import ceil
 
 import attrs
 
@@ -52,9 +55,12 @@
 MIN_SAVING = timedelta(seconds=2)
 MOVE_SHARE = 0.1
 STALL_BOUND = 4
-MIN_STALL = timedelta(seconds=2)
+MIN_STALL = timedelta(seconds=5)
+MIN_RUN = timedelta(seconds=8)
 MAX_COPIES = 2
 RESIDUAL_SHARE = 0.5
+TAIL_FACTOR = 2.0
+WAIT_BISECTIONS = 12
 
 
 class StragglerAction(enum.StrEnum):
@@ -85,10 +91,10 @@
 
 @attrs.frozen
 class StepView:
-    """How many samples a step has, and how many were started."""
+    """How many samples a step has, and how many versions early those in being were started."""
 
     samples: int
-    started: int
+    versions_early: int
 
 
 @attrs.frozen
@@ -166,16 +172,16 @@
 
     def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
         """Return the samples to start within the room, the most urgent first."""
-        ahead: dict[int, int] = {}
+        waits: dict[int, float] = {}
         starts = []
         for group in sorted(view.waiting, key=lambda group: (group.step, -group.expected_tokens)):
             if room <= 0:
                 break
-            allowed = self._allowed(view, group, ahead.get(group.step, 0))
-            count = min(group.samples, allowed, room)
-            if count <= 0:
+            if group.step not in waits:
+                waits[group.step] = self._common_wait(view, group.step)
+            if not self._may_start(view, group, waits[group.step]):
                 continue
-            ahead[group.step] = ahead.get(group.step, 0) + count
+            count = min(group.samples, room)
             room -= count
             starts.append(StartSamples(group.id, count, view.sampler_version))
         return tuple(starts)
@@ -198,17 +204,47 @@
         decisions += [StragglerDecision(sample.id, _move(sample)) for _, sample in slow[:moves]]
         return tuple(decisions)
 
-    def _allowed(self, view: RolloutView, group: GroupView, already: int) -> int:
+    def _may_start(self, view: RolloutView, group: GroupView, wait: float) -> bool:
         staleness = _staleness(view, group.step, view.sampler_version)
         if staleness > self.settings.staleness_bound:
+            return False
+        return staleness <= self._versions_early(view, _tail_seconds(view, group), wait)
+
+    def _versions_early(self, view: RolloutView, seconds: float, wait: float) -> int:
+        if seconds <= wait:
             return 0
-        if staleness <= 0 or group.step == view.next_step and view.until_pull <= ZERO:
-            return group.samples
-        if staleness > 1 and _duration(view, group.expected_tokens) <= view.step_time:
-            return 0
-        step = view.steps[group.step]
-        share = 1.0 - self.settings.freshness
-        return max(0, round(share * step.samples) - step.started - already)
+        step_seconds = view.step_time.total_seconds()
+        return min(self.settings.staleness_bound, ceil((seconds - wait) / step_seconds))
+
+    def _common_wait(self, view: RolloutView, step: int) -> float:
+        """Return the shortest wait whose early starts the step's allowance still covers."""
+        groups = [
+            (_tail_seconds(view, group), group.samples)
+            for group in view.waiting
+            if group.step == step
+        ]
+        mean = (1.0 - self.settings.freshness) * self.settings.staleness_bound
+        allowance = mean * view.steps[step].samples - view.steps[step].versions_early
+        shortest = -view.step_time.total_seconds() * self.settings.staleness_bound
+        longest = max(seconds for seconds, _ in groups)
+        if self._cost(view, groups, shortest) <= allowance:
+            return shortest
+        for _ in range(WAIT_BISECTIONS):
+            middle = (shortest + longest) / 2
+            if self._cost(view, groups, middle) <= allowance:
+                longest = middle
+            else:
+                shortest = middle
+        return longest
+
+    def _cost(self, view: RolloutView, groups: Sequence[tuple[float, int]], wait: float) -> int:
+        return sum(
+            samples * self._versions_early(view, seconds, wait) for seconds, samples in groups
+        )
+
+
+def _tail_seconds(view: RolloutView, group: GroupView) -> float:
+    return _duration(view, group.expected_tokens * TAIL_FACTOR).total_seconds()
 
 
 def _staleness(view: RolloutView, step: int, version: int) -> int:
@@ -228,7 +264,7 @@
 
 def _saving(view: RolloutView, sample: SampleView) -> timedelta:
     """Return how much earlier the sample is expected to end elsewhere, or 0 if not worthwhile."""
-    if sample.step != view.next_step or sample.copies >= MAX_COPIES:
+    if sample.step != view.next_step or sample.copies >= MAX_COPIES or sample.running < MIN_RUN:
         return ZERO
     left = _remaining_tokens(sample)
     elsewhere = _duration(view, left)
