--- a/tests/stand_ins/test_launcher.py
+++ b/tests/stand_ins/test_launcher.py
@@ -12,9 +12,7 @@
 @pytest.fixture(scope="module")
 def deployment() -> Iterator[Deployment]:
     """Run one upstream of each kind behind one entry."""
-    with launched(
-        load_plan("giat-sach").shrunk(1, entries=1, relayed=True), publish=False
-    ) as deployment:
+    with launched(load_plan("giat-sach").shrunk(1, entries=1, relayed=True)) as deployment:
         yield deployment
 
 
