--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -55,13 +55,17 @@
     req = urllib.request.Request(url, body, headers, method=method or None)
     try:
         with urllib.request.urlopen(req, timeout=timeout_s) as got:
-            return Answer(got.status, json.loads(got.read() or b"null"))
+            return Answer(got.status, _read(got.read()))
     except urllib.error.HTTPError as exc:
-        text = exc.read()
-        try:
-            return Answer(exc.code, json.loads(text or b"null"))
-        except ValueError:
-            return Answer(exc.code, text.decode(errors="replace"))
+        return Answer(exc.code, _read(exc.read()))
+
+
+def _read(body: bytes) -> Any:
+    """Return a body's JSON, or its text where it is none."""
+    try:
+        return json.loads(body or b"null")
+    except ValueError:
+        return body.decode(errors="replace")
 
 
 class Deployment:
