--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -15,7 +15,7 @@
 from .launcher import OPERATOR, Deployment, launched
 from .trainer import Trainer, TrainerPlan
 
-__all__ = ["DemoLoad", "async_load", "demo", "run_deployment"]
+__all__ = ["figures_of", "DemoLoad", "async_load", "demo", "run_deployment"]
 
 ANNOUNCE_EVERY = 3
 # Each of these counts a broken promise.
@@ -87,14 +87,14 @@
         ready_s = time.monotonic() - began
         load = asyncio.run(async_load(deployment, seconds))
         codes = deployment.stop()
-        figures = _figures(deployment, load)
+        figures = figures_of(deployment, load)
     figures["ungraceful_stops"] = sum(code != 0 for code in codes.values())
     figures["ready_seconds"] = round(ready_s, 2)
     figures["seconds"] = round(time.monotonic() - began, 2)
     return figures
 
 
-def _figures(deployment: Deployment, load: DemoLoad) -> dict[str, Any]:
+def figures_of(deployment: Deployment, load: DemoLoad) -> dict[str, Any]:
     """Count what the trainers, the callers and the upstreams' journals say."""
     books = [trainer.book for trainer in load.trainers]
     calls = [caller.book for caller in load.callers]
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -121,6 +121,12 @@
                 process.kill()
         return codes
 
+    def kill_all(self) -> None:
+        """End everything at once, for tests that have counted what they came for."""
+        for process in self.processes.values():
+            if process.running:
+                process.kill()
+
     def process(self, name: str) -> Process:
         """Return a process by name."""
         return self.processes[name]
