--- a/tests/requests/test_protocol.py
+++ b/tests/requests/test_protocol.py
@@ -367,5 +367,5 @@
 
 TestProtocol = Protocol.TestCase
 TestProtocol.settings = settings(
-    settings.get_profile("fixed"), max_examples=300, stateful_step_count=40
+    settings.get_profile("fixed"), max_examples=600, stateful_step_count=30
 )
