--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -2,28 +2,57 @@
 
 import asyncio
 import itertools
+import random
+import sys
 import uuid
+from collections.abc import Coroutine, Iterable
 from datetime import timedelta
+from typing import Any
 
 import zmq
+from result import Err, Ok
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
 
+from cranberryline.configs import Revision
+from cranberryline.configs.publish import ConfigPublisher
+from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
-from cranberryline.helpers.logging import get_logger, set_up_logging
-from cranberryline.helpers.metrics import Metrics, MetricsHandler
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
 from cranberryline.helpers.shutdown import Shutdown
-from cranberryline.platform.clients import HttpVmList
-from cranberryline.platform.model import VmList, VmRole, VmState
+from cranberryline.helpers.tokens import Role, TokenRefusal, TokenTable, load_tokens
+from cranberryline.platform.clients import HttpLog, HttpScorer, HttpVmList
+from cranberryline.platform.model import VmEntry
+from cranberryline.samples.hedging import SlowestFirst
+from cranberryline.samples.runner import RunnerPorts
+from cranberryline.samples.table import StepTable
 from cranberryline.settings import EntrySettings
-from cranberryline.transport import BadFrame
-from cranberryline.transport.model import Hello, Welcome
-
-from .dispatch import Dispatcher, PeerTable
-from .errors import RefusalReason
-from .peers import PeerEvents, SidePeer
-from .proxy import DEFAULT_TIMEOUT, CompletionHandler, ProxyContext, ServiceHandler
+from cranberryline.transport import BadFrame, Dialer, DialerEvents
+from cranberryline.transport.model import (
+    ConfigDelta,
+    ConfigRequest,
+    Drain,
+    Hello,
+    Load,
+    Members,
+    Message,
+    PeerRequest,
+    Welcome,
+)
+
+from .config_sync import EntryConfigSync
+from .dispatch import Dispatcher, ServiceBook
+from .http import Route, async_close_http, listen_http
+from .links import SideLinks
+from .membership import MembershipWatch
+from .mesh import EntryMesh, MeshEvents, PeerReply
+from .operators import OperatorContext, PeerStatus, operator_routes
+from .proxy import ProxyContext
+from .rollouts import DispatcherSamples, FoldRollouts, MeshOwners, NoScores
+from .trainers import TrainerService, trainer_routes
+from .upstreams import PeerTable
 
 __all__ = ["EntryProcess", "run"]
 
@@ -31,32 +60,89 @@
 
 # The balancer asks for /ready every second or two; this long it may still send new connections.
 _BALANCER_NOTICE = timedelta(seconds=3)
-_VM_LIST_WAIT = timedelta(seconds=20)
-_VM_LIST_PAUSE = timedelta(seconds=1)
+_PEER_SILENT_AFTER = timedelta(seconds=15)
+_SWEEP_INTERVAL = timedelta(seconds=5)
+_STOP_POLL = timedelta(milliseconds=50)
+EXIT_SETTINGS = 2
+
+
+class _Relay(RelayPort):
+    """Send configuration over the mesh to entries and over the links to side processes."""
+
+    def __init__(self, mesh: EntryMesh, links: SideLinks, metrics: Metrics) -> None:
+        self._mesh = mesh
+        self._links = links
+        self._metrics = metrics
+
+    def entry_peers(self) -> Iterable[str]:
+        """Return the connected entries."""
+        return self._mesh.connected()
+
+    def side_peers(self) -> Iterable[str]:
+        """Return the connected side processes."""
+        return self._links.connected()
 
+    def send(self, peer: str, message: Message) -> None:
+        """Send a message to a peer; one that cannot be sent is dropped and counted."""
+        if not self._links.send(peer, message) and not self._mesh.send(peer, message):
+            self._metrics.drop("peer_not_connected")
 
-class EntryProcess(PeerEvents):
+
+class EntryProcess(DialerEvents, MeshEvents):
     """Put the parts of an entry together."""
 
-    def __init__(self, cfg: EntrySettings, clock: Clock) -> None:
+    def __init__(self, cfg: EntrySettings, tokens: TokenTable, clock: Clock) -> None:
         self._cfg = cfg
         self._clock = clock
-        self.metrics = Metrics()
-        self.incarnation = uuid.uuid4().hex
-        self.peers = PeerTable()
-        self.dispatcher = Dispatcher(clock, self.peers)
-        self.stopping = False
-        self.accepting = True
         self._ctx = zmq.Context()
         self._ids = itertools.count(1)
-        self._vm_list = HttpVmList(cfg.vm_list_url)
-        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._http: HTTPServer | None = None
+        self._tasks: set[asyncio.Future[Any]] = set()
+        self.incarnation = uuid.uuid4().hex
+        self.stopping = False
+        self.metrics = Metrics()
+        self.table = PeerTable()
+        self.watch = MembershipWatch(HttpVmList(cfg.vm_list_url), clock, self.metrics)
+        self.members = self.watch.membership
+        self.links = SideLinks(
+            self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self, self.table, self.metrics
+        )
+        self.mesh = EntryMesh(self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self)
+        self.log = HttpLog(cfg.log_url)
+        self.sync = EntryConfigSync(
+            cfg.vm_id,
+            self.log,
+            _Relay(self.mesh, self.links, self.metrics),
+            self._live_entries,
+            clock,
+            self.metrics,
+        )
+        self.book = ServiceBook(self.sync.fold)
+        self.dispatcher = Dispatcher(clock, random.Random(), self.table, self.book, self.metrics)
+        self.tokens = tokens
+        scorer = NoScores() if cfg.scorer_url is None else HttpScorer(cfg.scorer_url)
+        rollouts = FoldRollouts(self.sync.fold)
+        ports = RunnerPorts(
+            DispatcherSamples(self.dispatcher, self.book, clock),
+            scorer,
+            SlowestFirst(),
+            self.metrics,
+            clock,
+        )
+        self.steps = StepTable(ports, rollouts)
+        owners = MeshOwners(cfg.vm_id, self.mesh, self._live_entries)
+        self.trainers = TrainerService(self.steps, rollouts, owners)
+        self.members.listen(self._on_members)
+        self.sync.fold.listen(self._on_revision)
 
     @property
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        return bool(self.peers.all()) and not self.stopping
+        return not self.stopping and self.sync.current and self.members.version > 0
+
+    def next_id(self) -> int:
+        """Return a request id that this life of the process never uses again."""
+        return next(self._ids)
 
     def hello(self) -> Hello:
         """Say who dials."""
@@ -64,140 +150,195 @@
             self._cfg.vm_id, self.incarnation, "entry", self._cfg.data_center, self.config_offset()
         )
 
-    def on_up(self, peer: SidePeer, welcome: Welcome) -> None:
-        """Let waiting requests look at a new connection."""
-        _LOGGER.info("peer_up", peer=peer.vm_id, incarnation=welcome.incarnation)
+    def config_offset(self) -> int:
+        """Return how much configuration this entry has."""
+        return self.sync.fold.offset
+
+    def on_up(self, peer: Dialer, welcome: Welcome) -> None:
+        """Take in a side process that was reached."""
+        _LOGGER.info("side_up", peer=peer.vm_id, incarnation=welcome.incarnation)
+        self.watch.on_welcome(welcome)
+        self.sync.on_peer(peer.vm_id, welcome.config_offset)
+        self._send_members(peer)
         self.dispatcher.wake()
 
-    def on_down(self, peer: SidePeer) -> None:
-        """Log a lost connection."""
-        _LOGGER.info("peer_down", peer=peer.vm_id)
+    def on_down(self, peer: Dialer) -> None:
+        """Forget what was known of a side process that is out of reach."""
+        _LOGGER.info("side_down", peer=peer.vm_id)
+        self.sync.on_peer_lost(peer.vm_id)
+
+    def on_drain(self, peer: Dialer, msg: Drain) -> None:
+        """Give a side process that announced its stop no new work."""
+        _LOGGER.info("side_drains", peer=peer.vm_id, incarnation=msg.incarnation)
+        self.watch.on_drain(peer.vm_id, msg)
+
+    def on_load(self, peer: Dialer, msg: Load) -> None:
+        """Let waiting requests look at the upstreams again."""
+        self.dispatcher.wake()
+
+    def on_offset(self, peer: Dialer, offset: int) -> None:
+        """Take what a side process says of how much configuration it has."""
+        self._on_peer_offset(peer.vm_id, offset)
+
+    def on_config(self, peer: Dialer, msg: ConfigDelta | ConfigRequest) -> None:
+        """Take configuration, or a request for it, from a side process."""
+        self.sync.on_message(peer.vm_id, msg)
+
+    def on_entry_offset(self, vm_id: str, offset: int) -> None:
+        """Take what another entry says of how much configuration it has."""
+        self._on_peer_offset(vm_id, offset)
+
+    def on_entry_lost(self, vm_id: str) -> None:
+        """Forget what was known of an entry that is out of reach."""
+        self.sync.on_peer_lost(vm_id)
+
+    def on_entry_config(self, vm_id: str, msg: ConfigDelta | ConfigRequest) -> None:
+        """Take configuration, or a request for it, from another entry."""
+        self.sync.on_message(vm_id, msg)
 
     def on_bad_frame(self, bad: BadFrame) -> None:
         """Count a frame that could not be read."""
         self.metrics.bad_frame(bad.reason.value)
 
-    def apply_vm_list(self, vms: VmList) -> None:
-        """Dial new upstreams, and let go of those that have left."""
-        live = {vm.id: vm for vm in vms.vms if vm.role is VmRole.UPSTREAM}
-        for vm_id in [name for name in self._tasks if name not in live]:
-            self._tasks.pop(vm_id).cancel()
-            self.peers.remove(vm_id)
-        for vm in live.values():
-            if vm.id in self._tasks or vm.state is not VmState.LIVE:
-                continue
-            peer = SidePeer(
-                self._ctx, self._clock, vm.id, vm.peer, self.hello, self, lambda: next(self._ids)
-            )
-            self.peers.add(vm.service, peer)
-            self._tasks[vm.id] = asyncio.ensure_future(peer.async_run())
-
-    async def async_watch_vm_list(self) -> None:
-        """Follow the platform's VM list."""
-        known = 0
-        while True:
-            result = await self._vm_list.async_list(known, _VM_LIST_WAIT)
-            vms = result.ok()
-            if vms is not None:
-                known = vms.version
-                self.apply_vm_list(vms)
-            if result.is_err():
-                await self._clock.async_sleep(_VM_LIST_PAUSE)
+    def spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run a piece of work in the background until the process ends."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def start(self) -> None:
-        """Open the HTTP port."""
-        self._http = _listen(self._cfg, self)
-        _LOGGER.info("entry_ready", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
+        """Open the ports and start the tasks."""
+        self.mesh.listen(self._cfg.peer)
+        self._http = listen_http(
+            self._cfg,
+            self._proxy_context(),
+            self.metrics,
+            alive=lambda: not self.stopping,
+            ready=lambda: self.ready,
+            more=self._routes(),
+        )
+        self.spawn(self.sync.async_run())
+        self.spawn(self.watch.async_run())
+        self.spawn(self._async_sweep())
+        _LOGGER.info("entry_started", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
 
     async def async_stop(self) -> None:
         """Fail the health check, wait for the balancer, close the port, finish what is in flight."""
         self.stopping = True
         await self._clock.async_sleep(_BALANCER_NOTICE)
-        if self._http is not None:
-            self._http.stop()
+        if self._http is None:
+            return
+        self._http.stop()
+        await self.steps.async_close()
         while self.dispatcher.in_flight:
-            await self._clock.async_sleep(timedelta(milliseconds=50))
-        if self._http is not None:
-            await self._http.close_all_connections()
+            await self._clock.async_sleep(_STOP_POLL)
+        await async_close_http(self._http)
 
     def close(self) -> None:
-        """Close the sockets."""
-        for task in self._tasks.values():
+        """End the tasks and close the sockets."""
+        for task in list(self._tasks):
             task.cancel()
+        self.links.close()
+        self.mesh.close()
         self._ctx.destroy(linger=0)
 
+    def _live_entries(self) -> list[str]:
+        return [vm.id for vm in self.members.entries()]
+
+    def _on_revision(self, _: Revision) -> None:
+        self.dispatcher.wake()
+        self.steps.wake()
+
+    async def async_serve_peer(self, req: PeerRequest) -> PeerReply:
+        """Answer a trainer's call that another entry passed on."""
+        status, body = await self.trainers.async_serve_peer(req.method, req.path, req.body)
+        return PeerReply(status, body)
+
+    def _routes(self) -> list[Route]:
+        operators = OperatorContext(
+            vm_id=self._cfg.vm_id,
+            fold=self.sync.fold,
+            publisher=ConfigPublisher(self.log, self.sync, self._clock),
+            metrics=self.metrics,
+            current=lambda: self.sync.current,
+            peers=self._peer_status,
+            tokens=self.tokens,
+        )
+        return [*operator_routes(operators), *trainer_routes(self.trainers, self._check_trainer)]
+
+    def _check_trainer(self, handler: RequestHandler, trainer: str) -> bool:
+        """Let a trainer ask for its own steps only."""
+        checked = self.tokens.check(handler.request.headers.get("Authorization"), Role.TRAINER)
+        if isinstance(checked, Ok) and checked.unwrap() == trainer:
+            return True
+        refusal = checked.err() or TokenRefusal.WRONG_ROLE
+        self.metrics.refuse(refusal.value)
+        write_problem(handler, refusal.status, refusal.value, "this trainer's token is needed")
+        return False
+
+    def _peer_status(self) -> list[PeerStatus]:
+        return [self._row_status(vm) for vm in self.members.all() if vm.id != self._cfg.vm_id]
+
+    def _row_status(self, vm: VmEntry) -> PeerStatus:
+        dialer = self.links.get(vm.id)
+        load = None if dialer is None else dialer.load
+        return PeerStatus(
+            id=vm.id,
+            role=vm.role.value,
+            service=vm.service,
+            state=self.members.state(vm.id).value,
+            connected=vm.id in self.links.connected() or vm.id in self.mesh.connected(),
+            config_offset=self.sync.relay.known(vm.id),
+            weight_version=None if load is None else load.weight_version,
+        )
+
+    def _proxy_context(self) -> ProxyContext:
+        return ProxyContext(
+            clock=self._clock,
+            metrics=self.metrics,
+            dispatcher=self.dispatcher,
+            book=self.book,
+            ready=lambda: self.sync.current,
+        )
+
+    def _on_members(self) -> None:
+        self.links.apply(self.members)
+        for peer in self.table.all():
+            self._send_members(peer)
+        self.mesh.apply_members(self.members.entries())
+        self.sync.on_members()
+        self.dispatcher.wake()
+
+    def _on_peer_offset(self, vm_id: str, offset: int) -> None:
+        self.sync.on_peer(vm_id, offset)
+
+    def _send_members(self, peer: Dialer) -> None:
+        """Tell a side process who else serves its service, for the order of weight swaps."""
+        row = self.members.get(peer.vm_id)
+        if row is not None:
+            ids = tuple(vm.id for vm in self.members.upstreams(row.service))
+            peer.send(Members(row.service, ids))
+
+    async def _async_sweep(self) -> None:
+        while True:
+            await self._clock.async_sleep(_SWEEP_INTERVAL)
+            self.mesh.drop_silent(_PEER_SILENT_AFTER)
+
 
-class _HealthHandler(RequestHandler):
-    """Answer whether the process lives, or is ready for work."""
-
-    def initialize(self, entry: EntryProcess, readiness: bool) -> None:
-        """Take the process."""
-        self._entry = entry
-        self._readiness = readiness
-
-    def get(self) -> None:
-        """Answer 200 or 503; the health check fails first in a planned stop."""
-        good = self._entry.ready if self._readiness else not self._entry.stopping
-        self.set_status(200 if good else 503)
-        self.finish({"ready": self._entry.ready})
-
-
-class _NotFoundHandler(RequestHandler):
-    """Answer paths that do not exist."""
-
-    def prepare(self) -> None:
-        """Refuse with a problem."""
-        write_problem(self, 404, RefusalReason.BAD_REQUEST.value, "no such path")
-
-
-def _listen(cfg: EntrySettings, entry: EntryProcess) -> HTTPServer:
-    context = ProxyContext(
-        clock=entry._clock,
-        metrics=entry.metrics,
-        dispatcher=entry.dispatcher,
-        service_for_model=lambda model: model if entry.peers.knows(model) else None,
-        timeout_for=lambda _: DEFAULT_TIMEOUT,
-        knows=entry.peers.knows,
-        accepting=lambda: entry.accepting,
-    )
-    app = Application(
-        [
-            (r"/services/([^/]+)/(.*)", ServiceHandler, {"context": context}),
-            (r"/v1/(completions|chat/completions)", CompletionHandler, {"context": context}),
-            ("/health", _HealthHandler, {"entry": entry, "readiness": False}),
-            ("/ready", _HealthHandler, {"entry": entry, "readiness": True}),
-            ("/metrics", MetricsHandler, {"metrics": entry.metrics}),
-        ],
-        default_handler_class=_NotFoundHandler,
-        log_function=lambda _: None,
-    )
-    server = HTTPServer(
-        app,
-        max_body_size=cfg.max_body_bytes,
-        max_header_size=cfg.max_header_bytes,
-        body_timeout=cfg.slow_sender_timeout.total_seconds(),
-    )
-    host, _, port = cfg.listen.rpartition(":")
-    server.listen(int(port), host)
-    return server
-
-
-async def _async_run(cfg: EntrySettings) -> int:
-    entry = EntryProcess(cfg, SystemClock())
+async def _async_run(cfg: EntrySettings, tokens: TokenTable) -> int:
+    entry = EntryProcess(cfg, tokens, SystemClock())
     shutdown = Shutdown(entry.async_stop, cfg.stop_timeout, entry.metrics)
     shutdown.install()
     entry.start()
-    watch = asyncio.ensure_future(entry.async_watch_vm_list())
     outcome = await shutdown.async_wait()
-    watch.cancel()
     entry.close()
     return outcome.exit_code
 
 
 def run(cfg: EntrySettings) -> int:
     """Run an entry until it is told to stop; return the exit code."""
-    writer = set_up_logging(cfg.log_level, vm_id=cfg.vm_id, role="entry")
-    try:
-        return asyncio.run(_async_run(cfg))
-    finally:
-        writer.close()
+    tokens = load_tokens(cfg.tokens_file)
+    if isinstance(tokens, Err):
+        sys.stderr.write(f"{tokens.unwrap_err()}\n")
+        return EXIT_SETTINGS
+    return asyncio.run(_async_run(cfg, tokens.unwrap()))
