--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import math
+import uuid
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -103,12 +104,16 @@
         self._ledger = StepLedger(declaration)
         self._limits: RolloutLimits | None = None
         self._attempts: dict[str, _Attempt] = {}
+        # Two entries can make the same sample at once; an engine that is told to stop one attempt
+        # must not stop the other's, so names are never shared.
+        self._life = uuid.uuid4().hex[:8]
         self._numbers = itertools.count(1)
         self._durations: deque[timedelta] = deque(maxlen=MAX_DURATIONS)
         self._failures = 0
         self._not_before = timedelta()
         self._trainer_version = 0
         self._pulls = 0
+        self._closing = False
         self._called_at = self._clock.monotonic()
         self._changed = asyncio.Event()
         self._ready = asyncio.Event()
@@ -150,7 +155,7 @@
                 if isinstance(result, Err) or left <= timedelta():
                     return result
                 batch = result.unwrap()
-                if batch.samples or batch.done:
+                if batch.samples or batch.done or self._closing:
                     self._count_handed_over(len(batch.samples))
                     return result
                 await self._async_wait(self._ready, left)
@@ -159,7 +164,9 @@
             self._called_at = self._clock.monotonic()
 
     async def async_close(self) -> None:
-        """Stop the task and cancel what is in the making."""
+        """Stop the task, cancel what is in the making and answer the pulls that wait."""
+        self._closing = True
+        self._ready.set()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -227,7 +234,8 @@
             for attempt in self._attempts.values()
             if attempt.sample_id == sample_id and attempt.upstream
         )
-        name = f"{sample_name(self.declaration, sample_id)}#{next(self._numbers)}"
+        serial = f"{self._life}.{next(self._numbers)}"
+        name = f"{sample_name(self.declaration, sample_id)}#{serial}"
         if not self._ledger.start(sample_id, name):
             return
         task = asyncio.get_running_loop().create_task(self._async_attempt(sample_id, name, avoid))
--- /dev/null
+++ b/tests/samples/sample_fakes.py
@@ -0,0 +1,87 @@
+"""Fakes of what a step's runner works with."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from cranberryline.platform.errors import PlatformError, PlatformReason
+from cranberryline.platform.model import ScorePort
+from cranberryline.samples import Completion, DiscardReason, Segment
+from cranberryline.samples.ports import (
+    DispatchError,
+    RolloutConfig,
+    RolloutLimits,
+    SampleDispatch,
+    SampleRequest,
+)
+
+__all__ = ["FakeConfig", "FakeDispatch", "FakeScorer"]
+
+
+class FakeDispatch(SampleDispatch):
+    """Engines that serve `version`; samples named in `held` do not end until released."""
+
+    def __init__(self) -> None:
+        self.version = 5
+        self.failing: DiscardReason | None = None
+        self.held: dict[str, asyncio.Event] = {}
+        self.started: Counter[str] = Counter()
+        self.avoided: list[frozenset[str]] = []
+        self.running = 0
+        self.most_running = 0
+
+    async def async_complete(
+        self, req: SampleRequest, on_dispatched: Callable[[str], None]
+    ) -> Result[Completion, DispatchError]:
+        """Make one sample."""
+        self.started[req.sample_id] += 1
+        self.avoided.append(req.avoid)
+        upstream = f"u{self.started[req.sample_id]}"
+        on_dispatched(upstream)
+        self.running += 1
+        self.most_running = max(self.running, self.most_running)
+        try:
+            version = self.version
+            if self.started[req.sample_id] == 1 and req.sample_id in self.held:
+                await self.held[req.sample_id].wait()
+            await asyncio.sleep(0)
+        finally:
+            self.running -= 1
+        if self.failing is not None:
+            return Err(DispatchError(self.failing))
+        text = f"{req.sample_id}@{upstream}"
+        return Ok(Completion(text, (Segment(version, 3),), upstream))
+
+
+class FakeScorer(ScorePort):
+    """Score 1, unless it is out or answers nonsense."""
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.score = 1.0
+        self.calls = 0
+
+    async def async_score(self, sample: dict[str, Any]) -> Result[float, PlatformError]:
+        """Score one sample."""
+        self.calls += 1
+        if self.failures > 0:
+            self.failures -= 1
+            return Err(PlatformError(PlatformReason.TIMEOUT))
+        if self.failures < 0:
+            self.failures += 1
+            return Ok(float("nan"))
+        return Ok(self.score)
+
+
+class FakeConfig(RolloutConfig):
+    """One trainer `t` and one service `s`."""
+
+    def __init__(self) -> None:
+        self.in_force = RolloutLimits(newest_version=5, staleness_bound=1, max_in_flight=4)
+
+    def limits(self, trainer: str, service: str) -> RolloutLimits | None:
+        """Return the limits in force."""
+        return self.in_force if (trainer, service) == ("t", "s") else None
--- a/tests/samples/test_hand_over.py
+++ b/tests/samples/test_hand_over.py
@@ -109,6 +109,20 @@
             completion = Completion(text, segments, "u")
             attempt.ledger.finish(attempt.sample_id, attempt.name, completion, 0.0)
 
+    @rule(owner=owners, count=st.integers(1, 3))
+    def make(self, owner: int, count: int) -> None:
+        """Start and finish samples in one go."""
+        before = len(self.attempts)
+        self.start(owner, count)
+        while len(self.attempts) > before:
+            self.finish(-1, 1)
+
+    @rule(owner=owners, limit=st.integers(1, 4))
+    def pull_at_once(self, owner: int, limit: int) -> None:
+        """Pull and have it answered; the answer is on its way."""
+        self.pull(1)
+        self.serve(-1, owner, limit)
+
     @precondition(lambda self: self.attempts)
     @rule(at=anywhere)
     def fail(self, at: int) -> None:
