--- a/bench/model/entry.py
+++ b/bench/model/entry.py
@@ -107,7 +107,8 @@
             self._let_go(call)
         self._end(call, how)
 
-    def _views(self, trainer: str) -> list[UpstreamView]:
+    def views(self, trainer: str) -> list[UpstreamView]:
+        """Return the upstreams as this entry sees them."""
         now = self._sim.now
         return [
             UpstreamView(
@@ -115,6 +116,7 @@
                 slots=side.queue.slots,
                 own_requests=self._own_requests[name],
                 own_tokens=self._own_tokens[name],
+                reported_requests=side.report.outstanding_requests,
                 reported_tokens=side.report.outstanding_tokens,
                 report_age=now - timedelta(seconds=max(side.report.at, 0.0)),
                 tokens_per_second=side.report.tokens_per_second,
@@ -133,7 +135,7 @@
             min_weight_version=call.min_version,
             excluded=excluded,
         )
-        name = self._routing.choose(self._views(call.trainer), req, self._rng)
+        name = self._routing.choose(self.views(call.trainer), req, self._rng)
         if name is None:
             call.refused_reason = RefusalReason.NO_UPSTREAM
             self._end(call, CallEnd.REFUSED)
--- a/bench/model/side.py
+++ b/bench/model/side.py
@@ -25,7 +25,6 @@
 
 TICK = 0.5
 FAILURE_SECONDS = 0.05
-URGENT_RESERVE = 1 / 8
 MAX_SERVICE = 1e6
 
 
@@ -66,9 +65,9 @@
     """What a side process last told of itself."""
 
     at: float = -1e9
+    outstanding_requests: int = 0
     outstanding_tokens: int = 0
     tokens_per_second: float = 0.0
-    free_slots: int = 0
 
 
 class Side:
@@ -147,11 +146,6 @@
         capacity = capacity or self._pace.tokens_per_second(self._sim.now) * self.queue.slots
         return AdmissionView(self.queue.queued, self.queue.running, self.queue.slots, capacity)
 
-    def free_slots_for(self, priority: Priority) -> int:
-        """Return the slots that a class may still take."""
-        reserve = 0 if priority is Priority.APPLICATION else int(self.queue.slots * URGENT_RESERVE)
-        return self.queue.slots - reserve - len(self.queue.running) - len(self.queue.queued)
-
     def _pump(self) -> None:
         for item in self.queue.expire(self._sim.now):
             attempt = self._attempts.pop(item.id)
@@ -201,8 +195,8 @@
             self.queue.running.set_done(item.id, attempt.tokens_made())
         self.report = SideReport(
             self._sim.seconds,
+            len(self.queue.queued) + len(self.queue.running),
             self.queue.queued.tokens + self.queue.running.tokens,
             self._pace.tokens_per_second(now),
-            max(0, self.queue.slots - len(self.queue.running) - len(self.queue.queued)),
         )
         self._sim.after(TICK, self._tick)
--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -15,6 +15,7 @@
     SampleView,
     StepView,
     StragglerAction,
+    free_slots,
 )
 
 from .entry import Call, CallEnd, Entry
@@ -164,11 +165,7 @@
         now = self._sim.seconds
         training = self._training_until is not None
         newest = max(side.version.get(self.name, 0) for side in self._sides)
-        room = sum(
-            max(0, side.free_slots_for(Priority.TRAINER))
-            for side in self._sides
-            if side.version.get(self.name, 0) >= newest
-        )
+        room = free_slots(self._entry.views(self.name), newest)
         waiting, flying, steps = [], [], {}
         for step, groups in self._steps.items():
             early = 0
--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -31,7 +31,7 @@
     StragglerAction,
     StragglerDecision,
 )
-from .routing import RouteRequest, RoutingPolicy, UpstreamView
+from .routing import RouteRequest, RoutingPolicy, UpstreamView, free_slots
 from .subset import subset
 from .weight_shift import ShiftPlan, ShiftSettings, swap_delay
 
@@ -77,6 +77,7 @@
     "UpstreamView",
     "WorkItem",
     "WorkQueue",
+    "free_slots",
     "subset",
     "swap_delay",
 ]
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -23,7 +23,8 @@
 is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. The cost is one
 prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND` times the
 typical first-token time is started a second time beside the first (hedged), for it may only wait
-in a queue. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
+in a queue. A move needs room elsewhere, for a sample that is moved into a queue stalls again; early
+starts leave `MOVE_RESERVE` of what is in flight free for it. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
 everything, in which no move helps, does not become a storm of prefills.
 """
 
@@ -54,6 +55,7 @@
 MOVE_GAIN = 1.5
 MIN_SAVING = timedelta(seconds=2)
 MOVE_SHARE = 0.1
+MOVE_RESERVE = 0.05
 STALL_BOUND = 4
 MIN_STALL = timedelta(seconds=5)
 MIN_RUN = timedelta(seconds=8)
@@ -167,11 +169,12 @@
     def plan(self, view: RolloutView) -> RolloutPlan:
         """Return what to do now."""
         stragglers = self.stragglers(view)
-        extra = sum(decision.action is StragglerAction.HEDGE for decision in stragglers)
-        return RolloutPlan(stragglers, self.start(view, view.room - extra))
+        moved = sum(decision.action is not StragglerAction.GIVE_UP for decision in stragglers)
+        return RolloutPlan(stragglers, self.start(view, view.room - moved))
 
     def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
         """Return the samples to start within the room, the most urgent first."""
+        reserve = int(len(view.in_flight) * MOVE_RESERVE)
         waits: dict[int, float] = {}
         starts = []
         for group in sorted(view.waiting, key=lambda group: (group.step, -group.expected_tokens)):
@@ -181,7 +184,10 @@
                 waits[group.step] = self._common_wait(view, group.step)
             if not self._may_start(view, group, waits[group.step]):
                 continue
-            count = min(group.samples, room)
+            early = _staleness(view, group.step, view.sampler_version) > 0
+            count = min(group.samples, room - reserve if early else room)
+            if count <= 0:
+                continue
             room -= count
             starts.append(StartSamples(group.id, count, view.sampler_version))
         return tuple(starts)
@@ -200,7 +206,7 @@
             if sample.id not in given_up and (saving := _saving(view, sample)) >= MIN_SAVING
         ]
         slow.sort(key=lambda pair: (-pair[0], pair[1].id))
-        moves = max(1, int(len(view.in_flight) * MOVE_SHARE))
+        moves = min(view.room, max(1, int(len(view.in_flight) * MOVE_SHARE)))
         decisions += [StragglerDecision(sample.id, _move(sample)) for _, sample in slow[:moves]]
         return tuple(decisions)
 
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -32,14 +32,16 @@
 from . import rendezvous
 from .const import ZERO
 from .health import HealthView
+from .queueing import URGENT_RESERVE
 
-__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView"]
+__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView", "free_slots"]
 
 REPORT_HALF_LIFE = timedelta(seconds=2)
 SAMPLE_SIZE = 4
 AFFINITY_CHOICES = 2
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
+SLOW_SHARE = 0.5
 FALLBACK_TOKENS_PER_SECOND = 50.0
 
 
@@ -55,6 +57,7 @@
     slots: int = 1
     own_requests: int = 0
     own_tokens: int = 0
+    reported_requests: int = 0
     reported_tokens: int = 0
     report_age: timedelta | None = None
     tokens_per_second: float = 0.0
@@ -126,6 +129,24 @@
         return next((member for member in ranked if seconds[member] <= bound), None)
 
 
+def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
+    """Return how many samples may be started without waiting for a slot.
+
+    A slot on an upstream that crawls does not count: a sample sent there is a straggler at once,
+    and one that is kept from there waits in the queue of another.
+    """
+    req = RouteRequest(tokens=0, min_weight_version=min_version)
+    usable = [u for u in upstreams if _is_usable(u, req) and u.health.weight > 0]
+    if not usable:
+        return 0
+    slow = SLOW_SHARE * _typical_rate(usable)
+    return sum(
+        max(0, int(u.slots * (1 - URGENT_RESERVE)) - max(u.own_requests, u.reported_requests))
+        for u in usable
+        if not 0 < u.tokens_per_second < slow
+    )
+
+
 def _is_usable(upstream: UpstreamView, req: RouteRequest) -> bool:
     if upstream.draining or upstream.id in req.excluded or not upstream.health.usable:
         return False
