Route by free slots and measure a sample's pace from its first token

Cause: samples waited 5-30 s in one side process's queue while others had free slots, since the expected time weighed a long sample's own duration more than the wait, and affinity allowed it. The wait then counted as slowness and the sample was moved from queue to queue, up to 25 times.

--- a/bench/model/entry.py
+++ b/bench/model/entry.py
@@ -131,6 +131,7 @@
             return
         req = RouteRequest(
             tokens=call.prompt_tokens // 20 + call.expected_tokens,
+            priority=call.priority,
             prefix_key=call.prefix,
             min_weight_version=call.min_version,
             excluded=excluded,
--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -26,8 +26,8 @@
 
 __all__ = ["TrainerModel", "TrainerSettings"]
 
-PLAN_TICK = 0.5
-PLAN_DELAY = 0.05
+PLAN_TICK = 1.0
+PLAN_DELAY = 0.25
 SAMPLE_DEADLINE = 900.0
 PROMPT_TOKENS = 400
 RECENT = 32
@@ -198,7 +198,8 @@
         )
         before, since = sample.seen
         if made > before:
-            self._note_rate(sample, made - before, now - since)
+            if before > sample.kept_tokens:
+                self._note_rate(sample, made - before, now - since)
             sample.seen = (made, now)
         began = sample.started if sample.started is not None else now
         version = sample.version if sample.version is not None else newest
--- a/cranberryline/decisions/queueing.py
+++ b/cranberryline/decisions/queueing.py
@@ -31,7 +31,7 @@
 from .model import Priority, WorkItem
 from .outstanding import Outstanding
 
-__all__ = ["QueueSettings", "WorkQueue"]
+__all__ = ["QueueSettings", "WorkQueue", "slots_for"]
 
 SHORT_RESERVE = 1 / 8
 URGENT_RESERVE = 1 / 8
@@ -39,6 +39,13 @@
 RESERVE_MEMORY = timedelta(seconds=30)
 
 
+def slots_for(slots: int, priority: Priority) -> int:
+    """Return how many slots a class may take while more urgent work comes in."""
+    if priority is Priority.APPLICATION or slots < MIN_SLOTS_FOR_RESERVE:
+        return slots
+    return slots - max(1, round(slots * URGENT_RESERVE))
+
+
 @attrs.frozen
 class QueueSettings:
     """What an operator sets for a service's queues."""
@@ -205,17 +212,14 @@
         return best
 
     def _slot_for_long(self, now: timedelta) -> bool:
-        reserve = self._reserve(SHORT_RESERVE, self._short_seen, now)
-        return self._running_long < self.slots - reserve
+        if not _recent(self._short_seen, now) or self.slots < MIN_SLOTS_FOR_RESERVE:
+            return True
+        return self._running_long < self.slots - max(1, round(self.slots * SHORT_RESERVE))
 
     def _slot_below_urgent(self, now: timedelta) -> bool:
-        reserve = self._reserve(URGENT_RESERVE, self._urgent_seen, now)
-        return self._running_below < self.slots - reserve
-
-    def _reserve(self, share: float, seen: timedelta | None, now: timedelta) -> int:
-        if self.slots < MIN_SLOTS_FOR_RESERVE or seen is None or now - seen > RESERVE_MEMORY:
-            return 0
-        return max(1, round(self.slots * share))
+        if not _recent(self._urgent_seen, now):
+            return True
+        return self._running_below < slots_for(self.slots, Priority.TRAINER)
 
     def _choose_class(self, ready: Mapping[Priority, _Head]) -> Priority:
         for priority, head in ready.items():
@@ -242,3 +246,7 @@
             # A class that could not start its work must not save up for a burst of its own.
             earned = queue.credit + self._settings.class_floors[priority] * tokens
             queue.credit = min(earned, self.queued.class_tokens(priority))
+
+
+def _recent(seen: timedelta | None, now: timedelta) -> bool:
+    return seen is not None and now - seen <= RESERVE_MEMORY
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -177,7 +177,7 @@
         reserve = int(len(view.in_flight) * MOVE_RESERVE)
         waits: dict[int, float] = {}
         starts = []
-        for group in sorted(view.waiting, key=lambda group: (group.step, -group.expected_tokens)):
+        for group in sorted(view.waiting, key=lambda group: (_slack(view, group), group.id)):
             if room <= 0:
                 break
             if group.step not in waits:
@@ -249,6 +249,13 @@
         )
 
 
+def _slack(view: RolloutView, group: GroupView) -> float:
+    """Return the seconds that may pass before the group must start to be there in time."""
+    steps = group.step - view.next_step
+    needed = view.until_pull.total_seconds() + steps * view.step_time.total_seconds()
+    return needed - _tail_seconds(view, group)
+
+
 def _tail_seconds(view: RolloutView, group: GroupView) -> float:
     return _duration(view, group.expected_tokens * TAIL_FACTOR).total_seconds()
 
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -6,15 +6,17 @@
 next report. Following the prefix cache alone sends a popular prefix to one upstream.
 
 The measure is the expected time until this request is done there: its own tokens at the pace of
-one request, after the tokens outstanding there at that pace on all slots. The pace is measured
-(see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
+one request, after the tokens outstanding there at that pace on all slots. Where a slot is free
+nothing has to be waited for, and what is outstanding counts only for `SHARING_COST`, since the
+batch is shared with it. The pace is measured (see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
 What a report shows beyond them is the work of other entries; it counts in full when fresh and
 half after `REPORT_HALF_LIFE`, about the time in which an engine turns over its work. Of
 `SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
 reports do not all choose the same upstream; own counts alone would allow the best of all.
 
 Prefix affinity: the first `AFFINITY_CHOICES` upstreams by rendezvous hash of the prefix key are
-preferred while their expected time is at most `AFFINITY_BOUND` times the mean. A prefix that is
+preferred while they have a free slot (or none has) and their expected time is at most
+`AFFINITY_BOUND` times the mean. A prefix that is
 too popular for them spills to the others; affinity costs at most that factor in wait. The group
 of a step shares its prompt and so goes together as far as the bound lets it.
 
@@ -32,7 +34,8 @@
 from . import rendezvous
 from .const import ZERO
 from .health import HealthView
-from .queueing import URGENT_RESERVE
+from .model import Priority
+from .queueing import slots_for
 
 __all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView", "free_slots"]
 
@@ -42,6 +45,7 @@
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
 SLOW_SHARE = 0.5
+SHARING_COST = 0.25
 FALLBACK_TOKENS_PER_SECOND = 50.0
 
 
@@ -71,6 +75,7 @@
     """A request as routing sees it."""
 
     tokens: int
+    priority: Priority = Priority.APPLICATION
     data_center: str = ""
     prefix_key: str | None = None
     min_weight_version: int | None = None
@@ -110,23 +115,35 @@
     def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
         """Return the time in which the upstream would be done with the request, roughly."""
         pace = (upstream.tokens_per_second or rate) * upstream.health.weight
-        ahead = (upstream.own_tokens + self._others_tokens(upstream)) / max(upstream.slots, 1)
+        ahead = self._outstanding_tokens(upstream) / max(upstream.slots, 1)
+        if self._has_slot(upstream, req):
+            ahead *= SHARING_COST
         far = bool(req.data_center) and upstream.data_center != req.data_center
         return (req.tokens + ahead) / pace * (1 + FAR_PENALTY * far)
 
-    def _others_tokens(self, upstream: UpstreamView) -> float:
+    def _outstanding_tokens(self, upstream: UpstreamView) -> float:
+        others = max(0, upstream.reported_tokens - upstream.own_tokens)
+        return upstream.own_tokens + self._trust(upstream) * others
+
+    def _has_slot(self, upstream: UpstreamView, req: RouteRequest) -> bool:
+        others = max(0, upstream.reported_requests - upstream.own_requests)
+        taken = upstream.own_requests + self._trust(upstream) * others
+        return taken + 1 <= slots_for(upstream.slots, req.priority)
+
+    def _trust(self, upstream: UpstreamView) -> float:
         if upstream.report_age is None:
             return 0.0
-        trust = 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
-        return trust * max(0, upstream.reported_tokens - upstream.own_tokens)
+        return 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
 
     def _by_affinity(
         self, healthy: Sequence[UpstreamView], req: RouteRequest, rate: float
     ) -> str | None:
         seconds = {u.id: self.expected_seconds(u, req, rate) for u in healthy}
         bound = self.affinity_bound * fmean(seconds.values())
+        with_slot = {u.id for u in healthy if self._has_slot(u, req)}
+        allowed = with_slot or set(seconds)
         ranked = rendezvous.rank(req.prefix_key or "", seconds)[: self.affinity_choices]
-        return next((member for member in ranked if seconds[member] <= bound), None)
+        return next((m for m in ranked if m in allowed and seconds[m] <= bound), None)
 
 
 def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
@@ -141,7 +158,7 @@
         return 0
     slow = SLOW_SHARE * _typical_rate(usable)
     return sum(
-        max(0, int(u.slots * (1 - URGENT_RESERVE)) - max(u.own_requests, u.reported_requests))
+        max(0, slots_for(u.slots, Priority.TRAINER) - max(u.own_requests, u.reported_requests))
         for u in usable
         if not 0 < u.tokens_per_second < slow
     )
