--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -19,8 +19,9 @@
 brings it under one common wait (`_common_wait`). No more is started than there is room for: a
 sample that waits at a sampler holds a place and starts no earlier.
 
-Stragglers: a sample of the next step is continued elsewhere, from the tokens received, when that
-is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. The cost is one
+Stragglers: a sample that would be late is continued elsewhere, from the tokens received, when that
+is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. One that would be in
+time even if it were moved `MOVE_MARGIN` later is left, for its upstream may recover by itself. The cost is one
 prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND` times the
 typical first-token time is started a second time beside the first (hedged), for it may only wait
 in a queue. A move needs room elsewhere, for a sample that is moved into a queue stalls again; early
@@ -60,6 +61,7 @@
 MIN_STALL = timedelta(seconds=5)
 MIN_RUN = timedelta(seconds=8)
 MAX_COPIES = 2
+MOVE_MARGIN = timedelta(seconds=10)
 RESIDUAL_SHARE = 0.5
 TAIL_FACTOR = 2.0
 WAIT_BISECTIONS = 12
@@ -277,21 +279,27 @@
 
 def _saving(view: RolloutView, sample: SampleView) -> timedelta:
     """Return how much earlier the sample is expected to end elsewhere, or 0 if not worthwhile."""
-    if sample.step != view.next_step or sample.copies >= MAX_COPIES or sample.running < MIN_RUN:
+    if sample.copies >= MAX_COPIES or sample.running < MIN_RUN:
         return ZERO
     left = _remaining_tokens(sample)
     elsewhere = _duration(view, left)
-    stalled = sample.since_progress > max(view.first_token * STALL_BOUND, MIN_STALL)
-    if stalled:
-        here = elsewhere * MOVE_GAIN + MIN_SAVING + sample.since_progress
-    elif sample.tokens_per_second > 0:
-        here = timedelta(seconds=left / sample.tokens_per_second)
-    else:
-        return ZERO
-    if here <= view.until_pull or here < elsewhere * MOVE_GAIN:
+    needed = view.until_pull + view.step_time * (sample.step - view.next_step)
+    here = _expected_here(view, sample, left, elsewhere)
+    # While it would still be there in time after a later move, its upstream may yet recover.
+    if here <= needed or needed > elsewhere + MOVE_MARGIN or here < elsewhere * MOVE_GAIN:
         return ZERO
     return here - elsewhere
 
 
+def _expected_here(
+    view: RolloutView, sample: SampleView, left: float, elsewhere: timedelta
+) -> timedelta:
+    if sample.since_progress > max(view.first_token * STALL_BOUND, MIN_STALL):
+        return elsewhere * MOVE_GAIN + MIN_SAVING + sample.since_progress
+    if sample.tokens_per_second <= 0:
+        return ZERO
+    return timedelta(seconds=left / sample.tokens_per_second)
+
+
 def _move(sample: SampleView) -> StragglerAction:
     return StragglerAction.RESUME if sample.tokens_done else StragglerAction.HEDGE
