--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -43,6 +43,7 @@
         self.records: list[LogRecord] = []
         self.first = 1
         self.out = False
+        self.latency = 0.002
         self.lose_answers = 0
         self.append_errors: list[PlatformError] = []
         self.appends = 0
@@ -94,7 +95,7 @@
     ) -> Result[LogPage, PlatformError]:
         """Read a page, waiting for the first record where asked to."""
         self.reads += 1
-        await asyncio.sleep(0.002)
+        await asyncio.sleep(self.latency)
         if self.out:
             return Err(OUTAGE)
         if wait and self.next <= start:
@@ -290,7 +291,7 @@
 
     def _deliver(self, source: str, target: str, message: Message) -> None:
         node = self.nodes.get(target)
-        if node is None:
+        if node is None or source not in self.nodes:
             return
         node.sync.on_message(source, message)
         node.offsets.append(node.sync.fold.offset)
--- a/tests/configs/test_config_agreement.py
+++ b/tests/configs/test_config_agreement.py
@@ -20,11 +20,18 @@
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 PROCESSES = 4
-RECORDS_KEPT = 3
+RECORDS_KEPT = 2
+FIRST_RECORDS = 4
 NAMES = ("a", "b")
 NODES = st.integers(0, PROCESSES - 1)
 
 
+def weights(name: str, version: int, amends: int, schema: int = 1) -> dict[str, Any]:
+    """Return a weights record's data."""
+    spec = {"version": version}
+    return {"kind": "weights", "name": name, "schema": schema, "amends": amends, "spec": spec}
+
+
 class Agreement(RuleBasedStateMachine):
     """Processes that relay one log's records over a network without any promise."""
 
@@ -38,6 +45,8 @@
         self.relays = [self.new_relay() for _ in range(PROCESSES)]
         self.highest = [0] * PROCESSES
         self.bag: list[tuple[int, int, Message]] = []
+        for version in range(FIRST_RECORDS):
+            self.append(weights("a", version, version))
 
     def new_relay(self) -> ConfigRelay:
         """Return a process that knows nothing and keeps few records."""
@@ -60,9 +69,8 @@
     def publish(self, name: str, version: int, seen_by: int, schema: int, delete: bool) -> None:
         """Amend what one process has in force, which may be long past."""
         amends = self.relays[seen_by].fold.current_revision(Kind.WEIGHTS, name)
-        spec = None if delete else {"version": version}
-        data = {"kind": "weights", "name": name, "schema": schema, "amends": amends, "spec": spec}
-        self.append(data)
+        data = weights(name, version, amends, schema)
+        self.append({**data, "spec": None} if delete else data)
 
     @rule(data=st.sampled_from([{}, {"kind": "checkpoint"}, {"kind": 7}, [], "x"]))
     def append_nonsense(self, data: Any) -> None:
--- a/tests/configs/test_config_sync.py
+++ b/tests/configs/test_config_sync.py
@@ -1,12 +1,14 @@
 """Configuration on every process within 4 s: relay, tailers' deaths, outages, starters."""
 
 import asyncio
+from typing import Any
 
 import pytest
-from result import Ok
+from result import Ok, Result
 
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.decisions import rendezvous
+from cranberryline.platform.errors import PlatformError
 from tests.configs.config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
 from tests.configs.virtual_time import LoopClock, run_virtual
 
@@ -110,6 +112,106 @@
     run_virtual(async_case())
 
 
+class LogThatFailsWithAnAppend(FakeLog):
+    """A log that takes one more append and answers it, and nothing after that."""
+
+    failing = False
+
+    async def async_append(
+        self, stream: str, records: list[tuple[str, dict[str, Any]]]
+    ) -> Result[list[int], PlatformError]:
+        """Append, and be out before any reader is woken."""
+        self.out = self.failing
+        return Ok([self.put(data, record_id) for record_id, data in records])
+
+
+def test_accepted_record_survives_the_log_and_the_entry_that_took_it() -> None:
+    """The log fails in the instant of the append, and the entry dies right after "accepted".
+
+    What is seen: all others have the record within 4 s, though none of them could read it. The
+    entry answers the operator only after peers have acknowledged the record.
+    """
+
+    async def async_case() -> None:
+        log = LogThatFailsWithAnAppend()
+        cluster = await async_start(log)
+        log.failing = True
+        answer = await publisher(cluster, ranked()[0]).async_publish(weights_data(7), "p1")
+        cluster.kill(ranked()[0])
+        assert isinstance(answer, Ok)
+        assert log.out
+        await cluster.async_until_all_have(answer.ok_value.revision.offset, BOUND)
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_record_of_another_tool_is_everywhere_at_once() -> None:
+    """A record that did not come through an entry is read by the tailers and pushed at once."""
+
+    async def async_case() -> float:
+        cluster = await async_start(FakeLog())
+        offset = await cluster.log.async_put(weights_data(7))
+        took = await cluster.async_until_all_have(offset, BOUND)
+        cluster.close()
+        return took
+
+    assert run_virtual(async_case()) < 0.1
+
+
+def test_push_that_was_lost_is_sent_again() -> None:
+    """The only entry's push to a side process is lost, and nothing else happens after it.
+
+    What is seen: the side process has the record a few seconds later. A push that is not
+    acknowledged is sent again.
+    """
+
+    async def async_case() -> None:
+        log = FakeLog()
+        log.put(service_data())
+        cluster = Cluster(log)
+        cluster.add_entry("entry-0")
+        cluster.add_side("side-0")
+        await cluster.async_until_all_have(1, 2.0)
+        await asyncio.sleep(3)
+        cluster.cut = {frozenset(("entry-0", "side-0"))}
+        offset = await log.async_put(weights_data(7))
+        await asyncio.sleep(0.6)
+        cluster.cut = set()
+        await cluster.async_until_all_have(offset, BOUND)
+        await asyncio.sleep(30)
+        before = cluster.messages
+        await asyncio.sleep(30)
+        assert cluster.messages == before
+        cluster.close()
+
+    run_virtual(async_case())
+
+
+def test_entry_that_has_read_half_the_log_makes_nobody_current() -> None:
+    """A side process meets an entry that has read 500 of 600 records of a slow log.
+
+    What is seen: it is current only with all 600. Current with 500, it could order weights that
+    are long replaced.
+    """
+
+    async def async_case() -> int:
+        log = FakeLog()
+        amends = 0
+        for version in range(1, 601):
+            amends = log.put(weights_data(version, amends))
+        log.latency = 1.0
+        cluster = Cluster(log)
+        cluster.add_entry("entry-0")
+        side = cluster.add_side("side-0")
+        await side.async_wait_current()
+        offset = side.fold.offset
+        cluster.close()
+        return offset
+
+    assert run_virtual(async_case()) == 600
+
+
 def test_starters_in_an_outage_take_the_fold_from_peers() -> None:
     """The log is out; an entry and a side process start.
 
