--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -15,7 +15,14 @@
 from .launcher import OPERATOR, Deployment, launched
 from .trainer import Trainer, TrainerPlan
 
-__all__ = ["figures_of", "DemoLoad", "async_load", "demo", "run_deployment"]
+__all__ = [
+    "DemoLoad",
+    "async_load",
+    "broken_promises",
+    "demo",
+    "figures_of",
+    "run_deployment",
+]
 
 ANNOUNCE_EVERY = 3
 # Each of these counts a broken promise.
