Start entry and side process together in the benchmarks

Cause: a side process is ready only once an entry has told it the configuration. Change: both start at once, the list names both, and a process that has ended is told at once.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -32,6 +32,8 @@
 _KIB = 1024
 _STOP_SECONDS = 20
 SERVICE = "bench"
+_SIDE_ID = "bench-1"
+_ENTRY_ID = "entry-1"
 
 
 @attrs.frozen
@@ -100,7 +102,7 @@
 
 def wait_until_ready(process: Process, port: int, path: str, timeout_s: float = 20.0) -> float:
     """Ask until the answer is 200, and return the seconds since the process was started."""
-    while time.monotonic() - process.started_at < timeout_s:
+    while process.popen.poll() is None and time.monotonic() - process.started_at < timeout_s:
         conn = http.client.HTTPConnection("127.0.0.1", port, timeout=2)
         try:
             conn.request("GET", path)
@@ -121,18 +123,17 @@
     return str(path)
 
 
-def _vms(side_peer: int, upstream: int) -> str:
-    """Return the VM list as the stand-in's option."""
-    row = {
-        "id": "bench-1",
-        "role": "upstream",
+def _vm(vm_id: str, role: str, peer: int, upstream: int = 0) -> dict[str, str]:
+    """Return a row of the VM list."""
+    return {
+        "id": vm_id,
+        "role": role,
         "state": "live",
         "data_center": "one",
-        "peer": f"tcp://127.0.0.1:{side_peer}",
-        "address": f"http://127.0.0.1:{upstream}",
-        "service": SERVICE,
+        "peer": f"tcp://127.0.0.1:{peer}",
+        "address": f"http://127.0.0.1:{upstream}" if upstream else "",
+        "service": SERVICE if upstream else "",
     }
-    return json.dumps([row])
 
 
 def _publish_service(log: int) -> None:
@@ -166,7 +167,8 @@
 def running_path(upstream: int, route: Callable[[str, int], int]) -> Iterator[RunningPath]:
     """Run stand-ins, a side process and an entry; `route` may put a relay before a port."""
     log, vms, side_peer, side_http, entry_peer, entry_http = (free_port() for _ in range(6))
-    shown = _vms(route("peer", side_peer), upstream)
+    side_row = _vm(_SIDE_ID, "upstream", route("peer", side_peer), upstream)
+    shown = json.dumps([side_row, _vm(_ENTRY_ID, "entry", entry_peer)])
     with contextlib.ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         stand_in = stack.enter_context(started("log", "stand_ins", "log", f"--port={log}"))
@@ -175,7 +177,7 @@
         listing = started("vms", "stand_ins", "vms", f"--port={vms}", f"--vms={shown}")
         wait_for_port(stack.enter_context(listing), vms)
         side_settings = {
-            "vm_id": "bench-1",
+            "vm_id": _SIDE_ID,
             "data_center": "one",
             "service": SERVICE,
             "listen": f"127.0.0.1:{side_http}",
@@ -183,20 +185,22 @@
             "log": f"http://127.0.0.1:{route('side_log', log)}",
             "upstream": f"http://127.0.0.1:{upstream}",
         }
-        settings = _write(folder, "side", side_settings)
-        side = stack.enter_context(started("side", "cranberryline", "side", settings))
-        side_ready_s = wait_until_ready(side, side_http, "/ready")
         entry_settings = {
-            "vm_id": "entry-1",
+            "vm_id": _ENTRY_ID,
             "data_center": "one",
             "listen": f"127.0.0.1:{entry_http}",
             "peer": f"tcp://127.0.0.1:{entry_peer}",
             "log": f"http://127.0.0.1:{route('entry_log', log)}",
             "vm_list": f"http://127.0.0.1:{route('vms', vms)}",
         }
+        # A side process is ready once an entry has told it the configuration, so neither can wait
+        # for the other here.
+        settings = _write(folder, "side", side_settings)
+        side = stack.enter_context(started("side", "cranberryline", "side", settings))
         settings = _write(folder, "entry", entry_settings)
         entry = stack.enter_context(started("entry", "cranberryline", "entry", settings))
         entry_ready_s = wait_until_ready(entry, entry_http, "/ready")
+        side_ready_s = wait_until_ready(side, side_http, "/ready")
         yield RunningPath(entry, side, entry_http, entry_ready_s, side_ready_s)
 
 
