--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -213,7 +213,7 @@
 
 
 def _run_role(role: str, path: str) -> int:
-    """Check the settings and run a role until it stops."""
+    """Check the settings, send the logs to standard output and run a role until it stops."""
     loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
     if isinstance(loaded, Err):
         return _usage(str(loaded.unwrap_err()))
@@ -223,7 +223,13 @@
         from .entry.app import run  # noqa: PLC0415 - keeps the other role out of memory
     else:
         from .side.app import run  # noqa: PLC0415 - keeps the other role out of memory
-    return run(settings)
+    from .helpers.logging import set_up_logging  # noqa: PLC0415 - only the roles log
+
+    writer = set_up_logging(settings.log_level, vm_id=settings.vm_id, role=role)
+    try:
+        return run(settings)
+    finally:
+        writer.close()
 
 
 def _check_settings(path: str, role: str) -> int:
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,5 +1,6 @@
 """The one file: it runs by itself, as one process."""
 
+import json
 import os
 import signal
 import socket
@@ -124,3 +125,65 @@
         finally:
             process.send_signal(signal.SIGINT)
             assert process.wait(timeout=30) == 130
+
+
+@pytest.mark.parametrize("role", ["entry", "side"])
+def test_a_role_is_one_process_that_logs_and_stops(
+    role: str, binary: Path, environment: dict[str, str], tmp_path: Path
+) -> None:
+    """The platform is out when the process starts.
+
+    It starts all the same, logs JSON lines, and a planned stop ends it with 0, all in the process
+    that was started.
+    """
+    ports = [_free_port(), _free_port()]
+    addresses = {"listen": f"127.0.0.1:{ports[0]}", "peer": f"tcp://127.0.0.1:{ports[1]}"}
+    settings = {
+        **_SETTINGS,
+        **addresses,
+        "log": "http://127.0.0.1:1",
+        "vm_list": "http://127.0.0.1:1",
+    }
+    if role == "side":
+        del settings["vm_list"]
+        settings |= {"service": "dossiers", "upstream": "http://127.0.0.1:1"}
+    path = tmp_path / "settings.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    process = subprocess.Popen(
+        [binary, role, "--settings", path],
+        env=environment,
+        stdout=subprocess.PIPE,
+        start_new_session=True,
+    )
+    try:
+        assert process.stdout is not None
+        event = json.loads(process.stdout.readline())
+        assert (event["vm_id"], event["role"], event["level"]) == ("entry-1", role, "info")
+        _wait_for_port(ports[0])
+        assert _processes_of_session(process.pid) == [process.pid]
+        process.send_signal(signal.SIGTERM)
+        rest = process.stdout.read().splitlines()
+        assert process.wait(timeout=30) == 0
+        assert "stopped" in [json.loads(line)["message_type"] for line in rest]
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def _free_port() -> int:
+    """Return a port that was free just now."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port: int = server.getsockname()[1]
+        return port
+
+
+def _wait_for_port(port: int) -> None:
+    """Wait until something listens."""
+    for _ in range(1000):
+        try:
+            socket.create_connection(("127.0.0.1", port), 1).close()
+        except OSError:
+            time.sleep(0.02)
+        else:
+            return
+    raise TimeoutError("nothing listens")
