Count one lost connection as one failure of its upstream

Ruled out: the redial (up after 0.1 s), the ledger (nothing was made at all), the side process. Change: work that was sent before the last failure that counted says nothing new of the upstream. Test: thirty requests lost on one connection, then one more: refused before, served now.

--- a/cranberryline/decisions/health.py
+++ b/cranberryline/decisions/health.py
@@ -36,6 +36,7 @@
     weight: float = 1.0
     probe_interval: timedelta = FIRST_PROBE_INTERVAL
     probe_at: timedelta = ZERO
+    failed_at: timedelta | None = None
 
 
 @attrs.frozen
@@ -63,17 +64,26 @@
     def succeeded(self, state: HealthState) -> HealthState:
         """Return the state after a good answer."""
         weight = min(1.0, max(state.weight, self.min_weight) + self.recovery_step)
-        return HealthState(weight)
-
-    def failed(self, state: HealthState, now: timedelta) -> HealthState:
-        """Return the state after a failure of the upstream."""
+        return HealthState(weight, failed_at=state.failed_at)
+
+    def failed(
+        self, state: HealthState, now: timedelta, sent: timedelta | None = None
+    ) -> HealthState:
+        """Return the state after a failure of the upstream; `sent` is when the work went there.
+
+        One crash or lost connection fails all that was on it at once. Counted one by one, thirty
+        requests would put the upstream on the longest probe interval, so work that was sent before
+        the last failure that counted says nothing new.
+        """
+        if sent is not None and state.failed_at is not None and sent <= state.failed_at:
+            return state
         weight = state.weight * self.failure_factor
         if weight > self.min_weight:
-            return HealthState(weight)
+            return HealthState(weight, failed_at=now)
         interval = state.probe_interval
         if state.weight <= self.min_weight:
             interval = min(interval * 2, self.max_probe_interval)
-        return HealthState(weight, interval, now + interval)
+        return HealthState(weight, interval, now + interval, now)
 
     def probed(self, state: HealthState, now: timedelta) -> HealthState:
         """Return the state after a probe was sent, so that no second one goes with it."""
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -159,7 +159,7 @@
                 turn.upstream.succeeded()
                 lane.budget.earn()
             elif _reason_text(outcome) in _UPSTREAM_FAULTS:
-                turn.upstream.failed(self._clock.monotonic())
+                turn.upstream.failed(turn.given, self._clock.monotonic())
             return outcome
         finally:
             lane.finish(turn, tokens)
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -43,9 +43,9 @@
         """Note a whole answer."""
         self.health = _HEALTH.succeeded(self.health)
 
-    def failed(self, now: timedelta) -> None:
-        """Note a failure of the upstream itself."""
-        self.health = _HEALTH.failed(self.health, now)
+    def failed(self, sent: timedelta, now: timedelta) -> None:
+        """Note a failure of the upstream itself, and when the work had been sent there."""
+        self.health = _HEALTH.failed(self.health, now, sent)
 
     def view(self, spec: ServiceSpec, now: timedelta) -> UpstreamView:
         """Return what routing needs to know."""
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -192,3 +192,31 @@
     bench.publish("service", "other", {"type": "plain"})
     asyncio.run(async_case())
     assert sum(len(side.submits) for side in sides) <= 1.2 * requests
+
+
+def test_one_lost_connection_is_one_failure(bench: Bench) -> None:
+    """The caller that comes after a lost connection is served, not sent away for half a minute.
+
+    A connection ends with many requests on it, and each of them ends as lost. Counted one by one
+    they would draw the upstream down to a probe every 30 s, though a new connection works at once.
+    """
+    bench.publish("service", "wide", {"type": "plain", "concurrency": 64})
+    bench.service = "wide"
+    side = bench.side("up-1", silent)
+
+    async def async_case() -> None:
+        work = [
+            asyncio.ensure_future(
+                bench.dispatcher.async_run(bench.request(idempotent=False), CollectingSink())
+            )
+            for _ in range(30)
+        ]
+        await asyncio.sleep(0.01)
+        for exchange in list(side._exchanges.values()):
+            exchange.push(Lost())
+        await asyncio.gather(*work)
+        side.script = answer
+        await asyncio.sleep(0.01)
+        assert (await bench.dispatcher.async_run(bench.request(), CollectingSink())).is_ok()
+
+    asyncio.run(async_case())
