--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -15,6 +15,7 @@
     SampleView,
     StepView,
     StragglerAction,
+    free_slots,
 )
 
 from .entry import Call, CallEnd, Entry
@@ -25,8 +26,8 @@
 
 __all__ = ["TrainerModel", "TrainerSettings"]
 
-PLAN_TICK = 0.5
-PLAN_DELAY = 0.05
+PLAN_TICK = 1.0
+PLAN_DELAY = 0.25
 SAMPLE_DEADLINE = 900.0
 PROMPT_TOKENS = 400
 RECENT = 32
@@ -163,11 +164,7 @@
         now = self._sim.seconds
         training = self._training_until is not None
         newest = max(side.version.get(self.name, 0) for side in self._sides)
-        room = sum(
-            max(0, side.free_slots_for(Priority.TRAINER))
-            for side in self._sides
-            if side.version.get(self.name, 0) >= newest
-        )
+        room = free_slots(self._entry.views(self.name), newest)
         waiting, flying, steps = [], [], {}
         for step, groups in self._steps.items():
             early = 0
@@ -200,7 +197,8 @@
         )
         before, since = sample.seen
         if made > before:
-            self._note_rate(sample, made - before, now - since)
+            if before > sample.kept_tokens:
+                self._note_rate(sample, made - before, now - since)
             sample.seen = (made, now)
         began = sample.started if sample.started is not None else now
         version = sample.version if sample.version is not None else newest
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -19,11 +19,13 @@
 brings it under one common wait (`_common_wait`). No more is started than there is room for: a
 sample that waits at a sampler holds a place and starts no earlier.
 
-Stragglers: a sample of the next step is continued elsewhere, from the tokens received, when that
-is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. The cost is one
+Stragglers: a sample that would be late is continued elsewhere, from the tokens received, when that
+is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. One that would be in
+time even if it were moved `MOVE_MARGIN` later is left, for its upstream may recover by itself. The cost is one
 prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND` times the
 typical first-token time is started a second time beside the first (hedged), for it may only wait
-in a queue. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
+in a queue. A move needs room elsewhere, for a sample that is moved into a queue stalls again; early
+starts leave `MOVE_RESERVE` of what is in flight free for it. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
 everything, in which no move helps, does not become a storm of prefills.
 """
 
@@ -54,10 +56,12 @@
 MOVE_GAIN = 1.5
 MIN_SAVING = timedelta(seconds=2)
 MOVE_SHARE = 0.1
+MOVE_RESERVE = 0.05
 STALL_BOUND = 4
 MIN_STALL = timedelta(seconds=5)
 MIN_RUN = timedelta(seconds=8)
 MAX_COPIES = 2
+MOVE_MARGIN = timedelta(seconds=10)
 RESIDUAL_SHARE = 0.5
 TAIL_FACTOR = 2.0
 WAIT_BISECTIONS = 12
@@ -167,21 +171,25 @@
     def plan(self, view: RolloutView) -> RolloutPlan:
         """Return what to do now."""
         stragglers = self.stragglers(view)
-        extra = sum(decision.action is StragglerAction.HEDGE for decision in stragglers)
-        return RolloutPlan(stragglers, self.start(view, view.room - extra))
+        moved = sum(decision.action is not StragglerAction.GIVE_UP for decision in stragglers)
+        return RolloutPlan(stragglers, self.start(view, view.room - moved))
 
     def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
         """Return the samples to start within the room, the most urgent first."""
+        reserve = int(len(view.in_flight) * MOVE_RESERVE)
         waits: dict[int, float] = {}
         starts = []
-        for group in sorted(view.waiting, key=lambda group: (group.step, -group.expected_tokens)):
+        for group in sorted(view.waiting, key=lambda group: (_slack(view, group), group.id)):
             if room <= 0:
                 break
             if group.step not in waits:
                 waits[group.step] = self._common_wait(view, group.step)
             if not self._may_start(view, group, waits[group.step]):
                 continue
-            count = min(group.samples, room)
+            early = _staleness(view, group.step, view.sampler_version) > 0
+            count = min(group.samples, room - reserve if early else room)
+            if count <= 0:
+                continue
             room -= count
             starts.append(StartSamples(group.id, count, view.sampler_version))
         return tuple(starts)
@@ -200,7 +208,7 @@
             if sample.id not in given_up and (saving := _saving(view, sample)) >= MIN_SAVING
         ]
         slow.sort(key=lambda pair: (-pair[0], pair[1].id))
-        moves = max(1, int(len(view.in_flight) * MOVE_SHARE))
+        moves = min(view.room, max(1, int(len(view.in_flight) * MOVE_SHARE)))
         decisions += [StragglerDecision(sample.id, _move(sample)) for _, sample in slow[:moves]]
         return tuple(decisions)
 
@@ -243,6 +251,13 @@
         )
 
 
+def _slack(view: RolloutView, group: GroupView) -> float:
+    """Return the seconds that may pass before the group must start to be there in time."""
+    steps = group.step - view.next_step
+    needed = view.until_pull.total_seconds() + steps * view.step_time.total_seconds()
+    return needed - _tail_seconds(view, group)
+
+
 def _tail_seconds(view: RolloutView, group: GroupView) -> float:
     return _duration(view, group.expected_tokens * TAIL_FACTOR).total_seconds()
 
@@ -264,21 +279,27 @@
 
 def _saving(view: RolloutView, sample: SampleView) -> timedelta:
     """Return how much earlier the sample is expected to end elsewhere, or 0 if not worthwhile."""
-    if sample.step != view.next_step or sample.copies >= MAX_COPIES or sample.running < MIN_RUN:
+    if sample.copies >= MAX_COPIES or sample.running < MIN_RUN:
         return ZERO
     left = _remaining_tokens(sample)
     elsewhere = _duration(view, left)
-    stalled = sample.since_progress > max(view.first_token * STALL_BOUND, MIN_STALL)
-    if stalled:
-        here = elsewhere * MOVE_GAIN + MIN_SAVING + sample.since_progress
-    elif sample.tokens_per_second > 0:
-        here = timedelta(seconds=left / sample.tokens_per_second)
-    else:
-        return ZERO
-    if here <= view.until_pull or here < elsewhere * MOVE_GAIN:
+    needed = view.until_pull + view.step_time * (sample.step - view.next_step)
+    here = _expected_here(view, sample, left, elsewhere)
+    # While it would still be there in time after a later move, its upstream may yet recover.
+    if here <= needed or needed > elsewhere + MOVE_MARGIN or here < elsewhere * MOVE_GAIN:
         return ZERO
     return here - elsewhere
 
 
+def _expected_here(
+    view: RolloutView, sample: SampleView, left: float, elsewhere: timedelta
+) -> timedelta:
+    if sample.since_progress > max(view.first_token * STALL_BOUND, MIN_STALL):
+        return elsewhere * MOVE_GAIN + MIN_SAVING + sample.since_progress
+    if sample.tokens_per_second <= 0:
+        return ZERO
+    return timedelta(seconds=left / sample.tokens_per_second)
+
+
 def _move(sample: SampleView) -> StragglerAction:
     return StragglerAction.RESUME if sample.tokens_done else StragglerAction.HEDGE
