--- a/tests/configs/test_config_agreement.py
+++ b/tests/configs/test_config_agreement.py
@@ -20,8 +20,10 @@
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 PROCESSES = 4
-RECORDS_KEPT = 2
+RECORDS_KEPT = (2, 8, 2, 8)
 FIRST_RECORDS = 4
+BAG_SIZE = 30
+MIN_INFORMED = 2
 NAMES = ("a", "b")
 NODES = st.integers(0, PROCESSES - 1)
 
@@ -40,17 +42,20 @@
         """Start with an empty log and empty processes."""
         self.log: list[LogRecord] = []
         self.first = 1
+        self.model: dict[str, tuple[int, int | None]] = {"a": (FIRST_RECORDS, FIRST_RECORDS)}
         self.reference = ConfigFold()
         self.snapshots = {0: ConfigFold().snapshot()}
-        self.relays = [self.new_relay() for _ in range(PROCESSES)]
+        self.relays = [self.new_relay(node) for node in range(PROCESSES)]
         self.highest = [0] * PROCESSES
         self.bag: list[tuple[int, int, Message]] = []
         for version in range(FIRST_RECORDS):
-            self.append(weights("a", version, version))
+            self.append(weights("a", version + 1, version))
+        for node in range(MIN_INFORMED):
+            self.read_log(node, FIRST_RECORDS - node)
 
-    def new_relay(self) -> ConfigRelay:
+    def new_relay(self, node: int) -> ConfigRelay:
         """Return a process that knows nothing and keeps few records."""
-        return ConfigRelay(ConfigFold(), RECORDS_KEPT)
+        return ConfigRelay(ConfigFold(), RECORDS_KEPT[node])
 
     def append(self, data: Any) -> None:
         """Append a record to the log and fold it into the reference."""
@@ -71,6 +76,9 @@
         amends = self.relays[seen_by].fold.current_revision(Kind.WEIGHTS, name)
         data = weights(name, version, amends, schema)
         self.append({**data, "spec": None} if delete else data)
+        in_force = amends == self.model.get(name, (0, 0))[0] and schema == 1
+        if in_force and (delete or version > 0):
+            self.model[name] = (len(self.log), None if delete else version)
 
     @rule(data=st.sampled_from([{}, {"kind": "checkpoint"}, {"kind": 7}, [], "x"]))
     def append_nonsense(self, data: Any) -> None:
@@ -96,42 +104,42 @@
             for record in [r for r in kept if r.offset > relay.fold.offset][:count]:
                 relay.fold_record(record)
 
-    @rule(by=st.integers(1, 5))
-    def forget(self, by: int) -> None:
-        """Let the log forget its oldest records."""
-        self.first = min(self.first + by, len(self.log) + 1)
+    @rule(by=st.integers(1, 5), far=st.integers(0, 9))
+    def forget(self, by: int, far: int) -> None:
+        """Let the log forget its oldest records, now and then beyond the last checkpoint.
 
-    @rule(source=NODES, dest=NODES, start=st.integers(1, 8))
-    def push(self, source: int, dest: int, start: int) -> None:
+        Beyond it starters depend on what is left in the processes; done often, that would leave
+        nothing to test.
+        """
+        limit = len(self.log) + 1 if far == 0 else self.reference.checkpoint.as_of + 1
+        self.first = max(self.first, min(self.first + by, limit))
+
+    @rule(source=NODES, dest=NODES, start=st.integers(1, 8), lose=st.booleans())
+    def push(self, source: int, dest: int, start: int, lose: bool) -> None:
         """Send a delta from anywhere, as a push or an answer that was asked for long ago."""
         self.send(source, dest, self.relays[source].delta_since(start))
-
-    @rule(source=NODES, dest=NODES)
-    def ask(self, source: int, dest: int) -> None:
-        """Ask for what comes next."""
-        self.send(source, dest, ConfigRequest(self.relays[source].fold.offset + 1))
-
-    @rule(index=st.integers(0, 1000), keep=st.booleans())
-    def deliver(self, index: int, keep: bool) -> None:
-        """Deliver any message in the bag; it may stay there to come again."""
-        if not self.bag:
-            return
-        at = index % len(self.bag)
-        source, dest, message = self.bag[at]
-        if not keep:
-            del self.bag[at]
-        self.receive(source, dest, message)
-
-    @rule(index=st.integers(0, 1000))
-    def drop(self, index: int) -> None:
-        """Lose a message."""
-        if self.bag:
-            del self.bag[index % len(self.bag)]
+        self.send(dest, source, ConfigRequest(self.relays[dest].fold.offset + 1))
+        if lose:
+            self.bag.pop(0)
+
+    @rule(indices=st.lists(st.integers(0, 1000), min_size=3, max_size=8), keep=st.booleans())
+    def deliver(self, indices: list[int], keep: bool) -> None:
+        """Deliver any messages in the bag; they may stay there to come again."""
+        for index in indices:
+            if not self.bag:
+                return
+            at = index % len(self.bag)
+            source, dest, message = self.bag[at]
+            if not keep:
+                del self.bag[at]
+            self.receive(source, dest, message)
 
     @rule(node=NODES)
     def replace(self, node: int) -> None:
-        """Replace a process by one that knows nothing."""
-        self.relays[node] = self.new_relay()
+        """Replace a process, unless it is the last to know anything, by one that knows nothing."""
+        if sum(relay.fold.offset > 0 for relay in self.relays) < MIN_INFORMED:
+            return
+        self.relays[node] = self.new_relay(node)
         self.highest[node] = 0
 
     @rule(node=NODES)
@@ -149,9 +157,9 @@
         assert self.relays[node].fold.offset == highest
 
     def send(self, source: int, dest: int, message: Message) -> None:
-        """Put a message into the bag."""
-        if source != dest and len(self.bag) < 50:
-            self.bag.append((source, dest, message))
+        """Put a message into the bag, which loses its oldest when full."""
+        self.bag.append((source, dest, message))
+        del self.bag[:-BAG_SIZE]
 
     def receive(self, source: int, dest: int, message: Message) -> None:
         """Let a process take a message and answer."""
@@ -173,6 +181,14 @@
             assert relay.fold.snapshot() == self.snapshots[relay.fold.offset]
             assert relay.fold.digest_mismatches == 0
 
+    @invariant()
+    def first_amendment_wins(self) -> None:
+        """Of the records that amend one revision only the first good one is in force."""
+        for name, (revision, version) in getattr(self, "model", {}).items():
+            assert self.reference.current_revision(Kind.WEIGHTS, name) == revision
+            found = self.reference.weights(name)
+            assert (None if found is None else found[0].version) == version
+
     @invariant()
     def none_goes_back(self) -> None:
         """No offset in force goes down while its process lives."""
@@ -182,4 +198,4 @@
 
 
 TestAgreement = Agreement.TestCase
-TestAgreement.settings = settings(max_examples=150, stateful_step_count=60)
+TestAgreement.settings = settings(max_examples=200, stateful_step_count=50)
