--- a/cranberryline/side/claims.py
+++ b/cranberryline/side/claims.py
@@ -1,6 +1,7 @@
 """Claim idempotency keys on the log before a request runs, and record what came of it."""
 
 import asyncio
+import contextlib
 import hashlib
 import itertools
 import uuid
@@ -33,6 +34,7 @@
 RETRY_AFTER_OUTAGE = timedelta(seconds=2)
 RETRY_AFTER_RUNNING = timedelta(seconds=1)
 RETRY_SETTLE = timedelta(seconds=1)
+ABANDON_WAIT = timedelta(milliseconds=500)
 READ_LIMIT = 500
 # Outcomes, and as many abandons, that the log has not taken yet; beyond it the oldest are dropped
 # and their keys are told as unknown until the window ends.
@@ -102,6 +104,7 @@
         self._active: dict[str, Granted] = {}
         self._outcomes: dict[str, tuple[Record, ClaimOutcome]] = {}
         self._abandons: dict[str, Record] = {}
+        self._abandon_waiters: dict[str, asyncio.Future[None]] = {}
         self._task: asyncio.Task[None] | None = None
         self._stopped = False
 
@@ -147,9 +150,21 @@
         self._active.pop(claim.claim_id, None)
 
     async def async_abandon(self, claim: Granted) -> None:
-        """Free the key of a granted claim that was not run and never will be."""
-        if self._active.pop(claim.claim_id, None) is not None:
-            self._abandon(claim.key, claim.claim_id)
+        """Free the key of a granted claim that was not run and never will be.
+
+        Return when the log has taken it, or does not for a while. A `NotRun` that overtakes the
+        abandon sends the entry to another side process, which would still find the key claimed
+        and tell the caller `in progress` of a request that nobody runs.
+        """
+        if self._active.pop(claim.claim_id, None) is None:
+            return
+        self._abandon(claim.key, claim.claim_id)
+        appended = asyncio.get_running_loop().create_future()
+        self._abandon_waiters[claim.claim_id] = appended
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ABANDON_WAIT.total_seconds()):
+                await appended
+        self._abandon_waiters.pop(claim.claim_id, None)
 
     async def async_stop(self) -> None:
         """Refuse what is pending and end the task, after one last try to record outcomes."""
@@ -196,6 +211,7 @@
             for claim_id in notes:
                 self._outcomes.pop(claim_id, None)
                 self._abandons.pop(claim_id, None)
+                self._tell_abandoned(claim_id)
             if pendings:
                 await self._async_decide(pendings, max(appended.unwrap()))
         except BaseException:
@@ -328,6 +344,11 @@
         _keep_newest(self._abandons)
         self._wake()
 
+    def _tell_abandoned(self, claim_id: str) -> None:
+        waiter = self._abandon_waiters.pop(claim_id, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
     def _take_pending(self) -> list[_Pending]:
         taken = self._pending[:MAX_RECORDS_PER_APPEND]
         del self._pending[:MAX_RECORDS_PER_APPEND]
--- a/tests/requests/test_claim_service.py
+++ b/tests/requests/test_claim_service.py
@@ -204,7 +204,8 @@
         use = self.uses.pop(at % len(self.uses))
         service = self.services[use.side]
         if how == "abandon" or not use.granted.may_start(self.clock.monotonic()):
-            self._settle(service.async_abandon(use.granted))
+            self.loop.create_task(service.async_abandon(use.granted))
+            self._settle()
             return
         self.runs.append((use.granted.key, self.clock.monotonic()))
         body = f"{use.granted.key}/{len(self.runs)}".encode()
@@ -420,6 +421,21 @@
     asyncio.run(async_play())
 
 
+def test_abandon_is_on_the_log_before_anyone_is_told(log: ScriptedLog, clock: FakeClock) -> None:
+    """The upstream can't be reached, the claim is given back and the entry told `NotRun`.
+
+    It sends the request to another side process at once. That one must find the key free.
+    """
+
+    async def async_play() -> None:
+        one, two = make_service(log, clock, "one"), make_service(log, clock, "two")
+        granted = (await one.async_claim("k", "f", BUDGET)).unwrap()
+        await one.async_abandon(granted)
+        assert (await two.async_claim("k", "f", BUDGET)).is_ok()
+
+    asyncio.run(async_play())
+
+
 def test_cancelled_claim_is_given_back(log: ScriptedLog, clock: FakeClock) -> None:
     """A caller leaves while its claim is being made; the key is free for its next attempt."""
 
