Make an answer broken also when its write ends after the cut

Found by tests/requests/test_protocol.py once requests begin at every stage: a chunk was being written to the caller when the next frame broke the answer, the attempt came out as unknown, and an idempotent request was sent again behind the part that had left. Trace added; seen failing before the change.

--- a/cranberryline/requests/attempt.py
+++ b/cranberryline/requests/attempt.py
@@ -61,6 +61,10 @@
     def mark_forwarded(self) -> None:
         """Note that a byte of the answer, its status line included, went to the caller."""
         self._forwarded = True
+        # The write to the caller can end after the frame that broke the answer was taken in; sent
+        # again on the strength of the earlier outcome, two answers would run into each other.
+        if isinstance(self._outcome, AttemptUnknown):
+            self._outcome = AttemptBroken(self._outcome.reason)
 
     def on_head(self, status: int) -> bool:
         """Take in the beginning of the answer."""
