Count an affine upstream as faster by what its cache saves

Before, affinity was taken whenever the expected time was within 1.25 of the mean, which cost callers more than a cached prefix saves.

--- a/bench/model/baselines.py
+++ b/bench/model/baselines.py
@@ -15,8 +15,8 @@
     Admit,
     GiveUp,
     GiveUpReason,
-    Refuse,
     RefusalReason,
+    Refuse,
     RetryBudget,
     RetryElsewhere,
     RetryPolicy,
@@ -30,8 +30,8 @@
     UpstreamView,
     WorkItem,
     WorkQueue,
+    rendezvous,
 )
-from cranberryline.decisions import rendezvous
 
 __all__ = [
     "AdmitAll",
--- a/bench/model/entry.py
+++ b/bench/model/entry.py
@@ -133,6 +133,7 @@
             tokens=call.prompt_tokens // 20 + call.expected_tokens,
             priority=call.priority,
             prefix_key=call.prefix,
+            prefix_tokens=call.prompt_tokens // 20,
             min_weight_version=call.min_version,
             excluded=excluded,
         )
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -63,7 +63,7 @@
 MAX_COPIES = 2
 MOVE_MARGIN = timedelta(seconds=10)
 RESIDUAL_SHARE = 0.5
-TAIL_FACTOR = 2.0
+TAIL_FACTOR = 3.0
 WAIT_BISECTIONS = 12
 
 
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -14,11 +14,11 @@
 `SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
 reports do not all choose the same upstream; own counts alone would allow the best of all.
 
-Prefix affinity: the first `AFFINITY_CHOICES` upstreams by rendezvous hash of the prefix key are
-preferred while they have a free slot (or none has) and their expected time is at most
-`AFFINITY_BOUND` times the mean. A prefix that is
-too popular for them spills to the others; affinity costs at most that factor in wait. The group
-of a step shares its prompt and so goes together as far as the bound lets it.
+Prefix affinity: the first upstream by rendezvous hash of the prefix key is expected to hold the
+prefix, and its expected time is less by the work that this saves. So affinity never makes a
+request wait longer than it saves, and a prefix that is too popular spills to the others by itself.
+One upstream a prefix, for with two each cache has to hold twice as many (measured: load "many
+prefixes" in docs/POLICY.md).
 
 An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
 down by `health` counts as slower by its weight; a due probe goes first, as one request.
@@ -27,7 +27,7 @@
 from collections.abc import Sequence
 from datetime import timedelta
 from random import Random
-from statistics import fmean, median
+from statistics import median
 
 import attrs
 
@@ -41,8 +41,7 @@
 
 REPORT_HALF_LIFE = timedelta(seconds=2)
 SAMPLE_SIZE = 4
-AFFINITY_CHOICES = 2
-AFFINITY_BOUND = 1.25
+AFFINITY_CHOICES = 1
 FAR_PENALTY = 0.05
 SLOW_SHARE = 0.5
 SHARING_COST = 0.25
@@ -72,12 +71,13 @@
 
 @attrs.frozen
 class RouteRequest:
-    """A request as routing sees it."""
+    """A request as routing sees it; `prefix_tokens` of its `tokens` are saved by a cached prefix."""
 
     tokens: int
     priority: Priority = Priority.APPLICATION
     data_center: str = ""
     prefix_key: str | None = None
+    prefix_tokens: int = 0
     min_weight_version: int | None = None
     excluded: frozenset[str] = frozenset()
     may_probe: bool = True
@@ -88,7 +88,6 @@
     """Routing by expected time, with bounded affinity."""
 
     sample_size: int = SAMPLE_SIZE
-    affinity_bound: float = AFFINITY_BOUND
     affinity_choices: int = AFFINITY_CHOICES
     report_half_life: timedelta = REPORT_HALF_LIFE
 
@@ -105,12 +104,16 @@
         if not healthy:
             return None
         rate = _typical_rate(healthy)
-        if req.prefix_key is not None:
-            chosen = self._by_affinity(healthy, req, rate)
-            if chosen is not None:
-                return chosen
+        preferred = self._preferred(healthy, req)
         drawn = rng.sample(healthy, min(self.sample_size, len(healthy)))
-        return min(drawn, key=lambda upstream: self.expected_seconds(upstream, req, rate)).id
+        drawn += [upstream for upstream in preferred if upstream not in drawn]
+        cached = attrs.evolve(req, tokens=max(0, req.tokens - req.prefix_tokens))
+
+        def cost(upstream: UpstreamView) -> float:
+            work = cached if upstream in preferred else req
+            return self.expected_seconds(upstream, work, rate)
+
+        return min(drawn, key=cost).id
 
     def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
         """Return the time in which the upstream would be done with the request, roughly."""
@@ -135,15 +138,12 @@
             return 0.0
         return 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
 
-    def _by_affinity(
-        self, healthy: Sequence[UpstreamView], req: RouteRequest, rate: float
-    ) -> str | None:
-        seconds = {u.id: self.expected_seconds(u, req, rate) for u in healthy}
-        bound = self.affinity_bound * fmean(seconds.values())
-        with_slot = {u.id for u in healthy if self._has_slot(u, req)}
-        allowed = with_slot or set(seconds)
-        ranked = rendezvous.rank(req.prefix_key or "", seconds)[: self.affinity_choices]
-        return next((m for m in ranked if m in allowed and seconds[m] <= bound), None)
+    def _preferred(self, healthy: Sequence[UpstreamView], req: RouteRequest) -> list[UpstreamView]:
+        if req.prefix_key is None or not req.prefix_tokens:
+            return []
+        by_id = {upstream.id: upstream for upstream in healthy}
+        ranked = rendezvous.rank(req.prefix_key, by_id)
+        return [by_id[member] for member in ranked[: self.affinity_choices]]
 
 
 def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
