--- /dev/null
+++ b/tests/decisions/test_rollout.py
@@ -0,0 +1,189 @@
+"""Which samples are started, and what becomes of stragglers."""
+
+from datetime import timedelta
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cranberryline.decisions import (
+    GroupView,
+    RolloutPolicy,
+    RolloutSettings,
+    RolloutView,
+    SampleView,
+    StepView,
+    StragglerAction,
+)
+
+STEP = timedelta(seconds=60)
+
+
+def view(**fields: object) -> RolloutView:
+    """Return a trainer that trains on step 4 at version 4, and takes step 5 in half a minute."""
+    groups = [
+        GroupView(f"{step}/{i}", step, 8, 100 + 200 * i) for step in (5, 6, 7) for i in range(4)
+    ]
+    defaults = {
+        "next_step": 5,
+        "version_at_pull": 5,
+        "until_pull": timedelta(seconds=30),
+        "step_time": STEP,
+        "sampler_version": 4,
+        "room": 1000,
+        "sample_tokens_per_second": 50.0,
+        "first_token": timedelta(seconds=0.5),
+        "steps": {step: StepView(32, 0) for step in (5, 6, 7)},
+        "waiting": groups,
+        "in_flight": (),
+    }
+    return RolloutView(**{**defaults, **fields})  # type: ignore[arg-type]
+
+
+def sample(**fields: object) -> SampleView:
+    """Return a sample of step 5 that has half of its 1,000 tokens and makes 50 a second."""
+    defaults = {
+        "id": "s",
+        "step": 5,
+        "version": 4,
+        "expected_tokens": 1000,
+        "tokens_done": 500,
+        "running": timedelta(seconds=10),
+        "since_progress": timedelta(),
+        "tokens_per_second": 50.0,
+    }
+    return SampleView(**{**defaults, **fields})  # type: ignore[arg-type]
+
+
+def policy(freshness: float, bound: int = 2) -> RolloutPolicy:
+    """Return a policy."""
+    return RolloutPolicy(RolloutSettings(freshness, bound))
+
+
+def started(plan_of: RolloutPolicy, seen: RolloutView) -> list[str]:
+    """Return the groups that are started, in order."""
+    return [start.group for start in plan_of.plan(seen).start]
+
+
+def test_full_freshness_waits_for_the_weights_of_the_step() -> None:
+    """Nothing starts while the trainer trains; when its new weights are served the step starts."""
+    assert started(policy(1.0), view()) == []
+    ready = view(until_pull=timedelta(), sampler_version=5)
+    assert sorted(started(policy(1.0), ready)) == ["5/0", "5/1", "5/2", "5/3"]
+
+
+def test_no_freshness_starts_all_that_the_bound_allows() -> None:
+    """Steps 5 and 6 would be one and two versions old; step 7 would be three and must wait."""
+    groups = started(policy(0.0), view())
+    assert {group[0] for group in groups} == {"5", "6"}
+    assert len(groups) == 8
+
+
+def test_the_allowance_between_goes_to_the_longest() -> None:
+    """An allowance of half a version a sample starts the longest groups of step 5 early."""
+    groups = started(policy(0.75), view())
+    assert "5/3" in groups
+    assert "5/0" not in groups
+
+
+def test_what_was_started_early_is_taken_off_the_allowance() -> None:
+    """The step has used up its allowance; the rest waits for new weights."""
+    used = {5: StepView(32, 32), 6: StepView(32, 32), 7: StepView(32, 0)}
+    assert started(policy(0.5), view(steps=used)) == []
+
+
+def test_no_more_is_started_than_there_is_room_for() -> None:
+    """A sample that waits at a sampler starts no earlier, and holds a place."""
+    plan = policy(0.0).plan(view(room=10))
+    assert sum(start.samples for start in plan.start) == 10
+
+
+def test_a_stalled_sample_is_continued_elsewhere_from_what_it_has() -> None:
+    """Its upstream has sent no token for ten seconds and the trainer waits for the step."""
+    stalled = sample(since_progress=timedelta(seconds=10))
+    plan = policy(0.5).plan(view(until_pull=timedelta(), in_flight=(stalled,)))
+    assert [decision.action for decision in plan.stragglers] == [StragglerAction.RESUME]
+
+
+def test_a_sample_without_any_token_is_hedged() -> None:
+    """It may only wait in a queue, so the first copy stays; a second copy gets no third."""
+    silent = sample(tokens_done=0, since_progress=timedelta(seconds=30), tokens_per_second=0.0)
+    waits = view(until_pull=timedelta(), in_flight=(silent,))
+    assert policy(0.5).plan(waits).stragglers[0].action is StragglerAction.HEDGE
+    twice = view(until_pull=timedelta(), in_flight=(attrs.evolve(silent, copies=2),))
+    assert policy(0.5).plan(twice).stragglers == ()
+
+
+def test_a_crawling_sample_that_is_not_needed_yet_stays() -> None:
+    """Its step is two minutes away; its upstream may recover by itself."""
+    slow = sample(step=7, version=5, tokens_per_second=1.0)
+    assert policy(0.5).plan(view(in_flight=(slow,))).stragglers == ()
+
+
+def test_a_slowdown_of_everything_moves_little() -> None:
+    """Every sample crawls, so no place is better; at most a tenth is moved in one round."""
+    crawling = tuple(sample(id=f"s{i}", tokens_per_second=1.0) for i in range(50))
+    seen = view(until_pull=timedelta(), in_flight=crawling, waiting=())
+    assert policy(0.5).plan(attrs.evolve(seen, sample_tokens_per_second=1.0)).stragglers == ()
+    assert len(policy(0.5).plan(seen).stragglers) == 5
+
+
+def test_without_room_nothing_is_moved() -> None:
+    """A sample that is moved into a queue stalls again."""
+    stalled = sample(since_progress=timedelta(seconds=10))
+    seen = view(until_pull=timedelta(), in_flight=(stalled,), room=0)
+    assert policy(0.5).plan(seen).stragglers == ()
+
+
+def test_a_sample_that_will_be_too_stale_is_given_up_and_made_again() -> None:
+    """Its oldest tokens are of version 2; at version 5 the bound of two is missed."""
+    old = sample(version=2)
+    plan = policy(0.5).plan(view(in_flight=(old,)))
+    assert [decision.action for decision in plan.stragglers] == [StragglerAction.GIVE_UP]
+
+
+WAITING = st.lists(
+    st.builds(
+        GroupView,
+        id=st.uuids().map(str),
+        step=st.integers(5, 8),
+        samples=st.integers(1, 8),
+        expected_tokens=st.integers(1, 4096),
+    ),
+    max_size=30,
+    unique_by=lambda group: group.id,
+)
+
+
+@given(WAITING, st.floats(0, 1), st.integers(0, 3), st.integers(0, 100), st.integers(3, 5))
+def test_nothing_is_started_that_would_miss_the_bound(
+    waiting: list[GroupView], freshness: float, bound: int, room: int, served: int
+) -> None:
+    """Starts stay within room, bound and allowance, and are a function of the view."""
+    steps = {
+        step: StepView(sum(group.samples for group in waiting if group.step == step), 0)
+        for step in range(5, 9)
+    }
+    seen = view(waiting=waiting, steps=steps, room=room, sampler_version=served)
+    plan = policy(freshness, bound).plan(seen)
+    assert plan == policy(freshness, bound).plan(seen)
+    groups = {group.id: group for group in waiting}
+    assert sum(start.samples for start in plan.start) <= room
+    early = dict.fromkeys(steps, 0)
+    for start in plan.start:
+        group = groups[start.group]
+        assert start.samples <= group.samples
+        staleness = 5 + group.step - 5 - start.min_version
+        assert staleness <= bound
+        early[group.step] += max(0, staleness) * start.samples
+    for step, spent in early.items():
+        assert spent <= (1 - freshness) * bound * steps[step].samples + 1e-6
+
+
+@pytest.mark.parametrize("freshness", [0.0, 0.5, 1.0])
+def test_a_ready_trainer_gets_everything_of_its_step(freshness: float) -> None:
+    """The trainer waits and the samplers serve its version: the whole step is started."""
+    seen = view(until_pull=timedelta(), sampler_version=5)
+    groups = [group for group in started(policy(freshness), seen) if group.startswith("5/")]
+    assert len(groups) == 4
