--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -70,6 +70,18 @@
     early: int = 0
 
 
+@attrs.define(eq=False)
+class _Group:
+    """A group, with counts that are kept so that a plan need not look at every sample."""
+
+    id: str
+    step: int
+    expected: int
+    samples: list[_Sample]
+    waiting: int
+    early: int = 0
+
+
 class TrainerModel:
     """Take steps one after the other, and ask the policy which samples to make."""
 
@@ -101,7 +113,9 @@
         self._step_time = settings.train_seconds
         self._took = 0.0
         self._first = 0.0
-        self._steps: dict[int, dict[str, list[_Sample]]] = {}
+        self._steps: dict[int, list[_Group]] = {}
+        self._groups: dict[str, _Group] = {}
+        self._flying: dict[str, _Sample] = {}
         self._paces: list[float] = []
         self._planned = False
         self._declare()
@@ -118,23 +132,21 @@
     def _declare(self) -> None:
         for step in range(self._next_step, self._next_step + STEPS_DECLARED):
             if step not in self._steps:
-                self._steps[step] = {
-                    f"{self.name}/{step}/{i}": self._group(step, i) for i in range(self._cfg.groups)
-                }
+                groups = [self._make_group(step, i) for i in range(self._cfg.groups)]
+                self._steps[step] = groups
+                self._groups |= {group.id: group for group in groups}
 
-    def _group(self, step: int, index: int) -> list[_Sample]:
+    def _make_group(self, step: int, index: int) -> _Group:
         cfg, rng = self._cfg, Random(f"{self.name}/{step}/{index}/{self._seed}")
         typical = cfg.median_tokens * rng.lognormvariate(0, cfg.group_spread)
-        expected = int(typical * rng.lognormvariate(0, cfg.estimate_spread))
-        group = f"{self.name}/{step}/{index}"
+        expected = min(int(typical * rng.lognormvariate(0, cfg.estimate_spread)), cfg.max_tokens)
+        name = f"{self.name}/{step}/{index}"
         samples = []
         for i in range(cfg.group_size):
             tokens = int(typical * rng.lognormvariate(0, cfg.sample_spread))
             tokens = min(max(tokens, 8), cfg.max_tokens)
-            samples.append(
-                _Sample(f"{group}/{i}", step, tokens, min(expected, cfg.max_tokens), group)
-            )
-        return samples
+            samples.append(_Sample(f"{name}/{i}", step, tokens, expected, name))
+        return _Group(name, step, expected, samples, len(samples))
 
     def _tick(self) -> None:
         self._plan()
@@ -149,13 +161,12 @@
         self._planned = False
         view = self._view()
         plan = self._policy.plan(view)
-        samples = {s.id: s for groups in self._steps.values() for g in groups.values() for s in g}
         for decision in plan.stragglers:
-            self._act(samples[decision.sample], decision.action)
+            self._act(self._flying[decision.sample], decision.action)
         for start in plan.start:
-            step = int(start.group.split("/")[1])
-            idle = [s for s in self._steps[step][start.group] if not s.calls and not s.done]
-            early = view.version_at_pull + step - view.next_step - start.min_version
+            group = self._groups[start.group]
+            early = view.version_at_pull + group.step - view.next_step - start.min_version
+            idle = [sample for sample in group.samples if not sample.calls and not sample.done]
             for sample in idle[: start.samples]:
                 sample.early = max(0, early)
                 self._start(sample, start.min_version)
@@ -165,16 +176,7 @@
         training = self._training_until is not None
         newest = max(side.version.get(self.name, 0) for side in self._sides)
         room = free_slots(self._entry.views(self.name), newest)
-        waiting, flying, steps = [], [], {}
-        for step, groups in self._steps.items():
-            early = 0
-            for group, samples in groups.items():
-                idle = [s for s in samples if not s.calls and not s.done]
-                early += sum(s.early for s in samples if s.calls or s.done)
-                if idle:
-                    waiting.append(GroupView(group, step, len(idle), idle[0].expected))
-                flying += [self._sample_view(s, newest) for s in samples if s.calls and not s.done]
-            steps[step] = StepView(self._cfg.groups * self._cfg.group_size, early)
+        size = self._cfg.groups * self._cfg.group_size
         return RolloutView(
             next_step=self._next_step,
             version_at_pull=self._version + training,
@@ -184,9 +186,17 @@
             room=room,
             sample_tokens_per_second=median(self._paces) if self._paces else SPEED_GUESS,
             first_token=FIRST_TOKEN,
-            steps=steps,
-            waiting=waiting,
-            in_flight=flying,
+            steps={
+                step: StepView(size, sum(group.early for group in groups))
+                for step, groups in self._steps.items()
+            },
+            waiting=[
+                GroupView(group.id, group.step, group.waiting, group.expected)
+                for groups in self._steps.values()
+                for group in groups
+                if group.waiting
+            ],
+            in_flight=[self._sample_view(sample, newest) for sample in self._flying.values()],
         )
 
     def _sample_view(self, sample: _Sample, newest: int) -> SampleView:
@@ -222,6 +232,11 @@
     def _start(
         self, sample: _Sample, min_version: int, exclude: frozenset[str] = frozenset()
     ) -> None:
+        if not sample.calls and sample.id not in self._flying:
+            self._flying[sample.id] = sample
+            group = self._groups[sample.prefix]
+            group.waiting -= 1
+            group.early += sample.early
         sample.started = self._sim.seconds
         sample.rate = 0.0
         sample.seen = (sample.kept_tokens, self._sim.seconds)
@@ -260,19 +275,29 @@
         if give_up:
             self._metrics.tokens_wasted += sample.kept_tokens
             sample.kept_tokens, sample.version = 0, None
+            self._land(sample, wait_again=True)
             return
         sample.kept_tokens = min(sample.kept_tokens + made, sample.tokens - 1)
         self._start(sample, 0, frozenset(held))
 
+    def _land(self, sample: _Sample, wait_again: bool) -> None:
+        """Count a sample as no longer in flight."""
+        if self._flying.pop(sample.id, None) is not None and wait_again:
+            group = self._groups[sample.prefix]
+            group.waiting += 1
+            group.early -= sample.early
+
     def _ended(self, sample: _Sample, call: Call, how: str) -> None:
         if call not in sample.calls:
             return
         sample.calls.remove(call)
         if how != CallEnd.DONE:
-            if not sample.calls and not sample.kept_tokens:
-                sample.version = None
+            if not sample.calls:
+                sample.version = sample.version if sample.kept_tokens else None
+                self._land(sample, wait_again=True)
             return
         sample.done = True
+        self._land(sample, wait_again=False)
         for other in list(sample.calls):
             sample.calls.remove(other)
             self._entry.cancel(other, CallEnd.LEFT)
@@ -284,7 +309,7 @@
     def _take_step(self) -> None:
         if self._training_until is not None:
             return
-        samples = [s for group in self._steps[self._next_step].values() for s in group]
+        samples = [s for group in self._steps[self._next_step] for s in group.samples]
         if not all(sample.done for sample in samples):
             return
         bound = self._policy.settings.staleness_bound
@@ -292,6 +317,8 @@
         for sample in stale:
             self._metrics.tokens_wasted += sample.tokens
             sample.done, sample.version, sample.kept_tokens = False, None, 0
+            self._groups[sample.prefix].waiting += 1
+            self._groups[sample.prefix].early -= sample.early
         if stale:
             return
         now = self._sim.seconds
@@ -304,7 +331,8 @@
         else:
             self._first = now
         self._took = now
-        del self._steps[self._next_step]
+        for group in self._steps.pop(self._next_step):
+            del self._groups[group.id]
         self._next_step += 1
         self._declare()
         self._training_until = now + self._cfg.train_seconds
