Count one crash as one failure of a step, and make broken samples again elsewhere

Cause: fifteen attempts on a killed engine failed at once and took the step's pause straight to 5 s; and a stream that broke off was never retried by the dispatcher, though a sample's part is only kept in memory and can be forgotten. Ruled out: the retry budget (not spent), the engines (idle meanwhile). Change: an attempt begun before the last failure that counted pauses nothing again; a sink says whether it can restart, and only what has left for a caller makes an answer broken. Tests: both failed first. The test that a part is never taken for the whole now uses a sink that stands for a caller's connection; what it asserts is unchanged.

--- a/cranberryline/entry/attempt.py
+++ b/cranberryline/entry/attempt.py
@@ -159,7 +159,8 @@
     async def _async_take_chunk(self, msg: Chunk) -> None:
         if not self._attempt.on_chunk(msg.seq):
             return
-        self._attempt.mark_forwarded()
+        if not self._sink.can_restart:
+            self._attempt.mark_forwarded()
         await self._sink.async_chunk(msg.data)
         self._uncredited += len(msg.data)
         if self._uncredited >= _CREDIT_STEP:
--- a/cranberryline/entry/model.py
+++ b/cranberryline/entry/model.py
@@ -41,7 +41,13 @@
 
 
 class AnswerSink(abc.ABC):
-    """Take an answer as it arrives."""
+    """Take an answer as it arrives.
+
+    A sink that `can_restart` forgets an earlier attempt's part of an answer at the next head, so
+    that a broken answer may be made again; what has left for a caller cannot be taken back.
+    """
+
+    can_restart = False
 
     def dispatched(self, upstream: str) -> None:
         """Note which upstream an attempt goes to."""
@@ -59,6 +65,8 @@
 class CollectingSink(AnswerSink):
     """Keep the whole answer in memory."""
 
+    can_restart = True
+
     def __init__(self) -> None:
         self.status = 0
         self.headers: tuple[tuple[str, str], ...] = ()
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -39,6 +39,8 @@
 class _SampleSink(AnswerSink):
     """Feed an engine's stream to its attribution."""
 
+    can_restart = True
+
     def __init__(self, on_dispatched: Callable[[str], None]) -> None:
         self._on_dispatched = on_dispatched
         self.status = 0
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -110,6 +110,7 @@
         self._numbers = itertools.count(1)
         self._durations: deque[timedelta] = deque(maxlen=MAX_DURATIONS)
         self._failures = 0
+        self._failed_at = timedelta(microseconds=-1)
         self._not_before = timedelta()
         self._trainer_version = 0
         self._pulls = 0
@@ -124,6 +125,11 @@
         """Count the attempts in the making."""
         return len(self._attempts)
 
+    @property
+    def pause(self) -> timedelta:
+        """Return how long the step still waits after a failure before it starts anything."""
+        return max(self._not_before - self._clock.monotonic(), timedelta())
+
     @property
     def closed(self) -> bool:
         """Return whether the step's task has ended."""
@@ -314,14 +320,23 @@
         self._ready.set()
 
     def _fail(self, sample_id: SampleId, name: str, error: DispatchError) -> None:
-        """Give up an attempt and pause the step: at once again would find the same fault."""
+        """Give up an attempt and pause the step: at once again would find the same fault.
+
+        One engine that crashes fails all that ran on it. Counted one by one, fifteen attempts
+        would take the pause to its longest and stall the trainer after a fault that is over, so
+        an attempt that was begun before the last failure that counted pauses nothing again.
+        """
         self._ledger.discard(sample_id, name, error.reason)
         _LOGGER.debug("sample_failed", sample_id=name, reason=error.reason, detail=error.detail)
         self._ports.metrics.retry(error.reason.value)
-        pause = min(BACKOFF_START * 2 ** min(self._failures, 10), BACKOFF_MOST)
-        self._failures += 1
-        pause = max(pause, error.retry_after or timedelta())
-        self._not_before = max(self._not_before, self._clock.monotonic() + pause)
+        now = self._clock.monotonic()
+        pause = error.retry_after or timedelta()
+        if self._attempts[name].started > self._failed_at:
+            backoff = min(BACKOFF_START * 2 ** min(self._failures, 10), BACKOFF_MOST)
+            pause = max(pause, backoff)
+            self._failures += 1
+            self._failed_at = now
+        self._not_before = max(self._not_before, now + pause)
 
     def _is_stale(self, completion: Completion) -> bool:
         limits = self._read_limits()
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -14,6 +14,12 @@
 from .conftest import Bench, FakeSide, answer, silent
 
 
+class _CallerSink(CollectingSink):
+    """Stand for a caller's connection: what was written cannot be taken back."""
+
+    can_restart = False
+
+
 def _not_run(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
     exchange.push(NotRun(msg.id, "draining", 0))
 
@@ -96,11 +102,31 @@
     """
     side = bench.side("up-1", script)  # type: ignore[arg-type]
     other = bench.side("up-2", script)  # type: ignore[arg-type]
-    refusal = asyncio.run(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+    refusal = asyncio.run(bench.dispatcher.async_run(bench.request(), _CallerSink()))
     assert refusal.unwrap_err().begun
     assert len(side.submits) + len(other.submits) == 1
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_sample_that_breaks_off_is_made_again_elsewhere(bench: Bench, idempotent: bool) -> None:
+    """Who keeps the answer in memory gets the whole one of another upstream, never a mixture.
+
+    The part that came is forgotten at the next head. A non-idempotent request is still not sent
+    twice: it is told that it ran.
+    """
+    bench.side("up-1", _cut)
+    bench.side("up-2", _cut)
+    bench.table.get(bench.service, "up-2").peer.script = answer  # type: ignore[union-attr]
+    sink = CollectingSink()
+    req = bench.request(avoid=frozenset({"up-2"}), idempotent=idempotent)
+    result = asyncio.run(bench.dispatcher.async_run(req, sink))
+    if idempotent:
+        assert result.unwrap() == "up-2"
+        assert sink.body == b"whole"
+    else:
+        assert result.unwrap_err().ran is Ran.YES
+
+
 def test_concurrency_is_never_exceeded_and_the_queue_drains(bench: Bench) -> None:
     """Twenty callers of an upstream that runs two at a time all get their answers."""
     held: list[tuple[Exchange, Submit]] = []
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -17,7 +17,7 @@
 )
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ports import RolloutLimits, RunningSample
-from cranberryline.samples.runner import Pull, StepRunner
+from cranberryline.samples.runner import BACKOFF_START, Pull, StepRunner
 from cranberryline.samples.table import StepTable
 
 from .sample_fakes import FakeConfig, FakeDispatch, FakeScorer
@@ -115,6 +115,30 @@
     asyncio.run(async_play())
 
 
+def test_one_crash_is_one_failure(make_table: MakeTable, dispatch: FakeDispatch) -> None:
+    """All that ran on one engine fails at once, and the step pauses once, briefly.
+
+    Each attempt counted by itself would double the pause four times over, up to the longest:
+    a trainer with fifteen samples on an engine that crashed stood still for 5 s and more.
+    """
+
+    async def async_play() -> None:
+        dispatch.failing = DiscardReason.CUT
+        table = make_table()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        while (
+            dispatch.started.total() < 4 or dispatch.running
+        ):  # noqa: ASYNC110 - the fake counts plainly
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        dispatch.failing = None
+        assert runner.pause <= BACKOFF_START
+        assert len(await async_pull_all(runner)) == DECLARATION.size
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_stale_sample_is_made_again(
     make_table: MakeTable, dispatch: FakeDispatch, config: FakeConfig, metrics: Metrics
 ) -> None:
