Let the planned-stop tests bite, and close connections in order at a stop

Cause: with each safeguard taken out the first version of these tests still passed: the balancer's check fell together with the signal, and the upstream that was stopped was idle, since routing sent nearly all of a light load to the fastest one. Also found: at a stop the sockets were destroyed before their tasks had ended, which left a traceback in the log. Change: the check is out of step, the busiest upstream is taken; tasks end before the sockets.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -234,12 +234,14 @@
             await self._clock.async_sleep(_STOP_POLL)
         await async_close_http(self._http)
 
-    def close(self) -> None:
+    async def async_close(self) -> None:
         """End the tasks and close the sockets."""
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        self.links.close()
-        self.mesh.close()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.links.async_close()
+        await self.mesh.async_close()
         self._ctx.destroy(linger=0)
 
     def _live_entries(self) -> list[str]:
@@ -331,7 +333,7 @@
     shutdown.install()
     entry.start()
     outcome = await shutdown.async_wait()
-    entry.close()
+    await entry.async_close()
     return outcome.exit_code
 
 
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -75,10 +75,12 @@
             self._dial(rows[vm_id])
         self._metrics.peers.set(len(self._dialers))
 
-    def close(self) -> None:
+    async def async_close(self) -> None:
         """End every connection."""
-        for task in [*self._tasks.values(), *self._closing]:
+        tasks = [*self._tasks.values(), *self._closing]
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _subset(self, members: Membership, rows: dict[str, VmEntry]) -> set[str]:
         entries = sorted({vm.id for vm in members.entries()} | {self._vm_id})
--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -150,10 +150,12 @@
         if self._listener is not None:
             self._listener.drop_silent(silent_after)
 
-    def close(self) -> None:
+    async def async_close(self) -> None:
         """Close every connection."""
-        for task in [*self._tasks.values(), *self._serving]:
+        tasks = [*self._tasks.values(), *self._serving]
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._listener is not None:
             self._listener.close()
 
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -168,10 +168,12 @@
         await self.claims.async_stop()
         await self._clock.async_sleep(_LAST_FLUSH)
 
-    def close(self) -> None:
+    async def async_close(self) -> None:
         """End the tasks and close the ports."""
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         if self._http is not None:
             self._http.stop()
         if self.server is not None:
@@ -232,7 +234,7 @@
     shutdown.install()
     side.start()
     outcome = await shutdown.async_wait()
-    side.close()
+    await side.async_close()
     return outcome.exit_code
 
 
--- a/tests/failures/test_planned.py
+++ b/tests/failures/test_planned.py
@@ -15,6 +15,9 @@
 # The launcher's services have no `leave_seconds` of their own; this is the default.
 LEAVE_SECONDS = 3.0
 LIST_LAG_S = 0.5
+# Out of step with the second after which the faults come, so that there is a time in which the
+# balancer still sends callers to an entry that has begun to stop.
+BALANCER_CHECK_S = 0.9
 
 
 @pytest.fixture
@@ -48,7 +51,7 @@
             thread.join()
 
     def _check(self) -> None:
-        while not self._stop.wait(0.5):
+        while not self._stop.wait(BALANCER_CHECK_S):
             self._ready = [url for url in self._deployment.entries if _is_ready(url)]
 
     def _ask(self, caller: int) -> None:
@@ -65,6 +68,11 @@
             self.statuses.append(answer.status)
 
 
+def _busiest(deployment: Deployment) -> str:
+    """Return the upstream that most of the load goes to: stopping an idle one proves nothing."""
+    return max(deployment.upstreams(SERVICE), key=lambda name: len(deployment.journal(name)))
+
+
 def _is_ready(url: str) -> bool:
     try:
         return call(url + "/ready", timeout_s=1.0).status == 200
@@ -78,7 +86,8 @@
     SIGTERM under load; readiness fails first, the port closes only after the balancer has looked,
     and the process exits 0 once its last answer has left.
     """
-    deployment.control(f"{SERVICE}-1", latency_s=0.3)
+    for name in deployment.upstreams(SERVICE):
+        deployment.control(name, latency_s=0.3)
     balancer = Balancer(deployment)
     with balancer.load():
         time.sleep(1.0)
@@ -91,12 +100,14 @@
 
 def test_a_stopping_side_process_cuts_no_request(deployment: Deployment) -> None:
     """Callers see no cut, no refusal: what was queued is vouched for and runs elsewhere."""
-    deployment.control(f"{SERVICE}-1", latency_s=0.3)
+    for name in deployment.upstreams(SERVICE):
+        deployment.control(name, latency_s=0.3)
     balancer = Balancer(deployment)
-    with balancer.load():
+    with balancer.load(callers=24):
         time.sleep(1.0)
-        deployment.process(f"side-{SERVICE}-1").terminate()
-        assert deployment.process(f"side-{SERVICE}-1").wait(15.0) == 0
+        side = deployment.process(f"side-{_busiest(deployment)}")
+        side.terminate()
+        assert side.wait(15.0) == 0
         time.sleep(1.0)
     assert balancer.broken == []
     assert set(balancer.statuses) == {200}
@@ -108,17 +119,19 @@
     The side process waits for a long run while it drains. The list is published again with the VM
     as live: the notice must win, for work sent there would only come back refused.
     """
-    deployment.control(f"{SERVICE}-1", latency_s=4.0)
     balancer = Balancer(deployment)
     with balancer.load():
         time.sleep(1.0)
-        deployment.process(f"side-{SERVICE}-1").terminate()
-        deployment.control(f"{SERVICE}-1", latency_s=0.002)
+        name = _busiest(deployment)
+        deployment.control(name, latency_s=4.0)
+        time.sleep(0.3)
+        deployment.process(f"side-{name}").terminate()
+        deployment.control(name, latency_s=0.002)
         time.sleep(0.3)
-        before = len(deployment.journal(f"{SERVICE}-1"))
+        before = len(deployment.journal(name))
         deployment.set_vms()
         time.sleep(LIST_LAG_S + 1.5)
-        after = len(deployment.journal(f"{SERVICE}-1"))
+        after = len(deployment.journal(name))
     assert after == before
     assert balancer.broken == []
     assert set(balancer.statuses) == {200}
@@ -129,13 +142,13 @@
     balancer = Balancer(deployment)
     with balancer.load():
         time.sleep(1.0)
-        assert deployment.journal(f"{SERVICE}-1")
-        deployment.set_vm_state(f"{SERVICE}-1", "leaving")
+        name = _busiest(deployment)
+        deployment.set_vm_state(name, "leaving")
         time.sleep(LEAVE_SECONDS)
-        before = len(deployment.journal(f"{SERVICE}-1"))
-        deployment.set_vm_state(f"{SERVICE}-1", "live")
+        before = len(deployment.journal(name))
+        deployment.set_vm_state(name, "live")
         time.sleep(LIST_LAG_S + 1.5)
-        after = len(deployment.journal(f"{SERVICE}-1"))
+        after = len(deployment.journal(name))
     assert after == before
     assert balancer.broken == []
     assert set(balancer.statuses) == {200}
