--- a/bench/model/baselines.py
+++ b/bench/model/baselines.py
@@ -40,6 +40,7 @@
     "FixedQueue",
     "LeastOutstanding",
     "NoRetry",
+    "NoStragglers",
     "OnPolicy",
     "OneAhead",
     "PrefixHash",
@@ -187,15 +188,20 @@
 
 
 @attrs.frozen
-class _NoStragglers(RolloutPolicy):
-    """Start in order of declaration and wait for whatever was started."""
-
-    ahead: int = 0
+class NoStragglers(RolloutPolicy):
+    """Wait for whatever was started."""
 
     def stragglers(self, view: RolloutView) -> tuple[StragglerDecision, ...]:
         """Do nothing about stragglers."""
         return ()
 
+
+@attrs.frozen
+class _InOrder(NoStragglers):
+    """Start in order of declaration."""
+
+    ahead: int = 0
+
     def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
         """Start everything of the steps that may start, whatever room there is."""
         return tuple(
@@ -207,21 +213,21 @@
 
 
 @attrs.frozen
-class OnPolicy(_NoStragglers):
+class OnPolicy(_InOrder):
     """Start a step when the trainer is ready for it."""
 
     ahead: int = 0
 
 
 @attrs.frozen
-class OneAhead(_NoStragglers):
+class OneAhead(_InOrder):
     """Start a step while the trainer trains on the one before."""
 
     ahead: int = 1
 
 
 @attrs.frozen
-class AllAhead(_NoStragglers):
+class AllAhead(_InOrder):
     """Start all that the staleness bound allows."""
 
     ahead: int = 2
--- a/bench/model/loads.py
+++ b/bench/model/loads.py
@@ -76,7 +76,7 @@
 
 
 DEPLOYMENTS = (
-    Deployment("beaulieu", engines=6, entries=3, freshness=0.8),
+    Deployment("beaulieu", engines=6, entries=3, freshness=0.6),
     Deployment("giat-sach-nhanh", engines=5, entries=4, freshness=0.0),
 )
 
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -56,7 +56,7 @@
 MOVE_GAIN = 1.5
 MIN_SAVING = timedelta(seconds=2)
 MOVE_SHARE = 0.1
-MOVE_RESERVE = 0.05
+MOVE_RESERVE = 0.15
 STALL_BOUND = 4
 MIN_STALL = timedelta(seconds=5)
 MIN_RUN = timedelta(seconds=8)
@@ -176,7 +176,7 @@
 
     def start(self, view: RolloutView, room: int) -> tuple[StartSamples, ...]:
         """Return the samples to start within the room, the most urgent first."""
-        reserve = int(len(view.in_flight) * MOVE_RESERVE)
+        reserve = int((len(view.in_flight) + view.room) * MOVE_RESERVE)
         waits: dict[int, float] = {}
         starts = []
         for group in sorted(view.waiting, key=lambda group: (_slack(view, group), group.id)):
