Keep a heavy caller from holding up the others

Cause, two: callers with one prefix each all queued at that prefix's upstream while the heavy caller filled it, and a light caller's request waited for a slot even when its turn had come. Affinity now needs a free slot, and a caller over its share leaves the last eighth of the slots. The test of room said 10 of 10 early starts; since the reserve for moves grew to 15% they are 9, and the test now pins both that and the 10 of a step that the trainer waits for.

--- a/cranberryline/decisions/queueing.py
+++ b/cranberryline/decisions/queueing.py
@@ -9,11 +9,17 @@
 by start-time fair queueing in tokens: the caller whose virtual time is lowest goes first. A
 caller's long work waits in a lane of its own, so that it does not hold up the caller's short work.
 
-Two reserves keep slots for work that turns over quickly. Long work may take all slots but
-`SHORT_RESERVE` of them, and classes below application all but `URGENT_RESERVE`, each only while
-such work was seen within `RESERVE_MEMORY`; an upstream that sees none is used in full. An eighth
-is enough because short work leaves its slot quickly: at 16 slots, two slots serve calls that are
-32 times shorter than the rest at four times the rate of the other fourteen together.
+Three reserves keep the last slots for those who would otherwise wait for one to be freed:
+
+- Long work may take all slots but `SHORT_RESERVE` of them.
+- Classes below application may take all but `URGENT_RESERVE`.
+- A caller that runs more than its share may take all but `FAIR_RESERVE`.
+
+Each holds only while work of the other kind was seen within `RESERVE_MEMORY`; an upstream that
+sees none is used in full. An eighth is enough because what it is kept for leaves its slot quickly
+or comes seldom: of 16 slots, two that serve calls 32 times shorter than the rest do four times as
+many as the other fourteen together. Measured on one seed of the load "heavy caller": with
+`FAIR_RESERVE` the others' median wait for a slot is 0.06 s, without it 0.36 s.
 
 The wait is bounded: an item past `start_by` is never popped, and `expire` hands it over to be
 refused, which is safe because an item that was not popped has not run.
@@ -35,6 +41,7 @@
 
 SHORT_RESERVE = 1 / 8
 URGENT_RESERVE = 1 / 8
+FAIR_RESERVE = 1 / 8
 MIN_SLOTS_FOR_RESERVE = 4
 RESERVE_MEMORY = timedelta(seconds=30)
 
@@ -102,6 +109,7 @@
         self._running_below = 0
         self._short_seen: timedelta | None = None
         self._urgent_seen: timedelta | None = None
+        self._callers_seen: dict[str, timedelta] = {}
 
     def __len__(self) -> int:
         return len(self.queued)
@@ -172,6 +180,13 @@
             self._short_seen = item.arrived
         if item.priority is Priority.APPLICATION:
             self._urgent_seen = item.arrived
+        if item.caller not in self._callers_seen:
+            self._callers_seen = {
+                caller: seen
+                for caller, seen in self._callers_seen.items()
+                if _recent(seen, item.arrived)
+            }
+        self._callers_seen[item.caller] = item.arrived
 
     def _enqueue(self, item: WorkItem) -> None:
         queue = self._classes[item.priority]
@@ -203,14 +218,26 @@
             return None
         long_allowed = self._slot_for_long(now)
         best: _Head | None = None
-        for account in self._classes[priority].accounts.values():
+        last_slots = self.slots - len(self.running) <= self._fair_reserve()
+        for caller, account in self._classes[priority].accounts.items():
             if best is not None and best.account.virtual_time <= account.virtual_time:
                 continue
+            if last_slots and self._over_share(caller, now):
+                continue
             lane = account.lane(long_allowed)
             if lane is not None:
                 best = _Head(account, lane)
         return best
 
+    def _fair_reserve(self) -> int:
+        if self.slots < MIN_SLOTS_FOR_RESERVE:
+            return 0
+        return max(1, round(self.slots * FAIR_RESERVE))
+
+    def _over_share(self, caller: str, now: timedelta) -> bool:
+        active = sum(_recent(seen, now) for seen in self._callers_seen.values())
+        return active > 1 and self.running.caller_requests(caller) > self.slots / active
+
     def _slot_for_long(self, now: timedelta) -> bool:
         if not _recent(self._short_seen, now) or self.slots < MIN_SLOTS_FOR_RESERVE:
             return True
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -17,7 +17,8 @@
 Prefix affinity: the first upstream by rendezvous hash of the prefix key is expected to hold the
 prefix, and its expected time is less by the work that this saves. So affinity never makes a
 request wait longer than it saves, and a prefix that is too popular spills to the others by itself.
-One upstream a prefix, for with two each cache has to hold twice as many (measured: load "many
+Where no slot is free there affinity counts for nothing: what a caller waits for in a full upstream
+is its own turn, and callers with few prefixes would all queue at one upstream each. One upstream a prefix, for with two each cache has to hold twice as many (measured: load "many
 prefixes" in docs/POLICY.md).
 
 An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
@@ -143,7 +144,8 @@
             return []
         by_id = {upstream.id: upstream for upstream in healthy}
         ranked = rendezvous.rank(req.prefix_key, by_id)
-        return [by_id[member] for member in ranked[: self.affinity_choices]]
+        preferred = [by_id[member] for member in ranked[: self.affinity_choices]]
+        return [upstream for upstream in preferred if self._has_slot(upstream, req)]
 
 
 def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
--- a/tests/decisions/test_queueing.py
+++ b/tests/decisions/test_queueing.py
@@ -260,3 +260,23 @@
         assert all(item.start_by < now for item in queue.expire(now))
         item = queue.pop(now)
         assert item is None or item.start_by >= now
+
+
+def test_a_caller_over_its_share_leaves_the_last_slots_to_others(
+    make_item: Callable[..., WorkItem],
+) -> None:
+    """A heavy caller fills an upstream of sixteen slots while another calls now and then.
+
+    It takes fourteen; the other's call finds a slot at once instead of waiting for one to be freed.
+    """
+    queue = WorkQueue(16)
+    queue.push(make_item("light"))
+    serve(queue, 1)
+    for _ in range(30):
+        queue.push(make_item("heavy"))
+    while queue.pop(ZERO) is not None:
+        pass
+    assert len(queue.running) == 14
+    light = make_item("light")
+    queue.push(light)
+    assert queue.pop(ZERO) == light
--- a/tests/decisions/test_rollout.py
+++ b/tests/decisions/test_rollout.py
@@ -94,9 +94,14 @@
 
 
 def test_no_more_is_started_than_there_is_room_for() -> None:
-    """A sample that waits at a sampler starts no earlier, and holds a place."""
-    plan = policy(0.0).plan(view(room=10))
-    assert sum(start.samples for start in plan.start) == 10
+    """A sample that waits at a sampler starts no earlier, and holds a place.
+
+    A step that the trainer waits for gets all the room; early starts leave 15% of it for moves.
+    """
+    ready = view(room=10, until_pull=timedelta(), sampler_version=5, steps={5: StepView(32, 0)})
+    ready = attrs.evolve(ready, waiting=[group for group in ready.waiting if group.step == 5])
+    assert sum(start.samples for start in policy(0.0).plan(ready).start) == 10
+    assert sum(start.samples for start in policy(0.0).plan(view(room=10)).start) == 9
 
 
 def test_a_stalled_sample_is_continued_elsewhere_from_what_it_has() -> None:
