--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -6,17 +6,19 @@
 next report. Following the prefix cache alone sends a popular prefix to one upstream.
 
 The measure is the expected time until this request is done there: its own tokens at the pace of
-one request, after the tokens outstanding there at that pace on all slots. The pace is measured
-(see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
+one request, after the tokens outstanding there at that pace on all slots. Where a slot is free
+nothing has to be waited for, and what is outstanding counts only for `SHARING_COST`, since the
+batch is shared with it. The pace is measured (see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
 What a report shows beyond them is the work of other entries; it counts in full when fresh and
 half after `REPORT_HALF_LIFE`, about the time in which an engine turns over its work. Of
 `SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
 reports do not all choose the same upstream; own counts alone would allow the best of all.
 
-Prefix affinity: the first `AFFINITY_CHOICES` upstreams by rendezvous hash of the prefix key are
-preferred while their expected time is at most `AFFINITY_BOUND` times the mean. A prefix that is
-too popular for them spills to the others; affinity costs at most that factor in wait. The group
-of a step shares its prompt and so goes together as far as the bound lets it.
+Prefix affinity: the first upstream by rendezvous hash of the prefix key is expected to hold the
+prefix, and its expected time is less by the work that this saves. So affinity never makes a
+request wait longer than it saves, and a prefix that is too popular spills to the others by itself.
+One upstream a prefix, for with two each cache has to hold twice as many (measured: load "many
+prefixes" in docs/POLICY.md).
 
 An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
 down by `health` counts as slower by its weight; a due probe goes first, as one request.
@@ -25,21 +27,24 @@
 from collections.abc import Sequence
 from datetime import timedelta
 from random import Random
-from statistics import fmean, median
+from statistics import median
 
 import attrs
 
 from . import rendezvous
 from .const import ZERO
 from .health import HealthView
+from .model import Priority
+from .queueing import slots_for
 
-__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView"]
+__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView", "free_slots"]
 
 REPORT_HALF_LIFE = timedelta(seconds=2)
 SAMPLE_SIZE = 4
-AFFINITY_CHOICES = 2
-AFFINITY_BOUND = 1.25
+AFFINITY_CHOICES = 1
 FAR_PENALTY = 0.05
+SLOW_SHARE = 0.5
+SHARING_COST = 0.25
 FALLBACK_TOKENS_PER_SECOND = 50.0
 
 
@@ -55,6 +60,7 @@
     slots: int = 1
     own_requests: int = 0
     own_tokens: int = 0
+    reported_requests: int = 0
     reported_tokens: int = 0
     report_age: timedelta | None = None
     tokens_per_second: float = 0.0
@@ -65,11 +71,13 @@
 
 @attrs.frozen
 class RouteRequest:
-    """A request as routing sees it."""
+    """A request as routing sees it; `prefix_tokens` of its `tokens` are saved by a cached prefix."""
 
     tokens: int
+    priority: Priority = Priority.APPLICATION
     data_center: str = ""
     prefix_key: str | None = None
+    prefix_tokens: int = 0
     min_weight_version: int | None = None
     excluded: frozenset[str] = frozenset()
     may_probe: bool = True
@@ -80,7 +88,6 @@
     """Routing by expected time, with bounded affinity."""
 
     sample_size: int = SAMPLE_SIZE
-    affinity_bound: float = AFFINITY_BOUND
     affinity_choices: int = AFFINITY_CHOICES
     report_half_life: timedelta = REPORT_HALF_LIFE
 
@@ -97,33 +104,64 @@
         if not healthy:
             return None
         rate = _typical_rate(healthy)
-        if req.prefix_key is not None:
-            chosen = self._by_affinity(healthy, req, rate)
-            if chosen is not None:
-                return chosen
+        preferred = self._preferred(healthy, req)
         drawn = rng.sample(healthy, min(self.sample_size, len(healthy)))
-        return min(drawn, key=lambda upstream: self.expected_seconds(upstream, req, rate)).id
+        drawn += [upstream for upstream in preferred if upstream not in drawn]
+        cached = attrs.evolve(req, tokens=max(0, req.tokens - req.prefix_tokens))
+
+        def cost(upstream: UpstreamView) -> float:
+            work = cached if upstream in preferred else req
+            return self.expected_seconds(upstream, work, rate)
+
+        return min(drawn, key=cost).id
 
     def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
         """Return the time in which the upstream would be done with the request, roughly."""
         pace = (upstream.tokens_per_second or rate) * upstream.health.weight
-        ahead = (upstream.own_tokens + self._others_tokens(upstream)) / max(upstream.slots, 1)
+        ahead = self._outstanding_tokens(upstream) / max(upstream.slots, 1)
+        if self._has_slot(upstream, req):
+            ahead *= SHARING_COST
         far = bool(req.data_center) and upstream.data_center != req.data_center
         return (req.tokens + ahead) / pace * (1 + FAR_PENALTY * far)
 
-    def _others_tokens(self, upstream: UpstreamView) -> float:
+    def _outstanding_tokens(self, upstream: UpstreamView) -> float:
+        others = max(0, upstream.reported_tokens - upstream.own_tokens)
+        return upstream.own_tokens + self._trust(upstream) * others
+
+    def _has_slot(self, upstream: UpstreamView, req: RouteRequest) -> bool:
+        others = max(0, upstream.reported_requests - upstream.own_requests)
+        taken = upstream.own_requests + self._trust(upstream) * others
+        return taken + 1 <= slots_for(upstream.slots, req.priority)
+
+    def _trust(self, upstream: UpstreamView) -> float:
         if upstream.report_age is None:
             return 0.0
-        trust = 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
-        return trust * max(0, upstream.reported_tokens - upstream.own_tokens)
+        return 0.5 ** (max(upstream.report_age, ZERO) / self.report_half_life)
 
-    def _by_affinity(
-        self, healthy: Sequence[UpstreamView], req: RouteRequest, rate: float
-    ) -> str | None:
-        seconds = {u.id: self.expected_seconds(u, req, rate) for u in healthy}
-        bound = self.affinity_bound * fmean(seconds.values())
-        ranked = rendezvous.rank(req.prefix_key or "", seconds)[: self.affinity_choices]
-        return next((member for member in ranked if seconds[member] <= bound), None)
+    def _preferred(self, healthy: Sequence[UpstreamView], req: RouteRequest) -> list[UpstreamView]:
+        if req.prefix_key is None or not req.prefix_tokens:
+            return []
+        by_id = {upstream.id: upstream for upstream in healthy}
+        ranked = rendezvous.rank(req.prefix_key, by_id)
+        return [by_id[member] for member in ranked[: self.affinity_choices]]
+
+
+def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
+    """Return how many samples may be started without waiting for a slot.
+
+    A slot on an upstream that crawls does not count: a sample sent there is a straggler at once,
+    and one that is kept from there waits in the queue of another.
+    """
+    req = RouteRequest(tokens=0, min_weight_version=min_version)
+    usable = [u for u in upstreams if _is_usable(u, req) and u.health.weight > 0]
+    if not usable:
+        return 0
+    slow = SLOW_SHARE * _typical_rate(usable)
+    return sum(
+        max(0, slots_for(u.slots, Priority.TRAINER) - max(u.own_requests, u.reported_requests))
+        for u in usable
+        if not 0 < u.tokens_per_second < slow
+    )
 
 
 def _is_usable(upstream: UpstreamView, req: RouteRequest) -> bool:
--- a/stand_ins/__main__.py
+++ b/stand_ins/__main__.py
@@ -65,7 +65,7 @@
 
         sys.exit(run(example))
 
-    def demo(self, seconds: float = 10.0) -> None:
+    def demo(self, seconds: float = 8.0) -> None:
         """Run both examples in turn under load, and check the promises."""
         from .demo import demo  # noqa: PLC0415 - a stand-in needs nothing of the launcher
 
--- a/stand_ins/trainer.py
+++ b/stand_ins/trainer.py
@@ -75,6 +75,7 @@
         whole = await self._async_collect(step)
         self.book.idle_s += time.monotonic() - began
         if not whole:
+            self.book.stalled_steps += 1
             return False
         await asyncio.sleep(self.plan.train_s)
         self.book.steps += 1
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -14,6 +14,12 @@
 from .conftest import Bench, FakeSide, answer, silent
 
 
+class _CallerSink(CollectingSink):
+    """Stand for a caller's connection: what was written cannot be taken back."""
+
+    can_restart = False
+
+
 def _not_run(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
     exchange.push(NotRun(msg.id, "draining", 0))
 
@@ -96,11 +102,31 @@
     """
     side = bench.side("up-1", script)  # type: ignore[arg-type]
     other = bench.side("up-2", script)  # type: ignore[arg-type]
-    refusal = asyncio.run(bench.dispatcher.async_run(bench.request(), CollectingSink()))
+    refusal = asyncio.run(bench.dispatcher.async_run(bench.request(), _CallerSink()))
     assert refusal.unwrap_err().begun
     assert len(side.submits) + len(other.submits) == 1
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_sample_that_breaks_off_is_made_again_elsewhere(bench: Bench, idempotent: bool) -> None:
+    """Who keeps the answer in memory gets the whole one of another upstream, never a mixture.
+
+    The part that came is forgotten at the next head. A non-idempotent request is still not sent
+    twice: it is told that it ran.
+    """
+    bench.side("up-1", _cut)
+    bench.side("up-2", _cut)
+    bench.table.get(bench.service, "up-2").peer.script = answer  # type: ignore[union-attr]
+    sink = CollectingSink()
+    req = bench.request(avoid=frozenset({"up-2"}), idempotent=idempotent)
+    result = asyncio.run(bench.dispatcher.async_run(req, sink))
+    if idempotent:
+        assert result.unwrap() == "up-2"
+        assert sink.body == b"whole"
+    else:
+        assert result.unwrap_err().ran is Ran.YES
+
+
 def test_concurrency_is_never_exceeded_and_the_queue_drains(bench: Bench) -> None:
     """Twenty callers of an upstream that runs two at a time all get their answers."""
     held: list[tuple[Exchange, Submit]] = []
@@ -192,3 +218,31 @@
     bench.publish("service", "other", {"type": "plain"})
     asyncio.run(async_case())
     assert sum(len(side.submits) for side in sides) <= 1.2 * requests
+
+
+def test_one_lost_connection_is_one_failure(bench: Bench) -> None:
+    """The caller that comes after a lost connection is served, not sent away for half a minute.
+
+    A connection ends with many requests on it, and each of them ends as lost. Counted one by one
+    they would draw the upstream down to a probe every 30 s, though a new connection works at once.
+    """
+    bench.publish("service", "wide", {"type": "plain", "concurrency": 64})
+    bench.service = "wide"
+    side = bench.side("up-1", silent)
+
+    async def async_case() -> None:
+        work = [
+            asyncio.ensure_future(
+                bench.dispatcher.async_run(bench.request(idempotent=False), CollectingSink())
+            )
+            for _ in range(30)
+        ]
+        await asyncio.sleep(0.01)
+        for exchange in list(side._exchanges.values()):
+            exchange.push(Lost())
+        await asyncio.gather(*work)
+        side.script = answer
+        await asyncio.sleep(0.01)
+        assert (await bench.dispatcher.async_run(bench.request(), CollectingSink())).is_ok()
+
+    asyncio.run(async_case())
