--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -129,8 +129,6 @@
         table = make_table()
         runner = table.declare(DECLARATION, owner=True).unwrap()
         while dispatch.started.total() < 4 or dispatch.running:  # noqa: ASYNC110 - a plain count
-            dispatch.started.total() < 4 or dispatch.running
-        ):  # noqa: ASYNC110 - the fake counts plainly
             await asyncio.sleep(0)
         await asyncio.sleep(0.01)
         dispatch.failing = None
