--- a/tests/requests/test_keyed_processes.py
+++ b/tests/requests/test_keyed_processes.py
@@ -20,8 +20,8 @@
 
 @pytest.fixture(scope="module")
 def deployment() -> Iterator[Deployment]:
-    """Run two upstreams of each kind behind two entries."""
-    with launched(load_plan("giat-sach").shrunk(2)) as deployment:
+    """Run two upstreams of each kind behind two entries, with a relay before each peer."""
+    with launched(load_plan("giat-sach").shrunk(2, relayed=True)) as deployment:
         yield deployment
 
 
@@ -54,6 +54,26 @@
     return await client.async_call("POST", path, {"for": key}, headers, timeout_s, entry)
 
 
+async def async_running(deployment: Deployment, key: str) -> str:
+    """Wait until a key's request runs; return the upstream."""
+    async with asyncio.timeout(10):
+        while not runs_of(deployment, key):  # noqa: ASYNC110 - the journal is a file
+            await asyncio.sleep(0.05)
+    return runs_of(deployment, key)[0]
+
+
+async def async_ask_until_kept(client: EntryClient, key: str) -> Reply:
+    """Ask again through the other entry until the recorded answer comes."""
+    reply = await async_create(client, key, 1)
+    for _ in range(20):
+        if reply.ok:
+            return reply
+        assert reply.ran == "unknown", reply.body
+        await asyncio.sleep(0.5)
+        reply = await async_create(client, key, 1)
+    return reply
+
+
 def make_client(deployment: Deployment) -> EntryClient:
     """Return a caller."""
     name = deployment.plan.names_of("caller")[0]
@@ -97,11 +117,8 @@
     async def async_play() -> list[Reply]:
         client = make_client(deployment)
         first = asyncio.ensure_future(async_create(client, key, 0))
-        for _ in range(100):
-            await asyncio.sleep(0.05)
-            if runs_of(deployment, key):
-                break
-        deployment.process(f"side-{runs_of(deployment, key)[0]}").kill()
+        upstream = await async_running(deployment, key)
+        deployment.process(f"side-{upstream}").kill()
         replies = [await first]
         for entry in (1, 0, 1):
             replies.append(await async_create(client, key, entry))
@@ -132,18 +149,10 @@
     async def async_play() -> Reply:
         client = make_client(deployment)
         first = asyncio.ensure_future(async_create(client, key, 0))
-        for _ in range(100):
-            await asyncio.sleep(0.05)
-            if runs_of(deployment, key):
-                break
+        await async_running(deployment, key)
         deployment.process("entry-1").kill()
         assert not (await first).ok
-        reply = await async_create(client, key, 1)
-        for _ in range(20):
-            if reply.ok:
-                break
-            await asyncio.sleep(0.5)
-            reply = await async_create(client, key, 1)
+        reply = await async_ask_until_kept(client, key)
         client.close()
         return reply
 
@@ -157,6 +166,64 @@
     assert len(runs_of(deployment, key)) == 1
 
 
+def test_connection_goes_silent_in_a_keyed_run(deployment: Deployment, key: str) -> None:
+    """The connection to the side process stays open and carries nothing any more.
+
+    The entry hears nothing and tells its caller `unknown`. The run goes to its end beside it, and
+    asked again, over a new connection, the caller gets that run's answer.
+    """
+    set_latency(deployment, SLOW_S)
+
+    async def async_play() -> tuple[Reply, Reply]:
+        client = make_client(deployment)
+        first = asyncio.ensure_future(async_create(client, key, 0))
+        upstream = await async_running(deployment, key)
+        deployment.silence(upstream)
+        replies = await first, await async_ask_until_kept(client, key)
+        client.close()
+        return replies
+
+    try:
+        first, again = asyncio.run(async_play())
+    finally:
+        set_latency(deployment, QUICK_S)
+    assert (first.ok, first.ran) == (False, "unknown")
+    assert again.ok, again.body
+    assert again.data["call"] == f"{key}/0"
+    assert len(runs_of(deployment, key)) == 1
+
+
+def test_side_process_stopped_in_a_keyed_run(deployment: Deployment, key: str) -> None:
+    """The side process is stopped (SIGSTOP) while the service runs, and goes on 8 s later.
+
+    Meanwhile the kernel acknowledges all that is sent to it. The caller is told `unknown`, also
+    when it asks again; once the side process goes on, it notes the answer, and that is given.
+    """
+    set_latency(deployment, SLOW_S)
+
+    async def async_play() -> tuple[Reply, Reply]:
+        client = make_client(deployment)
+        first = asyncio.ensure_future(async_create(client, key, 0))
+        process = deployment.process(f"side-{await async_running(deployment, key)}")
+        process.freeze()
+        try:
+            await asyncio.sleep(8)
+        finally:
+            process.thaw()
+        replies = await first, await async_ask_until_kept(client, key)
+        client.close()
+        return replies
+
+    try:
+        first, again = asyncio.run(async_play())
+    finally:
+        set_latency(deployment, QUICK_S)
+    assert (first.ok, first.ran) == (False, "unknown")
+    assert again.ok, again.body
+    assert again.data["call"] == f"{key}/0"
+    assert len(runs_of(deployment, key)) == 1
+
+
 def test_log_out_refuses_a_keyed_request_without_running_it(
     deployment: Deployment, key: str
 ) -> None:
