Answer our own faults as problems, log what libraries log, count dropped log lines

Cause: a handler that raises after the head went out is finished in good order by tornado, so that half an answer looks whole; its other errors are pages, and what libraries log was text among JSON lines. Change: ProblemHandler closes the connection in the first case and writes a problem in the others; the standard library's logger goes through eliot, bursts told once; dropped lines are a counter; the counters' creation times are left out of the page. The handlers of entry and side process have yet to take ProblemHandler as their base.

--- a/cranberryline/helpers/logging.py
+++ b/cranberryline/helpers/logging.py
@@ -5,14 +5,16 @@
 
 import collections
 import enum
+import logging
 import sys
 import threading
+import traceback
 from datetime import timedelta
 from typing import Any, BinaryIO
 
 import eliot
 
-from .clock import Clock
+from .clock import Clock, SystemClock
 
 __all__ = [
     "BurstLimiter",
@@ -20,6 +22,7 @@
     "LimitedLogger",
     "LineWriter",
     "Logger",
+    "dropped_lines",
     "get_logger",
     "once_per_burst",
     "set_level",
@@ -30,6 +33,7 @@
 _MAX_BURST_KEYS = 1024
 _MAX_WAITING_LINES = 10_000
 _CLOSE_SECONDS = 1.0
+_MAX_LIBRARY_TEXT = 4000
 _HIDDEN = "(hidden)"
 _SECRET_FIELDS = frozenset({"authorization", "cookie", "password", "secret", "token"})
 
@@ -197,6 +201,39 @@
             self._lines.clear()
 
 
+class _LibraryHandler(logging.Handler):
+    """Pass on what libraries log, so that all of it is JSON lines and bursts are told once."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__()
+        self._limiter = BurstLimiter(clock)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a library's record; the traceback comes along as text."""
+        suppressed = self._limiter.admit(f"{record.name} {record.msg}")
+        if suppressed is None:
+            return
+        fields: dict[str, Any] = {"text": record.getMessage()[:_MAX_LIBRARY_TEXT]}
+        if suppressed:
+            fields["suppressed"] = suppressed
+        if record.exc_info and record.exc_info[0] is not None:
+            trace = "".join(traceback.format_exception(*record.exc_info))
+            fields["traceback"] = trace[-_MAX_LIBRARY_TEXT:]
+        level = max((lev for lev in Level if lev <= record.levelno), default=Level.DEBUG)
+        Logger(record.name).log(level, "library_log", **fields)
+
+
+class _Output:
+    """Where the lines of this process go."""
+
+    writer: LineWriter | None = None
+
+
+def dropped_lines() -> int:
+    """Return how many lines of this process were dropped."""
+    return 0 if _Output.writer is None else _Output.writer.dropped
+
+
 def get_logger(name: str) -> Logger:
     """Return the logger of a module."""
     return Logger(name)
@@ -219,8 +256,11 @@
 
     The caller closes the writer as its last act, or loses the lines that still wait.
     """
-    writer = LineWriter(file or sys.stdout.buffer)
+    writer = _Output.writer = LineWriter(file or sys.stdout.buffer)
     set_level(Level[level.upper()])
     eliot.add_global_fields(**fields)
     eliot.add_destinations(eliot.FileDestination(file=writer))
+    logging.basicConfig(
+        level=logging.WARNING, handlers=[_LibraryHandler(SystemClock())], force=True
+    )
     return writer
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -1,11 +1,16 @@
 """Counters, gauges and histograms of one process, with a reason on everything not delivered."""
 
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
-from prometheus_client.core import CollectorRegistry
+from collections.abc import Iterator
+
+from prometheus_client import CONTENT_TYPE_LATEST, disable_created_metrics, generate_latest
+from prometheus_client.core import CollectorRegistry, CounterMetricFamily, Metric
 from prometheus_client.metrics import Counter, Gauge, Histogram
 from prometheus_client.process_collector import ProcessCollector
+from prometheus_client.registry import Collector
 from tornado.web import RequestHandler
 
+from .logging import dropped_lines
+
 __all__ = ["Metrics", "MetricsHandler"]
 
 _NAMESPACE = "cranberryline"
@@ -14,12 +19,26 @@
 _LATENCY_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
 
 
+# The time of each counter's first use doubles the page and tells nothing here.
+disable_created_metrics()
+
+
+class _LogLines(Collector):
+    """Tell how many log lines were dropped; they are counted where no registry is at hand."""
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the one counter."""
+        name, text = f"{_NAMESPACE}_log_lines_dropped", "Log lines that nobody took in time."
+        yield CounterMetricFamily(name, text, value=dropped_lines())
+
+
 class Metrics:
     """All metrics of one process, in a registry of its own so that tests do not share them."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         ProcessCollector(registry=self.registry)
+        self.registry.register(_LogLines())
         self.requests = self._counter("requests", "Requests taken in.", "kind")
         self.answers = self._counter("answers", "Answers handed over whole.", "kind")
         self.refusals = self._counter("refusals", "Requests refused.", _LABEL_REASON)
@@ -27,7 +46,7 @@
             "failures", "Requests that ended after they may have run.", _LABEL_REASON
         )
         self.retries = self._counter("retries", "Attempts made again.", _LABEL_REASON)
-        self.drops = self._counter("drops", "Frames, events or log lines dropped.", _LABEL_REASON)
+        self.drops = self._counter("drops", "Frames, notices or samples dropped.", _LABEL_REASON)
         self.discards = self._counter("discards", "Samples discarded.", _LABEL_REASON)
         self.bad_frames = self._counter(
             "bad_frames", "Frames from a peer that could not be read.", _LABEL_REASON
--- a/cranberryline/helpers/problem.py
+++ b/cranberryline/helpers/problem.py
@@ -3,16 +3,51 @@
 import json
 import math
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Any
 
 from tornado.web import RequestHandler
 
-__all__ = ["CONTENT_TYPE_PROBLEM", "problem_body", "retry_after_seconds", "write_problem"]
+__all__ = [
+    "CONTENT_TYPE_PROBLEM",
+    "ProblemHandler",
+    "problem_body",
+    "retry_after_seconds",
+    "write_problem",
+]
 
 CONTENT_TYPE_PROBLEM = "application/problem+json"
 
 _HEADER_RETRY_AFTER = "Retry-After"
 _TYPE_PREFIX = "urn:cranberryline:problem:"
+_REASON_OTHER = "http_error"
+_REASONS = {
+    HTTPStatus.BAD_REQUEST: "bad_request",
+    HTTPStatus.NOT_FOUND: "unknown_path",
+    HTTPStatus.METHOD_NOT_ALLOWED: "method_not_allowed",
+    HTTPStatus.INTERNAL_SERVER_ERROR: "internal_error",
+}
+
+
+class ProblemHandler(RequestHandler):
+    """A handler whose own errors are problems too, and never look like a whole answer."""
+
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Answer an error that no code of ours has met.
+
+        After the head has gone out, tornado would finish the body in good order: the caller would
+        take the part that was sent for the whole answer. The connection is closed instead.
+        """
+        if self._headers_written and not self._finished:
+            self.request.connection.close()  # type: ignore[union-attr]
+            return
+        super().send_error(status_code, **kwargs)
+
+    def write_error(self, status_code: int, **_kwargs: Any) -> None:
+        """Write the problem of a status; an error of ours may have come after the run."""
+        reason = _REASONS.get(HTTPStatus(status_code), _REASON_OTHER)
+        ran = "no" if status_code < HTTPStatus.INTERNAL_SERVER_ERROR else "unknown"
+        write_problem(self, status_code, reason, HTTPStatus(status_code).phrase, ran=ran)
 
 
 def write_problem(
--- a/tests/helpers/test_logging.py
+++ b/tests/helpers/test_logging.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import logging
 import os
 import time
 from collections.abc import Iterator
@@ -18,9 +19,11 @@
     BurstLimiter,
     Level,
     LineWriter,
+    dropped_lines,
     get_logger,
     once_per_burst,
     set_level,
+    set_up_logging,
 )
 
 
@@ -140,3 +143,36 @@
         writer.close()
         writer.write(b"two\n")
         assert writer.dropped == 2
+
+
+def test_what_libraries_log_is_json_too() -> None:
+    """A library's fault in a burst is one line with its traceback, and no text among JSON lines."""
+    file = io.BytesIO()
+    writer = set_up_logging("info", file, vm_id="entry-1")
+    try:
+        for i in range(3):
+            try:
+                raise ValueError(f"broken {i}")
+            except ValueError:
+                logging.getLogger("tornado.application").exception("Uncaught %d", i)
+        logging.getLogger("tornado.general").info("not asked for")
+    finally:
+        writer.close()
+        logging.basicConfig(handlers=[], force=True)
+        eliot.remove_destination(next(d for d in _destinations() if d.file is writer))
+    found = [json.loads(line) for line in file.getvalue().splitlines()]
+    (event,) = [event for event in found if event["message_type"] == "library_log"]
+    assert (event["logger"], event["level"], event["text"]) == (
+        "tornado.application",
+        "error",
+        "Uncaught 0",
+    )
+    assert "ValueError: broken 0" in event["traceback"]
+    assert event["vm_id"] == "entry-1"
+    assert dropped_lines() == 0
+
+
+def _destinations() -> list[Any]:
+    """Return the destinations that write to files."""
+    found = eliot.Logger._destinations._destinations
+    return [destination for destination in found if isinstance(destination, eliot.FileDestination)]
--- a/tests/helpers/test_problem.py
+++ b/tests/helpers/test_problem.py
@@ -15,7 +15,12 @@
 from tornado.web import Application, RequestHandler
 
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
-from cranberryline.helpers.problem import problem_body, retry_after_seconds, write_problem
+from cranberryline.helpers.problem import (
+    ProblemHandler,
+    problem_body,
+    retry_after_seconds,
+    write_problem,
+)
 
 Fetch = Callable[..., HTTPResponse]
 
@@ -52,6 +57,21 @@
         write_problem(self, 502, "upstream_cut", "The upstream cut its answer", ran="yes")
 
 
+class _Broken(ProblemHandler):
+    """Raise what no code of ours has met."""
+
+    async def get(self) -> None:
+        """Raise, after a part of the answer if asked to."""
+        if self.get_argument("part", ""):
+            self.write("part")
+            await self.flush()
+        raise RuntimeError("broken")
+
+    def put(self) -> None:
+        """Ask for an argument that is not there."""
+        self.get_argument("absent")
+
+
 @pytest.fixture
 def fetch() -> Fetch:
     """Return a function that makes one request to a server with the handlers above."""
@@ -64,6 +84,7 @@
                 [
                     ("/refuse", _Refuse),
                     ("/begun", _Begun),
+                    ("/broken", _Broken),
                     ("/metrics", MetricsHandler, {"metrics": metrics}),
                 ]
             )
@@ -113,6 +134,34 @@
         fetch(path)
 
 
+@pytest.mark.parametrize(
+    ("method", "status", "reason", "ran"),
+    [
+        ("GET", 500, "internal_error", "unknown"),
+        ("DELETE", 405, "method_not_allowed", "no"),
+        ("PUT", 400, "bad_request", "no"),
+    ],
+)
+def test_errors_of_the_server_are_problems(
+    fetch: Fetch, method: str, status: int, reason: str, ran: str
+) -> None:
+    """A client that reads problems need not read tornado's pages too."""
+    response = fetch("/broken", method=method, body=b"" if method == "PUT" else None)
+    assert response.headers["Content-Type"] == "application/problem+json"
+    body = json.loads(response.body)
+    assert (body["status"], body["reason"], body["ran"]) == (status, reason, ran)
+
+
+def test_a_fault_of_ours_after_the_head_cuts_the_answer(fetch: Fetch) -> None:
+    """A handler raises when a part of its answer has gone out.
+
+    Tornado on its own would write the end of the body after that part: the caller would get a
+    status of 200 with half an answer in good order.
+    """
+    with pytest.raises(Exception, match="closed|Closed"):
+        fetch("/broken?part=1")
+
+
 def test_metrics_are_served(fetch: Fetch) -> None:
     """A counter shows under its reason."""
     body = fetch("/metrics").body.decode()
