--- /dev/null
+++ b/tests/side/conftest.py
@@ -0,0 +1,161 @@
+"""Fakes at the edge of a side process: an upstream that answers as told, and a claim service."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+
+from cranberryline.helpers.clock import SystemClock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.platform.errors import PlatformError, PlatformReason, UpstreamCut
+from cranberryline.platform.model import (
+    PlainServicePort,
+    UpstreamBody,
+    UpstreamHead,
+    UpstreamRequest,
+)
+from cranberryline.requests import RequestKey, SideBook
+from cranberryline.requests.errors import ClaimReason, ClaimRefused
+from cranberryline.requests.model import ClaimOutcome
+from cranberryline.side.claims import Granted
+from cranberryline.side.execution import Execution
+from cranberryline.side.runner import Runner
+from cranberryline.transport.model import Message, Submit
+
+LIFE = "life-1"
+CONNECTION = "entry-1-0"
+
+
+class FakeBody(UpstreamBody):
+    """An answer in parts; it can end before its own end, or wait."""
+
+    def __init__(self, parts: list[bytes], cut: bool, gate: asyncio.Event) -> None:
+        self._parts = parts
+        self._cut = cut
+        self._gate = gate
+        self.taken = 0
+        self.closed = False
+
+    @property
+    def head(self) -> UpstreamHead:
+        return UpstreamHead(200, (("Content-Type", "text/plain"),))
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        for part in self._parts:
+            await self._gate.wait()
+            self.taken += 1
+            yield part
+        if self._cut:
+            raise UpstreamCut("ended early")
+
+    async def async_close(self) -> None:
+        self.closed = True
+
+
+class FakeUpstream(PlainServicePort):
+    """Count the runs, and answer each as told."""
+
+    def __init__(self) -> None:
+        self.runs: list[UpstreamRequest] = []
+        self.parts = [b"whole"]
+        self.cut = False
+        self.error: PlatformError | None = None
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.bodies: list[FakeBody] = []
+
+    async def async_send(
+        self, req: UpstreamRequest, timeout: timedelta
+    ) -> Result[UpstreamBody, PlatformError]:
+        if self.error is not None:
+            return Err(self.error)
+        self.runs.append(req)
+        body = FakeBody(self.parts, self.cut, self.gate)
+        self.bodies.append(body)
+        return Ok(body)
+
+
+class FakeClaims:
+    """Grant every claim, or refuse as told; note what becomes of those granted."""
+
+    def __init__(self) -> None:
+        self.refused: ClaimRefused | None = None
+        self.start_before = timedelta.max
+        self.ends: list[str] = []
+
+    async def async_claim(
+        self, key: str, digest: str, budget: timedelta
+    ) -> Result[Granted, ClaimRefused]:
+        if self.refused is not None:
+            return Err(self.refused)
+        return Ok(Granted(key, "claim-1", self.start_before))
+
+    async def async_settle(self, claim: Granted, outcome: ClaimOutcome) -> None:
+        self.ends.append(f"settled {outcome.status}")
+
+    async def async_abandon(self, claim: Granted) -> None:
+        self.ends.append("abandoned")
+
+    def leave_unknown(self, claim: Granted) -> None:
+        self.ends.append("left")
+
+
+class Desk:
+    """A runner with its fakes, and what it replied."""
+
+    def __init__(self) -> None:
+        self.upstream = FakeUpstream()
+        self.claims = FakeClaims()
+        self.metrics = Metrics()
+        clock = SystemClock()
+        book = SideBook(LIFE)
+        book.open(CONNECTION)
+        execution = Execution(clock, self.metrics, self.upstream, self.claims)  # type: ignore[arg-type]
+        self.runner = Runner(clock, execution, self.metrics, book, concurrency=1)
+        self.replies: list[Message] = []
+
+    def key(self, request_id: int) -> RequestKey:
+        return RequestKey(CONNECTION, request_id)
+
+    def submit(self, request_id: int, **change: Any) -> None:
+        """Hand over a request."""
+        fields = {
+            "id": request_id,
+            "incarnation": LIFE,
+            "service": "dossiers",
+            "method": "POST",
+            "path": "/",
+            "headers": (),
+            "body": b"",
+            "budget_ms": 2000,
+            "priority": 0,
+            "idempotent": False,
+            "key": "",
+            "tokens": 0,
+            **change,
+        }
+        self.runner.submit(self.key(request_id), Submit(**fields), self.replies.append)
+
+    def about(self, request_id: int) -> list[Message]:
+        """Return the replies about one request."""
+        return [msg for msg in self.replies if getattr(msg, "id", None) == request_id]
+
+    async def async_idle(self) -> None:
+        """Wait until nothing runs."""
+        await self.runner.async_wait_idle()
+        await asyncio.sleep(0)
+
+
+@pytest.fixture
+def unreachable() -> PlatformError:
+    """Return the error of a connection that was never made."""
+    return PlatformError(PlatformReason.UNREACHABLE, may_have_run=False)
+
+
+@pytest.fixture
+def refused_claims() -> dict[ClaimReason, ClaimRefused]:
+    """Return a refusal for each reason."""
+    return {reason: ClaimRefused(reason) for reason in ClaimReason}
