--- a/cranberryline/configs/push.py
+++ b/cranberryline/configs/push.py
@@ -54,6 +54,11 @@
         self._longest = longest
         self._attempts: dict[str, _Attempt] = {}
 
+    @property
+    def pending(self) -> bool:
+        """Return whether any peer has not acknowledged."""
+        return bool(self._attempts)
+
     def sent(self, peer: str, now: timedelta) -> None:
         """Note that records were pushed to a peer."""
         last = self._attempts.get(peer)
--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -36,6 +36,7 @@
 DROP_DIGEST = "config_digest_mismatch"
 DROP_PREFIX = "config_"
 LOG_PREFIX = "config_log_"
+MIN_WAIT = timedelta(milliseconds=10)
 RETRY_PUSH = "config_push"
 
 
@@ -57,6 +58,7 @@
     call: timedelta = timedelta(seconds=2)
     start: timedelta = timedelta(seconds=10)
     tick: timedelta = timedelta(milliseconds=500)
+    idle_tick: timedelta = timedelta(seconds=5)
     min_backoff: timedelta = timedelta(milliseconds=200)
     max_backoff: timedelta = timedelta(seconds=2)
     max_resend: timedelta = timedelta(seconds=8)
@@ -91,6 +93,7 @@
         self._current = asyncio.Event()
         self._moved = Signal()
         self._role_changed = Signal()
+        self._work = Signal()
         self._last_sign = clock.monotonic()
         self._last_read: timedelta | None = None
         self._last_beat: timedelta | None = None
@@ -198,9 +201,12 @@
         return sum((self.relay.known(peer) or 0) >= offset for peer in peers)
 
     def _silent(self, rank: int) -> bool:
+        return self._until_silent(rank) < timedelta()
+
+    def _until_silent(self, rank: int) -> timedelta:
         over = max(0, rank - self._timings.tailers)
         stagger = min(self._timings.stagger * over, self._timings.max_stagger)
-        return self._clock.monotonic() - self._last_sign > self._timings.silence + stagger
+        return self._last_sign + self._timings.silence + stagger - self._clock.monotonic()
 
     def _on_request(self, peer: str, request: ConfigRequest) -> None:
         answer = self.relay.on_request(peer, request)
@@ -262,6 +268,8 @@
     def _push(self, peer: str) -> None:
         if not self.current:
             return
+        if not self._resends.pending:
+            self._work.notify()
         self._resends.sent(peer, self._clock.monotonic())
         self._port.send(peer, self.relay.push_for(peer))
 
@@ -273,7 +281,8 @@
         while True:
             if not self.tailing:
                 self._last_read = None
-                await self._role_changed.async_wait(self._timings.tick)
+                left = self._until_silent(self._ranking.rank())
+                await self._role_changed.async_wait(max(left, MIN_WAIT))
                 continue
             read = await self._async_poll()
             if isinstance(read, Ok):
@@ -301,7 +310,7 @@
 
     async def _async_ticks(self) -> None:
         while True:
-            await self._clock.async_sleep(self._timings.tick)
+            await self._work.async_wait(self._tick_delay())
             now = self._clock.monotonic()
             self._resend(now)
             if not self.current:
@@ -310,6 +319,18 @@
             if self.tailing:
                 self._beat(now)
 
+    def _tick_delay(self) -> timedelta:
+        if not self.current or self._resends.pending:
+            return self._timings.tick
+        return self._timings.sign if self._signed_peers() else self._timings.idle_tick
+
+    def _signed_peers(self) -> list[str]:
+        """Return the entries that count on this one's signs of life."""
+        if not self.tailing:
+            return []
+        tailers = self._ranking.tailers()
+        return [peer for peer in self._port.entry_peers() if peer not in tailers]
+
     def _ask_peers(self) -> None:
         for peer in self._port.entry_peers():
             self._port.send(peer, ConfigRequest(self.fold.offset + 1))
@@ -334,11 +355,9 @@
         if self._last_read is None or now - self._last_read > bound:
             return
         self._last_beat = now
-        tailers = self._ranking.tailers()
         sign = self.relay.delta_since(self.fold.offset + 1)
-        for peer in self._port.entry_peers():
-            if peer not in tailers:
-                self._port.send(peer, sign)
+        for peer in self._signed_peers():
+            self._port.send(peer, sign)
 
     async def _async_checkpoints(self) -> None:
         while True:
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -46,6 +46,8 @@
         self._left: OrderedDict[str, None] = OrderedDict()
         self._lives: dict[str, _Life] = {}
         self._listeners: list[Listener] = []
+        self._usable_by_service: dict[str | None, list[VmEntry]] = {}
+        self._usable_entries: list[VmEntry] | None = None
         self.refusals: Counter[MembershipReason] = Counter()
 
     @property
@@ -59,15 +61,20 @@
 
     def entries(self) -> list[VmEntry]:
         """Return the usable entries, sorted by id."""
-        return [vm for vm in self._sorted() if vm.role is VmRole.ENTRY and self._usable(vm.id)]
+        if self._usable_entries is None:
+            rows = [vm for vm in self._sorted() if vm.role is VmRole.ENTRY]
+            self._usable_entries = [vm for vm in rows if self._usable(vm.id)]
+        return list(self._usable_entries)
 
     def upstreams(self, service: str | None = None) -> list[VmEntry]:
         """Return the usable upstreams of a service, or of all, sorted by id."""
-        return [
-            vm
-            for vm in self._sorted()
-            if vm.role is VmRole.UPSTREAM and service in (None, vm.service) and self._usable(vm.id)
-        ]
+        found = self._usable_by_service.get(service)
+        if found is None:
+            rows = [vm for vm in self._sorted() if vm.role is VmRole.UPSTREAM]
+            found = [vm for vm in rows if service in (None, vm.service) and self._usable(vm.id)]
+            if found:
+                self._usable_by_service[service] = found
+        return list(found)
 
     def get(self, vm_id: str) -> VmEntry | None:
         """Return the list's row of a VM."""
@@ -209,6 +216,10 @@
     def _notify(self, changed: bool) -> None:
         if not changed:
             return
+        # Who tails the log asks for the entries several times a second; going through thousands of
+        # rows each time would take more of the processor than all other control together.
+        self._usable_by_service.clear()
+        self._usable_entries = None
         for listener in self._listeners:
             listener()
 
