--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -113,6 +113,7 @@
         self._failed_at = timedelta(microseconds=-1)
         self._not_before = timedelta()
         self._trainer_version = 0
+        self._checked = (0, 0)
         self._pulls = 0
         self._closing = False
         self._called_at = self._clock.monotonic()
@@ -212,8 +213,7 @@
 
     def _look(self) -> None:
         limits = self._read_limits()
-        newest = max(limits.newest_version, self._trainer_version)
-        self._ledger.drop_stale(newest, limits.staleness_bound)
+        self._drop_stale(max(limits.newest_version, self._trainer_version), limits.staleness_bound)
         for attempt in self._ledger.take_obsolete():
             if attempt in self._attempts:
                 self._attempts[attempt].task.cancel()
@@ -226,6 +226,12 @@
         if not self._ledger.startable(1):
             self._hedge()
 
+    def _drop_stale(self, newest: int, bound: int) -> None:
+        """Drop what a new version or bound has made stale; nothing stale is kept at its finish."""
+        if (newest, bound) != self._checked:
+            self._checked = (newest, bound)
+            self._ledger.drop_stale(newest, bound)
+
     def _hedge(self) -> None:
         now = self._clock.monotonic()
         hedgeable = set(self._ledger.hedgeable())
