Let a step that was handed over whole end after a minute

A trainer that took the last batch does not call for the step again, so it was kept for ten minutes: at a step every 5 s, 120 steps of one trainer with all their texts, and past 1,024 steps an entry refuses new ones. Seen failing with the rule taken out.

--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -38,6 +38,8 @@
 # How often stragglers are looked for, while there are samples in the making.
 HEDGE_INTERVAL = timedelta(milliseconds=250)
 MAX_DURATIONS = 256
+# A step that was handed over whole is kept this long for a repeated pull of its last batch.
+DONE_QUIET_AFTER = timedelta(seconds=60)
 
 RETRY_HEDGE = "hedge"
 RETRY_SCORER = "scorer"
@@ -116,6 +118,7 @@
         self._checked = (0, 0)
         self._pulls = 0
         self._closing = False
+        self._handed_all = False
         self._called_at = self._clock.monotonic()
         self._changed = asyncio.Event()
         self._ready = asyncio.Event()
@@ -166,6 +169,7 @@
                 if isinstance(result, Err) or left <= timedelta():
                     return result
                 batch = result.unwrap()
+                self._handed_all = batch.done
                 if batch.samples or batch.done or self._closing:
                     self._count_handed_over(len(batch.samples))
                     return result
@@ -353,7 +357,13 @@
         return not self._pulls and self._quiet_left() <= timedelta()
 
     def _quiet_left(self) -> timedelta:
-        return self._called_at + self._quiet_after - self._clock.monotonic()
+        # A trainer that took the last batch of a step does not call for it again, so no cursor
+        # ever covers that batch. Kept as long as a step in the making, the steps of a quick
+        # trainer would fill the memory; one that lost the answer is back within seconds.
+        quiet_after = self._quiet_after
+        if self._handed_all:
+            quiet_after = min(quiet_after, DONE_QUIET_AFTER)
+        return self._called_at + quiet_after - self._clock.monotonic()
 
     def _next_look(self) -> timedelta:
         """Return how long nothing can happen by itself; a finished step waits for its trainer."""
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -15,6 +15,7 @@
     StepDeclaration,
     StepRefusal,
 )
+from cranberryline.samples import runner as runner_module
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ports import RolloutLimits, RunningSample
 from cranberryline.samples.runner import BACKOFF_START, Pull, StepRunner
@@ -196,6 +197,31 @@
     asyncio.run(async_play())
 
 
+def test_step_handed_over_whole_is_kept_briefly(
+    make_table: MakeTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A trainer takes the last batch and never calls for this step again.
+
+    The same pull repeated at once gets that batch; then the step goes, long before the quiet
+    time of one in the making, or a quick trainer's steps would fill the entry's memory.
+    """
+    monkeypatch.setattr(runner_module, "DONE_QUIET_AFTER", timedelta(milliseconds=300))
+
+    async def async_play() -> None:
+        table = make_table()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        await asyncio.sleep(0.2)
+        batch = await async_pull(runner)
+        assert batch.done
+        assert await async_pull(runner) == batch
+        assert not runner.closed
+        await asyncio.sleep(1)
+        assert runner.closed
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_pull_that_waits_is_answered_at_a_planned_stop(
     make_table: MakeTable, dispatch: FakeDispatch
 ) -> None:
