Give freed room to the step that its trainer waits for

A later step, declared ahead, looked first whenever one of its own samples ended, and took each place as it was freed: the hedge of the earlier step's straggler never started (new test: not ended within 4 s, now ended). The table now wakes a trainer's steps in order. Ruled out: the hedging policy, which named the straggler but got no room.

--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -269,7 +269,9 @@
                 _LOGGER.error("sample_attempt_broke", sample_id=name, error=repr(task.exception()))
             # Without this a cancelled or broken attempt would hold its identity for ever.
             self._ledger.discard(attempt.sample_id, name, DiscardReason.FAILED)
-        self.wake()
+        # Not `wake` first: the table wakes the trainer's steps in order, so that the room goes to
+        # the one it waits for. Looked at first, a later step would take each place as it is freed
+        # and leave none for the hedge or the repetition that the earlier one needs.
         self._on_freed()
 
     async def _async_attempt(self, sample_id: SampleId, name: str, avoid: frozenset[str]) -> None:
--- a/tests/samples/sample_fakes.py
+++ b/tests/samples/sample_fakes.py
@@ -30,6 +30,7 @@
         self.held: dict[str, asyncio.Event] = {}
         self.started: Counter[str] = Counter()
         self.avoided: list[frozenset[str]] = []
+        self.pause_s = 0.0
         self.running = 0
         self.most_running = 0
 
@@ -47,7 +48,7 @@
             version = self.version
             if self.started[req.sample_id] == 1 and req.sample_id in self.held:
                 await self.held[req.sample_id].wait()
-            await asyncio.sleep(0)
+            await asyncio.sleep(self.pause_s)
         finally:
             self.running -= 1
         if self.failing is not None:
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -180,6 +180,31 @@
     asyncio.run(async_play())
 
 
+def test_earlier_step_goes_before_a_later_one(
+    make_table: MakeTable, dispatch: FakeDispatch
+) -> None:
+    """A trainer waits for step 1, of which one sample hangs, while step 2 could use all the room.
+
+    Room that becomes free goes to the step that the trainer waits for: its straggler is hedged
+    although the later step has samples to start all the time.
+    """
+
+    async def async_play() -> None:
+        dispatch.held["t/1/1/3"] = asyncio.Event()
+        dispatch.pause_s = 0.1
+        table = make_table()
+        groups = (GroupDeclaration("p", 400, 8),)
+        later = table.declare(StepDeclaration("t", 2, "s", groups), owner=True).unwrap()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        async with asyncio.timeout(4):
+            assert len(await async_pull_all(runner)) == DECLARATION.size
+        assert later.running > 0
+        assert dispatch.most_running <= 4
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_step_of_a_quiet_trainer_ends(make_table: MakeTable, dispatch: FakeDispatch) -> None:
     """A trainer that has gone costs nothing after a while; back again, it declares anew."""
 
