--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -7,9 +7,9 @@
 from prometheus_client.metrics import Counter, Gauge, Histogram
 from prometheus_client.process_collector import ProcessCollector
 from prometheus_client.registry import Collector
-from tornado.web import RequestHandler
 
 from .logging import dropped_lines
+from .problem import ProblemHandler
 
 __all__ = ["Metrics", "MetricsHandler"]
 
@@ -104,7 +104,7 @@
         return self.registry.get_sample_value(name, labels) or 0.0
 
 
-class MetricsHandler(RequestHandler):
+class MetricsHandler(ProblemHandler):
     """Serve the metrics as text."""
 
     def initialize(self, metrics: Metrics) -> None:
