--- a/bench/idle.py
+++ b/bench/idle.py
@@ -13,7 +13,7 @@
 
 from .processes import Process, free_port, running_path, started, wait_for_port
 
-__all__ = ["main"]
+__all__ = ["Relays", "main", "relays_running"]
 
 _SETTLE_S = 12.0
 _MEASURE_S = 60.0
@@ -63,7 +63,7 @@
 
 
 @contextlib.contextmanager
-def _relays() -> Iterator[Relays]:
+def relays_running() -> Iterator[Relays]:
     """Run the relays' loop in a thread."""
     relays = Relays()
     thread = threading.Thread(target=relays.loop.run_forever, daemon=True)
@@ -97,7 +97,7 @@
     with contextlib.ExitStack() as stack:
         serving = started("upstream", "bench.reference", "upstream", str(upstream))
         wait_for_port(stack.enter_context(serving), upstream)
-        relays = stack.enter_context(_relays())
+        relays = stack.enter_context(relays_running())
         path = stack.enter_context(running_path(upstream, relays.route))
         time.sleep(args.settle_seconds)
         processes = (path.entry, path.side)
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -25,6 +25,8 @@
     "running_path",
     "started",
     "wait_for_port",
+    "wait_until_ready",
+    "write_settings",
 ]
 
 _REPOSITORY = Path(__file__).resolve().parent.parent
@@ -116,7 +118,7 @@
     raise TimeoutError(f"{process.name} is not ready at {path} after {timeout_s} s")
 
 
-def _write(folder: Path, name: str, settings: dict[str, Any]) -> str:
+def write_settings(folder: Path, name: str, settings: dict[str, Any]) -> str:
     """Write a settings file and return its path."""
     path = folder / f"{name}.yaml"
     path.write_text(yaml.safe_dump(settings))
@@ -195,9 +197,9 @@
         }
         # A side process is ready once an entry has told it the configuration, so neither can wait
         # for the other here.
-        settings = _write(folder, "side", side_settings)
+        settings = write_settings(folder, "side", side_settings)
         side = stack.enter_context(started("side", "cranberryline", "side", settings))
-        settings = _write(folder, "entry", entry_settings)
+        settings = write_settings(folder, "entry", entry_settings)
         entry = stack.enter_context(started("entry", "cranberryline", "entry", settings))
         entry_ready_s = wait_until_ready(entry, entry_http, "/ready")
         side_ready_s = wait_until_ready(side, side_http, "/ready")
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is pure in the benchmarks."""
