Look again only at the upstreams that a change of members touches

Cause: at 770 entries and 7,300 upstreams an entry worked its subset out anew at each change of the list, in one piece on its event loop. Ruled out: a cheaper hash alone, since the number of hashes stays entries times upstreams; keeping the first entries of each upstream exactly, since the first choice would then hash all pairs. Change: SubsetChooser keeps for each upstream which entries rank before its own, and looks again only where one of these has gone or a new one came. Its choice equals that of subset().

--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -6,7 +6,7 @@
 
 from result import Ok
 
-from cranberryline.decisions import subset
+from cranberryline.decisions import SubsetChooser, subset
 from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.transport import encode
 from cranberryline.transport.model import Members
@@ -21,6 +21,8 @@
 _SHARES = (0.125, 0.25, 0.5, 1.0)
 _QUICK_SHARES = (0.02, 0.04, 0.08)
 _RACK = 20
+_CHANGES = 10
+_OWN = "entry-0003"
 _SERVICE = "redacteurs"
 
 
@@ -87,8 +89,11 @@
     first = time.process_time()
     assert isinstance(membership.apply_list(VmList(2, rows[:-1])), Ok)
     applied = time.process_time()
-    chosen = subset("entry-0000", [f"entry-{n:04}" for n in range(entries)], _upstream_ids(rows))
+    chooser = SubsetChooser(_OWN)
+    names, upstream_ids = _ids(rows, VmRole.ENTRY), _ids(rows, VmRole.UPSTREAM)
+    chosen = chooser.choose(names, upstream_ids)
     subsetted = time.process_time()
+    began_members = time.process_time()
     ids = tuple(vm.id for vm in membership.upstreams(_SERVICE))
     frames = encode([Members(_SERVICE, ids)])
     encoded = time.process_time()
@@ -100,15 +105,41 @@
         "list_parse_ms": _ms(parsed - began),
         "list_apply_ms": _ms(applied - first),
         "subset_ms": _ms(subsetted - applied),
+        **_measure_changes(chooser, names, upstream_ids),
         "subset_size": len(chosen),
         "members_message_bytes": message,
         "members_messages": len(chosen),
-        "members_encode_ms": _ms((encoded - subsetted) * len(chosen)),
+        "members_encode_ms": _ms((encoded - began_members) * len(chosen)),
     }
 
 
-def _upstream_ids(rows: tuple[VmEntry, ...]) -> list[str]:
-    return [vm.id for vm in rows if vm.role is VmRole.UPSTREAM]
+def _measure_changes(
+    chooser: SubsetChooser, entries: list[str], upstreams: list[str]
+) -> dict[str, float]:
+    """Return the mean time of a choice after one upstream, or one entry, left or came back."""
+    fewer_upstreams = [(entries, [*upstreams[:n], *upstreams[n + 1 :]]) for n in range(_CHANGES)]
+    others = [name for name in entries if name != _OWN][:: max(1, len(entries) // _CHANGES)]
+    fewer_entries = [([n for n in entries if n != gone], upstreams) for gone in others]
+    return {
+        "upstream_change_ms": _ms(_mean_time(chooser, fewer_upstreams, (entries, upstreams))),
+        "entry_change_ms": _ms(_mean_time(chooser, fewer_entries, (entries, upstreams))),
+    }
+
+
+def _mean_time(
+    chooser: SubsetChooser,
+    changed: list[tuple[list[str], list[str]]],
+    whole: tuple[list[str], list[str]],
+) -> float:
+    began = time.process_time()
+    for members in changed:
+        chooser.choose(*members)
+        chooser.choose(*whole)
+    return (time.process_time() - began) / (2 * len(changed))
+
+
+def _ids(rows: tuple[VmEntry, ...], role: VmRole) -> list[str]:
+    return [vm.id for vm in rows if vm.role is role]
 
 
 def _ms(seconds: float) -> float:
@@ -147,6 +178,7 @@
         rows.append(row)
         print_line(_PART, **row)
     names = ("list_bytes", "list_parse_ms", "list_apply_ms", "subset_ms", "subset_size")
+    changes = ("upstream_change_ms", "entry_change_ms")
     members = ("members_message_bytes", "members_encode_ms")
-    print_fits(_PART, rows, "upstreams", [*names, *members], SAMPLERS)
+    print_fits(_PART, rows, "upstreams", [*names, *changes, *members], SAMPLERS)
     _measure_moves(int(ENTRIES * shares[-1]), int(SAMPLERS * shares[-1]))
--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -32,7 +32,7 @@
     StragglerDecision,
 )
 from .routing import RouteRequest, RoutingPolicy, UpstreamView, free_slots
-from .subset import subset
+from .subset import SubsetChooser, subset
 from .weight_shift import ShiftPlan, ShiftSettings, swap_delay
 
 __all__ = [
@@ -74,6 +74,7 @@
     "StepView",
     "StragglerAction",
     "StragglerDecision",
+    "SubsetChooser",
     "UpstreamView",
     "WorkItem",
     "WorkQueue",
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -6,7 +6,7 @@
 
 import zmq
 
-from cranberryline.decisions import subset
+from cranberryline.decisions import SubsetChooser
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.platform.model import VmEntry, VmRole
@@ -47,6 +47,7 @@
         self._dialers: dict[str, Dialer] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._closing: set[asyncio.Task[None]] = set()
+        self._choosers: dict[str, SubsetChooser] = {}
 
     def connected(self) -> list[str]:
         """Return the side processes that can be reached now."""
@@ -82,11 +83,16 @@
 
     def _subset(self, members: Membership, rows: dict[str, VmEntry]) -> set[str]:
         entries = sorted({vm.id for vm in members.entries()} | {self._vm_id})
-        services = {vm.service for vm in rows.values()}
+        by_service: dict[str, list[str]] = {}
+        for vm in rows.values():
+            by_service.setdefault(vm.service, []).append(vm.id)
+        known = self._choosers
+        self._choosers = {
+            service: known.get(service) or SubsetChooser(self._vm_id) for service in by_service
+        }
         wanted: set[str] = set()
-        for service in services:
-            ids = [vm.id for vm in rows.values() if vm.service == service]
-            wanted |= subset(self._vm_id, entries, ids)
+        for service, ids in by_service.items():
+            wanted |= self._choosers[service].choose(entries, ids)
         return wanted
 
     def _dial(self, row: VmEntry) -> None:
