Tell side processes of a large service the count of its members alone

Cause: at each change of the list an entry sent all member ids of the service to each of its side processes, also when nothing had changed for it. Ruled out: sending differences, since a turn needs either the rank among all members or only how many there are. A notice is sent once to each connection.

--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -7,9 +7,9 @@
 from result import Ok
 
 from cranberryline.decisions import SubsetChooser, subset
+from cranberryline.entry.notices import MemberNotices
 from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.transport import encode
-from cranberryline.transport.model import Members
 from cranberryline.upstreams import Membership
 
 from .report import print_fits, print_line
@@ -94,10 +94,9 @@
     chosen = chooser.choose(names, upstream_ids)
     subsetted = time.process_time()
     began_members = time.process_time()
-    ids = tuple(vm.id for vm in membership.upstreams(_SERVICE))
-    frames = encode([Members(_SERVICE, ids)])
+    notices = MemberNotices(membership).due(sorted(chosen))
+    frames = [encode([notice]) for _, notice in notices]
     encoded = time.process_time()
-    message = sum(map(len, frames))
     return {
         "entries": entries,
         "upstreams": upstreams,
@@ -107,9 +106,9 @@
         "subset_ms": _ms(subsetted - applied),
         **_measure_changes(chooser, names, upstream_ids),
         "subset_size": len(chosen),
-        "members_message_bytes": message,
-        "members_messages": len(chosen),
-        "members_encode_ms": _ms((encoded - began_members) * len(chosen)),
+        "notices": len(frames),
+        "notices_bytes": sum(len(part) for message in frames for part in message),
+        "notices_ms": _ms(encoded - began_members),
     }
 
 
@@ -179,6 +178,6 @@
         print_line(_PART, **row)
     names = ("list_bytes", "list_parse_ms", "list_apply_ms", "subset_ms", "subset_size")
     changes = ("upstream_change_ms", "entry_change_ms")
-    members = ("members_message_bytes", "members_encode_ms")
+    members = ("notices_bytes", "notices_ms")
     print_fits(_PART, rows, "upstreams", [*names, *changes, *members], SAMPLERS)
     _measure_moves(int(ENTRIES * shares[-1]), int(SAMPLERS * shares[-1]))
--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -33,7 +33,7 @@
 )
 from .routing import RouteRequest, RoutingPolicy, UpstreamView, free_slots
 from .subset import SubsetChooser, subset
-from .weight_shift import ShiftPlan, ShiftSettings, swap_delay
+from .weight_shift import ShiftPlan, ShiftSettings, hashed_swap_delay, swap_delay
 
 __all__ = [
     "AdmissionLimits",
@@ -79,6 +79,7 @@
     "WorkItem",
     "WorkQueue",
     "free_slots",
+    "hashed_swap_delay",
     "subset",
     "swap_delay",
 ]
--- a/cranberryline/decisions/weight_shift.py
+++ b/cranberryline/decisions/weight_shift.py
@@ -14,6 +14,10 @@
 it is 7,300 / 5 s = 1,460 starts a second, a fifth of the members at once. That pace needs a store
 (or caches before it) of 1,460 fetches a second; `time_to_all` says what a slower one gives.
 
+A service too large to list its members to each of them takes turns by hash alone: a member's
+place is its hash's share of the count. Places then meet by chance, so that at a pace of 100 a
+second a second has 100 starts give or take 10, where ranks give exactly 100.
+
 Work in flight stays: an engine that swaps between two tokens loses nothing, and the segments of a
 sample say which version made what. A member list that differs by a few between two side processes
 shifts turns by as many places; the store's own refusal with Retry-After is what remains then.
@@ -27,8 +31,9 @@
 from . import rendezvous
 from .const import ZERO
 
-__all__ = ["ShiftPlan", "ShiftSettings", "swap_delay"]
+__all__ = ["ShiftPlan", "ShiftSettings", "hashed_swap_delay", "swap_delay"]
 
+_SCORE_BITS = 8 * rendezvous.SCORE_BYTES
 DEFAULT_STORE_RATE = 10.0
 DEFAULT_MAX_SWAPPING = 0.25
 DEFAULT_SWAP_TIME = timedelta(seconds=1)
@@ -70,3 +75,11 @@
     own = (rendezvous.score(key, member), member)
     place = sum((rendezvous.score(key, other), other) > own for other in members)
     return ShiftPlan(place, timedelta(seconds=place / settings.pace(len(members))))
+
+
+def hashed_swap_delay(
+    member: str, count: int, model: str, version: int, settings: ShiftSettings
+) -> ShiftPlan:
+    """Return the member's turn where only the count of the members is known."""
+    place = rendezvous.score(f"{model}@{version}", member) * count >> _SCORE_BITS
+    return ShiftPlan(place, timedelta(seconds=place / settings.pace(count)))
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -36,7 +36,6 @@
     Drain,
     Hello,
     Load,
-    Members,
     Message,
     PeerRequest,
     Welcome,
@@ -48,6 +47,7 @@
 from .links import SideLinks
 from .membership import MembershipWatch
 from .mesh import EntryMesh, MeshEvents, PeerReply
+from .notices import MemberNotices
 from .operators import OperatorContext, PeerStatus, operator_routes
 from .proxy import ProxyContext
 from .rollouts import DispatcherSamples, FoldRollouts, MeshOwners, NoScores
@@ -104,6 +104,7 @@
         self.table = PeerTable()
         self.watch = MembershipWatch(HttpVmList(cfg.vm_list_url), clock, self.metrics)
         self.members = self.watch.membership
+        self.notices = MemberNotices(self.members)
         self.links = SideLinks(
             self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self, self.table, self.metrics
         )
@@ -159,12 +160,14 @@
         _LOGGER.info("side_up", peer=peer.vm_id, incarnation=welcome.incarnation)
         self.watch.on_welcome(welcome)
         self.sync.on_peer(peer.vm_id, welcome.config_offset)
-        self._send_members(peer)
+        self.notices.forget(peer.vm_id)
+        self._send_members([peer])
         self.dispatcher.wake()
 
     def on_down(self, peer: Dialer) -> None:
         """Forget what was known of a side process that is out of reach."""
         _LOGGER.info("side_down", peer=peer.vm_id)
+        self.notices.forget(peer.vm_id)
         self.sync.on_peer_lost(peer.vm_id)
 
     def on_drain(self, peer: Dialer, msg: Drain) -> None:
@@ -303,8 +306,7 @@
 
     def _on_members(self) -> None:
         self.links.apply(self.members)
-        for peer in self.table.all():
-            self._send_members(peer)
+        self._send_members(self.table.all())
         self.mesh.apply_members(self.members.entries())
         self.sync.on_members()
         self.dispatcher.wake()
@@ -312,12 +314,11 @@
     def _on_peer_offset(self, vm_id: str, offset: int) -> None:
         self.sync.on_peer(vm_id, offset)
 
-    def _send_members(self, peer: Dialer) -> None:
-        """Tell a side process who else serves its service, for the order of weight swaps."""
-        row = self.members.get(peer.vm_id)
-        if row is not None:
-            ids = tuple(vm.id for vm in self.members.upstreams(row.service))
-            peer.send(Members(row.service, ids))
+    def _send_members(self, peers: list[Dialer]) -> None:
+        """Tell side processes who else serves their service, for the order of weight swaps."""
+        connected = {peer.vm_id: peer for peer in peers if peer.welcome is not None}
+        for vm_id, notice in self.notices.due(connected):
+            connected[vm_id].send(notice)
 
     async def _async_sweep(self) -> None:
         while True:
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -20,7 +20,14 @@
 from cranberryline.requests import SideBook
 from cranberryline.settings import SideSettings
 from cranberryline.transport import Connection
-from cranberryline.transport.model import ConfigDelta, ConfigRequest, Load, Message, Welcome
+from cranberryline.transport.model import (
+    ConfigDelta,
+    ConfigRequest,
+    Load,
+    Members,
+    Message,
+    Welcome,
+)
 
 from .claims import ClaimService
 from .config_sync import SideConfigSync
@@ -74,7 +81,7 @@
         self._ctx = zmq.Context()
         self._http: HTTPServer | None = None
         self._tasks: set[asyncio.Future[Any]] = set()
-        self._members: tuple[str, ...] = ()
+        self._members = Members(cfg.service, (), 0)
         self.server: PeerServer | None = None
         self.incarnation = uuid.uuid4().hex
         self.metrics = Metrics()
@@ -84,7 +91,7 @@
         execution = Execution(clock, self.metrics, self.engine, self.claims)
         self.runner = Runner(clock, execution, self.metrics, self.book)
         self.sync = SideConfigSync(_Relay(self), clock, self.metrics)
-        slots = ShiftSlots(cfg.vm_id, lambda: self._members)
+        slots = ShiftSlots(cfg.vm_id, lambda: self._members.ids, lambda: self._members.count)
         self.weights = WeightsController(
             cfg.service, self.sync, self.engine, slots, clock, self.metrics
         )
@@ -137,10 +144,10 @@
         """Take configuration, or a request for it, from an entry."""
         self.sync.on_message(conn.vm_id, msg)
 
-    def on_members(self, service: str, ids: tuple[str, ...]) -> None:
+    def on_members(self, msg: Members) -> None:
         """Take the members of this upstream's service."""
-        if service == self._cfg.service:
-            self._members = ids
+        if msg.service == self._cfg.service:
+            self._members = msg
 
     def start(self) -> None:
         """Open the ports and start the tasks."""
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -44,8 +44,8 @@
     def on_config(self, conn: Connection, msg: ConfigDelta | ConfigRequest) -> None:
         """Handle configuration records, or a request for them."""
 
-    def on_members(self, service: str, ids: tuple[str, ...]) -> None:
-        """Handle the list of the VMs that serve a service."""
+    def on_members(self, msg: Members) -> None:
+        """Handle what an entry tells of the VMs that serve a service."""
 
     def config_offset(self) -> int:
         """Return how much configuration this process has."""
@@ -124,7 +124,7 @@
         elif isinstance(msg, ConfigDelta | ConfigRequest):
             self._events.on_config(conn, msg)
         elif isinstance(msg, Members):
-            self._events.on_members(msg.service, msg.ids)
+            self._events.on_members(msg)
 
     def _send_load(self, conn: Connection) -> None:
         load = self._events.load()
--- a/cranberryline/side/weights.py
+++ b/cranberryline/side/weights.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from cranberryline.configs.model import ServiceSpec
-from cranberryline.decisions.weight_shift import ShiftSettings, swap_delay
+from cranberryline.decisions.weight_shift import ShiftSettings, hashed_swap_delay, swap_delay
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
@@ -49,11 +49,20 @@
 
 
 class ShiftSlots(SwapSlots):
-    """Take the turn that the weight shift decision gives to this member of the service."""
+    """Take the turn that the weight shift decision gives to this member of the service.
 
-    def __init__(self, vm_id: str, members: Callable[[], Collection[str]]) -> None:
+    Of a large service only the count of the members is known, not who they are.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        members: Callable[[], Collection[str]],
+        count: Callable[[], int] = lambda: 0,
+    ) -> None:
         self._vm_id = vm_id
         self._members = members
+        self._count = count
 
     def delay(self, spec: ServiceSpec, version: int) -> timedelta:
         """Return the delay of this member's turn."""
@@ -61,6 +70,9 @@
             store_rate=spec.fetches_per_second, max_swapping=spec.swap_fraction
         )
         members = {*self._members(), self._vm_id}
+        count = self._count()
+        if count > len(members):
+            return hashed_swap_delay(self._vm_id, count, spec.model, version, settings).delay
         return swap_delay(self._vm_id, members, spec.model, version, settings).delay
 
 
--- a/cranberryline/transport/model.py
+++ b/cranberryline/transport/model.py
@@ -234,7 +234,11 @@
 
 @attrs.frozen
 class Members(Message):
-    """Tell a side process which VMs serve its service, itself included."""
+    """Tell a side process which VMs serve its service, itself included.
+
+    Of a large service only the count is told, and `ids` is empty.
+    """
 
     service: str
     ids: tuple[str, ...]
+    count: int
--- a/tests/decisions/test_weight_shift.py
+++ b/tests/decisions/test_weight_shift.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryline.decisions import ShiftSettings, swap_delay
+from cranberryline.decisions import ShiftSettings, hashed_swap_delay, swap_delay
 
 MEMBERS = [f"sampler-{i}" for i in range(60)]
 
@@ -57,3 +57,24 @@
     """7,300 samplers within 6 s need about 1,460 fetches a second; at 100 it takes over a minute."""
     assert ShiftSettings(store_rate=1460).time_to_all(7300) <= timedelta(seconds=6)
     assert ShiftSettings(store_rate=100).time_to_all(7300) > timedelta(seconds=60)
+
+
+def test_turns_by_hash_keep_the_pace_on_average_and_within_small_bursts() -> None:
+    """A large service: nobody knows all members, and starts are spread over the same time."""
+    settings = ShiftSettings(store_rate=100.0, max_swapping=1.0)
+    names = [f"sampler-{i}" for i in range(2000)]
+    starts = [hashed_swap_delay(name, 2000, "m", 7, settings) for name in names]
+    assert all(0 <= plan.place < 2000 for plan in starts)
+    assert max(plan.delay for plan in starts) < timedelta(seconds=20)
+    seconds = Counter(int(plan.delay.total_seconds()) for plan in starts)
+    assert len(seconds) == 20
+    # Five standard deviations of a hundred starts that fall by chance.
+    assert 50 <= min(seconds.values()) <= max(seconds.values()) <= 150
+
+
+def test_a_turn_by_hash_moves_little_with_the_count() -> None:
+    """Two side processes that differ by one in the count differ by at most one place."""
+    settings = ShiftSettings(store_rate=100.0)
+    for name in MEMBERS:
+        places = [hashed_swap_delay(name, n, "m", 3, settings).place for n in (999, 1000)]
+        assert places[1] - places[0] in (0, 1)
