Start samples by the rollout decision, so that freshness has its effect

Cause: the owner of a step started whatever there was room for; `freshness` was read and not used. Change: each trainer's pace (where it stands, its step and training times, rate and length of its samples) feeds RolloutPolicy.start over all its declared steps. Left: hedges stay with SlowestFirst, for a resume needs token progress; with groups of one length the values between the two ends start all or none ahead.

--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -130,7 +130,7 @@
             return None
         weights = self._fold.weights(service)
         newest = 0 if weights is None else weights[0].version
-        return RolloutLimits(newest, spec.staleness_bound, spec.max_in_flight)
+        return RolloutLimits(newest, spec.staleness_bound, spec.max_in_flight, spec.freshness)
 
 
 class MeshOwners(OwnerPort):
--- a/cranberryline/samples/ledger.py
+++ b/cranberryline/samples/ledger.py
@@ -2,6 +2,7 @@
 
 import enum
 import heapq
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 
@@ -68,6 +69,17 @@
             heapq.heappush(self._queue, position)
         return [self._ids[position] for position in found]
 
+    def waiting(self) -> dict[int, int]:
+        """Return how many identities of each group nobody makes and nobody has."""
+        counts = Counter(self._ids[position].group for position in self._idle)
+        return dict(sorted(counts.items()))
+
+    def startable_of(self, group: int, limit: int) -> list[SampleId]:
+        """Return identities of a group that nobody makes and nobody has."""
+        ids = (SampleId(group, index) for index in range(self.declaration.groups[group].n))
+        idle = (one for one in ids if self.declaration.position(one) in self._idle)
+        return list(itertools.islice(idle, max(limit, 0)))
+
     def hedgeable(self) -> list[SampleId]:
         """Return identities that run and may get one more attempt."""
         return [
--- a/cranberryline/samples/ports.py
+++ b/cranberryline/samples/ports.py
@@ -7,6 +7,8 @@
 import attrs
 from result import Result
 
+from cranberryline.configs.const import DEFAULT_FRESHNESS
+
 from .errors import DiscardReason
 from .model import Completion, SampleId
 
@@ -62,6 +64,7 @@
     newest_version: int
     staleness_bound: int
     max_in_flight: int
+    freshness: float = DEFAULT_FRESHNESS
 
 
 class RolloutConfig(abc.ABC):
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -21,6 +21,7 @@
 from .errors import CursorError, DiscardReason
 from .ledger import FinishOutcome, StepLedger
 from .model import Batch, Completion, SampleId, StepDeclaration
+from .pacing import StepWork, TrainerPace
 from .ports import (
     DispatchError,
     HedgePolicy,
@@ -93,6 +94,8 @@
         ports: RunnerPorts,
         limits: Callable[[], RolloutLimits | None],
         room: Callable[[], int],
+        pace: TrainerPace,
+        allowed: Callable[[], list[tuple[int, int]]],
         on_freed: Callable[[], None],
         quiet_after: timedelta,
     ) -> None:
@@ -101,6 +104,9 @@
         self._clock = ports.clock
         self._get_limits = limits
         self._room = room
+        self._pace = pace
+        self._allowed = allowed
+        self._early: dict[SampleId, int] = {}
         self._on_freed = on_freed
         self._quiet_after = quiet_after
         self._ledger = StepLedger(declaration)
@@ -129,6 +135,18 @@
         """Count the attempts in the making."""
         return len(self._attempts)
 
+    @property
+    def work(self) -> StepWork:
+        """Return what is not started, and what the started samples cost in versions."""
+        waiting = self._ledger.waiting()
+        groups = self.declaration.groups
+        return StepWork(
+            samples=self.declaration.size,
+            versions_early=sum(self._early.values()),
+            waiting=waiting,
+            max_tokens={group: groups[group].max_tokens for group in waiting},
+        )
+
     @property
     def pause(self) -> timedelta:
         """Return how long the step still waits after a failure before it starts anything."""
@@ -161,6 +179,7 @@
         """Return what the trainer gets; wait for the first sample as long as the pull allows."""
         self._pulls += 1
         self._trainer_version = pull.version
+        self._pace.on_pull(self.declaration.step, pull.version, self._clock.monotonic())
         give_up_at = self._clock.monotonic() + pull.wait
         try:
             while True:
@@ -225,8 +244,9 @@
             self._ports.metrics.discards.labels(reason.value).inc(count)
         if self._clock.monotonic() < self._not_before:
             return
-        for sample_id in self._ledger.startable(max(self._room(), 0)):
-            self._begin(sample_id)
+        for group, count in self._allowed():
+            for sample_id in self._ledger.startable_of(group, min(count, self._room())):
+                self._begin(sample_id)
         if not self._ledger.startable(1):
             self._hedge()
 
@@ -260,6 +280,8 @@
             return
         task = asyncio.get_running_loop().create_task(self._async_attempt(sample_id, name, avoid))
         self._attempts[name] = _Attempt(sample_id, self._clock.monotonic(), task)
+        newest = self._read_limits().newest_version
+        self._early[sample_id] = self._pace.versions_early(self.declaration.step, newest)
         task.add_done_callback(lambda done: self._end(name, done))
 
     def _end(self, name: str, task: asyncio.Task[None]) -> None:
@@ -327,7 +349,10 @@
         if outcome is not FinishOutcome.KEPT:
             self._ports.metrics.drop(DROP_SAMPLE + outcome.value)
             return
-        self._durations.append(self._clock.monotonic() - self._attempts[name].started)
+        spent = self._clock.monotonic() - self._attempts[name].started
+        self._durations.append(spent)
+        tokens = sum(segment.tokens for segment in completion.segments)
+        self._pace.on_sample(tokens, self.declaration.groups[sample_id.group].max_tokens, spent)
         self._failures = 0
         self._ready.set()
 
--- a/cranberryline/samples/table.py
+++ b/cranberryline/samples/table.py
@@ -5,9 +5,12 @@
 
 from result import Err, Ok, Result
 
+from cranberryline.decisions import RolloutSettings
+
 from .const import CURSOR_START, DEFAULT_QUIET_AFTER, MAX_STEPS, NOT_OWNER_QUIET_AFTER
 from .errors import CursorError, StepRefusal
 from .model import StepDeclaration
+from .pacing import TrainerPace
 from .ports import RolloutConfig
 from .runner import RunnerPorts, StepRunner
 
@@ -27,6 +30,7 @@
         self._config = config
         self._quiet_after = quiet_after
         self._runners: dict[tuple[str, int], StepRunner] = {}
+        self._paces: dict[str, TrainerPace] = {}
 
     def declare(
         self, declaration: StepDeclaration, owner: bool, cursor: str = CURSOR_START
@@ -84,6 +88,8 @@
             self._ports,
             limits=lambda: self._config.limits(trainer, service),
             room=lambda: self._room(trainer, service),
+            pace=self._paces.setdefault(trainer, TrainerPace()),
+            allowed=lambda: self._allowed(declaration),
             on_freed=lambda: self._wake_trainer(trainer),
             quiet_after=self._quiet_after,
         )
@@ -95,6 +101,30 @@
         running = sum(r.running for (name, _), r in self._runners.items() if name == trainer)
         return limits.max_in_flight - running
 
+    def _allowed(self, declaration: StepDeclaration) -> list[tuple[int, int]]:
+        """Return (group, samples) of a step to start now, by all that its trainer has declared."""
+        trainer, service = declaration.trainer, declaration.service
+        limits = self._config.limits(trainer, service)
+        if limits is None:
+            return []
+        room = self._room(trainer, service)
+        if room <= 0:
+            return []
+        work = {
+            step: runner.work
+            for (name, step), runner in self._runners.items()
+            if name == trainer and not runner.closed
+        }
+        settings = RolloutSettings(limits.freshness, limits.staleness_bound)
+        return self._paces[trainer].allowed(
+            declaration.step,
+            work,
+            settings,
+            limits.newest_version,
+            room,
+            self._ports.clock.monotonic(),
+        )
+
     def _wake_trainer(self, trainer: str) -> None:
         for (name, _), runner in sorted(self._runners.items()):
             if name == trainer:
@@ -103,3 +133,6 @@
     def _forget_closed(self) -> None:
         for key in [key for key, runner in self._runners.items() if runner.closed]:
             del self._runners[key]
+        trainers = {trainer for trainer, _ in self._runners}
+        for trainer in [name for name in self._paces if name not in trainers]:
+            del self._paces[trainer]
