Keep records that cannot travel from holding up the configuration

Cause: the log takes any JSON. A list, an integer beyond 64 bits or a lone surrogate on the stream could not be written into a message, or made each receiver refuse the frame with every record after it: nothing would have come into force again on any process that does not read the log itself. Ruled out: leaving such records out of the relay, since offsets would then have gaps; carrying them as text, since a fold by relay and one by the log could then judge them differently. Change: each reader puts an empty record in their place, alike; deltas are bounded in bytes; only an empty delta makes a process current, so that a cut one cannot; tasks go on after a defect, counted; an order whose answer cannot be read does not stay in flight. The cluster tests carry every message through the real codec.

--- a/cranberryline/configs/checkpoint.py
+++ b/cranberryline/configs/checkpoint.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Iterable
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 
 import attrs
 from result import Ok
@@ -26,6 +26,7 @@
 CHECKPOINTS_PER_RETENTION = 4
 DEFAULT_MAX_RECORDS = 500
 DEFAULT_CHECK = timedelta(seconds=5)
+LONG_AGO = timedelta(days=365)
 RANK_DELAY = timedelta(seconds=3)
 MAX_JITTER = timedelta(seconds=2)
 
@@ -56,7 +57,7 @@
         if mark.as_of + 1 < first or fold.offset - mark.offset >= self.max_records:
             return True
         since = mark.time or min(entry.time for entry in snapshot.entries)
-        return now - datetime.fromisoformat(since) >= self.interval
+        return now - _read_time(since, now) >= self.interval
 
     def delay(self, rank: int, jitter: float) -> timedelta:
         """Return how long the tailer of a rank waits, so that a younger checkpoint is seen first."""
@@ -80,3 +81,12 @@
             case Ok(checkpoint) if checkpoint.snapshot.as_of + 1 >= first:
                 return checkpoint.snapshot
     return None
+
+
+def _read_time(text: str, now: datetime) -> datetime:
+    """Return a record's time; one without a zone is in UTC, one that is none is long ago."""
+    try:
+        time = datetime.fromisoformat(text)
+    except ValueError:
+        return now - LONG_AGO
+    return time if time.tzinfo is not None else time.replace(tzinfo=UTC)
--- a/cranberryline/configs/const.py
+++ b/cranberryline/configs/const.py
@@ -48,6 +48,6 @@
 DIGESTS_KEPT = 1024
 MAX_UNREAD = 1000
 
-# A receiver takes a shorter delta for all that its sender has.
 DELTA_RECORDS = 256
+DELTA_BYTES = 1024 * 1024
 RECORDS_KEPT = 1000
--- a/cranberryline/configs/envelope.py
+++ b/cranberryline/configs/envelope.py
@@ -30,8 +30,8 @@
     lambda value: isinstance(value, str) and bool(ID_PATTERN.fullmatch(value)),
 )
 AUTHOR = Field(
-    f"a string of at most {MAX_TEXT_LENGTH} characters",
-    lambda value: isinstance(value, str) and len(value) <= MAX_TEXT_LENGTH,
+    f"a string of at most {MAX_TEXT_LENGTH} printable characters",
+    lambda v: isinstance(v, str) and len(v) <= MAX_TEXT_LENGTH and v.isprintable(),
     "",
 )
 ENVELOPE = {
--- a/cranberryline/configs/fields.py
+++ b/cranberryline/configs/fields.py
@@ -63,9 +63,10 @@
     low = 0 if default == "" else 1
 
     def test(value: Any) -> bool:
-        return isinstance(value, str) and low <= len(value) <= MAX_TEXT_LENGTH
+        is_text = isinstance(value, str) and value.isprintable()
+        return is_text and low <= len(value) <= MAX_TEXT_LENGTH
 
-    return Field(f"a string of {low}..{MAX_TEXT_LENGTH} characters", test, default)
+    return Field(f"a string of {low}..{MAX_TEXT_LENGTH} printable characters", test, default)
 
 
 def name_field() -> Field:
@@ -90,8 +91,9 @@
         return value
     if isinstance(value, float):
         return value if math.isfinite(value) else repr(value)
-    rendered = value if isinstance(value, str) else repr(value)
-    return rendered if len(rendered) <= SHOWN_LENGTH else rendered[:SHOWN_LENGTH] + "..."
+    if not isinstance(value, str):
+        return f"a {type(value).__name__}"
+    return value if len(value) <= SHOWN_LENGTH else value[:SHOWN_LENGTH] + "..."
 
 
 def read_fields(
@@ -102,7 +104,7 @@
         return {}, [Mistake(prefix.rstrip(".") or "spec", shown(data), "a mapping")]
     values: dict[str, Any] = {}
     mistakes = [
-        Mistake(f"{prefix}{key}", shown(data[key]), "one of the keys " + ", ".join(fields))
+        Mistake(f"{prefix}{shown(key)}", shown(data[key]), "one of the keys " + ", ".join(fields))
         for key in data
         if key not in fields
     ]
--- a/cranberryline/configs/relay.py
+++ b/cranberryline/configs/relay.py
@@ -17,9 +17,10 @@
 from cranberryline.platform.model import LogRecord
 from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
 
-from .const import DELTA_RECORDS, RECORDS_KEPT
+from .const import DELTA_BYTES, DELTA_RECORDS, RECORDS_KEPT
 from .fold import ConfigFold
 from .snapshot import Snapshot, read_snapshot
+from .wire import safe_record, wire_size
 
 __all__ = ["ConfigRelay", "DeltaTaken", "RelayPort"]
 
@@ -60,15 +61,18 @@
         self.fold = fold
         self.refusals: Counter[str] = Counter()
         self._records: deque[LogRecord] = deque(maxlen=records_kept)
+        self._sizes: deque[int] = deque(maxlen=records_kept)
         self._known: dict[str, int] = {}
 
     def fold_record(self, record: LogRecord) -> bool:
         """Fold a record and keep it for peers; return whether the fold moved on."""
         before = self.fold.offset
+        record = safe_record(record)
         self.fold.apply(record)
         if self.fold.offset == before:
             return False
         self._records.append(record)
+        self._sizes.append(wire_size(record))
         return True
 
     def install(self, snapshot: Snapshot) -> bool:
@@ -76,6 +80,7 @@
         if not self.fold.install(snapshot):
             return False
         self._records.clear()
+        self._sizes.clear()
         return True
 
     def delta_since(self, start: int) -> ConfigDelta:
@@ -86,10 +91,18 @@
         if not self._records or self._records[0].offset > start:
             return ConfigDelta(after, after, (), self.fold.snapshot())
         skip = start - self._records[0].offset
-        stop = min(len(self._records), skip + DELTA_RECORDS)
-        rows = tuple(_row(self._records[i]) for i in range(skip, stop))
+        rows = tuple(_row(self._records[i]) for i in range(skip, self._stop(skip)))
         return ConfigDelta(start, start + len(rows), rows)
 
+    def _stop(self, skip: int) -> int:
+        size = 0
+        longest = min(len(self._records), skip + DELTA_RECORDS)
+        for i in range(skip, longest):
+            size += self._sizes[i]
+            if size > DELTA_BYTES and i > skip:
+                return i
+        return longest
+
     def known(self, peer: str) -> int | None:
         """Return the offset that a peer is known to have, or None."""
         return self._known.get(peer)
@@ -146,7 +159,8 @@
                 self.fold_record(record)
         carried = bool(records) or base is not None
         reply = ConfigRequest(self.fold.offset + 1) if carried else None
-        return DeltaTaken(self.fold.offset - before, reply, len(records) < DELTA_RECORDS)
+        # More may follow what was carried; only "nothing newer" says that this is all.
+        return DeltaTaken(self.fold.offset - before, reply, complete=not carried)
 
 
 def _is_int(value: Any) -> bool:
--- a/cranberryline/configs/tail.py
+++ b/cranberryline/configs/tail.py
@@ -13,6 +13,7 @@
 from .const import CONFIG_STREAM
 from .errors import Rejected
 from .relay import ConfigRelay
+from .wire import safe_record
 
 __all__ = ["LogTail", "PageTaken"]
 
@@ -47,7 +48,7 @@
         answer = await self._log.async_read(CONFIG_STREAM, start, PAGE_RECORDS, wait)
         if isinstance(answer, Err):
             return answer
-        page = answer.ok_value
+        page = _safe(answer.ok_value)
         self.first_kept = page.first
         before = self._relay.fold.offset
         if page.first > before + 1:
@@ -87,7 +88,7 @@
             more = await self._log.async_read(CONFIG_STREAM, page.next, PAGE_RECORDS)
             if isinstance(more, Err):
                 return more
-            page = more.ok_value
+            page = _safe(more.ok_value)
             records += page.records
         snapshot = find_start(records, first)
         if snapshot is not None:
@@ -108,3 +109,7 @@
         if isinstance(verdict, Err):
             self._on_rejected(record, verdict.err_value)
         return moved
+
+
+def _safe(page: LogPage) -> LogPage:
+    return attrs.evolve(page, records=tuple(map(safe_record, page.records)))
--- /dev/null
+++ b/cranberryline/configs/wire.py
@@ -0,0 +1,83 @@
+"""Keep records of the log within what every process can store, relay and show.
+
+The log takes any JSON. A record with an integer beyond 64 bits, a lone surrogate, a list in place of a
+mapping or a depth of thousands could not be written into a message, or would be refused whole by
+the receiver, and with it every record after it: nothing would ever come into force again. Such a
+record is not ours, so each reader puts an empty one in its place, at the same offset, alike.
+"""
+
+import math
+from typing import Any
+
+import attrs
+import msgspec
+
+from cranberryline.platform.model import LogRecord
+
+from .const import ATTR_KIND
+from .model import Kind
+
+__all__ = ["safe_record", "wire_size"]
+
+MAX_DEPTH = 24
+MAX_ID_LENGTH = 200
+MAX_RECORD_BYTES = 1024 * 1024
+MAX_CHECKPOINT_BYTES = 16 * 1024 * 1024
+MIN_INT, MAX_INT = -(2**63), 2**63 - 1
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def safe_record(record: LogRecord) -> LogRecord:
+    """Return the record, with an empty one's data or a made-up id where it cannot travel."""
+    data = record.data if _fits(record.data) else {}
+    record_id = record.id if _is_id(record.id) else f"offset-{record.offset}"
+    if data is record.data and record_id is record.id:
+        return record
+    return attrs.evolve(record, id=record_id, data=data)
+
+
+def wire_size(record: LogRecord) -> int:
+    """Return about how many bytes a safe record takes in a message."""
+    return len(_ENCODER.encode(record.data))
+
+
+def _is_id(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= MAX_ID_LENGTH and value.isprintable()
+
+
+def _fits(data: Any) -> bool:
+    if not isinstance(data, dict) or not _is_plain(data):
+        return False
+    limit = MAX_CHECKPOINT_BYTES if data.get(ATTR_KIND) == Kind.CHECKPOINT else MAX_RECORD_BYTES
+    try:
+        return len(_ENCODER.encode(data)) <= limit
+    except ValueError:  # a lone surrogate
+        return False
+
+
+def _is_plain(data: Any) -> bool:
+    level = [data]
+    for _ in range(MAX_DEPTH):
+        if not level:
+            return True
+        below: list[Any] = []
+        for value in level:
+            if isinstance(value, dict):
+                if not all(isinstance(key, str) for key in value):
+                    return False
+                below += value.values()
+            elif isinstance(value, list | tuple):
+                below += value
+            elif not _is_scalar(value):
+                return False
+        level = below
+    return not level
+
+
+def _is_scalar(value: Any) -> bool:
+    if value is None or isinstance(value, str | bool):
+        return True
+    if isinstance(value, int):
+        return MIN_INT <= value <= MAX_INT
+    return isinstance(value, float) and math.isfinite(value)
--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -21,6 +21,7 @@
 from cranberryline.configs.push import TAILER_KEY, ResendSchedule, TailerRanking
 from cranberryline.configs.relay import ConfigRelay, RelayPort
 from cranberryline.configs.signal import Signal
+from cranberryline.configs.supervise import async_keep_running
 from cranberryline.configs.tail import LogTail
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
@@ -136,9 +137,12 @@
         """Run until cancelled."""
         self._last_sign = self._clock.monotonic()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._async_tail(), name="config-tail")
-            group.create_task(self._async_ticks(), name="config-tick")
-            group.create_task(self._async_checkpoints(), name="config-checkpoint")
+            for work in (self._async_tail, self._async_ticks, self._async_checkpoints):
+                group.create_task(
+                    async_keep_running(
+                        work.__name__, work, self._clock, self._logger, self._metrics
+                    )
+                )
 
     def on_members(self) -> None:
         """Look anew at who tails; call it when the live entries change."""
--- a/cranberryline/entry/membership.py
+++ b/cranberryline/entry/membership.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from cranberryline.configs.supervise import async_keep_running
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
@@ -35,6 +36,11 @@
 
     async def async_run(self) -> None:
         """Follow the list until cancelled."""
+        await async_keep_running(
+            "vm-list", self._async_follow, self._clock, self._logger, self._metrics
+        )
+
+    async def _async_follow(self) -> None:
         while True:
             match await self.async_poll(POLL_WAIT):
                 case Ok(changed) if changed:
--- a/cranberryline/side/weights.py
+++ b/cranberryline/side/weights.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from cranberryline.configs.model import ServiceSpec
+from cranberryline.configs.supervise import async_keep_running
 from cranberryline.decisions.weight_shift import ShiftSettings, swap_delay
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
@@ -91,6 +92,11 @@
     async def async_run(self) -> None:
         """Run until cancelled."""
         await self._sync.async_wait_current()
+        await async_keep_running(
+            "weights", self._async_follow, self._clock, self._logger, self._metrics
+        )
+
+    async def _async_follow(self) -> None:
         while True:
             self._take_target()
             await self._async_poll_load()
@@ -170,9 +176,15 @@
             await self._async_send(order, spec, before)
 
     async def _async_send(self, order: SwapOrder, spec: ServiceSpec, before: int | None) -> None:
-        answer = await self._engine.async_load_weights(
-            spec.model, order.version, order.fence, ORDER_TIMEOUT
-        )
+        try:
+            answer = await self._engine.async_load_weights(
+                spec.model, order.version, order.fence, ORDER_TIMEOUT
+            )
+        except Exception:
+            # An order left in flight would keep every later one back.
+            self.state.on_failed(order, self._clock.monotonic())
+            self._back_off(timedelta())
+            raise
         now = self._clock.monotonic()
         self._next_poll = now
         if isinstance(answer, Ok):
--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -15,6 +15,7 @@
 from cranberryline.platform.errors import PlatformError, PlatformReason
 from cranberryline.platform.model import LogPage, LogPort, LogRecord
 from cranberryline.side.config_sync import SideConfigSync
+from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import Message
 from tests.configs.virtual_time import LoopClock
 
@@ -185,6 +186,7 @@
         self.max_delay = 0.003
         self.cut: set[frozenset[str]] = set()
         self.listed: list[str] = []
+        self.metrics: dict[str, Metrics] = {}
         self.messages = 0
         self._rng = random.Random(seed)
 
@@ -196,13 +198,14 @@
         checkpoints: CheckpointPolicy | None = None,
     ) -> EntryConfigSync:
         """Start an entry."""
+        self.metrics[name] = Metrics()
         sync = EntryConfigSync(
             name,
             log or self.log,
             NodePort(self, name),
             lambda: self.listed,
             self.clock,
-            Metrics(),
+            self.metrics[name],
             timings,
             checkpoints,
         )
@@ -247,6 +250,7 @@
             return
         if self._rng.random() < self.loss:
             return
+        message = decode(encode([message]))[0].unwrap()
         copies = 2 if self._rng.random() < self.repeat else 1
         for _ in range(copies):
             delay = self._rng.random() * self.max_delay
--- a/tests/configs/test_config_processes.py
+++ b/tests/configs/test_config_processes.py
@@ -16,7 +16,7 @@
 from cranberryline.configs.push import TAILER_KEY
 from cranberryline.decisions import rendezvous
 from stand_ins.deployment import load_plan
-from stand_ins.launcher import Deployment, launched
+from stand_ins.launcher import Deployment, call, launched
 from stand_ins.process import wait_for
 
 BOUND_S = 4.0
@@ -191,3 +191,18 @@
             assert answers[1].data["current_revision"] == revision
     offsets.until_all_have(revision)
     offsets.check_none_went_back()
+
+
+def test_another_tools_odd_records_hold_nothing_up(offsets: Offsets) -> None:
+    """A tool appends to the stream what our messages cannot carry; then an operator publishes.
+
+    What is seen: the operator's record is in force on every process within 4 s.
+    """
+    revision = weights_revision(offsets)
+    log = offsets.deployment.urls["log"] + "/streams/config/records"
+    odd = [[], "king", {"x": 10**30}, {"kind": "weights"}, {"x": "y" * 2_000_000}]
+    rows = [{"id": f"odd-{number}", "data": data} for number, data in enumerate(odd)]
+    assert call(log, {"records": rows}).status == 200
+    revision = publish_weights(offsets, 3, revision, tailers()[-1])
+    offsets.until_all_have(revision)
+    offsets.check_none_went_back()
--- a/tests/configs/test_config_relay.py
+++ b/tests/configs/test_config_relay.py
@@ -1,5 +1,6 @@
 """The relay's answers, and nonsense in messages."""
 
+import functools
 from datetime import UTC, datetime
 from typing import Any
 
@@ -9,6 +10,7 @@
 from cranberryline.configs import ConfigFold
 from cranberryline.configs.relay import ConfigRelay
 from cranberryline.platform.model import LogRecord
+from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import ConfigDelta, ConfigRequest
 from tests.configs.config_fakes import weights_data
 
@@ -113,3 +115,56 @@
     base = relay_with(2).fold.snapshot()
     delta = attrs.evolve(relay_with(6).delta_since(5), base=base)
     assert ConfigRelay(ConfigFold()).on_delta("e", delta).refused
+
+
+NOT_OURS = [
+    [],
+    "x",
+    None,
+    7,
+    {"x": 10**30},
+    {"kind": "weights", "name": "s", "schema": 9, "spec": {"x": -(10**30)}},
+    {"x": "\ud800"},
+    {1: 2},
+    {"x": "y" * 2_000_000},
+    functools.reduce(lambda inner, _: {"x": inner}, range(100_000), {}),
+]
+
+
+@pytest.mark.parametrize("data", NOT_OURS, ids=range(len(NOT_OURS)))
+@pytest.mark.parametrize("record_id", ["id", 7, "\ud800"])
+def test_record_that_cannot_travel_does_not_hold_up_those_after_it(
+    data: Any, record_id: Any
+) -> None:
+    """A tool appends something that our messages cannot carry, then a good record follows.
+
+    What is seen: both processes have the good record and hold the same. The frame with the odd
+    one would otherwise fail to be written, or be refused whole by each receiver, for ever.
+    """
+    relay, receiver = relay_with(1), relay_with(1)
+    relay.fold_record(LogRecord(2, NOW, record_id, data))
+    relay.fold_record(LogRecord(3, NOW, "id-3", weights_data(9, 1)))
+    for _ in range(3):
+        request = ConfigRequest(receiver.fold.offset + 1)
+        sent = relay.on_request("r", request)
+        for decoded in decode(encode([sent])):
+            receiver.on_delta("e", decoded.unwrap())
+    assert receiver.fold.offset == 3
+    assert receiver.fold.snapshot() == relay.fold.snapshot()
+    assert receiver.fold.weights("samplers")[0].version == 9
+
+
+def test_delta_is_bounded_in_bytes() -> None:
+    """Large records travel in several messages, none of which a socket would refuse."""
+    relay = relay_with(0)
+    for offset in range(1, 41):
+        data = {**weights_data(1, 0), "spec": {"x": "y" * 200_000}}
+        relay.fold_record(LogRecord(offset, NOW, f"id-{offset}", data))
+    receiver = relay_with(0)
+    rounds = 0
+    while receiver.fold.offset < 40:
+        sent = relay.on_request("r", ConfigRequest(receiver.fold.offset + 1))
+        assert sum(map(len, encode([sent]))) < 2_000_000
+        assert not receiver.on_delta("e", sent).complete
+        rounds += 1
+    assert rounds >= 4
--- a/tests/weights/test_weights_controller.py
+++ b/tests/weights/test_weights_controller.py
@@ -62,6 +62,8 @@
         outcome = self.outcomes.pop(0) if self.outcomes else None
         if outcome is BUSY:
             return Err(BUSY)
+        if isinstance(outcome, Exception):
+            raise outcome
         await asyncio.sleep(SWAP_SECONDS)
         self.change(None if outcome is HALF else version)
         if isinstance(outcome, PlatformError):
@@ -345,6 +347,23 @@
     run_virtual(async_case())
 
 
+def test_order_whose_answer_cannot_be_read_is_given_again() -> None:
+    """The engine's client raises over an answer that it was not written for.
+
+    What is seen: the version in force is served a few seconds later; no order stays in flight.
+    """
+
+    async def async_case() -> None:
+        bench = Bench(FakeEngine())
+        bench.engine.outcomes = [KeyError("weight_version")]
+        await bench.async_publish(7)
+        await bench.async_until_serving(7, 10.0)
+        assert bench.metrics.value("cranberryline_drops_total", reason="task_failed") == 1
+        bench.close()
+
+    run_virtual(async_case())
+
+
 def test_stale_fence_is_not_repeated() -> None:
     """The engine has had a higher fencing number from a predecessor of this process.
 
