--- a/tests/decisions/test_loads.py
+++ b/tests/decisions/test_loads.py
@@ -49,7 +49,7 @@
     found = next(load for load in LOADS if load.name == name)
     if name in ("burst", "outage"):
         return attrs.evolve(found, trainers=0)
-    if name in ("slow upstream", "stragglers"):
+    if name == "stragglers":
         return attrs.evolve(found, seconds=300.0)
     return found
 
