--- a/bench/decisions_report.py
+++ b/bench/decisions_report.py
@@ -30,6 +30,8 @@
     ("app p99", "app_p99", ".2f"),
     ("bg p99", "bg_p99", ".1f"),
     ("wasted", "wasted", ".0f"),
+    ("moved", "moves", ".0f"),
+    ("last swap", "last_swap", ".1f"),
     ("att/req", "attempts", ".3f"),
     ("after/before p99", "recovery", ".2f"),
 )
