--- a/bench/model/loads.py
+++ b/bench/model/loads.py
@@ -85,6 +85,8 @@
 NONE = Window(0.0, 0.0)
 LONG_TAIL = TrainerSettings(group_spread=0.8, sample_spread=0.6)
 
+UNKNOWN = attrs.evolve(LONG_TAIL, known_lengths=False)
+
 LOADS = (
     Load("steady", NONE, ORDINARY, seconds=400.0),
     Load("burst", Window(100.0, 120.0), ORDINARY, burst=8.0),
@@ -102,5 +104,6 @@
     Load("outage", Window(100.0, 160.0), ORDINARY, fault=Fault.OUTAGE),
     Load("slow upstream", Window(100.0, 500.0), ORDINARY, fault=Fault.SLOW, seconds=500.0),
     Load("stragglers", NONE, ORDINARY, trainer=LONG_TAIL, fault=Fault.STALLS, seconds=500.0),
+    Load("unknown lengths", NONE, ORDINARY, trainer=UNKNOWN, fault=Fault.STALLS, seconds=500.0),
     Load("many stalls", NONE, ORDINARY, fault=Fault.STALLS, stall_every=90.0, seconds=400.0),
 )
--- a/bench/model/trainer.py
+++ b/bench/model/trainer.py
@@ -51,6 +51,7 @@
     sample_spread: float = 0.45
     estimate_spread: float = 0.3
     max_tokens: int = 4096
+    known_lengths: bool = True
 
 
 @attrs.define(eq=False)
@@ -142,6 +143,8 @@
         cfg, rng = self._cfg, Random(f"{self.name}/{step}/{index}/{self._seed}")
         typical = cfg.median_tokens * rng.lognormvariate(0, cfg.group_spread)
         expected = min(int(typical * rng.lognormvariate(0, cfg.estimate_spread)), cfg.max_tokens)
+        if not cfg.known_lengths:
+            expected = int(cfg.median_tokens)
         name = f"{self.name}/{step}/{index}"
         samples = []
         for i in range(cfg.group_size):
