--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -32,8 +32,8 @@
     StragglerDecision,
 )
 from .routing import RouteRequest, RoutingPolicy, UpstreamView, free_slots
-from .subset import subset
-from .weight_shift import ShiftPlan, ShiftSettings, swap_delay
+from .subset import SubsetChooser, subset
+from .weight_shift import ShiftPlan, ShiftSettings, hashed_swap_delay, swap_delay
 
 __all__ = [
     "AdmissionLimits",
@@ -74,10 +74,12 @@
     "StepView",
     "StragglerAction",
     "StragglerDecision",
+    "SubsetChooser",
     "UpstreamView",
     "WorkItem",
     "WorkQueue",
     "free_slots",
+    "hashed_swap_delay",
     "subset",
     "swap_delay",
 ]
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -38,6 +38,8 @@
 # How often stragglers are looked for, while there are samples in the making.
 HEDGE_INTERVAL = timedelta(milliseconds=250)
 MAX_DURATIONS = 256
+# A step that was handed over whole is kept this long for a repeated pull of its last batch.
+DONE_QUIET_AFTER = timedelta(seconds=60)
 
 RETRY_HEDGE = "hedge"
 RETRY_SCORER = "scorer"
@@ -110,10 +112,13 @@
         self._numbers = itertools.count(1)
         self._durations: deque[timedelta] = deque(maxlen=MAX_DURATIONS)
         self._failures = 0
+        self._failed_at = timedelta(microseconds=-1)
         self._not_before = timedelta()
         self._trainer_version = 0
+        self._checked = (0, 0)
         self._pulls = 0
         self._closing = False
+        self._handed_all = False
         self._called_at = self._clock.monotonic()
         self._changed = asyncio.Event()
         self._ready = asyncio.Event()
@@ -124,6 +129,11 @@
         """Count the attempts in the making."""
         return len(self._attempts)
 
+    @property
+    def pause(self) -> timedelta:
+        """Return how long the step still waits after a failure before it starts anything."""
+        return max(self._not_before - self._clock.monotonic(), timedelta())
+
     @property
     def closed(self) -> bool:
         """Return whether the step's task has ended."""
@@ -159,6 +169,7 @@
                 if isinstance(result, Err) or left <= timedelta():
                     return result
                 batch = result.unwrap()
+                self._handed_all = batch.done
                 if batch.samples or batch.done or self._closing:
                     self._count_handed_over(len(batch.samples))
                     return result
@@ -206,8 +217,7 @@
 
     def _look(self) -> None:
         limits = self._read_limits()
-        newest = max(limits.newest_version, self._trainer_version)
-        self._ledger.drop_stale(newest, limits.staleness_bound)
+        self._drop_stale(max(limits.newest_version, self._trainer_version), limits.staleness_bound)
         for attempt in self._ledger.take_obsolete():
             if attempt in self._attempts:
                 self._attempts[attempt].task.cancel()
@@ -220,6 +230,12 @@
         if not self._ledger.startable(1):
             self._hedge()
 
+    def _drop_stale(self, newest: int, bound: int) -> None:
+        """Drop what a new version or bound has made stale; nothing stale is kept at its finish."""
+        if (newest, bound) != self._checked:
+            self._checked = (newest, bound)
+            self._ledger.drop_stale(newest, bound)
+
     def _hedge(self) -> None:
         now = self._clock.monotonic()
         hedgeable = set(self._ledger.hedgeable())
@@ -253,7 +269,9 @@
                 _LOGGER.error("sample_attempt_broke", sample_id=name, error=repr(task.exception()))
             # Without this a cancelled or broken attempt would hold its identity for ever.
             self._ledger.discard(attempt.sample_id, name, DiscardReason.FAILED)
-        self.wake()
+        # Not `wake` first: the table wakes the trainer's steps in order, so that the room goes to
+        # the one it waits for. Looked at first, a later step would take each place as it is freed
+        # and leave none for the hedge or the repetition that the earlier one needs.
         self._on_freed()
 
     async def _async_attempt(self, sample_id: SampleId, name: str, avoid: frozenset[str]) -> None:
@@ -314,14 +332,23 @@
         self._ready.set()
 
     def _fail(self, sample_id: SampleId, name: str, error: DispatchError) -> None:
-        """Give up an attempt and pause the step: at once again would find the same fault."""
+        """Give up an attempt and pause the step: at once again would find the same fault.
+
+        One engine that crashes fails all that ran on it. Counted one by one, fifteen attempts
+        would take the pause to its longest and stall the trainer after a fault that is over, so
+        an attempt that was begun before the last failure that counted pauses nothing again.
+        """
         self._ledger.discard(sample_id, name, error.reason)
         _LOGGER.debug("sample_failed", sample_id=name, reason=error.reason, detail=error.detail)
         self._ports.metrics.retry(error.reason.value)
-        pause = min(BACKOFF_START * 2 ** min(self._failures, 10), BACKOFF_MOST)
-        self._failures += 1
-        pause = max(pause, error.retry_after or timedelta())
-        self._not_before = max(self._not_before, self._clock.monotonic() + pause)
+        now = self._clock.monotonic()
+        pause = error.retry_after or timedelta()
+        if self._attempts[name].started > self._failed_at:
+            backoff = min(BACKOFF_START * 2 ** min(self._failures, 10), BACKOFF_MOST)
+            pause = max(pause, backoff)
+            self._failures += 1
+            self._failed_at = now
+        self._not_before = max(self._not_before, now + pause)
 
     def _is_stale(self, completion: Completion) -> bool:
         limits = self._read_limits()
@@ -332,7 +359,13 @@
         return not self._pulls and self._quiet_left() <= timedelta()
 
     def _quiet_left(self) -> timedelta:
-        return self._called_at + self._quiet_after - self._clock.monotonic()
+        # A trainer that took the last batch of a step does not call for it again, so no cursor
+        # ever covers that batch. Kept as long as a step in the making, the steps of a quick
+        # trainer would fill the memory; one that lost the answer is back within seconds.
+        quiet_after = self._quiet_after
+        if self._handed_all:
+            quiet_after = min(quiet_after, DONE_QUIET_AFTER)
+        return self._called_at + quiet_after - self._clock.monotonic()
 
     def _next_look(self) -> timedelta:
         """Return how long nothing can happen by itself; a finished step waits for its trainer."""
