Look one service or trainer up without going through the whole fold

Cause: the limits of a trainer, read several times for each sample, sorted and filtered all records in force, twice; the side process's weights task did the same on each turn. Change: ConfigFold.service and ConfigFold.trainer read the one record. Conclusion: constant in place of linear.

--- a/bench/capacity/config.py
+++ b/bench/capacity/config.py
@@ -20,6 +20,7 @@
 from cranberryline.decisions import rendezvous
 from cranberryline.entry.config_sync import EntryConfigSync
 from cranberryline.entry.mesh import MAX_FULL_MESH, TAILERS_DIALLED
+from cranberryline.entry.rollouts import FoldRollouts
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.platform.errors import PlatformError
@@ -40,6 +41,7 @@
 _CHANGES = 5
 _IDLE_S = 10.0
 _DELAY_S = 0.001
+_TRAINER = "trainer-1"
 _FOLD_SIZES = (100, 400, 1600)
 
 
@@ -246,18 +248,25 @@
     """Return what a fold costs by the records in force."""
     fold = ConfigFold()
     now = datetime.now(UTC)
+    trainer = {"kind": "trainer", "name": _TRAINER, "schema": 1, "amends": 0}
+    fold.apply(LogRecord(1, now, "r", {**trainer, "spec": {"service": "service-0"}}))
     began = time.process_time()
     for n in range(records):
-        fold.apply(LogRecord(n + 1, now, f"r{n}", _service(n)))
+        fold.apply(LogRecord(n + 2, now, f"r{n}", _service(n)))
     applied = time.process_time()
     for _ in range(20):
         fold.services()
     read = time.process_time()
+    rollouts = FoldRollouts(fold)
+    for _ in range(20):
+        rollouts.limits(_TRAINER, "service-0")
+    looked_up = time.process_time()
     size = sum(map(len, _encode_snapshot(fold)))
     return {
         "records": records,
         "apply_us_each": round(1e6 * (applied - began) / records, 1),
         "services_us": round(1e6 * (read - applied) / 20, 1),
+        "limits_us": round(1e6 * (looked_up - read) / 20, 1),
         "snapshot_bytes": size,
     }
 
@@ -280,5 +289,5 @@
     folds = [_measure_fold(size) for size in _FOLD_SIZES]
     for row in folds:
         print_line(_PART, **row)
-    names = ["apply_us_each", "services_us", "snapshot_bytes"]
+    names = ["apply_us_each", "services_us", "limits_us", "snapshot_bytes"]
     print_fits(f"{_PART} fold", folds, "records", names, 1000)
--- a/cranberryline/configs/fold.py
+++ b/cranberryline/configs/fold.py
@@ -119,6 +119,14 @@
         """Return the callers in force by name."""
         return self._specs(Kind.CALLER, CallerSpec)
 
+    def service(self, name: str) -> ServiceSpec | None:
+        """Return one service in force; it costs the same however many records there are."""
+        return self._spec(Kind.SERVICE, name, ServiceSpec)
+
+    def trainer(self, name: str) -> TrainerSpec | None:
+        """Return one trainer in force; it costs the same however many records there are."""
+        return self._spec(Kind.TRAINER, name, TrainerSpec)
+
     def weights(self, service: str) -> tuple[WeightsSpec, int] | None:
         """Return the weights in force for a service with their fencing number."""
         revision = self.get(Kind.WEIGHTS, service)
@@ -209,6 +217,11 @@
                 self._notify(revision)
         return True
 
+    def _spec(self, kind: Kind, name: str, spec_type: type[Any]) -> Any:
+        revision = self.get(kind, name)
+        spec = None if revision is None else revision.spec
+        return spec if isinstance(spec, spec_type) else None
+
     def _specs(self, kind: Kind, spec_type: type[Any]) -> dict[str, Any]:
         return {
             revision.name: revision.spec
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -125,8 +125,8 @@
 
     def limits(self, trainer: str, service: str) -> RolloutLimits | None:
         """Return a trainer's limits, or None when the trainer or its service is not configured."""
-        spec = self._fold.trainers().get(trainer)
-        if spec is None or spec.service != service or service not in self._fold.services():
+        spec = self._fold.trainer(trainer)
+        if spec is None or spec.service != service or self._fold.service(service) is None:
             return None
         weights = self._fold.weights(service)
         newest = 0 if weights is None else weights[0].version
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -188,7 +188,7 @@
         self._ctx.destroy(linger=0)
 
     def _on_revision(self, _: Revision) -> None:
-        spec = self.sync.fold.services().get(self._cfg.service)
+        spec = self.sync.fold.service(self._cfg.service)
         if spec is None:
             return
         self.runner.set_concurrency(spec.concurrency)
--- a/cranberryline/side/weights.py
+++ b/cranberryline/side/weights.py
@@ -112,7 +112,7 @@
             await self._sync.async_wait_move(self._wait())
 
     def _spec(self) -> ServiceSpec | None:
-        return self._sync.fold.services().get(self._service)
+        return self._sync.fold.service(self._service)
 
     def _take_target(self) -> None:
         found = self._sync.fold.weights(self._service)
--- a/tests/configs/test_config_fold.py
+++ b/tests/configs/test_config_fold.py
@@ -125,3 +125,23 @@
     assert refused.folded
     assert fold.rejections[refused.reason] == 1
     assert (fold.offset, fold.records()) == (1, [])
+
+
+def test_one_service_or_trainer_is_found_without_going_through_all(
+    fold: ConfigFold, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A step looks its trainer up several times for each sample, among all records in force."""
+    for offset, (kind, name, spec) in enumerate(
+        [
+            ("service", "s", {"type": "engine", "model": "m"}),
+            ("trainer", "t", {"service": "s"}),
+            ("caller", "c", {}),
+        ],
+        fold.offset + 1,
+    ):
+        data = {"kind": kind, "name": name, "schema": 1, "amends": 0, "spec": spec}
+        fold.apply(LogRecord(offset, datetime.now(UTC), f"id-{offset}", data)).unwrap()
+    wanted = (fold.services()["s"], fold.trainers()["t"])
+    monkeypatch.setattr(ConfigFold, "records", None)
+    assert (fold.service("s"), fold.trainer("t")) == wanted
+    assert (fold.service("t"), fold.trainer("nobody")) == (None, None)
