Work the usable members out once for each change of the list

Cause: an entry asks for the live entries several times a second, to know whether it reads the log; each time all rows were sorted and judged. Ruled out: asking less often, since a tailer's silence has to be noticed within seconds. Change: Membership keeps the usable rows by role until something changes.

--- a/bench/capacity/command.py
+++ b/bench/capacity/command.py
@@ -16,6 +16,7 @@
     "entry": processes.measure_entry,
     "side": processes.measure_side,
     "mesh": processes.measure_mesh,
+    "list": processes.measure_list,
 }
 
 
--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -3,6 +3,7 @@
 import gc
 import json
 import time
+import zlib
 
 from result import Ok
 
@@ -101,6 +102,7 @@
         "entries": entries,
         "upstreams": upstreams,
         "list_bytes": len(body),
+        "list_gzip_bytes": len(zlib.compress(body)),
         "list_parse_ms": _ms(parsed - began),
         "list_apply_ms": _ms(applied - first),
         "subset_ms": _ms(subsetted - applied),
@@ -176,7 +178,14 @@
         row = _measure_size(int(ENTRIES * share), int(SAMPLERS * share))
         rows.append(row)
         print_line(_PART, **row)
-    names = ("list_bytes", "list_parse_ms", "list_apply_ms", "subset_ms", "subset_size")
+    names = (
+        "list_bytes",
+        "list_gzip_bytes",
+        "list_parse_ms",
+        "list_apply_ms",
+        "subset_ms",
+        "subset_size",
+    )
     changes = ("upstream_change_ms", "entry_change_ms")
     members = ("notices_bytes", "notices_ms")
     print_fits(_PART, rows, "upstreams", [*names, *changes, *members], SAMPLERS)
--- a/bench/capacity/processes.py
+++ b/bench/capacity/processes.py
@@ -4,10 +4,10 @@
 import time
 
 from .report import print_fits, print_line
-from .running import running_entry, running_mesh, running_side
-from .target import ENTRIES, PER_UPSTREAM, SIDES_PER_ENTRY
+from .running import running_entry, running_list, running_mesh, running_side
+from .target import ENTRIES, PER_UPSTREAM, SAMPLERS, SIDES_PER_ENTRY
 
-__all__ = ["measure_entry", "measure_mesh", "measure_side"]
+__all__ = ["measure_entry", "measure_list", "measure_mesh", "measure_side"]
 
 _SETTLE_S = 6.0
 _MEASURE_S = 20.0
@@ -16,6 +16,7 @@
 _SIDES = (7, 28, 56, 112)
 _ENTRIES = (3, 12, 48, 96)
 _MESH = (10, 24, 48, 96)
+_LIST = (500, 2000, 8000)
 _QUICK = (2, 4, 8)
 # Routing is random in part: with four requests for each connection nearly all carry one.
 _REQUESTS_PER_SIDE = 4
@@ -59,3 +60,14 @@
             rows.append({"entries": entries, **node.measure(_QUICK_S if quick else _MEASURE_S)})
         print_line("tailer idle", **rows[-1])
     print_fits("tailer idle", rows, "entries", _FIGURES, ENTRIES)
+
+
+def measure_list(quick: bool) -> None:
+    """Measure an idle entry by the rows of the VM list."""
+    rows = []
+    for size in _QUICK if quick else _LIST:
+        with running_list(size) as node:
+            time.sleep(_QUICK_S if quick else _SETTLE_S)
+            rows.append({"rows": size, **node.measure(_QUICK_S if quick else _MEASURE_S)})
+        print_line("list idle", **rows[-1])
+    print_fits("list idle", rows, "rows", _FIGURES, ENTRIES + SAMPLERS)
--- a/bench/capacity/running.py
+++ b/bench/capacity/running.py
@@ -27,7 +27,7 @@
 
 from .peers import SERVICE_RECORD, entry_name, side_name
 
-__all__ = ["Node", "Setup", "running_entry", "running_mesh", "running_side"]
+__all__ = ["Node", "Setup", "running_entry", "running_list", "running_mesh", "running_side"]
 
 _HOST = "127.0.0.1"
 _TRIES = 10_000
@@ -85,9 +85,12 @@
 
 
 def _append(log: int, record: dict[str, Any]) -> None:
-    body = json.dumps({"records": [{"id": "bench", "data": record}]})
-    conn = http.client.HTTPConnection(_HOST, log, timeout=5)
-    conn.request("POST", "/streams/config/records", body, {"Content-Type": "application/json"})
+    _post(log, "/streams/config/records", {"records": [{"id": "bench", "data": record}]})
+
+
+def _post(port: int, path: str, data: dict[str, Any]) -> None:
+    conn = http.client.HTTPConnection(_HOST, port, timeout=5)
+    conn.request("POST", path, json.dumps(data), {"Content-Type": "application/json"})
     conn.getresponse().read()
     conn.close()
 
@@ -107,9 +110,9 @@
 
 def _start_entry(setup: Setup, vm_id: str, peer: int, rows: list[dict[str, str]]) -> Node:
     vms, listen = free_port(), free_port()
-    shown = json.dumps([*rows, _row(vm_id, "entry", peer)])
-    listing = started("vms", "stand_ins", "vms", f"--port={vms}", f"--vms={shown}")
+    listing = started("vms", "stand_ins", "vms", f"--port={vms}")
     wait_for_port(setup.stack.enter_context(listing), vms)
+    _post(vms, "/_control", {"vms": [*rows, _row(vm_id, "entry", peer)]})
     settings = {
         "vm_id": vm_id,
         "data_center": "one",
@@ -152,6 +155,15 @@
         yield _start_entry(setup, _first_tailer(names), peer, rows)
 
 
+@contextlib.contextmanager
+def running_list(rows: int) -> Iterator[Node]:
+    """Run an entry with a VM list of that many other entries, none of which answers."""
+    with _setup() as setup:
+        closed = free_port()
+        others = [_row(f"other-{n:05}", "entry", closed) for n in range(rows)]
+        yield _start_entry(setup, "entry-1", free_port(), others)
+
+
 def _first_tailer(names: list[str]) -> str:
     """Return an id that ranks before all names."""
     best = max(rendezvous.score(TAILER_KEY, name) for name in names)
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -46,6 +46,7 @@
         self._left: OrderedDict[str, None] = OrderedDict()
         self._lives: dict[str, _Life] = {}
         self._listeners: list[Listener] = []
+        self._usable_rows: dict[VmRole, list[VmEntry]] | None = None
         self.refusals: Counter[MembershipReason] = Counter()
 
     @property
@@ -59,15 +60,12 @@
 
     def entries(self) -> list[VmEntry]:
         """Return the usable entries, sorted by id."""
-        return [vm for vm in self._sorted() if vm.role is VmRole.ENTRY and self._usable(vm.id)]
+        return list(self._usable_by_role()[VmRole.ENTRY])
 
     def upstreams(self, service: str | None = None) -> list[VmEntry]:
         """Return the usable upstreams of a service, or of all, sorted by id."""
-        return [
-            vm
-            for vm in self._sorted()
-            if vm.role is VmRole.UPSTREAM and service in (None, vm.service) and self._usable(vm.id)
-        ]
+        rows = self._usable_by_role()[VmRole.UPSTREAM]
+        return [vm for vm in rows if service in (None, vm.service)]
 
     def get(self, vm_id: str) -> VmEntry | None:
         """Return the list's row of a VM."""
@@ -200,6 +198,15 @@
     def _sorted(self) -> list[VmEntry]:
         return [vm for _, vm in sorted(self._rows.items())]
 
+    def _usable_by_role(self) -> dict[VmRole, list[VmEntry]]:
+        # An entry asks for the live entries several times a second, of a list of 8,000 rows.
+        if self._usable_rows is None:
+            self._usable_rows = {role: [] for role in VmRole}
+            for vm in self._sorted():
+                if self._usable(vm.id):
+                    self._usable_rows[vm.role].append(vm)
+        return self._usable_rows
+
     def _usable(self, vm_id: str) -> bool:
         return self.state(vm_id) is MemberState.USABLE
 
@@ -209,6 +216,7 @@
     def _notify(self, changed: bool) -> None:
         if not changed:
             return
+        self._usable_rows = None
         for listener in self._listeners:
             listener()
 
--- a/tests/upstreams/test_membership.py
+++ b/tests/upstreams/test_membership.py
@@ -261,3 +261,17 @@
 
 TestMembershipMachine = MembershipMachine.TestCase
 TestMembershipMachine.settings = settings(max_examples=150, stateful_step_count=40)
+
+
+def test_who_is_usable_is_worked_out_once_for_each_change(
+    membership: Membership, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An entry asks for the live entries several times a second, of a list of 8,000 rows."""
+    first = (membership.entries(), membership.upstreams("dossiers"), membership.upstreams())
+    monkeypatch.setattr(Membership, "state", _fail)
+    again = (membership.entries(), membership.upstreams("dossiers"), membership.upstreams())
+    assert again == first
+
+
+def _fail(*_: object) -> MemberState:
+    raise AssertionError("worked out again without a change")
