Make the log's retention a setting, and remove doubles

The checkpoint policy assumed an hour that nobody could change; it is now log_retention_seconds. Scoring leaves the step's runner for a module of its own; the publish tests and the trace replays share their fakes.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -15,6 +15,7 @@
 from tornado.web import RequestHandler
 
 from cranberryline.configs import Revision
+from cranberryline.configs.checkpoint import CheckpointPolicy
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
@@ -117,6 +118,7 @@
             self._live_entries,
             clock,
             self.metrics,
+            checkpoints=CheckpointPolicy(cfg.log_retention),
         )
         self.book = ServiceBook(self.sync.fold)
         self.dispatcher = Dispatcher(clock, random.Random(), self.table, self.book, self.metrics)
--- a/cranberryline/samples/model.py
+++ b/cranberryline/samples/model.py
@@ -13,6 +13,7 @@
     "SampleId",
     "Segment",
     "StepDeclaration",
+    "sample_name",
 ]
 
 
@@ -120,3 +121,9 @@
     next_cursor: str
     samples: tuple[Sample, ...]
     done: bool
+
+
+def sample_name(declaration: StepDeclaration, sample_id: SampleId) -> str:
+    """Return a sample's identity as one text, for logs, scorers and trainers."""
+    place = f"{sample_id.group}/{sample_id.index}"
+    return f"{declaration.trainer}/{declaration.step}/{place}"
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import itertools
-import math
 import uuid
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
-from result import Err, Ok, Result
+from result import Err, Result
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
@@ -20,7 +19,7 @@
 from .const import ATTR_TEXT
 from .errors import CursorError, DiscardReason
 from .ledger import FinishOutcome, StepLedger
-from .model import Batch, Completion, SampleId, StepDeclaration
+from .model import Batch, Completion, SampleId, StepDeclaration, sample_name
 from .pacing import StepWork, TrainerPace
 from .ports import (
     DispatchError,
@@ -30,8 +29,9 @@
     SampleDispatch,
     SampleRequest,
 )
+from .scoring import async_score_patiently
 
-__all__ = ["Pull", "RunnerPorts", "StepRunner", "sample_name"]
+__all__ = ["Pull", "RunnerPorts", "StepRunner"]
 
 # Failures without a success between them make the step pause this long, doubled each time.
 BACKOFF_START = timedelta(milliseconds=100)
@@ -49,12 +49,6 @@
 _LOGGER = get_logger(__name__)
 
 
-def sample_name(declaration: StepDeclaration, sample_id: SampleId) -> str:
-    """Return a sample's identity as one text, for logs, scorers and trainers."""
-    place = f"{sample_id.group}/{sample_id.index}"
-    return f"{declaration.trainer}/{declaration.step}/{place}"
-
-
 @attrs.frozen
 class Pull:
     """A trainer's pull: where it stands, at which version, and how long it waits."""
@@ -332,17 +326,13 @@
         """Score a completion, however long the scorer is out; None when it became stale."""
         self._attempts[name].scoring = True
         sample = {ATTR_TEXT: completion.text, "identity": req.sample_id}
-        pause = BACKOFF_START
-        while not self._is_stale(completion):
-            result = await self._ports.scorer.async_score(sample)
-            if isinstance(result, Ok) and math.isfinite(result.unwrap()):
-                return result.unwrap()
-            # The tokens are made and paid for: the attempt keeps its place among those in
-            # flight, which also keeps the step from making more than the scorer can take.
-            self._ports.metrics.retry(RETRY_SCORER)
-            await self._clock.async_sleep(pause)
-            pause = min(pause * 2, BACKOFF_MOST)
-        return None
+        return await async_score_patiently(
+            self._ports.scorer,
+            sample,
+            self._clock,
+            on_retry=lambda: self._ports.metrics.retry(RETRY_SCORER),
+            wanted=lambda: not self._is_stale(completion),
+        )
 
     def _keep(self, sample_id: SampleId, name: str, completion: Completion, score: float) -> None:
         outcome = self._ledger.finish(sample_id, name, completion, score)
--- a/cranberryline/settings/const.py
+++ b/cranberryline/settings/const.py
@@ -13,6 +13,7 @@
 DEFAULT_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 DEFAULT_MAX_HEADER_BYTES: Final = 64 * 1024
 DEFAULT_SLOW_SENDER_TIMEOUT: Final = timedelta(seconds=20)
+DEFAULT_LOG_RETENTION: Final = timedelta(hours=1)
 DEFAULT_STOP_TIMEOUT: Final = timedelta(seconds=30)
 
 LOG_LEVELS: Final = ("debug", "info", "warning", "error")
@@ -27,3 +28,4 @@
 MAX_PORT: Final = 65535
 
 ENV_TOKENS_FILE: Final = "CRANBERRYLINE_TOKENS_FILE"
+MAX_LOG_RETENTION_SECONDS: Final = 30 * 86_400.0
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -9,6 +9,7 @@
     DEFAULT_ENTRY_LISTEN,
     DEFAULT_ENTRY_PEER,
     DEFAULT_LOG_LEVEL,
+    DEFAULT_LOG_RETENTION,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
     DEFAULT_SIDE_LISTEN,
@@ -18,6 +19,7 @@
     LOG_LEVELS,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MAX_LOG_RETENTION_SECONDS,
     MIN_BODY_BYTES,
     MIN_HEADER_BYTES,
 )
@@ -60,6 +62,12 @@
         "File of the tokens and their roles; without it operator and trainer endpoints refuse.",
         None,
     )
+    log_retention: timedelta = _setting(
+        Seconds(MAX_LOG_RETENTION_SECONDS),
+        "How long the log keeps a record; the configuration is carried forward well before.",
+        DEFAULT_LOG_RETENTION,
+        key="log_retention_seconds",
+    )
     stop_timeout: timedelta = _setting(
         Seconds(),
         "How long a planned stop waits for work in flight.",
--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -9,7 +9,10 @@
 from result import Err, Ok, Result
 
 from cranberryline.configs.checkpoint import CheckpointPolicy
-from cranberryline.configs.relay import RelayPort
+from cranberryline.configs.fold import ConfigFold
+from cranberryline.configs.publish import FoldSource
+from cranberryline.configs.relay import ConfigRelay, RelayPort
+from cranberryline.configs.tail import LogTail
 from cranberryline.entry.config_sync import EntryConfigSync, SyncTimings
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.platform.errors import PlatformError, PlatformReason
@@ -299,3 +302,29 @@
             return
         node.sync.on_message(source, message)
         node.offsets.append(node.sync.fold.offset)
+
+
+class DirectSource(FoldSource):
+    """A fold that reads the log itself and has no peers."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self.relay = ConfigRelay(ConfigFold())
+        self.tail = LogTail(log, self.relay, lambda record, rejected: None)
+
+    @property
+    def fold(self) -> ConfigFold:
+        """Return the fold."""
+        return self.relay.fold
+
+    async def async_catch_up(self) -> Result[int, PlatformError]:
+        """Read to the end."""
+        read = await self.tail.async_read_to_end()
+        return read if isinstance(read, Err) else Ok(self.fold.offset)
+
+    def fold_next(self, record: LogRecord) -> None:
+        """Fold the record if it is the next."""
+        self.tail.fold_one(record)
+
+    async def async_spread(self, offset: int, wait: timedelta) -> int:
+        """There is nobody to push to."""
+        return 0
--- a/tests/configs/test_config_publish.py
+++ b/tests/configs/test_config_publish.py
@@ -11,19 +11,16 @@
 from cranberryline.configs.publish import (
     Accepted,
     ConfigPublisher,
-    FoldSource,
     PublishReason,
     PublishRefused,
     Ran,
 )
-from cranberryline.configs.relay import ConfigRelay
-from cranberryline.configs.tail import LogTail
 from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogRecord
 from tests.configs.config_fakes import (
     LOST,
     OUTAGE,
     UNREACHABLE,
+    DirectSource,
     FakeLog,
     service_data,
     weights_data,
@@ -33,32 +30,6 @@
 Outcome = Result[Accepted, PublishRefused]
 
 
-class DirectSource(FoldSource):
-    """A fold that reads the log itself and has no peers."""
-
-    def __init__(self, log: FakeLog) -> None:
-        self.relay = ConfigRelay(ConfigFold())
-        self.tail = LogTail(log, self.relay, lambda record, rejected: None)
-
-    @property
-    def fold(self) -> ConfigFold:
-        """Return the fold."""
-        return self.relay.fold
-
-    async def async_catch_up(self) -> Result[int, PlatformError]:
-        """Read to the end."""
-        read = await self.tail.async_read_to_end()
-        return read if isinstance(read, Err) else Ok(self.fold.offset)
-
-    def fold_next(self, record: LogRecord) -> None:
-        """Fold the record if it is the next."""
-        self.tail.fold_one(record)
-
-    async def async_spread(self, offset: int, wait: timedelta) -> int:
-        """There is nobody to push to."""
-        return 0
-
-
 def publisher(log: FakeLog) -> ConfigPublisher:
     """Return a publisher with a fold of its own."""
     return ConfigPublisher(log, DirectSource(log), LoopClock())
--- a/tests/configs/test_operators.py
+++ b/tests/configs/test_operators.py
@@ -3,27 +3,21 @@
 import asyncio
 import json
 from collections.abc import Callable
-from datetime import timedelta
 from typing import Any
 
 import pytest
-from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from cranberryline.configs import ConfigFold
-from cranberryline.configs.publish import ConfigPublisher, FoldSource
-from cranberryline.configs.relay import ConfigRelay
-from cranberryline.configs.tail import LogTail
+from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.entry.operators import OperatorContext, PeerStatus, operator_routes
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tokens import Identity, Role, TokenTable
 from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import LogRecord
-from tests.configs.config_fakes import FakeLog, service_data, weights_data
+from tests.configs.config_fakes import DirectSource, FakeLog, service_data, weights_data
 
 TOKEN = "operator-token-0123456789"
 CALLER_TOKEN = "caller-token-0123456789abc"
@@ -33,32 +27,6 @@
 PEER = PeerStatus("side-1", "side", "samplers", "usable", True, 1, 7)
 
 
-class Source(FoldSource):
-    """A fold that reads the log itself and has no peers."""
-
-    def __init__(self, log: FakeLog) -> None:
-        self.relay = ConfigRelay(ConfigFold())
-        self.tail = LogTail(log, self.relay, lambda record, rejected: None)
-
-    @property
-    def fold(self) -> ConfigFold:
-        """Return the fold."""
-        return self.relay.fold
-
-    async def async_catch_up(self) -> Result[int, PlatformError]:
-        """Read to the end."""
-        read = await self.tail.async_read_to_end()
-        return read if isinstance(read, Err) else Ok(self.fold.offset)
-
-    def fold_next(self, record: LogRecord) -> None:
-        """Fold the record if it is the next."""
-        self.tail.fold_one(record)
-
-    async def async_spread(self, offset: int, wait: timedelta) -> int:
-        """There is nobody to push to."""
-        return 0
-
-
 class Answer:
     """What came back."""
 
@@ -73,7 +41,7 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self.log = FakeLog()
-        self.source = Source(self.log)
+        self.source = DirectSource(self.log)
         self.current = True
         self.metrics = metrics
         context = OperatorContext(
--- a/tests/requests/test_traces.py
+++ b/tests/requests/test_traces.py
@@ -1,6 +1,5 @@
 """Replay of recorded traces of requests: each line's outcome stands beside it as `gives`."""
 
-import json
 from datetime import timedelta
 from pathlib import Path
 from typing import Any
@@ -9,6 +8,7 @@
 from result import Err
 
 from cranberryline.requests import EntryAttempt, RequestKey, SideBook, WithdrawOutcome
+from tests.replaying import replay
 
 TRACES = sorted((Path(__file__).parent.parent / "traces").glob("requests_*.jsonl"))
 NOW, LATER = timedelta(), timedelta(seconds=10)
@@ -93,12 +93,7 @@
 @pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
 def test_trace_comes_out_as_stated(path: Path) -> None:
     """Replay one trace, line by line."""
-    replay = Replay()
-    for number, text in enumerate(path.read_text().splitlines(), 1):
-        line = json.loads(text)
-        if "do" in line:
-            got = getattr(replay, line["do"])(line)
-            assert got == line.get("gives"), f"line {number}"
+    replay(path, Replay())
 
 
 def test_there_are_traces() -> None:
