Take the ports of hosted peers at once, so that no two are the same

Cause: 56 ports were looked for one after the other, and one was given out twice; the host of the peers then did not start. Also collect garbage before folds are timed, since what earlier sizes had left was collected within one of them.

--- a/bench/capacity/config.py
+++ b/bench/capacity/config.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import gc
 import time
 from collections import Counter
 from collections.abc import Iterable
@@ -248,6 +249,7 @@
     """Return what a fold costs by the records in force."""
     fold = ConfigFold()
     now = datetime.now(UTC)
+    gc.collect()
     trainer = {"kind": "trainer", "name": _TRAINER, "schema": 1, "amends": 0}
     fold.apply(LogRecord(1, now, "r", {**trainer, "spec": {"service": "service-0"}}))
     began = time.process_time()
--- a/bench/capacity/running.py
+++ b/bench/capacity/running.py
@@ -24,6 +24,7 @@
 )
 from cranberryline.configs.push import TAILER_KEY
 from cranberryline.decisions import rendezvous
+from stand_ins.process import free_ports
 
 from .peers import SERVICE_RECORD, entry_name, side_name
 
@@ -131,7 +132,7 @@
 def running_entry(sides: int) -> Iterator[Node]:
     """Run an entry before hosted side processes."""
     with _setup() as setup:
-        ports = [free_port() for _ in range(sides)]
+        ports = free_ports(sides)
         hosted = started("peers", "bench.capacity.peers", "sides", *map(str, ports))
         wait_for_port(setup.stack.enter_context(hosted), ports[-1])
         rows = [
