Let a refusal speak for all attempts of a request

The first attempt had run and was unknown; its repetition was refused, truly not run, and the caller was told of the repetition alone. Ruled out: the side process (it vouched only for what it had not started), the withdrawal. Change: the final refusal is `yes` or `unknown` if any attempt was. Tests: two unit cases and the scenario answers_silent failed first and pass now; requests_silent (the other direction) passed at once. The relay stand-in can lose one direction alone.

--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from random import Random
 
+import attrs
 from result import Err, Ok, Result
 
 from cranberryline.configs import CallerSpec, ConfigFold, ServiceSpec
@@ -128,22 +129,21 @@
         admitted = lane.admit(req)
         if isinstance(admitted, Err):
             return admitted
-        start_by = admitted.unwrap()
         avoid: frozenset[str] = req.avoid
-        attempts = 0
+        earlier: list[AttemptOutcome] = []
         while True:
-            taken = await lane.async_take_turn(req, start_by, avoid)
+            taken = await lane.async_take_turn(req, admitted.unwrap(), avoid)
             if isinstance(taken, Err):
-                return taken
+                return Err(_with_earlier(taken.unwrap_err(), earlier))
             turn = taken.unwrap()
             sink.dispatched(turn.upstream.peer.vm_id)
             outcome = await self._async_attempt(lane, turn, req, sink)
-            attempts += 1
             if isinstance(outcome, AttemptDone):
                 return Ok(turn.upstream.peer.vm_id)
-            decision = self._decide_retry(lane, req, outcome, attempts)
+            earlier.append(outcome)
+            decision = self._decide_retry(lane, req, outcome, len(earlier))
             if isinstance(decision, Refusal):
-                return Err(decision)
+                return Err(_with_earlier(decision, earlier))
             self._metrics.retry(_reason_text(outcome))
             await self._clock.async_sleep(decision)
             avoid = avoid | {turn.upstream.peer.vm_id}
@@ -185,6 +185,20 @@
         return decision.after
 
 
+def _with_earlier(refusal: Refusal, earlier: list[AttemptOutcome]) -> Refusal:
+    """Let a refusal speak for the whole request, and not for its last attempt alone.
+
+    A repetition that was refused is truly not run; the attempt before it may have been. Told `no`
+    for the last one only, the caller would take as not run what stands in the upstream's books.
+    """
+    if refusal.ran is not Ran.NO:
+        return refusal
+    told = [outcome.ran for outcome in earlier if isinstance(outcome, AttemptUnknown)]
+    if not told:
+        return refusal
+    return attrs.evolve(refusal, ran=Ran.YES if Ran.YES in told else Ran.UNKNOWN)
+
+
 def _is_final(outcome: AttemptOutcome) -> bool:
     """Tell whether another upstream could not do better."""
     return _reason_text(outcome).upper() in _FINAL_REASONS
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -154,9 +154,9 @@
         """Read an upstream's journal, also of one that has been killed."""
         return [row for row in read_journal(self._journal_path(name)) if row["kind"] == kind]
 
-    def silence(self, *vm_ids: str) -> None:
+    def silence(self, *vm_ids: str, way: str = "both") -> None:
         """Let the open connections to these VMs' peers go silent; new ones work."""
-        self.control("relay", silence=list(vm_ids))
+        self.control("relay", silence=list(vm_ids), way=way)
 
     def set_vms(self) -> None:
         """Publish the VM list as it is in `vms`; it shows after the list's lag."""
--- a/stand_ins/relay.py
+++ b/stand_ins/relay.py
@@ -10,16 +10,21 @@
 __all__ = ["RelayControls", "RelayStandIn"]
 
 READ_BYTES = 64 * 1024
+WAY_BOTH = "both"
+WAY_FORTH = "forth"
+WAY_BACK = "back"
 
 
 @attrs.define
 class RelayControls(Controls):
     """`silence` names links ("*" for all) whose present connections carry nothing any more.
 
-    They stay open at both ends; connections made later work. `delay_s` holds back each piece.
+    They stay open at both ends; connections made later work. `way` is "both", "forth" (what the
+    dialling end sends is lost) or "back". `delay_s` holds back each piece.
     """
 
     silence: list[str] = attrs.field(factory=list)
+    way: str = WAY_BOTH
     delay_s: float = 0.0
 
 
@@ -29,6 +34,7 @@
 
     name: str
     silent: bool = False
+    lost_ways: frozenset[str] = frozenset()
     passed: int = 0
 
 
@@ -48,7 +54,8 @@
 
     def journal(self) -> Any:
         """Tell the open connections."""
-        return {"made": self.made, "open": [attrs.asdict(link) for link in self._links]}
+        rows = [{"name": link.name, "silent": link.silent} for link in self._links]
+        return {"made": self.made, "open": rows}
 
     async def async_start(self) -> None:
         """Listen for each link."""
@@ -61,6 +68,7 @@
         for link in self._links:
             if wanted & {link.name, "*"}:
                 link.silent = True
+                link.lost_ways |= _lost_ways(self.controls.way)
 
     async def _async_listen(self, name: str, listen: int, target: int) -> asyncio.Server:
         async def async_accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -80,8 +88,8 @@
         self.made += 1
         self._links.add(link)
         ways = [
-            asyncio.create_task(self._async_pass(link, reader, far_writer)),
-            asyncio.create_task(self._async_pass(link, far_reader, writer)),
+            asyncio.create_task(self._async_pass(link, WAY_FORTH, reader, far_writer)),
+            asyncio.create_task(self._async_pass(link, WAY_BACK, far_reader, writer)),
         ]
         try:
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
@@ -95,12 +103,16 @@
             self._links.discard(link)
 
     async def _async_pass(
-        self, link: _Link, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        link: _Link,
+        way: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         """Pass pieces on; on a silent link swallow them, and an end's closing too."""
         try:
             while piece := await reader.read(READ_BYTES):
-                if link.silent:
+                if way in link.lost_ways:
                     continue
                 if self.controls.delay_s:
                     await asyncio.sleep(self.controls.delay_s)
@@ -109,3 +121,7 @@
                 await writer.drain()
         except OSError:
             return
+
+
+def _lost_ways(way: str) -> frozenset[str]:
+    return frozenset((WAY_FORTH, WAY_BACK)) if way == WAY_BOTH else frozenset((way,))
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -250,3 +250,26 @@
         assert (await bench.dispatcher.async_run(bench.request(), CollectingSink())).is_ok()
 
     asyncio.run(async_case())
+
+
+@pytest.mark.parametrize("then", ["refused", "gone"])
+def test_a_refusal_after_an_unknown_attempt_is_not_called_not_run(bench: Bench, then: str) -> None:
+    """The caller whose first attempt may have run never reads `not run` about the last one.
+
+    The first attempt's connection is lost after it ran. The repetition is refused by a draining
+    side process, or finds no upstream at all: true of the repetition, false of the request.
+    """
+    sides = {name: bench.side(name) for name in ("up-1", "up-2")}
+
+    def lose(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+        exchange.push(Lost())
+        for other in sides.values():
+            other.script = _not_run
+            other.usable = then == "refused"
+
+    for side in sides.values():
+        side.script = lose
+    deadline = bench.clock.monotonic() + timedelta(milliseconds=300)
+    req = bench.request(deadline=deadline)
+    refusal = asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap_err()
+    assert refusal.ran is Ran.UNKNOWN
--- a/tests/failures/test_processes.py
+++ b/tests/failures/test_processes.py
@@ -52,7 +52,15 @@
 
 
 def _silence(deployment: Deployment) -> None:
-    deployment.silence(*(vm["id"] for vm in deployment.vms))
+    deployment.silence("*")
+
+
+def _silence_forth(deployment: Deployment) -> None:
+    deployment.silence("*", way="forth")
+
+
+def _silence_back(deployment: Deployment) -> None:
+    deployment.silence("*", way="back")
 
 
 SCENARIOS = {
@@ -106,6 +114,10 @@
     ),
     # Every open connection between our processes goes silent; new ones work.
     "connections_silent": Scenario(((2.0, _silence),), seconds=9.0, relayed=True),
+    # Requests arrive and run, and their answers are lost on the way back.
+    "answers_silent": Scenario(((2.0, _silence_back),), seconds=9.0, relayed=True),
+    # Answers still come, and nothing that the entries send arrives any more.
+    "requests_silent": Scenario(((2.0, _silence_forth),), seconds=9.0, relayed=True),
     # In pairs.
     "kill_entry_without_log": Scenario(
         (
