--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -18,6 +18,7 @@
 from cranberryline.configs.checkpoint import CheckpointPolicy
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.configs.relay import RelayPort
+from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -64,7 +65,6 @@
 _PEER_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
 _STOP_POLL = timedelta(milliseconds=50)
-EXIT_SETTINGS = 2
 
 
 class _Relay(RelayPort):
@@ -334,7 +334,14 @@
     entry = EntryProcess(cfg, tokens, SystemClock())
     shutdown = Shutdown(entry.async_stop, cfg.stop_timeout, entry.metrics)
     shutdown.install()
-    entry.start()
+    try:
+        entry.start()
+    except OSError as exc:
+        # Another process, perhaps a paused predecessor, still holds the port. Whoever starts
+        # processes has to end that one first; two would act beside one VM.
+        _LOGGER.error("cannot_listen", error=str(exc))
+        await entry.async_close()
+        return ExitCode.UNAVAILABLE
     outcome = await shutdown.async_wait()
     await entry.async_close()
     return outcome.exit_code
@@ -345,5 +352,5 @@
     tokens = load_tokens(cfg.tokens_file)
     if isinstance(tokens, Err):
         sys.stderr.write(f"{tokens.unwrap_err()}\n")
-        return EXIT_SETTINGS
+        return ExitCode.USAGE
     return asyncio.run(_async_run(cfg, tokens.unwrap()))
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -12,6 +12,7 @@
 
 from cranberryline.configs import Revision
 from cranberryline.configs.relay import RelayPort
+from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
@@ -239,7 +240,14 @@
     side = SideProcess(cfg, SystemClock())
     shutdown = Shutdown(side.async_stop, cfg.stop_timeout, side.metrics)
     shutdown.install()
-    side.start()
+    try:
+        side.start()
+    except OSError as exc:
+        # Another process, perhaps a paused predecessor, still holds the port. Whoever starts
+        # processes has to end that one first; two would act beside one VM.
+        _LOGGER.error("cannot_listen", error=str(exc))
+        await side.async_close()
+        return ExitCode.UNAVAILABLE
     outcome = await shutdown.async_wait()
     await side.async_close()
     return outcome.exit_code
--- a/cranberryline/transport/__init__.py
+++ b/cranberryline/transport/__init__.py
@@ -2,7 +2,7 @@
 
 from .codec import decode, encode
 from .dialer import Dialer, DialerEvents, Exchange, Lost
-from .errors import BadFrame, BadFrameReason, PeerGone
+from .errors import BadFrame, BadFrameReason, PeerGone, PortTaken
 from .listener import Connection, Listener, ListenerEvents
 from .sockets import DealerSocket, RouterSocket
 
@@ -18,6 +18,7 @@
     "ListenerEvents",
     "Lost",
     "PeerGone",
+    "PortTaken",
     "RouterSocket",
     "decode",
     "encode",
--- a/cranberryline/transport/errors.py
+++ b/cranberryline/transport/errors.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["BadFrame", "BadFrameReason", "PeerGone"]
+__all__ = ["BadFrame", "BadFrameReason", "PeerGone", "PortTaken"]
 
 
 class BadFrameReason(enum.StrEnum):
@@ -27,3 +27,7 @@
 
 class PeerGone(Exception):  # noqa: N818 - the event, not a fault of ours
     """Raise when a message cannot be handed to a peer any more."""
+
+
+class PortTaken(OSError):  # noqa: N818 - the event; another process holds the port
+    """Raise when the peer port cannot be bound."""
--- a/cranberryline/transport/sockets.py
+++ b/cranberryline/transport/sockets.py
@@ -12,7 +12,7 @@
 
 from .codec import decode, encode
 from .const import HIGH_WATER_MARK, MAX_FRAME_BYTES, MAX_QUEUED_BATCHES
-from .errors import BadFrame, PeerGone
+from .errors import BadFrame, PeerGone, PortTaken
 from .model import Message
 
 __all__ = ["DealerSocket", "RouterSocket"]
@@ -198,7 +198,11 @@
         self._on_bad_frame = on_bad_frame
         self._on_gone = on_gone
         self._outboxes: dict[bytes, list[Message]] = {}
-        self._sock.bind(address)
+        try:
+            self._sock.bind(address)
+        except zmq.ZMQError as exc:
+            self._sock.close()
+            raise PortTaken(exc.errno, f"cannot listen at {address}: {exc.strerror}") from exc
         self._start()
 
     def send(self, peer: bytes, msg: Message) -> None:
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -19,6 +19,7 @@
     Listener,
     ListenerEvents,
     Lost,
+    PortTaken,
     dialer,
 )
 from cranberryline.transport.model import (
@@ -222,3 +223,15 @@
         door.listener.close()
 
     asyncio.run(async_case())
+
+
+def test_a_second_process_cannot_take_the_port(ctx: zmq.Context, address: str) -> None:
+    """While one side process holds the VM's port, even paused, no other stands beside its upstream."""
+
+    async def async_case() -> None:
+        door = _Door(ctx, address, "life-1")
+        with pytest.raises(PortTaken, match="cannot listen"):
+            _Door(ctx, address, "life-2")
+        door.listener.close()
+
+    asyncio.run(async_case())
