Pass paths as they came, name callers by their token, count and log what callers get

Cause: reading the proxy as a newcomer: the router's decoded groups turned an escaped slash into a real one; our own token was passed on to upstreams; a caller could name another for its share and its idempotency keys, and call itself more urgent than its record allows; requests, their time and the queue's length were never counted, refusals not logged. Change: the raw path goes through; a known token names the caller and stays here; the record bounds the class; counters, histogram and a log line once per burst.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -20,7 +20,7 @@
 from cranberryline.configs.relay import RelayPort
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
-from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.logging import get_logger, once_per_burst
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
 from cranberryline.helpers.shutdown import Shutdown
@@ -305,7 +305,9 @@
             metrics=self.metrics,
             dispatcher=self.dispatcher,
             book=self.book,
+            tokens=self.tokens,
             ready=lambda: self.sync.current,
+            log=once_per_burst("cranberryline.entry.proxy", self._clock),
         )
 
     def _on_members(self) -> None:
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -123,6 +123,7 @@
         finally:
             self.in_flight -= 1
             self._metrics.in_flight.set(self.in_flight)
+            self._metrics.queued.set(sum(lane.queued for lane in self._lanes.values()))
 
     async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         lane = self.lane(req.service)
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -14,8 +14,10 @@
 from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import Logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
+from cranberryline.helpers.tokens import TokenTable
 from cranberryline.requests import scoped_key
 
 from .attempt import CallerLeft
@@ -29,6 +31,7 @@
 HEADER_DEADLINE = "X-Deadline-Ms"
 HEADER_KEY = "Idempotency-Key"
 HEADER_IDEMPOTENT = "X-Idempotent"
+HEADER_AUTHORIZATION = "Authorization"
 HEADER_CALLER = "X-Caller"
 HEADER_REQUEST_ID = "X-Request-Id"
 
@@ -38,6 +41,8 @@
 CHARS_PER_TOKEN = 4
 _MAX_DEADLINE_DIGITS = 9
 _MAX_KEY_CHARS = 255
+_SEGMENTS_BEFORE_PATH = 3
+KIND = "caller"
 _NOT_READY_RETRY = timedelta(seconds=1)
 
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -70,7 +75,9 @@
     metrics: Metrics
     dispatcher: Dispatcher
     book: ServiceBook
+    tokens: TokenTable
     ready: Callable[[], bool]
+    log: Logger
 
 
 class _HandlerSink(AnswerSink):
@@ -114,6 +121,10 @@
         given = self.request.headers.get(HEADER_REQUEST_ID, "")
         self.request_id = given[:64] or f"{self._process}-{next(self._ids)}"
         self._work: asyncio.Task[Any] | None = None
+        self._dropped = _DROPPED_HEADERS
+        self._began = self.context.clock.monotonic()
+        self.caller = self._identify()
+        self.context.metrics.requests.labels(KIND).inc()
         # Without the configuration every service would look unknown, and a 404 is final.
         if not self.context.ready():
             self.refuse(Refusal(RefusalReason.NOT_READY, retry_after=_NOT_READY_RETRY))
@@ -136,6 +147,14 @@
         ctx = self.context
         counted = ctx.metrics.refuse if refusal.ran is Ran.NO else ctx.metrics.fail
         counted(refusal.reason.value)
+        self.context.log.info(
+            "request_refused",
+            request_id=self.request_id,
+            caller=self.caller,
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            detail=refusal.detail,
+        )
         if self._headers_written or refusal.begun:
             # The status has left: a tidy end would make a part look like the whole.
             self._cut()
@@ -162,20 +181,32 @@
         if result.is_err():
             self.refuse(result.unwrap_err())
             return
-        self.context.metrics.answers.labels("caller").inc()
         await self.finish()
-
-    def caller(self) -> str:
-        """Name the caller for fair shares."""
+        self.context.metrics.answers.labels(KIND).inc()
+        spent = self.context.clock.monotonic() - self._began
+        self.context.metrics.latency.labels(KIND).observe(spent.total_seconds())
+
+    def _identify(self) -> str:
+        """Name the caller: by its token, else as it says itself, else by its address."""
+        header = self.request.headers.get(HEADER_AUTHORIZATION)
+        identified = self.context.tokens.identify(header)
+        if isinstance(identified, Ok):
+            # The token is for us; passed on, every upstream could act in the caller's name.
+            self._dropped = _DROPPED_HEADERS | {HEADER_AUTHORIZATION.lower()}
+            return identified.unwrap().name
         return self.request.headers.get(HEADER_CALLER, "") or self.request.remote_ip or "unknown"
 
     def caller_class(self) -> Result[CallerClass, Refusal]:
-        """Read the class of the request."""
-        text = self.request.headers.get(HEADER_PRIORITY, "application").upper()
+        """Read the class of the request; a caller's record bounds how urgent it may call itself."""
+        spec = self.context.book.caller(self.caller)
+        most_urgent = CallerClass.APPLICATION
+        if spec is not None:
+            most_urgent = CallerClass[spec.caller_class.name]
+        text = self.request.headers.get(HEADER_PRIORITY, most_urgent.name).upper()
         if text not in CallerClass.__members__:
             allowed = ", ".join(c.name.lower() for c in CallerClass)
             return Err(_bad(f"{HEADER_PRIORITY} must be one of {allowed}"))
-        return Ok(CallerClass[text])
+        return Ok(max(CallerClass[text], most_urgent))
 
     def deadline(self, service: str) -> Result[timedelta, Refusal]:
         """Read the deadline, on the monotonic clock."""
@@ -211,11 +242,11 @@
         if len(key) > _MAX_KEY_CHARS:
             return Err(_bad(f"{HEADER_KEY} must have at most {_MAX_KEY_CHARS} characters"))
         if key:
-            key = scoped_key(self.caller(), key)
+            key = scoped_key(self.caller, key)
         headers = [
             (name, value)
             for name, value in self.request.headers.get_all()
-            if name.lower() not in _DROPPED_HEADERS
+            if name.lower() not in self._dropped
         ]
         if HEADER_REQUEST_ID not in self.request.headers:
             headers.append((HEADER_REQUEST_ID, self.request_id))
@@ -227,7 +258,7 @@
                 headers=tuple(headers),
                 body=self.request.body,
                 deadline=deadline.unwrap(),
-                caller=self.caller(),
+                caller=self.caller,
                 caller_class=caller_class.unwrap(),
                 idempotent=repeatable.unwrap(),
                 key=key,
@@ -257,9 +288,10 @@
 
     async def async_handle(self, service: str, path: str) -> None:
         """Pass the request on."""
-        query = f"?{self.request.query}" if self.request.query else ""
+        # The router hands its groups over decoded; an escaped slash must stay one.
+        raw = self.request.uri.split("/", _SEGMENTS_BEFORE_PATH)[-1] if self.request.uri else ""
         repeatable = self.request.method in _IDEMPOTENT_METHODS
-        await self.async_build_and_serve(self.build(service, f"/{path}{query}", repeatable))
+        await self.async_build_and_serve(self.build(service, f"/{raw}", repeatable))
 
     get = head = post = delete = patch = put = options = async_handle
 
