--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -10,13 +10,14 @@
 caller that sends ten times its share waits for its own backlog and the others do not. Of the
 classes above, everything comes before, but never more than the class's floor leaves them.
 
-Thresholds: `queue_seconds` is what a caller of each class can bear (see `const`). The service
-limit only bounds memory. `WAIT_MARGIN` is the part of the time that the estimate may fill, since
-callers with less work may still come before a request that was let in: at 1, 466 of 2,678
-refusals at twice saturation came only after the request had waited its whole time in vain, at
-0.65 it is 146 of 2,720 at the same goodput (load "twice saturation", 5 engines, seed 1). `CALLER_SHARE` leaves a caller at most half of the service's request
-limit, so that one caller cannot exhaust it. The retry hint is the time until the excess over the
-budget has drained, spread by up to a half, so that refused callers do not return together.
+Thresholds: `queue_seconds` is what a caller of each class can bear (see `const`). `WAIT_MARGIN`
+is the part of that time which the estimate may fill, since callers with less work may still come
+before a request that was let in: at 1, 466 of 2,678 refusals at twice saturation came only after
+the request had waited its whole time in vain, at 0.65 it is 146 of 2,720 at the same goodput (load
+"twice saturation", 5 engines, seed 1). The service limit only bounds memory. `CALLER_SHARE` leaves
+a caller at most half of it, so that one caller cannot exhaust it. The retry hint is the time until
+the excess over the budget has drained, spread by up to a half, so that refused callers do not
+return together.
 """
 
 from collections.abc import Mapping
