--- a/bench/decisions_report.py
+++ b/bench/decisions_report.py
@@ -141,7 +141,8 @@
 def print_goals(rows: Sequence[Row]) -> None:
     """Print whether each goal is reached."""
     print(
-        "\n### Goals\n\n| goal | deployment | load | figure | bound | reached |\n|---|---|---|---|---|---|"
+        "\n### Goals\n\n| goal | deployment | load | figure | bound | reached |\n"
+        "|---|---|---|---|---|---|"
     )
     found = {(r.case.deployment.name, r.case.load.name, r.case.name): r.figures for r in rows}
     for deployment in dict.fromkeys(row.case.deployment for row in rows):
--- a/cranberryline/decisions/queueing.py
+++ b/cranberryline/decisions/queueing.py
@@ -15,11 +15,11 @@
 - Classes below application may take all but `URGENT_RESERVE`.
 - A caller that runs more than its share may take all but `FAIR_RESERVE`.
 
-Each holds only while work of the other kind was seen within `RESERVE_MEMORY`; an upstream that
-sees none is used in full. An eighth is enough because what it is kept for leaves its slot quickly
-or comes seldom: of 16 slots, two that serve calls 32 times shorter than the rest do four times as
-many as the other fourteen together. Measured on one seed of the load "heavy caller": with
-`FAIR_RESERVE` the others' median wait for a slot is 0.06 s, without it 0.36 s.
+Each holds only while work of the other kind was seen within `RESERVE_MEMORY`; an upstream that sees
+none is used in full. An eighth is enough because what it is kept for leaves its slot quickly or
+comes seldom: of 16 slots, two that serve calls 32 times shorter than the rest do four times as many
+as the other fourteen together. Measured on one seed of the load "heavy caller": with `FAIR_RESERVE`
+the others' median wait for a slot is 0.06 s, without it 0.36 s.
 
 The wait is bounded: an item past `start_by` is never popped, and `expire` hands it over to be
 refused, which is safe because an item that was not popped has not run.
--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -2,31 +2,37 @@
 
 Load answered: trainers that wait for a whole step, samples of very unlike length, upstreams that
 crawl or stall, and weights that change every few minutes. Starting a step's groups only when the
-trainer is ready leaves it idle for as long as the longest sample takes. Starting everything that
-is declared makes samples that are stale when received. Waiting for one stalled sample stalls the
-whole step.
+trainer is ready leaves it idle for as long as the longest sample takes. Starting everything that is
+declared makes samples that are stale when received. Waiting for one stalled sample stalls the whole
+step.
 
-Staleness of a sample is known when it starts: a step is taken when the trainer reaches the
-version that it is taken at, and the sample's oldest segment has the version that the samplers
-serve now. So `start` never starts a sample that is expected to miss the bound.
+Staleness of a sample is known when it starts: a step is taken when the trainer reaches the version
+that it is taken at, and the sample's oldest segment has the version that the samplers serve now. So
+`start` never starts a sample that is expected to miss the bound.
 
 `freshness` is the one setting between trainer idle time and staleness: the mean staleness that a
 step may have when received is `(1 - freshness) * staleness_bound`. At 1 nothing starts before the
-weights that its step is taken at; at 0 everything starts as early as the bound allows. Between
-them the allowance goes to the samples that are expected to take longest, because they alone decide
-when the step is whole: a sample that takes `d` and starts `k` versions early makes the trainer
-wait `d - k * step_time`, so the least wait for an allowance gives each sample the smallest `k` that
-brings it under one common wait (`_common_wait`). No more is started than there is room for: a
-sample that waits at a sampler holds a place and starts no earlier.
+weights that its step is taken at; at 0 everything starts as early as the bound allows. Between them
+the allowance goes to the samples that are expected to take longest, because they alone decide when
+the step is whole: a sample that takes `d` and starts `k` versions early makes the trainer wait `d -
+k * step_time`, so the least wait for an allowance gives each sample the smallest `k` that brings it
+under one common wait (`_common_wait`). No more is started than there is room for: a sample that
+waits at a sampler holds a place and starts no earlier.
 
 Stragglers: a sample that would be late is continued elsewhere, from the tokens received, when that
 is expected to be `MOVE_GAIN` times faster and to save at least `MIN_SAVING`. One that would be in
-time even if it were moved `MOVE_MARGIN` later is left, for its upstream may recover by itself. The cost is one
-prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND` times the
-typical first-token time is started a second time beside the first (hedged), for it may only wait
-in a queue. A move needs room elsewhere, for a sample that is moved into a queue stalls again; early
-starts leave `MOVE_RESERVE` of what is in flight free for it. At most `MOVE_SHARE` of what is in flight is moved in one round, so that a slowdown of
-everything, in which no move helps, does not become a storm of prefills.
+time even if it were moved `MOVE_MARGIN` later is left, for its upstream may recover by itself. The
+cost is one prefill, no token is thrown away. One that has brought no token at all in `STALL_BOUND`
+times the typical first-token time is started a second time beside the first (hedged), for it may
+only wait in a queue. A move needs room elsewhere, for a sample that is moved into a queue stalls
+again; early starts leave `MOVE_RESERVE` of the slots free for it. At most `MOVE_SHARE` of what is
+in flight is moved in one round, so that a slowdown of everything, in which no move helps, does not
+become a storm of prefills.
+
+Other thresholds: `MIN_STALL` is longer than the second or two for which a swap to new weights stops
+an engine; `MIN_RUN` is the time in which a sample's pace can be told from a slow start; lengths are
+taken times `TAIL_FACTOR`, since the longest of a group decides and an early start that was not
+needed costs less than a late one (values from 1 to 4 are compared in docs/POLICY.md).
 """
 
 import enum
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -5,21 +5,23 @@
 Following the reports alone goes wrong in herds: every entry sees the same idle upstream until the
 next report. Following the prefix cache alone sends a popular prefix to one upstream.
 
-The measure is the expected time until this request is done there: its own tokens at the pace of
-one request, after the tokens outstanding there at that pace on all slots. Where a slot is free
-nothing has to be waited for, and what is outstanding counts only for `SHARING_COST`, since the
-batch is shared with it. The pace is measured (see `pace`) and comes with the load report. Own outstanding tokens count in full: they are known.
-What a report shows beyond them is the work of other entries; it counts in full when fresh and
-half after `REPORT_HALF_LIFE`, about the time in which an engine turns over its work. Of
-`SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries that see the same
-reports do not all choose the same upstream; own counts alone would allow the best of all.
+The measure is the expected time until this request is done there: its own tokens at the pace of one
+request, after the tokens outstanding there at that pace on all slots. Where a slot is free nothing
+has to be waited for, and what is outstanding counts only for `SHARING_COST`, since the batch is
+shared with it. The pace is measured (see `pace`) and comes with the load report. Own outstanding
+tokens count in full: they are known. What a report shows beyond them is the work of other entries;
+it counts in full when fresh and half after `REPORT_HALF_LIFE`, about the time in which an engine
+turns over its work. Of `SAMPLE_SIZE` upstreams drawn at random the best is taken, so that entries
+that see the same reports do not all choose the same upstream; own counts alone would allow the best
+of all.
 
 Prefix affinity: the first upstream by rendezvous hash of the prefix key is expected to hold the
-prefix, and its expected time is less by the work that this saves. So affinity never makes a
-request wait longer than it saves, and a prefix that is too popular spills to the others by itself.
-Where no slot is free there affinity counts for nothing: what a caller waits for in a full upstream
-is its own turn, and callers with few prefixes would all queue at one upstream each. One upstream a prefix, for with two each cache has to hold twice as many (measured: load "many
-prefixes" in docs/POLICY.md).
+prefix, and its expected time is less by the work that this saves. So affinity never makes a request
+wait longer than it saves, and a prefix that is too popular spills to the others by itself. Where no
+slot is free there affinity counts for nothing: what a caller waits for in a full upstream is its
+own turn, and callers with few prefixes would all queue at one upstream each. One upstream a prefix,
+for with two each cache has to hold twice as many (measured: load "many prefixes" in
+docs/POLICY.md).
 
 An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
 down by `health` counts as slower by its weight; a due probe goes first, as one request.
