Look for stale samples only when there can be one

Ruled out: looking less often, since staleness has to be checked at each hand-over. Change: the ledger keeps a lower bound of the versions of its finished samples and looks only when that would be stale. A test that fails on any look-through failed before; a property test compares with the plain rule.

--- a/cranberryline/samples/ledger.py
+++ b/cranberryline/samples/ledger.py
@@ -38,6 +38,8 @@
         self._queue = list(range(declaration.size))
         self._attempts: dict[int, set[str]] = {}
         self._finished: dict[int, Sample] = {}
+        # No finished sample is older than this; it may be lower than the oldest of them.
+        self._oldest_finished: int | None = None
         self._handed: tuple[int, tuple[int, ...]] = (0, ())
         self._obsolete: list[str] = []
         self._discards: Counter[DiscardReason] = Counter()
@@ -101,6 +103,7 @@
         others = self._attempts.pop(position) - {attempt}
         self._obsolete.extend(sorted(others))
         self._finished[position] = Sample(sample_id, completion, score)
+        self._note_version(completion.oldest_version)
         return FinishOutcome.KEPT
 
     def discard(self, sample_id: SampleId, attempt: str, reason: DiscardReason) -> None:
@@ -117,11 +120,19 @@
 
     def drop_stale(self, newest_version: int, bound: int) -> int:
         """Drop finished samples older than the bound; their identities are made again."""
-        stale = [
-            position
-            for position, sample in self._finished.items()
-            if newest_version - sample.completion.oldest_version > bound
-        ]
+        oldest = self._oldest_finished
+        # This is asked at each sample that finishes: looking through all that wait for a late
+        # trainer each time would take most of the step's processor time.
+        if oldest is None or newest_version - oldest <= bound:
+            return 0
+        self._oldest_finished = None
+        stale = []
+        for position, sample in self._finished.items():
+            version = sample.completion.oldest_version
+            if newest_version - version > bound:
+                stale.append(position)
+            else:
+                self._note_version(version)
         for position in stale:
             del self._finished[position]
             self._discards[DiscardReason.STALE] += 1
@@ -190,6 +201,10 @@
         for position in _bits(undone):
             self._make_idle(position)
 
+    def _note_version(self, version: int) -> None:
+        oldest = self._oldest_finished
+        self._oldest_finished = version if oldest is None else min(oldest, version)
+
     def _make_idle(self, position: int) -> None:
         self._idle.add(position)
         heapq.heappush(self._queue, position)
--- a/tests/samples/test_ledger.py
+++ b/tests/samples/test_ledger.py
@@ -1,6 +1,8 @@
 """The ledger's single rules."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cranberryline.samples import (
     Completion,
@@ -144,3 +146,33 @@
         DECLARATION.position(SampleId(1, 0))
     with pytest.raises(ValueError, match="no index"):
         DECLARATION.position(SampleId(0, 3))
+
+
+def test_fresh_samples_are_not_looked_through_again(
+    ledger: StepLedger, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A step of 8,192 with a late trainer looks for stale samples at each one that finishes."""
+    first, second = ledger.startable(2)
+    finish(ledger, first, version=5)
+    finish(ledger, second, version=6)
+    monkeypatch.setattr(Completion, "oldest_version", property(_fail))
+    assert ledger.drop_stale(newest_version=7, bound=2) == 0
+
+
+def _fail(_: Completion) -> int:
+    raise AssertionError("looked through again")
+
+
+@given(st.lists(st.tuples(st.integers(1, 9), st.integers(1, 12), st.integers(0, 3)), max_size=24))
+def test_exactly_the_stale_ones_are_dropped(steps: list[tuple[int, int, int]]) -> None:
+    """Whatever finishes and comes into force in between, none older than the bound is kept."""
+    declaration = StepDeclaration("t", 1, "s", (GroupDeclaration("p", 24, 8),))
+    ledger, kept = StepLedger(declaration), []
+    for version, newest, bound in steps:
+        [sample_id] = ledger.startable(1)
+        finish(ledger, sample_id, version)
+        kept.append(version)
+        fresh = [version for version in kept if newest - version <= bound]
+        assert ledger.drop_stale(newest, bound) == len(kept) - len(fresh)
+        kept = fresh
+        assert ledger.ready == len(kept)
