--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -21,6 +21,7 @@
 from cranberryline.configs.push import TAILER_KEY, ResendSchedule, TailerRanking
 from cranberryline.configs.relay import ConfigRelay, RelayPort
 from cranberryline.configs.signal import Signal
+from cranberryline.configs.supervise import async_keep_running
 from cranberryline.configs.tail import LogTail
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
@@ -36,6 +37,7 @@
 DROP_DIGEST = "config_digest_mismatch"
 DROP_PREFIX = "config_"
 LOG_PREFIX = "config_log_"
+MIN_WAIT = timedelta(milliseconds=10)
 RETRY_PUSH = "config_push"
 
 
@@ -57,6 +59,7 @@
     call: timedelta = timedelta(seconds=2)
     start: timedelta = timedelta(seconds=10)
     tick: timedelta = timedelta(milliseconds=500)
+    idle_tick: timedelta = timedelta(seconds=5)
     min_backoff: timedelta = timedelta(milliseconds=200)
     max_backoff: timedelta = timedelta(seconds=2)
     max_resend: timedelta = timedelta(seconds=8)
@@ -91,6 +94,7 @@
         self._current = asyncio.Event()
         self._moved = Signal()
         self._role_changed = Signal()
+        self._work = Signal()
         self._last_sign = clock.monotonic()
         self._last_read: timedelta | None = None
         self._last_beat: timedelta | None = None
@@ -133,9 +137,12 @@
         """Run until cancelled."""
         self._last_sign = self._clock.monotonic()
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._async_tail(), name="config-tail")
-            group.create_task(self._async_ticks(), name="config-tick")
-            group.create_task(self._async_checkpoints(), name="config-checkpoint")
+            for work in (self._async_tail, self._async_ticks, self._async_checkpoints):
+                group.create_task(
+                    async_keep_running(
+                        work.__name__, work, self._clock, self._logger, self._metrics
+                    )
+                )
 
     def on_members(self) -> None:
         """Look anew at who tails; call it when the live entries change."""
@@ -198,9 +205,12 @@
         return sum((self.relay.known(peer) or 0) >= offset for peer in peers)
 
     def _silent(self, rank: int) -> bool:
+        return self._until_silent(rank) < timedelta()
+
+    def _until_silent(self, rank: int) -> timedelta:
         over = max(0, rank - self._timings.tailers)
         stagger = min(self._timings.stagger * over, self._timings.max_stagger)
-        return self._clock.monotonic() - self._last_sign > self._timings.silence + stagger
+        return self._last_sign + self._timings.silence + stagger - self._clock.monotonic()
 
     def _on_request(self, peer: str, request: ConfigRequest) -> None:
         answer = self.relay.on_request(peer, request)
@@ -262,6 +272,8 @@
     def _push(self, peer: str) -> None:
         if not self.current:
             return
+        if not self._resends.pending:
+            self._work.notify()
         self._resends.sent(peer, self._clock.monotonic())
         self._port.send(peer, self.relay.push_for(peer))
 
@@ -273,7 +285,8 @@
         while True:
             if not self.tailing:
                 self._last_read = None
-                await self._role_changed.async_wait(self._timings.tick)
+                left = self._until_silent(self._ranking.rank())
+                await self._role_changed.async_wait(max(left, MIN_WAIT))
                 continue
             read = await self._async_poll()
             if isinstance(read, Ok):
@@ -301,7 +314,7 @@
 
     async def _async_ticks(self) -> None:
         while True:
-            await self._clock.async_sleep(self._timings.tick)
+            await self._work.async_wait(self._tick_delay())
             now = self._clock.monotonic()
             self._resend(now)
             if not self.current:
@@ -310,6 +323,18 @@
             if self.tailing:
                 self._beat(now)
 
+    def _tick_delay(self) -> timedelta:
+        if not self.current or self._resends.pending:
+            return self._timings.tick
+        return self._timings.sign if self._signed_peers() else self._timings.idle_tick
+
+    def _signed_peers(self) -> list[str]:
+        """Return the entries that count on this one's signs of life."""
+        if not self.tailing:
+            return []
+        tailers = self._ranking.tailers()
+        return [peer for peer in self._port.entry_peers() if peer not in tailers]
+
     def _ask_peers(self) -> None:
         for peer in self._port.entry_peers():
             self._port.send(peer, ConfigRequest(self.fold.offset + 1))
@@ -334,11 +359,9 @@
         if self._last_read is None or now - self._last_read > bound:
             return
         self._last_beat = now
-        tailers = self._ranking.tailers()
         sign = self.relay.delta_since(self.fold.offset + 1)
-        for peer in self._port.entry_peers():
-            if peer not in tailers:
-                self._port.send(peer, sign)
+        for peer in self._signed_peers():
+            self._port.send(peer, sign)
 
     async def _async_checkpoints(self) -> None:
         while True:
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import itertools
-import math
 import uuid
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
-from result import Err, Ok, Result
+from result import Err, Result
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
@@ -20,7 +19,8 @@
 from .const import ATTR_TEXT
 from .errors import CursorError, DiscardReason
 from .ledger import FinishOutcome, StepLedger
-from .model import Batch, Completion, SampleId, StepDeclaration
+from .model import Batch, Completion, SampleId, StepDeclaration, sample_name
+from .pacing import StepWork, TrainerPace
 from .ports import (
     DispatchError,
     HedgePolicy,
@@ -29,8 +29,9 @@
     SampleDispatch,
     SampleRequest,
 )
+from .scoring import async_score_patiently
 
-__all__ = ["Pull", "RunnerPorts", "StepRunner", "sample_name"]
+__all__ = ["Pull", "RunnerPorts", "StepRunner"]
 
 # Failures without a success between them make the step pause this long, doubled each time.
 BACKOFF_START = timedelta(milliseconds=100)
@@ -38,6 +39,8 @@
 # How often stragglers are looked for, while there are samples in the making.
 HEDGE_INTERVAL = timedelta(milliseconds=250)
 MAX_DURATIONS = 256
+# A step that was handed over whole is kept this long for a repeated pull of its last batch.
+DONE_QUIET_AFTER = timedelta(seconds=60)
 
 RETRY_HEDGE = "hedge"
 RETRY_SCORER = "scorer"
@@ -46,12 +49,6 @@
 _LOGGER = get_logger(__name__)
 
 
-def sample_name(declaration: StepDeclaration, sample_id: SampleId) -> str:
-    """Return a sample's identity as one text, for logs, scorers and trainers."""
-    place = f"{sample_id.group}/{sample_id.index}"
-    return f"{declaration.trainer}/{declaration.step}/{place}"
-
-
 @attrs.frozen
 class Pull:
     """A trainer's pull: where it stands, at which version, and how long it waits."""
@@ -91,6 +88,8 @@
         ports: RunnerPorts,
         limits: Callable[[], RolloutLimits | None],
         room: Callable[[], int],
+        pace: TrainerPace,
+        allowed: Callable[[], list[tuple[int, int]]],
         on_freed: Callable[[], None],
         quiet_after: timedelta,
     ) -> None:
@@ -99,6 +98,9 @@
         self._clock = ports.clock
         self._get_limits = limits
         self._room = room
+        self._pace = pace
+        self._allowed = allowed
+        self._early: dict[SampleId, int] = {}
         self._on_freed = on_freed
         self._quiet_after = quiet_after
         self._ledger = StepLedger(declaration)
@@ -113,8 +115,10 @@
         self._failed_at = timedelta(microseconds=-1)
         self._not_before = timedelta()
         self._trainer_version = 0
+        self._checked = (0, 0)
         self._pulls = 0
         self._closing = False
+        self._handed_all = False
         self._called_at = self._clock.monotonic()
         self._changed = asyncio.Event()
         self._ready = asyncio.Event()
@@ -125,6 +129,18 @@
         """Count the attempts in the making."""
         return len(self._attempts)
 
+    @property
+    def work(self) -> StepWork:
+        """Return what is not started, and what the started samples cost in versions."""
+        waiting = self._ledger.waiting()
+        groups = self.declaration.groups
+        return StepWork(
+            samples=self.declaration.size,
+            versions_early=sum(self._early.values()),
+            waiting=waiting,
+            max_tokens={group: groups[group].max_tokens for group in waiting},
+        )
+
     @property
     def pause(self) -> timedelta:
         """Return how long the step still waits after a failure before it starts anything."""
@@ -157,6 +173,7 @@
         """Return what the trainer gets; wait for the first sample as long as the pull allows."""
         self._pulls += 1
         self._trainer_version = pull.version
+        self._pace.on_pull(self.declaration.step, pull.version, self._clock.monotonic())
         give_up_at = self._clock.monotonic() + pull.wait
         try:
             while True:
@@ -165,6 +182,7 @@
                 if isinstance(result, Err) or left <= timedelta():
                     return result
                 batch = result.unwrap()
+                self._handed_all = batch.done
                 if batch.samples or batch.done or self._closing:
                     self._count_handed_over(len(batch.samples))
                     return result
@@ -212,8 +230,7 @@
 
     def _look(self) -> None:
         limits = self._read_limits()
-        newest = max(limits.newest_version, self._trainer_version)
-        self._ledger.drop_stale(newest, limits.staleness_bound)
+        self._drop_stale(max(limits.newest_version, self._trainer_version), limits.staleness_bound)
         for attempt in self._ledger.take_obsolete():
             if attempt in self._attempts:
                 self._attempts[attempt].task.cancel()
@@ -221,11 +238,18 @@
             self._ports.metrics.discards.labels(reason.value).inc(count)
         if self._clock.monotonic() < self._not_before:
             return
-        for sample_id in self._ledger.startable(max(self._room(), 0)):
-            self._begin(sample_id)
+        for group, count in self._allowed():
+            for sample_id in self._ledger.startable_of(group, min(count, self._room())):
+                self._begin(sample_id)
         if not self._ledger.startable(1):
             self._hedge()
 
+    def _drop_stale(self, newest: int, bound: int) -> None:
+        """Drop what a new version or bound has made stale; nothing stale is kept at its finish."""
+        if (newest, bound) != self._checked:
+            self._checked = (newest, bound)
+            self._ledger.drop_stale(newest, bound)
+
     def _hedge(self) -> None:
         now = self._clock.monotonic()
         hedgeable = set(self._ledger.hedgeable())
@@ -250,6 +274,8 @@
             return
         task = asyncio.get_running_loop().create_task(self._async_attempt(sample_id, name, avoid))
         self._attempts[name] = _Attempt(sample_id, self._clock.monotonic(), task)
+        newest = self._read_limits().newest_version
+        self._early[sample_id] = self._pace.versions_early(self.declaration.step, newest)
         task.add_done_callback(lambda done: self._end(name, done))
 
     def _end(self, name: str, task: asyncio.Task[None]) -> None:
@@ -259,7 +285,9 @@
                 _LOGGER.error("sample_attempt_broke", sample_id=name, error=repr(task.exception()))
             # Without this a cancelled or broken attempt would hold its identity for ever.
             self._ledger.discard(attempt.sample_id, name, DiscardReason.FAILED)
-        self.wake()
+        # Not `wake` first: the table wakes the trainer's steps in order, so that the room goes to
+        # the one it waits for. Looked at first, a later step would take each place as it is freed
+        # and leave none for the hedge or the repetition that the earlier one needs.
         self._on_freed()
 
     async def _async_attempt(self, sample_id: SampleId, name: str, avoid: frozenset[str]) -> None:
@@ -298,24 +326,23 @@
         """Score a completion, however long the scorer is out; None when it became stale."""
         self._attempts[name].scoring = True
         sample = {ATTR_TEXT: completion.text, "identity": req.sample_id}
-        pause = BACKOFF_START
-        while not self._is_stale(completion):
-            result = await self._ports.scorer.async_score(sample)
-            if isinstance(result, Ok) and math.isfinite(result.unwrap()):
-                return result.unwrap()
-            # The tokens are made and paid for: the attempt keeps its place among those in
-            # flight, which also keeps the step from making more than the scorer can take.
-            self._ports.metrics.retry(RETRY_SCORER)
-            await self._clock.async_sleep(pause)
-            pause = min(pause * 2, BACKOFF_MOST)
-        return None
+        return await async_score_patiently(
+            self._ports.scorer,
+            sample,
+            self._clock,
+            on_retry=lambda: self._ports.metrics.retry(RETRY_SCORER),
+            wanted=lambda: not self._is_stale(completion),
+        )
 
     def _keep(self, sample_id: SampleId, name: str, completion: Completion, score: float) -> None:
         outcome = self._ledger.finish(sample_id, name, completion, score)
         if outcome is not FinishOutcome.KEPT:
             self._ports.metrics.drop(DROP_SAMPLE + outcome.value)
             return
-        self._durations.append(self._clock.monotonic() - self._attempts[name].started)
+        spent = self._clock.monotonic() - self._attempts[name].started
+        self._durations.append(spent)
+        tokens = sum(segment.tokens for segment in completion.segments)
+        self._pace.on_sample(tokens, self.declaration.groups[sample_id.group].max_tokens, spent)
         self._failures = 0
         self._ready.set()
 
@@ -347,7 +374,13 @@
         return not self._pulls and self._quiet_left() <= timedelta()
 
     def _quiet_left(self) -> timedelta:
-        return self._called_at + self._quiet_after - self._clock.monotonic()
+        # A trainer that took the last batch of a step does not call for it again, so no cursor
+        # ever covers that batch. Kept as long as a step in the making, the steps of a quick
+        # trainer would fill the memory; one that lost the answer is back within seconds.
+        quiet_after = self._quiet_after
+        if self._handed_all:
+            quiet_after = min(quiet_after, DONE_QUIET_AFTER)
+        return self._called_at + quiet_after - self._clock.monotonic()
 
     def _next_look(self) -> timedelta:
         """Return how long nothing can happen by itself; a finished step waits for its trainer."""
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -46,7 +46,8 @@
         self._left: OrderedDict[str, None] = OrderedDict()
         self._lives: dict[str, _Life] = {}
         self._listeners: list[Listener] = []
-        self._usable_rows: dict[VmRole, list[VmEntry]] | None = None
+        self._usable_by_service: dict[str | None, list[VmEntry]] = {}
+        self._usable_entries: list[VmEntry] | None = None
         self.refusals: Counter[MembershipReason] = Counter()
 
     @property
@@ -60,12 +61,20 @@
 
     def entries(self) -> list[VmEntry]:
         """Return the usable entries, sorted by id."""
-        return list(self._usable_by_role()[VmRole.ENTRY])
+        if self._usable_entries is None:
+            rows = [vm for vm in self._sorted() if vm.role is VmRole.ENTRY]
+            self._usable_entries = [vm for vm in rows if self._usable(vm.id)]
+        return list(self._usable_entries)
 
     def upstreams(self, service: str | None = None) -> list[VmEntry]:
         """Return the usable upstreams of a service, or of all, sorted by id."""
-        rows = self._usable_by_role()[VmRole.UPSTREAM]
-        return [vm for vm in rows if service in (None, vm.service)]
+        found = self._usable_by_service.get(service)
+        if found is None:
+            rows = [vm for vm in self._sorted() if vm.role is VmRole.UPSTREAM]
+            found = [vm for vm in rows if service in (None, vm.service) and self._usable(vm.id)]
+            if found:
+                self._usable_by_service[service] = found
+        return list(found)
 
     def get(self, vm_id: str) -> VmEntry | None:
         """Return the list's row of a VM."""
@@ -214,9 +223,13 @@
         return {vm_id for vm_id in self._rows if self._usable(vm_id)}
 
     def _notify(self, changed: bool) -> None:
+        # Who tails the log asks for the entries several times a second; going through thousands of
+        # rows each time would take more of the processor than all other control together. A row
+        # may change without its VM becoming usable or not, so every list makes them anew.
+        self._usable_by_service.clear()
+        self._usable_entries = None
         if not changed:
             return
-        self._usable_rows = None
         for listener in self._listeners:
             listener()
 
