Give routing what its present form asks for

Cause: the routing decision has learnt to count reported requests, the class, the entry's data center and what a cached prefix saves; the entry still gave it the first version's view, so that affinity and distance had no effect in the real processes. Change: the lane passes them on; a group's samples and both callers of one key stay affine.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -121,7 +121,9 @@
             checkpoints=CheckpointPolicy(cfg.log_retention),
         )
         self.book = ServiceBook(self.sync.fold)
-        self.dispatcher = Dispatcher(clock, random.Random(), self.table, self.book, self.metrics)
+        self.dispatcher = Dispatcher(
+            clock, random.Random(), self.table, self.book, self.metrics, cfg.data_center
+        )
         self.tokens = tokens
         scorer = NoScores() if cfg.scorer_url is None else HttpScorer(cfg.scorer_url)
         rollouts = FoldRollouts(self.sync.fold)
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -83,13 +83,20 @@
     """Give each request an upstream in its turn, and its caller one final answer."""
 
     def __init__(
-        self, clock: Clock, rng: Random, peers: PeerTable, book: ServiceBook, metrics: Metrics
+        self,
+        clock: Clock,
+        rng: Random,
+        peers: PeerTable,
+        book: ServiceBook,
+        metrics: Metrics,
+        data_center: str = "",
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._peers = peers
         self._book = book
         self._metrics = metrics
+        self._data_center = data_center
         self._lanes: dict[str, ServiceLane] = {}
         self._retry = RetryPolicy()
         self.in_flight = 0
@@ -105,6 +112,7 @@
                 self._peers,
                 lambda: self._book.spec(service),
                 self._book.shares,
+                self._data_center,
             )
         return lane
 
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -66,9 +66,11 @@
         peers: PeerTable,
         spec: Callable[[], ServiceSpec],
         weights: Callable[[], dict[str, float]],
+        data_center: str = "",
     ) -> None:
         self.budget = RetryBudget()
         self._service = service
+        self._data_center = data_center
         self._clock = clock
         self._rng = rng
         self._peers = peers
@@ -171,7 +173,7 @@
 
     def _give_turn(self, item: WorkItem, free: list[Upstream], now: timedelta) -> None:
         waiter = self._waiters.pop(item.id)
-        upstream = self._route(waiter, free, now)
+        upstream = self._route(item, waiter, free, now)
         if upstream is None:
             self._queue.finish(item.id)
             self._settle(waiter, Err(_no_upstream()))
@@ -179,7 +181,9 @@
         upstream.begin(now)
         self._settle(waiter, Ok(Turn(item, upstream, now)))
 
-    def _route(self, waiter: _Waiter, free: list[Upstream], now: timedelta) -> Upstream | None:
+    def _route(
+        self, item: WorkItem, waiter: _Waiter, free: list[Upstream], now: timedelta
+    ) -> Upstream | None:
         spec = self._spec()
         views = [upstream.view(spec, now) for upstream in free]
         excluded = waiter.avoid & {view.id for view in views}
@@ -188,7 +192,10 @@
             excluded = frozenset()
         wanted = RouteRequest(
             tokens=max(waiter.req.tokens, 1),
+            priority=item.priority,
+            data_center=self._data_center,
             prefix_key=waiter.req.prefix_key or None,
+            prefix_tokens=waiter.req.prefix_tokens,
             excluded=excluded,
             may_probe=waiter.req.idempotent,
         )
--- a/cranberryline/entry/model.py
+++ b/cranberryline/entry/model.py
@@ -21,7 +21,8 @@
 class CallerRequest:
     """One request as the entry accepted it; `deadline` is on the monotonic clock.
 
-    `tokens` is the expected work on a model engine, 0 for a plain service; `avoid` names upstreams
+    `tokens` is the expected work on a model engine, 0 for a plain service; `prefix_tokens` is what
+    of it an upstream saves that has served the same `prefix_key`; `avoid` names upstreams
     that should not serve it, such as those already making the same sample.
     """
 
@@ -37,6 +38,7 @@
     key: str = ""
     tokens: int = 0
     prefix_key: str = ""
+    prefix_tokens: int = 0
     avoid: frozenset[str] = frozenset()
 
 
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -266,6 +266,7 @@
                 # Both callers of one key are sent to one upstream while they can be: it then
                 # sees the second one without asking the log.
                 prefix_key=prefix or key,
+                prefix_tokens=len(prefix) // CHARS_PER_TOKEN if prefix else int(bool(key)),
             )
         )
 
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -112,7 +112,9 @@
             caller_class=CallerClass.TRAINER,
             idempotent=True,
             tokens=req.max_tokens + len(req.prompt) // CHARS_PER_TOKEN,
+            # The samples of a group share their whole prompt.
             prefix_key=req.prompt[:PREFIX_CHARS],
+            prefix_tokens=len(req.prompt) // CHARS_PER_TOKEN,
             avoid=req.avoid,
         )
 
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -56,6 +56,7 @@
             slots=spec.concurrency,
             own_requests=self.peer.outstanding,
             own_tokens=self.peer.outstanding_tokens,
+            reported_requests=0 if load is None else load.running + load.queued,
             reported_tokens=0 if load is None else load.queued_tokens,
             report_age=None if load is None else now - self.peer.load_at,
             tokens_per_second=self.pace.tokens_per_second(now),
