--- a/stand_ins/books.py
+++ b/stand_ins/books.py
@@ -52,6 +52,7 @@
     dropped_batches: int = 0
     announced: int = 0
     steps: int = 0
+    stalled_steps: int = 0
     idle_s: float = 0.0
     total_s: float = 0.0
 
@@ -62,7 +63,7 @@
 
     @property
     def lost(self) -> int:
-        """Count samples of the steps begun that never came."""
+        """Count samples that never came: of steps said to be done, and of stalled ones."""
         return len(set(self.wanted) - self._identities())
 
     @property
--- a/stand_ins/demo.py
+++ b/stand_ins/demo.py
@@ -8,21 +8,14 @@
 
 import attrs
 
-from .books import audit_calls, audit_samples
+from .books import audit_calls, audit_samples, call_faults
 from .caller import Caller, CallerPlan
 from .client import EntryClient
 from .deployment import EXAMPLES, load_plan
 from .launcher import OPERATOR, Deployment, launched
 from .trainer import Trainer, TrainerPlan
 
-__all__ = [
-    "DemoLoad",
-    "async_load",
-    "broken_promises",
-    "demo",
-    "figures_of",
-    "run_deployment",
-]
+__all__ = ["DemoLoad", "async_load", "demo", "figures_of", "run_deployment"]
 
 ANNOUNCE_EVERY = 3
 # Each of these counts a broken promise.
@@ -38,6 +31,8 @@
     "not_run_though_told",
     "ungraceful_stops",
 )
+BROKEN_CALLS_NAMED = 5
+NOT_IN_TABLE = ("refusals_by_reason", "broken_calls")
 # Without any of these nothing was shown.
 MUST_HAPPEN = ("samples_delivered", "answers_whole", "weight_changes")
 
@@ -110,6 +105,7 @@
         faults.update(audit_samples(deployment, book))
     for call_book in calls:
         faults.update(audit_calls(deployment, call_book))
+    broken_calls = [str(fault) for book in calls for fault in call_faults(deployment, book)]
     refusals: Counter[str] = Counter()
     for refused in [book.refusals for book in books] + [book.refusals for book in calls]:
         refusals.update(refused)
@@ -129,10 +125,12 @@
         "not_run_though_told": faults["not_run_though_told"],
         "weight_changes": sum(book.announced for book in books),
         "steps": sum(book.steps for book in books),
+        "stalled_steps": sum(book.stalled_steps for book in books),
         "trainer_idle_share": round(sum(b.idle_share for b in books) / len(books), 3),
         "mean_staleness": round(staleness / max(1, delivered), 3),
         "refusals": refusals.total(),
         "refusals_by_reason": dict(refusals),
+        "broken_calls": broken_calls[:BROKEN_CALLS_NAMED],
     }
 
 
@@ -174,7 +172,7 @@
     """Print the figures, a column for each deployment."""
     print(f"\n{'':<24}" + "".join(f"{name:>14}" for name in parts))
     for key in next(iter(parts.values())):
-        if key == "refusals_by_reason":
+        if key in NOT_IN_TABLE:
             continue
         print(f"{key:<24}" + "".join(f"{part[key]!s:>14}" for part in parts.values()))
     for name, part in parts.items():
