Count requests, their time and those that wait; answer our own faults as problems

Cause: three metrics were described and never counted, and the handlers still answered errors of the server as pages, half an answer after a fault of ours as a whole one. Change: every handler is a ProblemHandler; requests and their time by kind; what waits and what is in flight are read when the metrics are.

--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -92,6 +92,8 @@
         self._lanes: dict[str, ServiceLane] = {}
         self._retry = RetryPolicy()
         self.in_flight = 0
+        metrics.queued.set_function(lambda: sum(lane.queued for lane in self._lanes.values()))
+        metrics.in_flight.set_function(lambda: self.in_flight)
 
     def lane(self, service: str) -> ServiceLane:
         """Return the lane of a service in force."""
@@ -116,12 +118,10 @@
     async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         """Run a request to its end; return the upstream's id, or a refusal that is final."""
         self.in_flight += 1
-        self._metrics.in_flight.set(self.in_flight)
         try:
             return await self._async_run(req, sink)
         finally:
             self.in_flight -= 1
-            self._metrics.in_flight.set(self.in_flight)
 
     async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         lane = self.lane(req.service)
--- a/cranberryline/entry/http.py
+++ b/cranberryline/entry/http.py
@@ -7,7 +7,7 @@
 from tornado.web import Application, RequestHandler
 
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
-from cranberryline.helpers.problem import write_problem
+from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.settings import EntrySettings
 
 from .proxy import CompletionHandler, ProxyContext, ServiceHandler
@@ -21,7 +21,7 @@
 STATUS_UNAVAILABLE = 503
 
 
-class _HealthHandler(RequestHandler):
+class _HealthHandler(ProblemHandler):
     """Answer whether the process lives, or is ready for work."""
 
     def initialize(self, good: Callable[[], bool]) -> None:
@@ -35,7 +35,7 @@
         self.finish({"ok": good})
 
 
-class _NotFoundHandler(RequestHandler):
+class _NotFoundHandler(ProblemHandler):
     """Answer paths that do not exist."""
 
     def prepare(self) -> None:
--- a/cranberryline/entry/operators.py
+++ b/cranberryline/entry/operators.py
@@ -21,7 +21,7 @@
     Ran,
 )
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.problem import write_problem
+from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.helpers.tokens import Role, TokenTable
 
 __all__ = ["OperatorContext", "PeerStatus", "operator_routes"]
@@ -82,7 +82,7 @@
     tokens: TokenTable | None
 
 
-class _OperatorHandler(RequestHandler):
+class _OperatorHandler(ProblemHandler):
     """Check the token, and write answers and refusals as JSON."""
 
     def initialize(self, context: OperatorContext) -> None:
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -13,11 +13,10 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.problem import write_problem
+from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.requests import scoped_key
 
 from .attempt import CallerLeft
@@ -100,9 +99,10 @@
             raise CallerLeft from exc
 
 
-class _CallerHandler(RequestHandler):
+class _CallerHandler(ProblemHandler):
     """What plain services and engines have in common."""
 
+    kind = "service"
     _ids = itertools.count()
     _process = uuid.uuid4().hex[:8]
 
@@ -161,13 +161,18 @@
 
     async def async_serve(self, req: CallerRequest) -> None:
         """Run a request and write its answer."""
+        metrics, kind = self.context.metrics, self.kind
+        metrics.requests.labels(kind).inc()
+        started_at = self.context.clock.monotonic()
         sink = _HandlerSink(self)
         result = await self.context.dispatcher.async_run(req, sink)
         if result.is_err():
             self.refuse(result.unwrap_err())
             return
-        self.context.metrics.answers.labels("caller").inc()
+        metrics.answers.labels(kind).inc()
         await self.finish()
+        took = self.context.clock.monotonic() - started_at
+        metrics.latency.labels(kind).observe(took.total_seconds())
 
     def caller(self) -> str:
         """Name the caller for fair shares."""
@@ -273,6 +278,8 @@
 class CompletionHandler(_CallerHandler):
     """Pass a completion request to the engines that serve its model."""
 
+    kind = "completion"
+
     async def post(self, path: str) -> None:
         """Pass the request on."""
         await self.async_build_and_serve(self._read(path))
--- a/cranberryline/entry/trainers.py
+++ b/cranberryline/entry/trainers.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 from tornado.web import RequestHandler
 
-from cranberryline.helpers.problem import problem_body, write_problem
+from cranberryline.helpers.problem import ProblemHandler, problem_body, write_problem
 from cranberryline.samples.const import (
     CURSOR_START,
     DEFAULT_PULL,
@@ -304,7 +304,7 @@
 TokenCheck = Callable[[RequestHandler, str], bool]
 
 
-class _TrainerHandler(RequestHandler):
+class _TrainerHandler(ProblemHandler):
     """What both calls share: the token, and one task that ends with the connection."""
 
     def initialize(self, service: TrainerService, token_check: TokenCheck) -> None:
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -8,13 +8,14 @@
 
 import zmq
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
 from cranberryline.configs import Revision
 from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
+from cranberryline.helpers.problem import ProblemHandler
 from cranberryline.helpers.shutdown import Shutdown
 from cranberryline.platform.clients import HttpEngine, HttpLog
 from cranberryline.requests import SideBook
@@ -198,7 +199,7 @@
                 self.server.listener.drop_silent(_ENTRY_SILENT_AFTER)
 
 
-class _HealthHandler(RequestHandler):
+class _HealthHandler(ProblemHandler):
     """Answer whether the process lives, or is ready for work."""
 
     def initialize(self, side: SideProcess, readiness: bool) -> None:
