--- a/cranberryline/side/weights.py
+++ b/cranberryline/side/weights.py
@@ -8,7 +8,8 @@
 from result import Err, Ok
 
 from cranberryline.configs.model import ServiceSpec
-from cranberryline.decisions.weight_shift import ShiftSettings, swap_delay
+from cranberryline.configs.supervise import async_keep_running
+from cranberryline.decisions.weight_shift import ShiftSettings, hashed_swap_delay, swap_delay
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
@@ -49,11 +50,20 @@
 
 
 class ShiftSlots(SwapSlots):
-    """Take the turn that the weight shift decision gives to this member of the service."""
+    """Take the turn that the weight shift decision gives to this member of the service.
 
-    def __init__(self, vm_id: str, members: Callable[[], Collection[str]]) -> None:
+    Of a large service only the count of the members is known, not who they are.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        members: Callable[[], Collection[str]],
+        count: Callable[[], int] = lambda: 0,
+    ) -> None:
         self._vm_id = vm_id
         self._members = members
+        self._count = count
 
     def delay(self, spec: ServiceSpec, version: int) -> timedelta:
         """Return the delay of this member's turn."""
@@ -61,6 +71,9 @@
             store_rate=spec.fetches_per_second, max_swapping=spec.swap_fraction
         )
         members = {*self._members(), self._vm_id}
+        count = self._count()
+        if count > len(members):
+            return hashed_swap_delay(self._vm_id, count, spec.model, version, settings).delay
         return swap_delay(self._vm_id, members, spec.model, version, settings).delay
 
 
@@ -91,6 +104,11 @@
     async def async_run(self) -> None:
         """Run until cancelled."""
         await self._sync.async_wait_current()
+        await async_keep_running(
+            "weights", self._async_follow, self._clock, self._logger, self._metrics
+        )
+
+    async def _async_follow(self) -> None:
         while True:
             self._take_target()
             await self._async_poll_load()
@@ -170,9 +188,15 @@
             await self._async_send(order, spec, before)
 
     async def _async_send(self, order: SwapOrder, spec: ServiceSpec, before: int | None) -> None:
-        answer = await self._engine.async_load_weights(
-            spec.model, order.version, order.fence, ORDER_TIMEOUT
-        )
+        try:
+            answer = await self._engine.async_load_weights(
+                spec.model, order.version, order.fence, ORDER_TIMEOUT
+            )
+        except Exception:
+            # An order left in flight would keep every later one back.
+            self.state.on_failed(order, self._clock.monotonic())
+            self._back_off(timedelta())
+            raise
         now = self._clock.monotonic()
         self._next_poll = now
         if isinstance(answer, Ok):
--- a/tests/samples/sample_fakes.py
+++ b/tests/samples/sample_fakes.py
@@ -30,6 +30,7 @@
         self.held: dict[str, asyncio.Event] = {}
         self.started: Counter[str] = Counter()
         self.avoided: list[frozenset[str]] = []
+        self.pause_s = 0.0
         self.running = 0
         self.most_running = 0
 
@@ -47,7 +48,7 @@
             version = self.version
             if self.started[req.sample_id] == 1 and req.sample_id in self.held:
                 await self.held[req.sample_id].wait()
-            await asyncio.sleep(0)
+            await asyncio.sleep(self.pause_s)
         finally:
             self.running -= 1
         if self.failing is not None:
@@ -80,7 +81,7 @@
     """One trainer `t` and one service `s`."""
 
     def __init__(self) -> None:
-        self.in_force = RolloutLimits(newest_version=5, staleness_bound=1, max_in_flight=4)
+        self.in_force = RolloutLimits(5, staleness_bound=1, max_in_flight=4, freshness=0.0)
 
     def limits(self, trainer: str, service: str) -> RolloutLimits | None:
         """Return the limits in force."""
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -15,6 +15,7 @@
     StepDeclaration,
     StepRefusal,
 )
+from cranberryline.samples import runner as runner_module
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ports import RolloutLimits, RunningSample
 from cranberryline.samples.runner import BACKOFF_START, Pull, StepRunner
@@ -37,12 +38,14 @@
 async def async_pull_all(runner: StepRunner, version: int = 5) -> list[SampleId]:
     """Pull until the step is done."""
     cursor, ids = "", []
-    while True:
-        batch = await async_pull(runner, cursor, version)
-        ids += [sample.id for sample in batch.samples]
-        cursor = batch.next_cursor
-        if batch.done:
-            return ids
+    async with asyncio.timeout(20):
+        while True:
+            batch = await async_pull(runner, cursor, version)
+            assert all(sample.score == 1.0 for sample in batch.samples)
+            ids += [sample.id for sample in batch.samples]
+            cursor = batch.next_cursor
+            if batch.done:
+                return ids
 
 
 def test_step_is_made_whole_within_its_room(make_table: MakeTable, dispatch: FakeDispatch) -> None:
@@ -177,6 +180,31 @@
     asyncio.run(async_play())
 
 
+def test_earlier_step_goes_before_a_later_one(
+    make_table: MakeTable, dispatch: FakeDispatch
+) -> None:
+    """A trainer waits for step 1, of which one sample hangs, while step 2 could use all the room.
+
+    Room that becomes free goes to the step that the trainer waits for: its straggler is hedged
+    although the later step has samples to start all the time.
+    """
+
+    async def async_play() -> None:
+        dispatch.held["t/1/1/3"] = asyncio.Event()
+        dispatch.pause_s = 0.1
+        table = make_table()
+        groups = (GroupDeclaration("p", 400, 8),)
+        later = table.declare(StepDeclaration("t", 2, "s", groups), owner=True).unwrap()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        async with asyncio.timeout(4):
+            assert len(await async_pull_all(runner)) == DECLARATION.size
+        assert later.running > 0
+        assert dispatch.most_running <= 4
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_step_of_a_quiet_trainer_ends(make_table: MakeTable, dispatch: FakeDispatch) -> None:
     """A trainer that has gone costs nothing after a while; back again, it declares anew."""
 
@@ -194,6 +222,31 @@
     asyncio.run(async_play())
 
 
+def test_step_handed_over_whole_is_kept_briefly(
+    make_table: MakeTable, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A trainer takes the last batch and never calls for this step again.
+
+    The same pull repeated at once gets that batch; then the step goes, long before the quiet
+    time of one in the making, or a quick trainer's steps would fill the entry's memory.
+    """
+    monkeypatch.setattr(runner_module, "DONE_QUIET_AFTER", timedelta(milliseconds=300))
+
+    async def async_play() -> None:
+        table = make_table()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        await asyncio.sleep(0.2)
+        batch = await async_pull(runner)
+        assert batch.done
+        assert await async_pull(runner) == batch
+        assert not runner.closed
+        await asyncio.sleep(1)
+        assert runner.closed
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_pull_that_waits_is_answered_at_a_planned_stop(
     make_table: MakeTable, dispatch: FakeDispatch
 ) -> None:
