Open the entry's port with the limits that answer

Cause: headers or a body too long and a slow sender met a closed connection, uncounted. Change: the entry listens through open_http_server.

--- a/cranberryline/entry/http.py
+++ b/cranberryline/entry/http.py
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from cranberryline.helpers.http_server import InputLimits, open_http_server
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.settings import EntrySettings
@@ -64,15 +65,8 @@
         default_handler_class=_NotFoundHandler,
         log_function=lambda _: None,
     )
-    server = HTTPServer(
-        app,
-        max_body_size=cfg.max_body_bytes,
-        max_header_size=cfg.max_header_bytes,
-        body_timeout=cfg.slow_sender_timeout.total_seconds(),
-    )
-    host, _, port = cfg.listen.rpartition(":")
-    server.listen(int(port), host)
-    return server
+    limits = InputLimits(cfg.max_body_bytes, cfg.max_header_bytes, cfg.slow_sender_timeout)
+    return open_http_server(app, cfg.listen, limits, metrics)
 
 
 async def async_close_http(server: HTTPServer) -> None:
