--- a/cranberryline/entry/attempt.py
+++ b/cranberryline/entry/attempt.py
@@ -161,7 +161,7 @@
             return
         if not self._sink.can_restart:
             self._attempt.mark_forwarded()
-        await self._sink.async_chunk(msg.data)
+        await self._sink.async_chunk(msg.data, last=self._exchange.ends_next)
         self._uncredited += len(msg.data)
         if self._uncredited >= _CREDIT_STEP:
             self._exchange.peer.grant(self._exchange.id, self._uncredited)
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -6,17 +6,18 @@
 import uuid
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Any
 
 import attrs
 from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import Logger
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.problem import write_problem
+from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.helpers.tokens import TokenTable
 from cranberryline.requests import scoped_key
 
@@ -42,7 +43,6 @@
 _MAX_DEADLINE_DIGITS = 9
 _MAX_KEY_CHARS = 255
 _SEGMENTS_BEFORE_PATH = 3
-KIND = "caller"
 _NOT_READY_RETRY = timedelta(seconds=1)
 
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
@@ -90,25 +90,25 @@
         """Set the status and headers; they leave with the first part of the body."""
         self._handler.clear()
         self._handler.set_status(status)
-        for name in ("Content-Type", "Date", "Server"):
-            self._handler.clear_header(name)
         for name, value in headers:
             if name.lower() not in _DROPPED_HEADERS or name.lower() == "content-length":
                 self._handler.add_header(name, value)
         return False
 
-    async def async_chunk(self, data: bytes) -> None:
+    async def async_chunk(self, data: bytes, last: bool = False) -> None:
         """Write a part of the body and wait until the caller has taken it."""
         try:
             self._handler.write(data)
-            await self._handler.flush()
+            if not last:
+                await self._handler.flush()
         except StreamClosedError as exc:
             raise CallerLeft from exc
 
 
-class _CallerHandler(RequestHandler):
+class _CallerHandler(ProblemHandler):
     """What plain services and engines have in common."""
 
+    kind = "service"
     _ids = itertools.count()
     _process = uuid.uuid4().hex[:8]
 
@@ -124,14 +124,17 @@
         self._dropped = _DROPPED_HEADERS
         self._began = self.context.clock.monotonic()
         self.caller = self._identify()
-        self.context.metrics.requests.labels(KIND).inc()
+        self.context.metrics.requests.labels(self.kind).inc()
         # Without the configuration every service would look unknown, and a 404 is final.
         if not self.context.ready():
             self.refuse(Refusal(RefusalReason.NOT_READY, retry_after=_NOT_READY_RETRY))
 
-    def set_default_headers(self) -> None:
-        """Leave out the server's name."""
-        self.clear_header("Server")
+    def clear(self) -> None:
+        """Start an answer without headers: all of them are the upstream's or a refusal's."""
+        self._headers = HTTPHeaders()
+        self._write_buffer = []
+        self._status_code = HTTPStatus.OK
+        self._reason = HTTPStatus.OK.phrase
 
     def on_connection_close(self) -> None:
         """Stop working for a caller that has gone."""
@@ -181,10 +184,10 @@
         if result.is_err():
             self.refuse(result.unwrap_err())
             return
+        self.context.metrics.answers.labels(self.kind).inc()
         await self.finish()
-        self.context.metrics.answers.labels(KIND).inc()
-        spent = self.context.clock.monotonic() - self._began
-        self.context.metrics.latency.labels(KIND).observe(spent.total_seconds())
+        took = self.context.clock.monotonic() - self._began
+        self.context.metrics.latency.labels(self.kind).observe(took.total_seconds())
 
     def _identify(self) -> str:
         """Name the caller: by its token, else as it says itself, else by its address."""
@@ -275,11 +278,13 @@
         if built.is_err():
             self.refuse(built.unwrap_err())
             return
-        self._work = asyncio.ensure_future(self.async_serve(built.unwrap()))
+        self._work = asyncio.current_task()
         try:
-            await self._work
+            await self.async_serve(built.unwrap())
         except asyncio.CancelledError:
             self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
+        finally:
+            self._work = None
 
 
 class ServiceHandler(_CallerHandler):
@@ -300,6 +305,8 @@
 class CompletionHandler(_CallerHandler):
     """Pass a completion request to the engines that serve its model."""
 
+    kind = "completion"
+
     async def post(self, path: str) -> None:
         """Pass the request on."""
         await self.async_build_and_serve(self._read(path))
