Wait once for an owner that is down, and not before every call

Cause: reading why a killed entry costs its trainers time: each forwarded call waited a second for the owner's connection as long as the VM list still showed it. Change: the wait counts from when the connection went. Test: five calls after the first one; failed before, passes now.

--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -214,7 +214,9 @@
             return None
         self._dial(vm_id)
         dialer = self._dialers[vm_id]
-        give_up_at = self._clock.monotonic() + _DIAL_TIMEOUT
+        # From when the connection went, and not from now: with an owner that is down, every call
+        # of its trainers would wait this long before it is served here.
+        give_up_at = dialer.down_since + _DIAL_TIMEOUT
         while dialer.welcome is None and self._clock.monotonic() < give_up_at:
             await self._clock.async_sleep(timedelta(milliseconds=20))
         return dialer if dialer.welcome is not None else None
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -144,6 +144,7 @@
         self.load_at = timedelta()
         self.outstanding_at_load = 0
         self.draining = False
+        self.down_since = clock.monotonic()
         self.peer_config_offset = 0
         self._ctx = ctx
         self._clock = clock
@@ -288,6 +289,8 @@
 
     def _settle_lost(self) -> None:
         was_up = self.welcome is not None
+        if was_up:
+            self.down_since = self._clock.monotonic()
         self.welcome = None
         self.load = None
         exchanges, self._exchanges, self._tokens = self._exchanges, {}, 0
