Spend the allowance also where lengths are not known

Cause, found by the load "unknown lengths": groups that are expected to take equally long are not parted by any common wait, so none started early and the allowance was not spent. The rest now goes to the most urgent groups.

--- a/cranberryline/decisions/rollout.py
+++ b/cranberryline/decisions/rollout.py
@@ -16,7 +16,7 @@
 the allowance goes to the samples that are expected to take longest, because they alone decide when
 the step is whole: a sample that takes `d` and starts `k` versions early makes the trainer wait `d -
 k * step_time`, so the least wait for an allowance gives each sample the smallest `k` that brings it
-under one common wait (`_common_wait`). No more is started than there is room for: a sample that
+under one common wait (`_common_wait`); what that leaves of the allowance goes to the most urgent. No more is started than there is room for: a sample that
 waits at a sampler holds a place and starts no earlier.
 
 Stragglers: a sample that would be late is continued elsewhere, from the tokens received, when that
@@ -71,6 +71,7 @@
 RESIDUAL_SHARE = 0.5
 TAIL_FACTOR = 3.0
 WAIT_BISECTIONS = 12
+NEVER = 10**9
 
 
 class StragglerAction(enum.StrEnum):
@@ -184,18 +185,22 @@
         """Return the samples to start within the room, the most urgent first."""
         reserve = int((len(view.in_flight) + view.room) * MOVE_RESERVE)
         waits: dict[int, float] = {}
+        spare: dict[int, int] = {}
         starts = []
         for group in sorted(view.waiting, key=lambda group: (_slack(view, group), group.id)):
             if room <= 0:
                 break
             if group.step not in waits:
-                waits[group.step] = self._common_wait(view, group.step)
-            if not self._may_start(view, group, waits[group.step]):
-                continue
+                waits[group.step] = wait = self._common_wait(view, group.step)
+                spare[group.step] = self._spare(view, group.step, wait)
             early = _staleness(view, group.step, view.sampler_version) > 0
             count = min(group.samples, room - reserve if early else room)
+            extra = self._extra_versions(view, group, waits[group.step])
+            if extra > 0:
+                count = min(count, spare[group.step] // extra)
             if count <= 0:
                 continue
+            spare[group.step] -= max(0, extra) * count
             room -= count
             starts.append(StartSamples(group.id, count, view.sampler_version))
         return tuple(starts)
@@ -218,10 +223,29 @@
         decisions += [StragglerDecision(sample.id, _move(sample)) for _, sample in slow[:moves]]
         return tuple(decisions)
 
-    def _may_start(self, view: RolloutView, group: GroupView, wait: float) -> bool:
-        # `_versions_early` is at most the bound, so nothing starts that is expected to miss it.
+    def _extra_versions(self, view: RolloutView, group: GroupView, wait: float) -> int:
+        """Return how much earlier than its part of the allowance a start now would be."""
         staleness = _staleness(view, group.step, view.sampler_version)
-        return staleness <= self._versions_early(view, _tail_seconds(view, group), wait)
+        if staleness > self.settings.staleness_bound:
+            return NEVER
+        return staleness - self._versions_early(view, _tail_seconds(view, group), wait)
+
+    def _spare(self, view: RolloutView, step: int, wait: float) -> int:
+        """Return what the common wait leaves of the allowance.
+
+        Where groups are expected to take equally long, as when nothing is known of them, no wait
+        parts them: all would start later than the allowance permits, and the trainer would wait.
+        """
+        groups = [
+            (_tail_seconds(view, group), group.samples)
+            for group in view.waiting
+            if group.step == step
+        ]
+        return max(0, int(self._allowance(view, step) - self._cost(view, groups, wait)))
+
+    def _allowance(self, view: RolloutView, step: int) -> float:
+        mean = (1.0 - self.settings.freshness) * self.settings.staleness_bound
+        return mean * view.steps[step].samples - view.steps[step].versions_early
 
     def _versions_early(self, view: RolloutView, seconds: float, wait: float) -> int:
         if seconds <= wait:
@@ -236,8 +260,7 @@
             for group in view.waiting
             if group.step == step
         ]
-        mean = (1.0 - self.settings.freshness) * self.settings.staleness_bound
-        allowance = mean * view.steps[step].samples - view.steps[step].versions_early
+        allowance = self._allowance(view, step)
         shortest = -view.step_time.total_seconds() * self.settings.staleness_bound
         longest = max(seconds for seconds, _ in groups)
         if self._cost(view, groups, shortest) <= allowance:
--- a/tests/decisions/test_rollout.py
+++ b/tests/decisions/test_rollout.py
@@ -87,6 +87,19 @@
     assert "5/0" not in groups
 
 
+def test_the_allowance_is_spent_where_lengths_are_not_known() -> None:
+    """All groups are expected to take equally long, so no common wait parts them.
+
+    An allowance of one version a sample starts all of step 5, and one of half a version half of it;
+    otherwise everything would wait for the new weights, and the trainer with it.
+    """
+    equal = [GroupView(f"5/{i}", 5, 8, 300) for i in range(4)]
+    seen = view(waiting=equal)
+    for freshness, samples in ((0.5, 32), (0.75, 16), (1.0, 0)):
+        plan = policy(freshness).plan(seen)
+        assert sum(start.samples for start in plan.start) == samples
+
+
 def test_what_was_started_early_is_taken_off_the_allowance() -> None:
     """The step has used up its allowance; the rest waits for new weights."""
     used = {5: StepView(32, 32), 6: StepView(32, 32), 7: StepView(32, 0)}
