--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -112,7 +112,9 @@
             caller_class=CallerClass.TRAINER,
             idempotent=True,
             tokens=req.max_tokens + len(req.prompt) // CHARS_PER_TOKEN,
+            # The samples of a group share their whole prompt.
             prefix_key=req.prompt[:PREFIX_CHARS],
+            prefix_tokens=len(req.prompt) // CHARS_PER_TOKEN,
             avoid=req.avoid,
         )
 
@@ -125,12 +127,12 @@
 
     def limits(self, trainer: str, service: str) -> RolloutLimits | None:
         """Return a trainer's limits, or None when the trainer or its service is not configured."""
-        spec = self._fold.trainers().get(trainer)
-        if spec is None or spec.service != service or service not in self._fold.services():
+        spec = self._fold.trainer(trainer)
+        if spec is None or spec.service != service or self._fold.service(service) is None:
             return None
         weights = self._fold.weights(service)
         newest = 0 if weights is None else weights[0].version
-        return RolloutLimits(newest, spec.staleness_bound, spec.max_in_flight)
+        return RolloutLimits(newest, spec.staleness_bound, spec.max_in_flight, spec.freshness)
 
 
 class MeshOwners(OwnerPort):
--- a/cranberryline/samples/ledger.py
+++ b/cranberryline/samples/ledger.py
@@ -2,6 +2,7 @@
 
 import enum
 import heapq
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 
@@ -38,6 +39,8 @@
         self._queue = list(range(declaration.size))
         self._attempts: dict[int, set[str]] = {}
         self._finished: dict[int, Sample] = {}
+        # No finished sample is older than this; it may be lower than the oldest of them.
+        self._oldest_finished: int | None = None
         self._handed: tuple[int, tuple[int, ...]] = (0, ())
         self._obsolete: list[str] = []
         self._discards: Counter[DiscardReason] = Counter()
@@ -68,6 +71,17 @@
             heapq.heappush(self._queue, position)
         return [self._ids[position] for position in found]
 
+    def waiting(self) -> dict[int, int]:
+        """Return how many identities of each group nobody makes and nobody has."""
+        counts = Counter(self._ids[position].group for position in self._idle)
+        return dict(sorted(counts.items()))
+
+    def startable_of(self, group: int, limit: int) -> list[SampleId]:
+        """Return identities of a group that nobody makes and nobody has."""
+        ids = (SampleId(group, index) for index in range(self.declaration.groups[group].n))
+        idle = (one for one in ids if self.declaration.position(one) in self._idle)
+        return list(itertools.islice(idle, max(limit, 0)))
+
     def hedgeable(self) -> list[SampleId]:
         """Return identities that run and may get one more attempt."""
         return [
@@ -101,6 +115,7 @@
         others = self._attempts.pop(position) - {attempt}
         self._obsolete.extend(sorted(others))
         self._finished[position] = Sample(sample_id, completion, score)
+        self._note_version(completion.oldest_version)
         return FinishOutcome.KEPT
 
     def discard(self, sample_id: SampleId, attempt: str, reason: DiscardReason) -> None:
@@ -117,11 +132,19 @@
 
     def drop_stale(self, newest_version: int, bound: int) -> int:
         """Drop finished samples older than the bound; their identities are made again."""
-        stale = [
-            position
-            for position, sample in self._finished.items()
-            if newest_version - sample.completion.oldest_version > bound
-        ]
+        oldest = self._oldest_finished
+        # This is asked at each sample that finishes: looking through all that wait for a late
+        # trainer each time would take most of the step's processor time.
+        if oldest is None or newest_version - oldest <= bound:
+            return 0
+        self._oldest_finished = None
+        stale = []
+        for position, sample in self._finished.items():
+            version = sample.completion.oldest_version
+            if newest_version - version > bound:
+                stale.append(position)
+            else:
+                self._note_version(version)
         for position in stale:
             del self._finished[position]
             self._discards[DiscardReason.STALE] += 1
@@ -190,6 +213,10 @@
         for position in _bits(undone):
             self._make_idle(position)
 
+    def _note_version(self, version: int) -> None:
+        oldest = self._oldest_finished
+        self._oldest_finished = version if oldest is None else min(oldest, version)
+
     def _make_idle(self, position: int) -> None:
         self._idle.add(position)
         heapq.heappush(self._queue, position)
--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -9,12 +9,16 @@
 from result import Err, Ok, Result
 
 from cranberryline.configs.checkpoint import CheckpointPolicy
-from cranberryline.configs.relay import RelayPort
+from cranberryline.configs.fold import ConfigFold
+from cranberryline.configs.publish import FoldSource
+from cranberryline.configs.relay import ConfigRelay, RelayPort
+from cranberryline.configs.tail import LogTail
 from cranberryline.entry.config_sync import EntryConfigSync, SyncTimings
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.platform.errors import PlatformError, PlatformReason
 from cranberryline.platform.model import LogPage, LogPort, LogRecord
 from cranberryline.side.config_sync import SideConfigSync
+from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import Message
 from tests.configs.virtual_time import LoopClock
 
@@ -185,6 +189,7 @@
         self.max_delay = 0.003
         self.cut: set[frozenset[str]] = set()
         self.listed: list[str] = []
+        self.metrics: dict[str, Metrics] = {}
         self.messages = 0
         self._rng = random.Random(seed)
 
@@ -196,13 +201,14 @@
         checkpoints: CheckpointPolicy | None = None,
     ) -> EntryConfigSync:
         """Start an entry."""
+        self.metrics[name] = Metrics()
         sync = EntryConfigSync(
             name,
             log or self.log,
             NodePort(self, name),
             lambda: self.listed,
             self.clock,
-            Metrics(),
+            self.metrics[name],
             timings,
             checkpoints,
         )
@@ -247,6 +253,7 @@
             return
         if self._rng.random() < self.loss:
             return
+        message = decode(encode([message]))[0].unwrap()
         copies = 2 if self._rng.random() < self.repeat else 1
         for _ in range(copies):
             delay = self._rng.random() * self.max_delay
@@ -295,3 +302,29 @@
             return
         node.sync.on_message(source, message)
         node.offsets.append(node.sync.fold.offset)
+
+
+class DirectSource(FoldSource):
+    """A fold that reads the log itself and has no peers."""
+
+    def __init__(self, log: FakeLog) -> None:
+        self.relay = ConfigRelay(ConfigFold())
+        self.tail = LogTail(log, self.relay, lambda record, rejected: None)
+
+    @property
+    def fold(self) -> ConfigFold:
+        """Return the fold."""
+        return self.relay.fold
+
+    async def async_catch_up(self) -> Result[int, PlatformError]:
+        """Read to the end."""
+        read = await self.tail.async_read_to_end()
+        return read if isinstance(read, Err) else Ok(self.fold.offset)
+
+    def fold_next(self, record: LogRecord) -> None:
+        """Fold the record if it is the next."""
+        self.tail.fold_one(record)
+
+    async def async_spread(self, offset: int, wait: timedelta) -> int:
+        """There is nobody to push to."""
+        return 0
