--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -207,15 +207,6 @@
     def _sorted(self) -> list[VmEntry]:
         return [vm for _, vm in sorted(self._rows.items())]
 
-    def _usable_by_role(self) -> dict[VmRole, list[VmEntry]]:
-        # An entry asks for the live entries several times a second, of a list of 8,000 rows.
-        if self._usable_rows is None:
-            self._usable_rows = {role: [] for role in VmRole}
-            for vm in self._sorted():
-                if self._usable(vm.id):
-                    self._usable_rows[vm.role].append(vm)
-        return self._usable_rows
-
     def _usable(self, vm_id: str) -> bool:
         return self.state(vm_id) is MemberState.USABLE
 
