Hand on the VM list's rows when one of them is bad

Cause: the HTTP client refused the whole list for one unknown role, one missing field or one row that is no row, so that a platform that adds a role would have cut every process off from all further lists. The membership passes over bad rows one by one, but never saw them.

Change: the client hands a row on as far as it can be read. A missing field stays None, an unknown word stays as it is; the membership refuses either and names the row. It now also refuses a data center that is no text, which it did not check.

--- a/cranberryline/platform/clients.py
+++ b/cranberryline/platform/clients.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from enum import Enum
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -195,23 +196,38 @@
 
 
 def _vm_list(data: Any) -> VmList:
-    """Decode the VM list."""
+    """Decode the VM list; what cannot be a row is handed on, for the membership to refuse."""
     return VmList(int(data["version"]), tuple(_vm_entry(row) for row in data["vms"]))
 
 
-def _vm_entry(row: dict[str, Any]) -> VmEntry:
-    """Decode one row of the VM list."""
+def _vm_entry(row: Any) -> Any:
+    """Decode one row of the VM list, as far as it can be read.
+
+    A platform that adds a role or a state would otherwise cut every process off from all further
+    lists. The membership refuses the one row and names it: a missing field stays None, an unknown
+    word stays as it is, and neither passes there.
+    """
+    if not isinstance(row, dict):
+        return row
     return VmEntry(
-        id=row["id"],
-        role=VmRole(row["role"]),
-        state=VmState(row["state"]),
-        data_center=row["data_center"],
-        peer=row["peer"],
+        id=row.get("id"),
+        role=_word(VmRole, row.get("role")),
+        state=_word(VmState, row.get("state")),
+        data_center=row.get("data_center"),
+        peer=row.get("peer"),
         address=row.get("address", ""),
         service=row.get("service", ""),
     )
 
 
+def _word(words: type[Enum], value: Any) -> Any:
+    """Return the word that is meant, or the value itself where none is."""
+    try:
+        return words(value)
+    except ValueError:
+        return value
+
+
 class HttpPlainService(PlainServicePort):
     """A plain service over HTTP."""
 
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -245,6 +245,8 @@
         return "id is empty or too long"
     if not isinstance(vm.role, VmRole) or not isinstance(vm.state, VmState):
         return "role or state is not one we know"
+    if not isinstance(vm.data_center, str):
+        return "data_center is not a text"
     if not _is_text(vm.peer) or not vm.peer.startswith(PEER_PREFIX):
         return f"peer does not start with {PEER_PREFIX}"
     if vm.role is VmRole.UPSTREAM and not _is_text(vm.service):
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -18,6 +18,7 @@
     UpstreamCut,
 )
 from cranberryline.platform.model import UpstreamBody, UpstreamRequest
+from cranberryline.upstreams import Membership
 from stand_ins.engine import EngineControls, EngineStandIn
 from stand_ins.http import StandIn, async_listen
 from stand_ins.log import LogControls, LogStandIn
@@ -228,6 +229,40 @@
     _run(async_main())
 
 
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"id": "x1", "role": "king", "state": "live", "data_center": "levis", "peer": "tcp://x"},
+        {"id": "x1", "role": "entry", "state": "undead", "data_center": "levis", "peer": "tcp://x"},
+        {"id": "x1", "role": ["entry"], "state": "live", "data_center": "levis", "peer": "tcp://x"},
+        {"id": "x1", "role": "entry", "state": "live", "data_center": "levis"},
+        {"id": "x1", "role": "entry", "state": "live", "data_center": ["levis"], "peer": "tcp://x"},
+        {"role": "entry", "state": "live", "peer": "tcp://x"},
+        {},
+        "e1",
+        None,
+    ],
+)
+def test_one_bad_row_does_not_refuse_the_whole_vm_list(bad: Any) -> None:
+    """The rows beside a bad one are handed on, and the membership names the bad one alone.
+
+    A platform that adds a role would otherwise cut every entry off from all further lists.
+    """
+    row = {"id": "e1", "role": "entry", "state": "live", "data_center": "levis", "peer": "tcp://x"}
+
+    async def async_main() -> None:
+        service = VmsStandIn(VmsControls(vms=[bad, row]))
+        vms = HttpVmList(await _async_url(service))
+        got = (await vms.async_list(0)).unwrap()
+        assert got is not None
+        members = Membership()
+        applied = members.apply_list(got).unwrap()
+        assert [refused.row for refused in applied.refused] == [0]
+        assert [vm.id for vm in members.entries()] == ["e1"]
+
+    _run(async_main())
+
+
 def test_engine_streams_whole_answers_and_tells_versions() -> None:
     """A stream's text checks out against its prompt, and each event names its version."""
 
