Reach an upstream without a side process directly

Cause: where the slot of the side process is missing, an entry had no way to the upstream; membership refused the row.

Ruled out: a second path through the dispatcher, or a copy of the side process's rules in the entry. Both would have to keep "not run", `unknown` and the claims true a second time.

Change: an upstream's row may have an empty peer. A planned stop waits for direct runs and their records. A row that gains or loses its peer changes the way. The launcher starts services with `side` false.

Conclusion: callers get the same truths; fencing, weights orders, the one concurrency limit and the drain notice need a side process.

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -17,7 +17,7 @@
 from cranberryline.entry.upstreams import PeerTable
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.platform.model import VmList
-from cranberryline.transport.dialer import Dialer, DialerEvents, Exchange
+from cranberryline.transport import Dialer, DialerEvents, Exchange
 from cranberryline.transport.model import Hello
 from cranberryline.upstreams import Membership
 
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -5,7 +5,7 @@
 import random
 import sys
 import uuid
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Sequence
 from datetime import timedelta
 from typing import Any
 
@@ -14,7 +14,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import RequestHandler
 
-from cranberryline.configs import Revision
+from cranberryline.configs import Revision, ServiceSpec
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.configs.relay import RelayPort
 from cranberryline.helpers.clock import Clock, SystemClock
@@ -29,7 +29,7 @@
 from cranberryline.samples.runner import RunnerPorts
 from cranberryline.samples.table import StepTable
 from cranberryline.settings import EntrySettings
-from cranberryline.transport import BadFrame, Dialer, DialerEvents
+from cranberryline.transport import BadFrame, Dialer, DialerEvents, UpstreamLink
 from cranberryline.transport.model import (
     ConfigDelta,
     ConfigRequest,
@@ -42,6 +42,7 @@
 )
 
 from .config_sync import EntryConfigSync
+from .direct import DirectUpstreams
 from .dispatch import Dispatcher, ServiceBook
 from .http import Route, async_close_http, listen_http
 from .links import SideLinks
@@ -105,11 +106,20 @@
         self.watch = MembershipWatch(HttpVmList(cfg.vm_list_url), clock, self.metrics)
         self.members = self.watch.membership
         self.notices = MemberNotices(self.members)
+        self.log = HttpLog(cfg.log_url)
+        self.directs = self._make_directs()
         self.links = SideLinks(
-            self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self, self.table, self.metrics
+            self._ctx,
+            clock,
+            cfg.vm_id,
+            self.hello,
+            self.next_id,
+            self,
+            self.table,
+            self.metrics,
+            self.directs,
         )
         self.mesh = EntryMesh(self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self)
-        self.log = HttpLog(cfg.log_url)
         self.sync = EntryConfigSync(
             cfg.vm_id,
             self.log,
@@ -235,6 +245,8 @@
         await self.steps.async_close()
         while self.dispatcher.in_flight:
             await self._clock.async_sleep(_STOP_POLL)
+        # A call that must not be stopped runs on after its caller has left.
+        await self.directs.async_stop()
         await async_close_http(self._http)
 
     async def async_close(self) -> None:
@@ -247,10 +259,28 @@
         await self.mesh.async_close()
         self._ctx.destroy(linger=0)
 
+    def _make_directs(self) -> DirectUpstreams:
+        return DirectUpstreams(
+            self._clock,
+            self.metrics,
+            self.log,
+            self.incarnation,
+            self.next_id,
+            self._service_spec,
+            self._on_room,
+        )
+
+    def _service_spec(self, service: str) -> ServiceSpec | None:
+        return self.sync.fold.service(service)
+
+    def _on_room(self) -> None:
+        self.dispatcher.wake()
+
     def _live_entries(self) -> list[str]:
         return [vm.id for vm in self.members.entries()]
 
     def _on_revision(self, _: Revision) -> None:
+        self.directs.on_revision()
         self.dispatcher.wake()
         self.steps.wake()
 
@@ -285,8 +315,8 @@
         return [self._row_status(vm) for vm in self.members.all() if vm.id != self._cfg.vm_id]
 
     def _row_status(self, vm: VmEntry) -> PeerStatus:
-        dialer = self.links.get(vm.id)
-        load = None if dialer is None else dialer.load
+        link = self.links.get(vm.id)
+        load = None if link is None else link.load
         return PeerStatus(
             id=vm.id,
             role=vm.role.value,
@@ -316,7 +346,7 @@
     def _on_peer_offset(self, vm_id: str, offset: int) -> None:
         self.sync.on_peer(vm_id, offset)
 
-    def _send_members(self, peers: list[Dialer]) -> None:
+    def _send_members(self, peers: Sequence[UpstreamLink]) -> None:
         """Tell side processes who else serves their service, for the order of weight swaps."""
         connected = {peer.vm_id: peer for peer in peers if peer.welcome is not None}
         for vm_id, notice in self.notices.due(connected):
--- a/cranberryline/entry/attempt.py
+++ b/cranberryline/entry/attempt.py
@@ -13,7 +13,7 @@
     Ran,
     WithdrawOutcome,
 )
-from cranberryline.transport import Dialer, Exchange, Lost
+from cranberryline.transport import Exchange, Lost, UpstreamLink
 from cranberryline.transport.model import (
     Cancel,
     Chunk,
@@ -43,7 +43,7 @@
 
 
 async def async_attempt(
-    peer: Dialer, req: CallerRequest, sink: AnswerSink, clock: Clock
+    peer: UpstreamLink, req: CallerRequest, sink: AnswerSink, clock: Clock
 ) -> AttemptOutcome:
     """Run a request at one upstream and hand its answer to the sink."""
     exchange = peer.open(lambda rid, life: _make_submit(rid, life, req, clock), req.tokens)
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -1,4 +1,4 @@
-"""An entry's connections to side processes: which to dial, and when to let go."""
+"""An entry's ways to upstreams: which to take, over what, and when to let go."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,10 +10,11 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.platform.model import VmEntry, VmRole
-from cranberryline.transport import Dialer, DialerEvents
+from cranberryline.transport import Dialer, DialerEvents, UpstreamLink
 from cranberryline.transport.model import Hello, Message
 from cranberryline.upstreams import Membership, MemberState
 
+from .direct import DirectUpstream, DirectUpstreams
 from .upstreams import PeerTable
 
 __all__ = ["SideLinks"]
@@ -23,7 +24,11 @@
 
 
 class SideLinks:
-    """Keep one task for each side process of this entry's subset."""
+    """Keep a way to each upstream of this entry's subset.
+
+    That is a connection to its side process, with a task of its own, or where the list shows none
+    a direct one.
+    """
 
     def __init__(
         self,
@@ -35,6 +40,7 @@
         events: DialerEvents,
         table: PeerTable,
         metrics: Metrics,
+        directs: DirectUpstreams,
     ) -> None:
         self._ctx = ctx
         self._clock = clock
@@ -44,37 +50,39 @@
         self._events = events
         self._table = table
         self._metrics = metrics
-        self._dialers: dict[str, Dialer] = {}
+        self._directs = directs
+        self._links: dict[str, UpstreamLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._closing: set[asyncio.Task[None]] = set()
         self._choosers: dict[str, SubsetChooser] = {}
 
     def connected(self) -> list[str]:
         """Return the side processes that can be reached now."""
-        return [vm_id for vm_id, dialer in self._dialers.items() if dialer.welcome is not None]
+        return [vm_id for vm_id, link in self._links.items() if link.welcome is not None]
 
-    def get(self, vm_id: str) -> Dialer | None:
-        """Return the connection with a side process."""
-        return self._dialers.get(vm_id)
+    def get(self, vm_id: str) -> UpstreamLink | None:
+        """Return the way to an upstream."""
+        return self._links.get(vm_id)
 
     def send(self, vm_id: str, msg: Message) -> bool:
         """Send a message to a side process; False when it cannot be reached."""
-        dialer = self._dialers.get(vm_id)
-        return dialer is not None and dialer.send(msg)
+        link = self._links.get(vm_id)
+        return link is not None and link.send(msg)
 
     def apply(self, members: Membership) -> None:
-        """Dial what the subset gained; give no new work to what it lost.
+        """Reach what the subset gained; give no new work to what it lost.
 
         A side process that drains stays dialled: answers still come over the connection, and only
         over a new one does its successor on that VM say that it is there.
         """
-        rows = {vm.id: vm for vm in members.all() if _is_dialled(vm, members)}
+        rows = {vm.id: vm for vm in members.all() if _is_reached(vm, members)}
         wanted = self._subset(members, rows)
-        for vm_id in [vm_id for vm_id in self._dialers if vm_id not in wanted]:
+        kept = {vm_id for vm_id in wanted if self._still_fits(rows[vm_id])}
+        for vm_id in self._links.keys() - kept:
             self._retire(vm_id)
-        for vm_id in sorted(wanted - self._dialers.keys()):
-            self._dial(rows[vm_id])
-        self._metrics.peers.set(len(self._dialers))
+        for vm_id in sorted(wanted - self._links.keys()):
+            self._add(rows[vm_id])
+        self._metrics.peers.set(len(self._tasks))
 
     async def async_close(self) -> None:
         """End every connection."""
@@ -97,27 +105,41 @@
             wanted |= self._choosers[service].choose(entries, ids)
         return wanted
 
-    def _dial(self, row: VmEntry) -> None:
+    def _still_fits(self, row: VmEntry) -> bool:
+        """Tell whether the way to an upstream is the one that its row asks for now."""
+        link = self._links.get(row.id)
+        if isinstance(link, DirectUpstream):
+            return not row.peer and (row.address, row.service) == (link.address, link.service)
+        return link is not None and bool(row.peer)
+
+    def _add(self, row: VmEntry) -> None:
+        link = self._dial(row) if row.peer else self._directs.make(row)
+        self._links[row.id] = link
+        self._table.add(row.service, link, row.data_center)
+
+    def _dial(self, row: VmEntry) -> Dialer:
         dialer = Dialer(
             self._ctx, self._clock, row.id, row.peer, self._hello, self._events, self._next_id
         )
-        self._dialers[row.id] = dialer
-        self._table.add(row.service, dialer, row.data_center)
         self._tasks[row.id] = asyncio.ensure_future(dialer.async_run())
+        return dialer
 
     def _retire(self, vm_id: str) -> None:
         self._table.remove(vm_id)
-        dialer, task = self._dialers.pop(vm_id), self._tasks.pop(vm_id)
-        closing = asyncio.ensure_future(self._async_close_when_idle(dialer, task))
+        link = self._links.pop(vm_id)
+        if isinstance(link, DirectUpstream):
+            self._directs.retire(link)
+            return
+        closing = asyncio.ensure_future(self._async_close_when_idle(link, self._tasks.pop(vm_id)))
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
-    async def _async_close_when_idle(self, dialer: Dialer, task: asyncio.Task[None]) -> None:
-        while dialer.outstanding:
+    async def _async_close_when_idle(self, link: UpstreamLink, task: asyncio.Task[None]) -> None:
+        while link.outstanding:
             await self._clock.async_sleep(_LINGER_POLL)
         task.cancel()
 
 
-def _is_dialled(vm: VmEntry, members: Membership) -> bool:
+def _is_reached(vm: VmEntry, members: Membership) -> bool:
     state = members.state(vm.id)
     return vm.role is VmRole.UPSTREAM and state in (MemberState.USABLE, MemberState.DRAINING)
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -1,4 +1,4 @@
-"""The side processes that an entry is connected to, and what it has seen of each."""
+"""The upstreams that an entry can send work to, and what it has seen of each."""
 
 from datetime import timedelta
 
@@ -6,7 +6,7 @@
 
 from cranberryline.configs import ServiceSpec
 from cranberryline.decisions import HealthPolicy, HealthState, RateMeter, UpstreamView
-from cranberryline.transport import Dialer
+from cranberryline.transport import UpstreamLink
 
 __all__ = ["PeerTable", "Upstream"]
 
@@ -15,9 +15,9 @@
 
 @attrs.define(eq=False)
 class Upstream:
-    """A side process's connection with this entry's measurements of its upstream."""
+    """A way to an upstream, with this entry's measurements of it."""
 
-    peer: Dialer
+    peer: UpstreamLink
     data_center: str
     pace: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
@@ -72,12 +72,12 @@
 
 
 class PeerTable:
-    """All connections to side processes, by VM and by service."""
+    """All ways to upstreams, by VM and by service."""
 
     def __init__(self) -> None:
         self._by_service: dict[str, dict[str, Upstream]] = {}
 
-    def add(self, service: str, peer: Dialer, data_center: str) -> None:
+    def add(self, service: str, peer: UpstreamLink, data_center: str) -> None:
         """Add a connection to an upstream of a service."""
         members = self._by_service.setdefault(service, {})
         members[peer.vm_id] = Upstream(peer, data_center)
@@ -95,6 +95,6 @@
         """Return an upstream of a service."""
         return self._by_service.get(service, {}).get(vm_id)
 
-    def all(self) -> list[Dialer]:
+    def all(self) -> list[UpstreamLink]:
         """Return every connection."""
         return [up.peer for members in self._by_service.values() for up in members.values()]
--- a/cranberryline/platform/model.py
+++ b/cranberryline/platform/model.py
@@ -83,8 +83,9 @@
 class VmEntry:
     """One row of the platform's VM list.
 
-    `peer` is the address of our process on it ("tcp://127.0.0.1:7001"); `address` that of the
-    upstream itself ("http://127.0.0.1:9001"), empty for an entry.
+    `peer` is the address of our process on it ("tcp://127.0.0.1:7001"), empty for an upstream
+    without a side process; `address` that of the upstream itself ("http://127.0.0.1:9001"), empty
+    for an entry.
     """
 
     id: str
--- a/cranberryline/transport/__init__.py
+++ b/cranberryline/transport/__init__.py
@@ -1,8 +1,9 @@
 """Messages and peer connections between the system's own processes."""
 
 from .codec import decode, encode
-from .dialer import Dialer, DialerEvents, Exchange, Lost
+from .dialer import Dialer, DialerEvents
 from .errors import BadFrame, BadFrameReason, PeerGone
+from .link import Exchange, Lost, UpstreamLink
 from .listener import Connection, Listener, ListenerEvents
 from .sockets import DealerSocket, RouterSocket
 
@@ -19,6 +20,7 @@
     "Lost",
     "PeerGone",
     "RouterSocket",
+    "UpstreamLink",
     "decode",
     "encode",
 ]
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -1,7 +1,5 @@
 """The dialling end of a connection between two of our processes: one task for each peer."""
 
-import asyncio
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -16,11 +14,11 @@
     WELCOME_TIMEOUT,
 )
 from .errors import BadFrame, PeerGone
+from .link import Exchange, Lost, UpstreamLink
 from .model import (
     Chunk,
     ConfigDelta,
     ConfigRequest,
-    Credit,
     Drain,
     End,
     Failed,
@@ -37,58 +35,12 @@
 )
 from .sockets import DealerSocket
 
-__all__ = ["Exchange", "Lost", "DialerEvents", "Dialer"]
+__all__ = ["DialerEvents", "Dialer"]
 
 _REDIAL_FIRST = timedelta(milliseconds=100)
 _REDIAL_MOST = timedelta(seconds=5)
 
 
-class Lost(Message):
-    """Take the place of an answer's next message when its connection has ended."""
-
-
-class Exchange:
-    """One request on one connection: what goes out, and what comes back in order."""
-
-    def __init__(self, peer: "Dialer", request_id: int, tokens: int) -> None:
-        self.id = request_id
-        self.tokens = tokens
-        self.peer = peer
-        self._events: deque[Message] = deque()
-        self._waiter: asyncio.Future[None] | None = None
-
-    def push(self, msg: Message) -> None:
-        """Take a message that belongs to this request."""
-        self._events.append(msg)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    async def async_next(self, timeout: timedelta) -> Message | None:
-        """Return the next message of the answer, or None after the timeout."""
-        if not self._events:
-            loop = asyncio.get_running_loop()
-            self._waiter = loop.create_future()
-            timer = loop.call_later(max(timeout.total_seconds(), 0.0), self._wake)
-            try:
-                await self._waiter
-            finally:
-                timer.cancel()
-                self._waiter = None
-        return self._events.popleft() if self._events else None
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def send(self, msg: Message) -> None:
-        """Send a message about this request; a lost connection is seen as Lost by the receiver."""
-        self.peer.send(msg)
-
-    def close(self) -> None:
-        """Forget the request; later messages for its id are dropped."""
-        self.peer.forget(self.id)
-
-
 class DialerEvents:
     """What a dialled connection tells its owner; the default ignores everything."""
 
@@ -118,7 +70,7 @@
         return 0
 
 
-class Dialer:
+class Dialer(UpstreamLink):
     """One peer as this process knows it, and the task that keeps the connection."""
 
     def __init__(
@@ -281,7 +233,3 @@
             exchange.push(Lost())
         if was_up:
             self._events.on_down(self)
-
-    def grant(self, request_id: int, size: int) -> None:
-        """Allow more bytes of an answer."""
-        self.send(Credit(request_id, size))
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -247,7 +247,10 @@
         return "role or state is not one we know"
     if not isinstance(vm.data_center, str):
         return "data_center is not a text"
-    if not _is_text(vm.peer) or not vm.peer.startswith(PEER_PREFIX):
+    # Only an upstream can do without a process of ours; an empty peer says that it does, while a
+    # missing one is a mistake.
+    direct = vm.role is VmRole.UPSTREAM and vm.peer == ""
+    if not direct and (not _is_text(vm.peer) or not vm.peer.startswith(PEER_PREFIX)):
         return f"peer does not start with {PEER_PREFIX}"
     if vm.role is VmRole.UPSTREAM and not _is_text(vm.service):
         return "an upstream without a service"
--- a/stand_ins/deployment.py
+++ b/stand_ins/deployment.py
@@ -14,12 +14,16 @@
 
 @attrs.frozen
 class ServicePlan:
-    """A service and how many upstreams it has; `controls` are set at the stand-ins' start."""
+    """A service and how many upstreams it has; `controls` are set at the stand-ins' start.
+
+    Without `side`, nothing of ours runs beside its upstreams and the entries reach them directly.
+    """
 
     name: str
     type: str
     samplers: int
     controls: dict[str, Any] = attrs.field(factory=dict)
+    side: bool = True
 
 
 @attrs.frozen
--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -217,12 +217,15 @@
         self._start(name, args)
 
     def _start_upstream(self, service: ServicePlan, name: str) -> None:
-        """Start a stand-in and the side process beside it."""
+        """Start a stand-in and, where the service has them, the side process beside it."""
         command = "engine" if service.type == "engine" else "service"
         options = {"name": name, "journal": str(self._journal_path(name)), **service.controls}
         if service.type == "engine":
             options |= {"model": service.name, "store": self.urls["store"]}
         self._start_stand_in(name, command, options)
+        if not service.side:
+            self._add_vm(name, "upstream", None, service.name, self.urls[name])
+            return
         listen, peer = next(self._ports), next(self._ports)
         vm = self._add_vm(name, "upstream", peer, service.name, self.urls[name])
         settings = {
@@ -252,10 +255,10 @@
         self._start_product("entry", name, settings)
 
     def _add_vm(
-        self, name: str, role: str, peer: int, service: str = "", address: str = ""
+        self, name: str, role: str, peer: int | None, service: str = "", address: str = ""
     ) -> dict[str, Any]:
         shown = peer
-        if self.plan.relayed:
+        if self.plan.relayed and peer is not None:
             shown = next(self._ports)
             self._links.append(f"{name}:{shown}:{peer}")
         vm = {
@@ -263,7 +266,7 @@
             "role": role,
             "state": "live",
             "data_center": next(self._centers),
-            "peer": f"tcp://127.0.0.1:{shown}",
+            "peer": "" if shown is None else f"tcp://127.0.0.1:{shown}",
             "address": address,
             "service": service,
         }
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -111,13 +111,18 @@
         self.dispatcher = Dispatcher(clock, Random(7), self.table, self.book, self.metrics)
         self.publish("service", self.service, {"type": "plain", "concurrency": 2, **spec})
 
-    def publish(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+    def publish(self, kind: str, name: str, spec: dict[str, Any], amends: int = 0) -> None:
         """Fold a record at the next offset."""
         offset = self.fold.offset + 1
-        data = {"kind": kind, "name": name, "schema": 1, "amends": 0, "spec": spec}
+        data = {"kind": kind, "name": name, "schema": 1, "amends": amends, "spec": spec}
         record = LogRecord(offset, datetime(2026, 1, 1, tzinfo=UTC), f"r{offset}", data)
         self.fold.apply(record).unwrap()
 
+    def publish_again(self, **spec: Any) -> None:
+        """Amend the service's record."""
+        amends = self.fold.offset
+        self.publish("service", self.service, {"type": "plain", "concurrency": 2, **spec}, amends)
+
     def side(self, vm_id: str, script: Script = answer) -> FakeSide:
         """Connect a side process."""
         side = FakeSide(vm_id, script)
--- a/tests/upstreams/test_membership.py
+++ b/tests/upstreams/test_membership.py
@@ -51,6 +51,13 @@
     assert [vm.id for vm in membership.upstreams("t")] == ["vm-1"]
 
 
+def test_upstream_without_a_side_process_is_usable(membership: Membership) -> None:
+    """An empty peer is no mistake for an upstream: it is reached at its own address."""
+    direct = attrs.evolve(upstream("vm-2"), peer="")
+    assert membership.apply_list(VmList(6, (direct,))).unwrap().refused == ()
+    assert usable(membership) == ["vm-2"]
+
+
 def test_late_live_does_not_undo_a_drain(membership: Membership) -> None:
     """A side process announces its stop; the list, which lags, shows it live again and again.
 
@@ -121,6 +128,8 @@
         {"state": "undead"},
         {"peer": "ipc://x"},
         {"peer": None},
+        {"peer": "", "role": VmRole.ENTRY},
+        {"data_center": None},
         {"service": ""},
         {"address": "ftp://x"},
     ],
