--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -29,6 +29,8 @@
 PLATFORM = ("log", "vms", "store", "scorer")
 STOP_SECONDS = 20.0
 START_SECONDS = 30.0
+START_ATTEMPTS = 3
+PORT_IN_USE = "Address already in use"
 OPERATOR = "operator"
 
 
@@ -217,12 +219,15 @@
         self._start(name, args)
 
     def _start_upstream(self, service: ServicePlan, name: str) -> None:
-        """Start a stand-in and the side process beside it."""
+        """Start a stand-in and, where the service has them, the side process beside it."""
         command = "engine" if service.type == "engine" else "service"
         options = {"name": name, "journal": str(self._journal_path(name)), **service.controls}
         if service.type == "engine":
             options |= {"model": service.name, "store": self.urls["store"]}
         self._start_stand_in(name, command, options)
+        if not service.side:
+            self._add_vm(name, "upstream", None, service.name, self.urls[name])
+            return
         listen, peer = next(self._ports), next(self._ports)
         vm = self._add_vm(name, "upstream", peer, service.name, self.urls[name])
         settings = {
@@ -252,10 +257,10 @@
         self._start_product("entry", name, settings)
 
     def _add_vm(
-        self, name: str, role: str, peer: int, service: str = "", address: str = ""
+        self, name: str, role: str, peer: int | None, service: str = "", address: str = ""
     ) -> dict[str, Any]:
         shown = peer
-        if self.plan.relayed:
+        if self.plan.relayed and peer is not None:
             shown = next(self._ports)
             self._links.append(f"{name}:{shown}:{peer}")
         vm = {
@@ -263,7 +268,7 @@
             "role": role,
             "state": "live",
             "data_center": next(self._centers),
-            "peer": f"tcp://127.0.0.1:{shown}",
+            "peer": "" if shown is None else f"tcp://127.0.0.1:{shown}",
             "address": address,
             "service": service,
         }
@@ -316,10 +321,28 @@
 def launched(plan: DeploymentPlan, publish: bool = True) -> Iterator[Deployment]:
     """Run a deployment for the length of a `with` block."""
     folder = Path(tempfile.mkdtemp(prefix="cranberryline-"))
-    deployment = Deployment(plan, folder)
+    deployment = _started(plan, folder, publish)
     try:
-        deployment.start(publish)
         yield deployment
     finally:
         deployment.stop()
         shutil.rmtree(folder, ignore_errors=True)
+
+
+def _started(plan: DeploymentPlan, folder: Path, publish: bool) -> Deployment:
+    """Start a deployment, anew on other ports where another program took one meanwhile.
+
+    A port is free when it is chosen and may be taken when it is bound; only that is tried again.
+    """
+    for attempt in range(START_ATTEMPTS):
+        deployment = Deployment(plan, folder / str(attempt))
+        deployment.folder.mkdir()
+        try:
+            deployment.start(publish)
+        except Exception as exc:
+            deployment.kill_all()
+            if PORT_IN_USE not in str(exc) or attempt == START_ATTEMPTS - 1:
+                raise
+            continue
+        return deployment
+    raise AssertionError
