Count an entry's places without what other entries hold, and turns once given

Cause: the lane told its queue of all places of a service. With a second entry an entry has about half of them, so the reserves of the last places were never reached: a heavy caller took every place that came free. And a report that showed free places let the queue give turns for all of them again and again in one go, since a request counts only once it has left: two free places let ten go. Change: the queue's slots are the places that this entry holds or can have; a turn counts against its upstream from when it is given, and is released when its caller leaves in that moment.

--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -53,6 +53,7 @@
     req: CallerRequest
     avoid: frozenset[str]
     fut: asyncio.Future[Result[Turn, Refusal]]
+    turn: Turn | None = None
 
 
 class ServiceLane:
@@ -177,7 +178,8 @@
             self._settle(waiter, Err(_no_upstream()))
             return
         upstream.begin(now)
-        self._settle(waiter, Ok(Turn(item, upstream, now)))
+        waiter.turn = Turn(item, upstream, now)
+        self._settle(waiter, Ok(waiter.turn))
 
     def _route(self, waiter: _Waiter, free: list[Upstream], now: timedelta) -> Upstream | None:
         spec = self._spec()
@@ -217,6 +219,8 @@
         if self._queue.cancel(item.id) is None:
             # The turn was given in the same moment as the caller left.
             self._queue.finish(item.id)
+            if waiter.turn is not None:
+                waiter.turn.upstream.release()
         self.pump()
 
     @staticmethod
@@ -229,7 +233,12 @@
         return [up for up in self._peers.usable(self._service) if up.has_room(spec)]
 
     def _slots(self) -> int:
-        return len(self._peers.usable(self._service)) * self._spec().concurrency
+        """Count the places that this entry can have; the queue's reserves are shares of these.
+
+        Of all places that exist, other entries hold some: a reserve of those would never be reached.
+        """
+        spec = self._spec()
+        return sum(upstream.places(spec) for upstream in self._peers.usable(self._service))
 
     def _limits(self) -> AdmissionLimits:
         spec = self._spec()
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -21,6 +21,7 @@
     data_center: str
     pace: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
+    _turns: int = 0
 
     def has_room(self, spec: ServiceSpec) -> bool:
         """Tell whether one more request would find a free place, as far as this entry knows.
@@ -28,17 +29,27 @@
         The side process's report lags by up to a heartbeat, so own work counts first; what other
         entries run there is the report less the own work that it includes.
         """
-        return self.peer.outstanding + self._others_requests() < spec.concurrency
+        return self._own_requests() < spec.concurrency - self._others_requests()
+
+    def places(self, spec: ServiceSpec) -> int:
+        """Return how many requests this entry may have there: its own and the free places."""
+        return max(self._own_requests(), spec.concurrency - self._others_requests())
 
     def begin(self, now: timedelta) -> None:
         """Note that work goes there."""
+        self._turns += 1
         if _HEALTH.view(self.health, now).probe_due:
             self.health = _HEALTH.probed(self.health, now)
 
     def end(self, tokens: int, spent: timedelta, now: timedelta) -> None:
         """Note that an attempt is over, with the tokens that it brought in the time spent."""
+        self._turns -= 1
         self.pace.record(tokens, spent, now)
 
+    def release(self) -> None:
+        """Note that the work of a turn did not go there."""
+        self._turns -= 1
+
     def succeeded(self) -> None:
         """Note a whole answer."""
         self.health = _HEALTH.succeeded(self.health)
@@ -54,7 +65,7 @@
             id=self.peer.vm_id,
             data_center=self.data_center,
             slots=spec.concurrency,
-            own_requests=self.peer.outstanding,
+            own_requests=self._own_requests(),
             own_tokens=self.peer.outstanding_tokens,
             reported_tokens=0 if load is None else load.queued_tokens,
             report_age=None if load is None else now - self.peer.load_at,
@@ -64,6 +75,10 @@
             draining=self.peer.draining,
         )
 
+    def _own_requests(self) -> int:
+        """Count turns as soon as they are given: their requests leave a moment later."""
+        return max(self.peer.outstanding, self._turns)
+
     def _others_requests(self) -> int:
         load = self.peer.load
         if load is None:
