--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -83,16 +83,25 @@
     """Give each request an upstream in its turn, and its caller one final answer."""
 
     def __init__(
-        self, clock: Clock, rng: Random, peers: PeerTable, book: ServiceBook, metrics: Metrics
+        self,
+        clock: Clock,
+        rng: Random,
+        peers: PeerTable,
+        book: ServiceBook,
+        metrics: Metrics,
+        data_center: str = "",
     ) -> None:
         self._clock = clock
         self._rng = rng
         self._peers = peers
         self._book = book
         self._metrics = metrics
+        self._data_center = data_center
         self._lanes: dict[str, ServiceLane] = {}
         self._retry = RetryPolicy()
         self.in_flight = 0
+        metrics.queued.set_function(lambda: sum(lane.queued for lane in self._lanes.values()))
+        metrics.in_flight.set_function(lambda: self.in_flight)
 
     def lane(self, service: str) -> ServiceLane:
         """Return the lane of a service in force."""
@@ -105,6 +114,7 @@
                 self._peers,
                 lambda: self._book.spec(service),
                 self._book.shares,
+                self._data_center,
             )
         return lane
 
@@ -117,13 +127,10 @@
     async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         """Run a request to its end; return the upstream's id, or a refusal that is final."""
         self.in_flight += 1
-        self._metrics.in_flight.set(self.in_flight)
         try:
             return await self._async_run(req, sink)
         finally:
             self.in_flight -= 1
-            self._metrics.in_flight.set(self.in_flight)
-            self._metrics.queued.set(sum(lane.queued for lane in self._lanes.values()))
 
     async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         lane = self.lane(req.service)
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -53,6 +53,7 @@
     req: CallerRequest
     avoid: frozenset[str]
     fut: asyncio.Future[Result[Turn, Refusal]]
+    turn: Turn | None = None
 
 
 class ServiceLane:
@@ -66,9 +67,11 @@
         peers: PeerTable,
         spec: Callable[[], ServiceSpec],
         weights: Callable[[], dict[str, float]],
+        data_center: str = "",
     ) -> None:
         self.budget = RetryBudget()
         self._service = service
+        self._data_center = data_center
         self._clock = clock
         self._rng = rng
         self._peers = peers
@@ -171,15 +174,18 @@
 
     def _give_turn(self, item: WorkItem, free: list[Upstream], now: timedelta) -> None:
         waiter = self._waiters.pop(item.id)
-        upstream = self._route(waiter, free, now)
+        upstream = self._route(item, waiter, free, now)
         if upstream is None:
             self._queue.finish(item.id)
             self._settle(waiter, Err(_no_upstream()))
             return
         upstream.begin(now)
-        self._settle(waiter, Ok(Turn(item, upstream, now)))
+        waiter.turn = Turn(item, upstream, now)
+        self._settle(waiter, Ok(waiter.turn))
 
-    def _route(self, waiter: _Waiter, free: list[Upstream], now: timedelta) -> Upstream | None:
+    def _route(
+        self, item: WorkItem, waiter: _Waiter, free: list[Upstream], now: timedelta
+    ) -> Upstream | None:
         spec = self._spec()
         views = [upstream.view(spec, now) for upstream in free]
         excluded = waiter.avoid & {view.id for view in views}
@@ -188,7 +194,10 @@
             excluded = frozenset()
         wanted = RouteRequest(
             tokens=max(waiter.req.tokens, 1),
+            priority=item.priority,
+            data_center=self._data_center,
             prefix_key=waiter.req.prefix_key or None,
+            prefix_tokens=waiter.req.prefix_tokens,
             excluded=excluded,
             may_probe=waiter.req.idempotent,
         )
@@ -217,6 +226,8 @@
         if self._queue.cancel(item.id) is None:
             # The turn was given in the same moment as the caller left.
             self._queue.finish(item.id)
+            if waiter.turn is not None:
+                waiter.turn.upstream.release()
         self.pump()
 
     @staticmethod
@@ -229,7 +240,12 @@
         return [up for up in self._peers.usable(self._service) if up.has_room(spec)]
 
     def _slots(self) -> int:
-        return len(self._peers.usable(self._service)) * self._spec().concurrency
+        """Count the places that this entry can have; the queue's reserves are shares of these.
+
+        Of all places that exist, other entries hold some: a reserve of those would never be reached.
+        """
+        spec = self._spec()
+        return sum(upstream.places(spec) for upstream in self._peers.usable(self._service))
 
     def _limits(self) -> AdmissionLimits:
         spec = self._spec()
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -56,7 +56,7 @@
         self.stream = CompletionStream()
         return False
 
-    async def async_chunk(self, data: bytes) -> None:
+    async def async_chunk(self, data: bytes, last: bool = False) -> None:
         """Take in a part of the stream."""
         self.stream.feed(data)
 
@@ -112,7 +112,9 @@
             caller_class=CallerClass.TRAINER,
             idempotent=True,
             tokens=req.max_tokens + len(req.prompt) // CHARS_PER_TOKEN,
+            # The samples of a group share their whole prompt.
             prefix_key=req.prompt[:PREFIX_CHARS],
+            prefix_tokens=len(req.prompt) // CHARS_PER_TOKEN,
             avoid=req.avoid,
         )
 
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -1,4 +1,4 @@
-"""The side processes that an entry is connected to, and what it has seen of each."""
+"""The upstreams that an entry can send work to, and what it has seen of each."""
 
 from datetime import timedelta
 
@@ -6,7 +6,7 @@
 
 from cranberryline.configs import ServiceSpec
 from cranberryline.decisions import HealthPolicy, HealthState, RateMeter, UpstreamView
-from cranberryline.transport import Dialer
+from cranberryline.transport import UpstreamLink
 
 __all__ = ["PeerTable", "Upstream"]
 
@@ -15,12 +15,13 @@
 
 @attrs.define(eq=False)
 class Upstream:
-    """A side process's connection with this entry's measurements of its upstream."""
+    """A way to an upstream, with this entry's measurements of it."""
 
-    peer: Dialer
+    peer: UpstreamLink
     data_center: str
     pace: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
+    _turns: int = 0
 
     def has_room(self, spec: ServiceSpec) -> bool:
         """Tell whether one more request would find a free place, as far as this entry knows.
@@ -28,17 +29,27 @@
         The side process's report lags by up to a heartbeat, so own work counts first; what other
         entries run there is the report less the own work that it includes.
         """
-        return self.peer.outstanding + self._others_requests() < spec.concurrency
+        return self._own_requests() < spec.concurrency - self._others_requests()
+
+    def places(self, spec: ServiceSpec) -> int:
+        """Return how many requests this entry may have there: its own and the free places."""
+        return max(self._own_requests(), spec.concurrency - self._others_requests())
 
     def begin(self, now: timedelta) -> None:
         """Note that work goes there."""
+        self._turns += 1
         if _HEALTH.view(self.health, now).probe_due:
             self.health = _HEALTH.probed(self.health, now)
 
     def end(self, tokens: int, spent: timedelta, now: timedelta) -> None:
         """Note that an attempt is over, with the tokens that it brought in the time spent."""
+        self._turns -= 1
         self.pace.record(tokens, spent, now)
 
+    def release(self) -> None:
+        """Note that the work of a turn did not go there."""
+        self._turns -= 1
+
     def succeeded(self) -> None:
         """Note a whole answer."""
         self.health = _HEALTH.succeeded(self.health)
@@ -54,8 +65,9 @@
             id=self.peer.vm_id,
             data_center=self.data_center,
             slots=spec.concurrency,
-            own_requests=self.peer.outstanding,
+            own_requests=self._own_requests(),
             own_tokens=self.peer.outstanding_tokens,
+            reported_requests=0 if load is None else load.running + load.queued,
             reported_tokens=0 if load is None else load.queued_tokens,
             report_age=None if load is None else now - self.peer.load_at,
             tokens_per_second=self.pace.tokens_per_second(now),
@@ -64,6 +76,10 @@
             draining=self.peer.draining,
         )
 
+    def _own_requests(self) -> int:
+        """Count turns as soon as they are given: their requests leave a moment later."""
+        return max(self.peer.outstanding, self._turns)
+
     def _others_requests(self) -> int:
         load = self.peer.load
         if load is None:
@@ -72,12 +88,12 @@
 
 
 class PeerTable:
-    """All connections to side processes, by VM and by service."""
+    """All ways to upstreams, by VM and by service."""
 
     def __init__(self) -> None:
         self._by_service: dict[str, dict[str, Upstream]] = {}
 
-    def add(self, service: str, peer: Dialer, data_center: str) -> None:
+    def add(self, service: str, peer: UpstreamLink, data_center: str) -> None:
         """Add a connection to an upstream of a service."""
         members = self._by_service.setdefault(service, {})
         members[peer.vm_id] = Upstream(peer, data_center)
@@ -95,6 +111,6 @@
         """Return an upstream of a service."""
         return self._by_service.get(service, {}).get(vm_id)
 
-    def all(self) -> list[Dialer]:
+    def all(self) -> list[UpstreamLink]:
         """Return every connection."""
         return [up.peer for members in self._by_service.values() for up in members.values()]
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -1,7 +1,5 @@
 """The dialling end of a connection between two of our processes: one task for each peer."""
 
-import asyncio
-from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -16,11 +14,11 @@
     WELCOME_TIMEOUT,
 )
 from .errors import BadFrame, PeerGone
+from .link import Exchange, Lost, UpstreamLink
 from .model import (
     Chunk,
     ConfigDelta,
     ConfigRequest,
-    Credit,
     Drain,
     End,
     Failed,
@@ -37,58 +35,13 @@
 )
 from .sockets import DealerSocket
 
-__all__ = ["Exchange", "Lost", "DialerEvents", "Dialer"]
+__all__ = ["DialerEvents", "Dialer"]
 
+_ANSWERS = (Head, Chunk, End, NotRun, Failed, Withdrawn, PeerAnswer)
 _REDIAL_FIRST = timedelta(milliseconds=100)
 _REDIAL_MOST = timedelta(seconds=5)
 
 
-class Lost(Message):
-    """Take the place of an answer's next message when its connection has ended."""
-
-
-class Exchange:
-    """One request on one connection: what goes out, and what comes back in order."""
-
-    def __init__(self, peer: "Dialer", request_id: int, tokens: int) -> None:
-        self.id = request_id
-        self.tokens = tokens
-        self.peer = peer
-        self._events: deque[Message] = deque()
-        self._waiter: asyncio.Future[None] | None = None
-
-    def push(self, msg: Message) -> None:
-        """Take a message that belongs to this request."""
-        self._events.append(msg)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    async def async_next(self, timeout: timedelta) -> Message | None:
-        """Return the next message of the answer, or None after the timeout."""
-        if not self._events:
-            loop = asyncio.get_running_loop()
-            self._waiter = loop.create_future()
-            timer = loop.call_later(max(timeout.total_seconds(), 0.0), self._wake)
-            try:
-                await self._waiter
-            finally:
-                timer.cancel()
-                self._waiter = None
-        return self._events.popleft() if self._events else None
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-    def send(self, msg: Message) -> None:
-        """Send a message about this request; a lost connection is seen as Lost by the receiver."""
-        self.peer.send(msg)
-
-    def close(self) -> None:
-        """Forget the request; later messages for its id are dropped."""
-        self.peer.forget(self.id)
-
-
 class DialerEvents:
     """What a dialled connection tells its owner; the default ignores everything."""
 
@@ -118,7 +71,7 @@
         return 0
 
 
-class Dialer:
+class Dialer(UpstreamLink):
     """One peer as this process knows it, and the task that keeps the connection."""
 
     def __init__(
@@ -138,6 +91,7 @@
         self.load_at = timedelta()
         self.outstanding_at_load = 0
         self.draining = False
+        self.down_since = clock.monotonic()
         self.peer_config_offset = 0
         self._ctx = ctx
         self._clock = clock
@@ -203,7 +157,9 @@
         """Keep a connection until cancelled, dialling anew with a growing pause."""
         pause = _REDIAL_FIRST
         while True:
-            sock = DealerSocket(self._ctx, self.address, self._events.on_bad_frame)
+            sock = DealerSocket(
+                self._ctx, self.address, self._events.on_bad_frame, self._take_answer
+            )
             self._sock = sock
             try:
                 if await self._async_greet(sock):
@@ -250,12 +206,18 @@
                 self._heartbeat_seq += 1
                 sock.send(Heartbeat(self._heartbeat_seq, self._events.config_offset()))
 
+    def _take_answer(self, msg: Message) -> bool:
+        """Hand an answer's message to its request without a detour over the peer's task."""
+        if not isinstance(msg, _ANSWERS) or self.welcome is None:
+            return False
+        self._heard_at = self._clock.monotonic()
+        exchange = self._exchanges.get(msg.id)
+        if exchange is not None:
+            exchange.push(msg)
+        return True
+
     def _handle(self, msg: Message) -> None:
-        if isinstance(msg, Head | Chunk | End | NotRun | Failed | Withdrawn | PeerAnswer):
-            exchange = self._exchanges.get(msg.id)
-            if exchange is not None:
-                exchange.push(msg)
-        elif isinstance(msg, Load):
+        if isinstance(msg, Load):
             self.load, self.load_at = msg, self._clock.monotonic()
             self.outstanding_at_load = len(self._exchanges)
             self._note_offset(msg.config_offset)
@@ -274,6 +236,8 @@
 
     def _settle_lost(self) -> None:
         was_up = self.welcome is not None
+        if was_up:
+            self.down_since = self._clock.monotonic()
         self.welcome = None
         self.load = None
         exchanges, self._exchanges, self._tokens = self._exchanges, {}, 0
@@ -281,7 +245,3 @@
             exchange.push(Lost())
         if was_up:
             self._events.on_down(self)
-
-    def grant(self, request_id: int, size: int) -> None:
-        """Allow more bytes of an answer."""
-        self.send(Credit(request_id, size))
