Expect a trainer's next version while it trains

Cause: while a trainer trains it will have moved on before its next pull; the pace took its version as it stood, so that early starts counted as fresh and the bound and freshness were off by one. Change: the versions that it moves a step are learnt (one until known), and added while it trains.

--- a/cranberryline/samples/pacing.py
+++ b/cranberryline/samples/pacing.py
@@ -42,6 +42,8 @@
         self._version = 0
         self._pulled_at: timedelta | None = None
         self._done_at: timedelta | None = None
+        self._step_version = 0
+        self._versions_a_step = 1.0
         self._step_time = DEFAULT_STEP_TIME
         self._train_time = timedelta()
         self._tokens_per_second = 0.0
@@ -49,9 +51,14 @@
 
     def on_pull(self, step: int, version: int, now: timedelta) -> None:
         """Note that the trainer asks for samples of a step, at a weight version."""
-        self._version = max(self._version, version)
         if step <= self._step and self._pulled_at is not None:
+            self._version = max(self._version, version)
             return
+        if self._pulled_at is not None and step == self._step + 1:
+            moved = max(0, version - self._step_version)
+            self._versions_a_step += SMOOTHING * (moved - self._versions_a_step)
+        self._version = max(self._version, version)
+        self._step_version = self._version
         if self._done_at is not None and step == self._step + 1:
             self._train_time = _smooth(self._train_time, now - self._done_at)
         if self._pulled_at is not None and step == self._step + 1:
@@ -92,7 +99,8 @@
 
     def versions_early(self, step: int, newest_version: int) -> int:
         """Return how many versions old a sample started now is expected to be when taken."""
-        return max(0, self._version + max(0, step - self._next_step()) - newest_version)
+        expected = self._version_at_pull(newest_version) + max(0, step - self._next_step())
+        return max(0, expected - newest_version)
 
     def _waits_for(self, step: int, now: timedelta) -> bool:
         if self._pulled_at is None:
@@ -100,6 +108,16 @@
         waiting = step <= self._step and self._done_at is None
         return waiting and now - self._pulled_at > WEIGHTS_EVERYWHERE
 
+    def _version_at_pull(self, newest_version: int) -> int:
+        """Return the version at which the trainer is expected to take its next step.
+
+        While it trains it will have moved on by then. Taken as it stands, samples started
+        meanwhile would count as fresh, and miss the bound by one version.
+        """
+        if self._done_at is None:
+            return max(self._version, newest_version)
+        return max(self._version + round(self._versions_a_step), newest_version)
+
     def _next_step(self) -> int:
         return self._step if self._done_at is None else self._step + 1
 
@@ -111,7 +129,7 @@
             until_pull = max(timedelta(), self._done_at + self._train_time - now)
         return RolloutView(
             next_step=self._next_step(),
-            version_at_pull=max(self._version, newest_version),
+            version_at_pull=self._version_at_pull(newest_version),
             until_pull=until_pull,
             step_time=self._step_time,
             sampler_version=newest_version,
