Let an old report of other entries' work count no longer

Cause: an idle connection is probed every five seconds. An entry whose last report showed full upstreams held its callers back until the next one, and refused them when their wait ended sooner, though the other entry's work was long over and the upstreams idle. Nothing looked again meanwhile. Change: a report counts against free places for twice the busy heartbeat; while requests wait, the lane looks again four times a second. The new test failed before (refused after its whole second).

--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -37,6 +37,8 @@
 _ROUTING = RoutingPolicy()
 # Held-back requests of a retry have been admitted once; they wait no longer than this again.
 _EXPIRED_RETRY_AFTER = timedelta(seconds=1)
+# A report grows old without any event that would tell it.
+_LOOK_AGAIN = timedelta(milliseconds=250)
 
 
 @attrs.frozen
@@ -211,7 +213,7 @@
             self._timer = None
         due = self._queue.next_expiry()
         if due is not None:
-            wait = max((due - now).total_seconds(), 0.0) + 0.001
+            wait = max(min(due - now, _LOOK_AGAIN).total_seconds(), 0.0) + 0.001
             self._timer = asyncio.get_running_loop().call_later(wait, self.pump)
 
     def _withdraw(self, item: WorkItem, waiter: _Waiter) -> None:
@@ -229,16 +231,16 @@
             waiter.fut.set_result(result)
 
     def _free(self) -> list[Upstream]:
-        spec = self._spec()
-        return [up for up in self._peers.usable(self._service) if up.has_room(spec)]
+        spec, now = self._spec(), self._clock.monotonic()
+        return [up for up in self._peers.usable(self._service) if up.has_room(spec, now)]
 
     def _slots(self) -> int:
         """Count the places that this entry can have; the queue's reserves are shares of these.
 
         Of all places that exist, other entries hold some: a reserve of those would never be reached.
         """
-        spec = self._spec()
-        return sum(upstream.places(spec) for upstream in self._peers.usable(self._service))
+        spec, now = self._spec(), self._clock.monotonic()
+        return sum(upstream.places(spec, now) for upstream in self._peers.usable(self._service))
 
     def _limits(self) -> AdmissionLimits:
         spec = self._spec()
--- a/cranberryline/entry/upstreams.py
+++ b/cranberryline/entry/upstreams.py
@@ -7,10 +7,14 @@
 from cranberryline.configs import ServiceSpec
 from cranberryline.decisions import HealthPolicy, HealthState, RateMeter, UpstreamView
 from cranberryline.transport import Dialer
+from cranberryline.transport.const import HEARTBEAT_BUSY
 
 __all__ = ["PeerTable", "Upstream"]
 
 _HEALTH = HealthPolicy()
+# Twice the interval of reports on a connection with work. One without is probed so seldom that
+# other entries' work of that time may be long over; the side process queues what comes too early.
+_REPORT_COUNTS = 2 * HEARTBEAT_BUSY
 
 
 @attrs.define(eq=False)
@@ -23,17 +27,17 @@
     health: HealthState = attrs.field(factory=HealthState)
     _turns: int = 0
 
-    def has_room(self, spec: ServiceSpec) -> bool:
+    def has_room(self, spec: ServiceSpec, now: timedelta) -> bool:
         """Tell whether one more request would find a free place, as far as this entry knows.
 
         The side process's report lags by up to a heartbeat, so own work counts first; what other
         entries run there is the report less the own work that it includes.
         """
-        return self._own_requests() < spec.concurrency - self._others_requests()
+        return self._own_requests() < spec.concurrency - self._others_requests(now)
 
-    def places(self, spec: ServiceSpec) -> int:
+    def places(self, spec: ServiceSpec, now: timedelta) -> int:
         """Return how many requests this entry may have there: its own and the free places."""
-        return max(self._own_requests(), spec.concurrency - self._others_requests())
+        return max(self._own_requests(), spec.concurrency - self._others_requests(now))
 
     def begin(self, now: timedelta) -> None:
         """Note that work goes there."""
@@ -79,9 +83,9 @@
         """Count turns as soon as they are given: their requests leave a moment later."""
         return max(self.peer.outstanding, self._turns)
 
-    def _others_requests(self) -> int:
+    def _others_requests(self, now: timedelta) -> int:
         load = self.peer.load
-        if load is None:
+        if load is None or now - self.peer.load_at > _REPORT_COUNTS:
             return 0
         return max(0, load.running + load.queued - self.peer.outstanding_at_load)
 
--- a/tests/entry/test_lane_room.py
+++ b/tests/entry/test_lane_room.py
@@ -1,6 +1,7 @@
 """What an entry takes of its upstreams when another entry sends work to them too."""
 
 import asyncio
+from datetime import timedelta
 
 import pytest
 
@@ -22,6 +23,7 @@
 def _report(side: FakeSide, others: int) -> None:
     """Let a side process tell that another entry has so many requests there."""
     side.outstanding_at_load = side.outstanding
+    side.load_at = SystemClock().monotonic()
     side.load = Load(side.outstanding + others, 0, 0, CONCURRENCY, None, 0)
 
 
@@ -105,3 +107,21 @@
         await _async_end(tasks)
 
     asyncio.run(async_case())
+
+
+def test_an_old_report_of_full_upstreams_does_not_keep_a_caller_waiting(wide: Bench) -> None:
+    """The caller of an idle entry is served though its last report, seconds ago, showed no place.
+
+    An idle connection is probed every five seconds; the other entry's work may be long over.
+    """
+    side = wide.side("up-1")
+
+    async def async_case() -> None:
+        _report(side, CONCURRENCY)
+        side.load_at -= timedelta(seconds=1.8)
+        task = _ask(wide, "inspecteur", 1)[0]
+        await asyncio.sleep(0.01)
+        assert not side.submits
+        assert (await task).is_ok()  # type: ignore[attr-defined]
+
+    asyncio.run(async_case())
