Show that trainers do not hold up a stopping entry

Reading the stop as a newcomer raised the question whether calls that still come could begin steps anew and keep samples in flight for ever. The test stops both entries in turn under two trainers: each exits 0, nothing is lost or doubled. It passed at once: the steps are closed and the count of what is in flight is looked at in the same turn. Not seen failing.

--- a/tests/failures/test_planned.py
+++ b/tests/failures/test_planned.py
@@ -1,16 +1,21 @@
 """Planned stops and leaving upstreams under load, as callers and upstreams see them."""
 
+import asyncio
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
 import pytest
 
+from stand_ins.demo import async_load, figures_of
 from stand_ins.deployment import load_plan
 from stand_ins.launcher import Deployment, call, launched
 from stand_ins.process import wait_for
 
+from .scenarios import BROKEN_COUNTS
+
 SERVICE = "pickup-app"
 # The launcher's services have no `leave_seconds` of their own; this is the default.
 LEAVE_SECONDS = 3.0
@@ -165,3 +170,24 @@
     with balancer.load():
         wait_for(lambda: len(deployment.journal(f"{SERVICE}-1")) > before, "no work came back")
     assert balancer.broken == []
+
+
+def test_a_stopping_entry_is_not_held_up_by_trainers(deployment: Deployment) -> None:
+    """The entry exits 0 within its bound while trainers go on, and they lose nothing.
+
+    Each entry owns the steps of some trainers. Their calls keep coming, over connections that were
+    open already and by way of the other entry, which goes by a VM list that still shows the owner.
+    If they began steps anew on the one that stops, there would always be samples in flight.
+    """
+    with ThreadPoolExecutor(1) as pool:
+        load = pool.submit(lambda: asyncio.run(async_load(deployment, 12.0)))
+        time.sleep(2.0)
+        entries = [deployment.process(name) for name in ("entry-1", "entry-2")]
+        entries[0].terminate()
+        assert entries[0].wait(20.0) == 0
+        deployment.restart("entry-1")
+        entries[1].terminate()
+        assert entries[1].wait(20.0) == 0
+        deployment.restart("entry-2")
+        figures = figures_of(deployment, load.result())
+    assert {count: figures[count] for count in BROKEN_COUNTS} == dict.fromkeys(BROKEN_COUNTS, 0)
