--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from .decisions_plan import Case, plan
-from .decisions_report import Row, measure, print_goals, print_table
+from .decisions_report import Row, measure, print_goals, print_json, print_table
 
 __all__ = ["main"]
 
@@ -25,12 +25,16 @@
     parser.add_argument("--load", default="", help="only the loads whose name contains this")
     parser.add_argument("--curve", action="store_true", help="measure the curve of freshness")
     parser.add_argument("--plot", type=Path, help="draw the curves into this folder")
+    parser.add_argument("--json", action="store_true", help="one JSON object a line, no tables")
     parser.add_argument("--processes", type=int, default=PROCESSES)
     args = parser.parse_args(argv)
     cases = [
         case for case in plan(args.curve or args.plot is not None) if args.load in case.load.name
     ]
     rows = _run(cases, range(args.seed, args.seed + args.seeds), args.processes)
+    if args.json:
+        print_json(rows)
+        return 0
     print_table(rows)
     print_goals(rows)
     if args.plot is not None:
--- a/bench/decisions_report.py
+++ b/bench/decisions_report.py
@@ -1,5 +1,6 @@
 """What is reported of a run, and the goals."""
 
+import json
 from collections.abc import Sequence
 
 import attrs
@@ -127,6 +128,19 @@
         print(f"| {_label(row)} | {' | '.join(cells)} | {_refusals(row)} |")
 
 
+def print_json(rows: Sequence[Row]) -> None:
+    """Print one JSON object a line for each row."""
+    for row in rows:
+        case = row.case
+        named = {
+            "bench": "decisions",
+            "load": case.load.name,
+            "deployment": case.deployment.name,
+            "decisions": _label(row),
+        }
+        print(json.dumps(named | row.figures))
+
+
 def _label(row: Row) -> str:
     if row.case.name == POLICY and row.case.load.trainers:
         return f"{POLICY} (freshness {row.case.deployment.freshness})"
