Follow amended shares and deleted services in a lane

Cause (found by reading): a lane took the callers' shares once, when it was made, so an amended record had no effect on the queue until the entry was replaced; and when a service's record was deleted, the lane of its waiting requests failed on every look, so that they never got an answer. Change: the shares are a live view; a lane goes on with the last specification of a deleted service. Tests: two, failing before (the second with a KeyError in the lane's timer).

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -50,7 +50,7 @@
     async def async_case() -> int:
         spec = ServiceSpec(ServiceType.ENGINE, model="m")
         clock, rng = SystemClock(), Random(1)
-        lane = ServiceLane("s", clock, rng, PeerTable(), lambda: spec, lambda: {})
+        lane = ServiceLane("s", clock, rng, PeerTable(), lambda: spec, {})
         start_by = clock.monotonic() + timedelta(minutes=10)
         gc.collect()
         tracemalloc.start()
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -47,22 +47,31 @@
 
     def __init__(self, fold: ConfigFold) -> None:
         self._services: dict[str, ServiceSpec] = {}
+        self._last_specs: dict[str, ServiceSpec] = {}
         self._callers: dict[str, CallerSpec] = {}
+        self._shares: dict[str, float] = {}
         self._fold = fold
         fold.listen(lambda _: self._read())
         self._read()
 
     def _read(self) -> None:
         self._services = self._fold.services()
+        self._last_specs |= self._services
         self._callers = self._fold.callers()
+        self._shares.clear()
+        self._shares.update({name: spec.share for name, spec in self._callers.items()})
 
     def knows(self, service: str) -> bool:
         """Tell whether there is such a service."""
         return service in self._services
 
     def spec(self, service: str) -> ServiceSpec:
-        """Return a service's specification."""
-        return self._services[service]
+        """Return a service's specification, the last one of a service that was deleted.
+
+        Requests of a deleted service may still wait. Their lane looks up the specification to give
+        them their answer; failing there, it would leave them waiting for ever.
+        """
+        return self._last_specs[service]
 
     def for_model(self, model: str) -> str | None:
         """Return the service that serves a model, by the model's name or its own."""
@@ -75,8 +84,8 @@
         return self._callers.get(name)
 
     def shares(self) -> dict[str, float]:
-        """Return the callers' shares."""
-        return {name: spec.share for name, spec in self._callers.items()}
+        """Return the callers' shares; the mapping follows the records in force."""
+        return self._shares
 
 
 class Dispatcher:
@@ -113,7 +122,7 @@
                 self._rng,
                 self._peers,
                 lambda: self._book.spec(service),
-                self._book.shares,
+                self._book.shares(),
                 self._data_center,
             )
         return lane
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from random import Random
 
@@ -59,7 +59,10 @@
 
 
 class ServiceLane:
-    """Apply the decisions under load to one service, and keep what they look at."""
+    """Apply the decisions under load to one service, and keep what they look at.
+
+    `shares` is a live view: an amended record counts from the next request on.
+    """
 
     def __init__(
         self,
@@ -68,7 +71,7 @@
         rng: Random,
         peers: PeerTable,
         spec: Callable[[], ServiceSpec],
-        weights: Callable[[], dict[str, float]],
+        shares: Mapping[str, float],
         data_center: str = "",
     ) -> None:
         self.budget = RetryBudget()
@@ -78,8 +81,8 @@
         self._rng = rng
         self._peers = peers
         self._spec = spec
-        self._queue = WorkQueue(0, QueueSettings(caller_weights=weights()))
-        self._weights = weights
+        self._queue = WorkQueue(0, QueueSettings(caller_weights=shares))
+        self.shares = shares
         self._capacity = RateMeter()
         self._full_since: timedelta | None = None
         self._waiters: dict[int | str, _Waiter] = {}
@@ -253,7 +256,7 @@
         spec = self._spec()
         waits = dict(DEFAULT_QUEUE_SECONDS)
         waits[Priority.APPLICATION] = timedelta(seconds=spec.queue_seconds)
-        return AdmissionLimits(queue_seconds=waits, caller_weights=self._weights())
+        return AdmissionLimits(queue_seconds=waits, caller_weights=self.shares)
 
 
 def _no_upstream() -> Refusal:
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from cranberryline.configs import ConfigFold
+from cranberryline.configs import ConfigFold, Kind
 from cranberryline.entry.dispatch import Dispatcher, ServiceBook
 from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.upstreams import PeerTable
@@ -111,7 +111,11 @@
         self.dispatcher = Dispatcher(clock, Random(7), self.table, self.book, self.metrics)
         self.publish("service", self.service, {"type": "plain", "concurrency": 2, **spec})
 
-    def publish(self, kind: str, name: str, spec: dict[str, Any], amends: int = 0) -> None:
+    def delete(self, kind: Kind, name: str) -> None:
+        """Fold the deletion of a record."""
+        self.publish(kind.value, name, None, self.fold.current_revision(kind, name))
+
+    def publish(self, kind: str, name: str, spec: dict[str, Any] | None, amends: int = 0) -> None:
         """Fold a record at the next offset."""
         offset = self.fold.offset + 1
         data = {"kind": kind, "name": name, "schema": 1, "amends": amends, "spec": spec}
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cranberryline.configs import Kind
 from cranberryline.entry.errors import RefusalReason
 from cranberryline.entry.model import CollectingSink
 from cranberryline.requests import Ran
@@ -273,3 +274,27 @@
     req = bench.request(deadline=deadline)
     refusal = asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap_err()
     assert refusal.ran is Ran.UNKNOWN
+
+
+def test_an_amended_share_counts_from_then_on(bench: Bench) -> None:
+    """A caller whose record is amended gets its new share without a restart of the entry."""
+    lane = bench.dispatcher.lane(bench.service)
+    bench.publish("caller", "inspecteur", {"share": 9})
+    assert lane.shares["inspecteur"] == 9
+
+
+def test_a_deleted_service_still_answers_who_waits(bench: Bench) -> None:
+    """Whoever waits when the service's record is deleted gets a final answer in its time."""
+
+    async def async_case() -> None:
+        deadline = bench.clock.monotonic() + timedelta(milliseconds=60)
+        task = asyncio.ensure_future(
+            bench.dispatcher.async_run(bench.request(deadline=deadline), CollectingSink())
+        )
+        await asyncio.sleep(0)
+        bench.delete(Kind.SERVICE, bench.service)
+        assert not bench.book.knows(bench.service)
+        async with asyncio.timeout(2):
+            assert (await task).unwrap_err().ran is Ran.NO
+
+    asyncio.run(async_case())
