Do not take a wait without upstreams for a slow service, nor one refusal for a minute's pause

The step's runner paused that long, with idle engines, while the trainer waited. Found by printing the runner's state at empty pulls: all identities idle, room 96, pause 49 s. Ruled out: the ledger (nothing lost), the pacing (it allowed all), ownership (both entries answered). Tests: one for each, both failing before.

--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -94,6 +94,11 @@
         """Count the requests that wait."""
         return len(self._queue)
 
+    @property
+    def capacity(self) -> float:
+        """Return the tokens a second that were measured while no place was free, or 0."""
+        return self._capacity.tokens_per_second(self._clock.monotonic())
+
     def admit(self, req: CallerRequest) -> Result[timedelta, Refusal]:
         """Let a request in, with the latest start that is of use, or refuse it at once."""
         now = self._clock.monotonic()
@@ -170,8 +175,14 @@
         self._note_full(now)
 
     def _note_full(self, now: timedelta) -> None:
-        """Time only the periods without a free slot: the rest says nothing about capacity."""
-        full = len(self._queue) > 0 or len(self._queue.running) >= max(self._queue.slots, 1)
+        """Time only the periods without a free place: the rest says nothing about capacity.
+
+        Without any place at all nothing can be served, and that too says nothing: counted, the wait
+        for the first connection after a start makes the service look hundreds of times slower than
+        it is, and admission sends callers away for a minute.
+        """
+        waiting = len(self._queue) > 0
+        full = self._queue.slots > 0 and (waiting or len(self._queue.running) >= self._queue.slots)
         if not full:
             self._full_since = None
         elif self._full_since is None:
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -357,7 +357,9 @@
         _LOGGER.debug("sample_failed", sample_id=name, reason=error.reason, detail=error.detail)
         self._ports.metrics.retry(error.reason.value)
         now = self._clock.monotonic()
-        pause = error.retry_after or timedelta()
+        # A refuser's word counts, up to the longest pause: an entry that has just started may name
+        # a minute, and the trainer would stand idle beside engines that are free by then.
+        pause = min(error.retry_after or timedelta(), BACKOFF_MOST)
         if self._attempts[name].started > self._failed_at:
             backoff = min(BACKOFF_START * 2 ** min(self._failures, 10), BACKOFF_MOST)
             pause = max(pause, backoff)
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -298,3 +298,28 @@
             assert (await task).unwrap_err().ran is Ran.NO
 
     asyncio.run(async_case())
+
+
+def test_a_wait_without_upstreams_says_nothing_of_their_speed(bench: Bench) -> None:
+    """After a start without upstreams the callers that come next are let in, not sent away.
+
+    Requests wait half a second for the first connection. Counted as time in which all places were
+    taken, it made the service look hundreds of times slower than it is, and admission refused what
+    it could have served at once, for up to a minute.
+    """
+
+    async def async_case() -> None:
+        deadline = bench.clock.monotonic() + timedelta(seconds=5)
+        work = [
+            asyncio.ensure_future(
+                bench.dispatcher.async_run(bench.request(deadline=deadline), CollectingSink())
+            )
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0.5)
+        bench.side("up-1")
+        bench.dispatcher.wake()
+        assert all(result.is_ok() for result in await asyncio.gather(*work))
+        assert not 0 < bench.dispatcher.lane(bench.service).capacity < 100
+
+    asyncio.run(async_case())
--- a/tests/samples/sample_fakes.py
+++ b/tests/samples/sample_fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 from result import Err, Ok, Result
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.version = 5
         self.failing: DiscardReason | None = None
+        self.retry_after: timedelta | None = None
         self.held: dict[str, asyncio.Event] = {}
         self.started: Counter[str] = Counter()
         self.avoided: list[frozenset[str]] = []
@@ -52,7 +54,7 @@
         finally:
             self.running -= 1
         if self.failing is not None:
-            return Err(DispatchError(self.failing))
+            return Err(DispatchError(self.failing, retry_after=self.retry_after))
         text = f"{req.sample_id}@{upstream}"
         return Ok(Completion(text, (Segment(version, 3),), upstream))
 
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -18,7 +18,7 @@
 from cranberryline.samples import runner as runner_module
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ports import RolloutLimits, RunningSample
-from cranberryline.samples.runner import BACKOFF_START, Pull, StepRunner
+from cranberryline.samples.runner import BACKOFF_MOST, BACKOFF_START, Pull, StepRunner
 from cranberryline.samples.table import StepTable
 
 from .sample_fakes import FakeConfig, FakeDispatch, FakeScorer
@@ -140,6 +140,27 @@
     asyncio.run(async_play())
 
 
+def test_a_refusal_that_says_come_back_late_stalls_no_trainer(
+    make_table: MakeTable, dispatch: FakeDispatch
+) -> None:
+    """One refusal with a long Retry-After holds the step up for the longest pause, not for a minute.
+
+    An entry that has just started knows no capacity yet and may name its longest time. The trainer
+    stood idle for that long, though the engines were free a moment later.
+    """
+
+    async def async_play() -> None:
+        dispatch.failing = DiscardReason.FAILED
+        dispatch.retry_after = timedelta(minutes=1)
+        table = make_table()
+        runner = table.declare(DECLARATION, owner=True).unwrap()
+        await asyncio.sleep(0.05)
+        assert timedelta() < runner.pause <= BACKOFF_MOST
+        await table.async_close()
+
+    asyncio.run(async_play())
+
+
 def test_stale_sample_is_made_again(
     make_table: MakeTable, dispatch: FakeDispatch, config: FakeConfig, metrics: Metrics
 ) -> None:
