Make a revision of an unread record in one place

Change: Unread.as_revision serves both; the method is gone. No behaviour changed. Checked: lint; tests of configs, upstreams and entry, and two planned-stop tests over processes, all passing.

--- a/cranberryline/configs/fold.py
+++ b/cranberryline/configs/fold.py
@@ -310,18 +310,7 @@
                 continue
             match read_amendment_spec(amendment):
                 case Ok(spec):
-                    self._entries[key] = Revision(
-                        unread.offset,
-                        unread.time,
-                        unread.id,
-                        amendment.kind,
-                        amendment.name,
-                        amendment.schema,
-                        amendment.amends,
-                        amendment.raw,
-                        spec,
-                        amendment.author,
-                    )
+                    self._entries[key] = unread.as_revision(spec)
                     del self._unread[key]
                 case Err(_):
                     continue
--- a/cranberryline/configs/snapshot.py
+++ b/cranberryline/configs/snapshot.py
@@ -27,7 +27,7 @@
     CHECKPOINT_SCHEMA,
 )
 from .envelope import Amendment, read_amendment, read_amendment_spec
-from .model import Kind, Revision
+from .model import Kind, Revision, Spec
 from .schema import known_schemas
 
 __all__ = [
@@ -56,6 +56,22 @@
     id: str
     amendment: Amendment
 
+    def as_revision(self, spec: Spec | None) -> Revision:
+        """Return the revision that the record is, once its specification can be read."""
+        amendment = self.amendment
+        return Revision(
+            self.offset,
+            self.time,
+            self.id,
+            amendment.kind,
+            amendment.name,
+            amendment.schema,
+            amendment.amends,
+            amendment.raw,
+            spec,
+            amendment.author,
+        )
+
 
 @attrs.frozen
 class CheckpointMark:
@@ -175,20 +191,7 @@
         case Err(error):
             return Err(SnapshotError(f"row {unread.offset}: {error.detail}"))
         case Ok(spec):
-            return Ok(
-                Revision(
-                    unread.offset,
-                    unread.time,
-                    unread.id,
-                    amendment.kind,
-                    amendment.name,
-                    amendment.schema,
-                    amendment.amends,
-                    amendment.raw,
-                    spec,
-                    amendment.author,
-                )
-            )
+            return Ok(unread.as_revision(spec))
 
 
 def _read_mark(value: Any) -> CheckpointMark | None:
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -195,7 +195,7 @@
 
     def on_offset(self, peer: Dialer, offset: int) -> None:
         """Take what a side process says of how much configuration it has."""
-        self._on_peer_offset(peer.vm_id, offset)
+        self.sync.on_peer(peer.vm_id, offset)
 
     def on_config(self, peer: Dialer, msg: ConfigDelta | ConfigRequest) -> None:
         """Take configuration, or a request for it, from a side process."""
@@ -203,7 +203,7 @@
 
     def on_entry_offset(self, vm_id: str, offset: int) -> None:
         """Take what another entry says of how much configuration it has."""
-        self._on_peer_offset(vm_id, offset)
+        self.sync.on_peer(vm_id, offset)
 
     def on_entry_lost(self, vm_id: str) -> None:
         """Forget what was known of an entry that is out of reach."""
@@ -349,9 +349,6 @@
         self.sync.on_members()
         self.dispatcher.wake()
 
-    def _on_peer_offset(self, vm_id: str, offset: int) -> None:
-        self.sync.on_peer(vm_id, offset)
-
     def _send_members(self, peers: Sequence[UpstreamLink]) -> None:
         """Tell side processes who else serves their service, for the order of weight swaps."""
         connected = {peer.vm_id: peer for peer in peers if peer.welcome is not None}
