Move the product's own ports and clients from platform/ to ports/

Cause: cranberryline/platform/ is to hold the users' platform alone, its names, formats and calls. Change: a move and the import paths that follow from it; no behaviour.

--- a/bench/capacity/config.py
+++ b/bench/capacity/config.py
@@ -24,8 +24,8 @@
 from cranberryline.entry.rollouts import FoldRollouts
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import LogPage, LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import LogPage, LogPort, LogRecord
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.transport import encode
 from cranberryline.transport.model import ConfigDelta, Message
--- a/bench/capacity/members.py
+++ b/bench/capacity/members.py
@@ -9,7 +9,7 @@
 
 from cranberryline.decisions import SubsetChooser, subset
 from cranberryline.entry.notices import MemberNotices
-from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.transport import encode
 from cranberryline.upstreams import Membership
 
--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -16,7 +16,7 @@
 from cranberryline.entry.model import CallerRequest
 from cranberryline.entry.upstreams import PeerTable
 from cranberryline.helpers.clock import SystemClock
-from cranberryline.platform.model import VmList
+from cranberryline.ports.model import VmList
 from cranberryline.transport import Dialer, DialerEvents, Exchange
 from cranberryline.transport.model import Hello
 from cranberryline.upstreams import Membership
--- a/bench/capacity/peers.py
+++ b/bench/capacity/peers.py
@@ -14,7 +14,7 @@
 from cranberryline.configs.fold import ConfigFold
 from cranberryline.configs.relay import ConfigRelay
 from cranberryline.helpers.clock import SystemClock
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from cranberryline.transport import Connection, Dialer, DialerEvents, Listener, ListenerEvents
 from cranberryline.transport.model import (
     ConfigDelta,
--- a/bench/capacity/samples.py
+++ b/bench/capacity/samples.py
@@ -12,8 +12,8 @@
 
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import ScorePort
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import ScorePort
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ledger import StepLedger
 from cranberryline.samples.model import Completion, GroupDeclaration, Segment, StepDeclaration
--- a/bench/capacity/weights.py
+++ b/bench/capacity/weights.py
@@ -14,8 +14,8 @@
 from cranberryline.decisions import ShiftSettings
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import (
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import (
     EngineLoad,
     EnginePort,
     LogRecord,
--- a/cranberryline/configs/checkpoint.py
+++ b/cranberryline/configs/checkpoint.py
@@ -12,7 +12,7 @@
 import attrs
 from result import Ok
 
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 
 from .const import ATTR_KIND
 from .fold import ConfigFold
--- a/cranberryline/configs/fold.py
+++ b/cranberryline/configs/fold.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 
 from .const import (
     ATTR_KIND,
--- a/cranberryline/configs/publish.py
+++ b/cranberryline/configs/publish.py
@@ -10,8 +10,8 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPort, LogRecord
 
 from .const import ATTR_ID, ATTR_KIND, ATTR_SCHEMA, ATTR_SPEC, CONFIG_STREAM
 from .envelope import RECORD_ID, Amendment, read_amendment, read_amendment_spec
--- a/cranberryline/configs/relay.py
+++ b/cranberryline/configs/relay.py
@@ -14,7 +14,7 @@
 import attrs
 from result import Err, Ok
 
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
 
 from .const import DELTA_BYTES, DELTA_RECORDS, RECORDS_KEPT
--- a/cranberryline/configs/tail.py
+++ b/cranberryline/configs/tail.py
@@ -6,8 +6,8 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogPage, LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPage, LogPort, LogRecord
 
 from .checkpoint import find_start
 from .const import CONFIG_STREAM
--- a/cranberryline/configs/wire.py
+++ b/cranberryline/configs/wire.py
@@ -12,7 +12,7 @@
 import attrs
 import msgspec
 
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 
 from .const import ATTR_KIND
 from .model import Kind
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -25,8 +25,8 @@
 from cranberryline.helpers.problem import write_problem
 from cranberryline.helpers.shutdown import Shutdown
 from cranberryline.helpers.tokens import Role, TokenRefusal, TokenTable, load_tokens
-from cranberryline.platform.clients import HttpLog, HttpScorer, HttpVmList
-from cranberryline.platform.model import VmEntry
+from cranberryline.ports.clients import HttpLog, HttpScorer, HttpVmList
+from cranberryline.ports.model import VmEntry
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.runner import RunnerPorts
 from cranberryline.samples.table import StepTable
--- a/cranberryline/entry/config_sync.py
+++ b/cranberryline/entry/config_sync.py
@@ -26,8 +26,8 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPort, LogRecord
 from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
 
 __all__ = ["TAILER_KEY", "EntryConfigSync", "SyncTimings"]
--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -8,8 +8,8 @@
 from cranberryline.configs.const import DEFAULT_CONCURRENCY
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.clients import HttpPlainService
-from cranberryline.platform.model import LogPort, PlainServicePort, VmEntry
+from cranberryline.ports.clients import HttpPlainService
+from cranberryline.ports.model import LogPort, PlainServicePort, VmEntry
 from cranberryline.requests import RequestKey, SideBook, WithdrawOutcome
 from cranberryline.side.claims import ClaimService
 from cranberryline.side.execution import Execution
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -9,7 +9,7 @@
 from cranberryline.decisions import SubsetChooser
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.model import VmEntry, VmRole
+from cranberryline.ports.model import VmEntry, VmRole
 from cranberryline.transport import Dialer, DialerEvents, UpstreamLink
 from cranberryline.transport.model import Hello, Message
 from cranberryline.upstreams import Membership, MemberState
--- a/cranberryline/entry/membership.py
+++ b/cranberryline/entry/membership.py
@@ -9,8 +9,8 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import VmListPort
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import VmListPort
 from cranberryline.transport.model import Drain, Welcome
 from cranberryline.upstreams import Membership, MembershipReason
 
--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -10,7 +10,7 @@
 
 from cranberryline.configs.push import TailerRanking
 from cranberryline.helpers.clock import Clock
-from cranberryline.platform.model import VmEntry
+from cranberryline.ports.model import VmEntry
 from cranberryline.transport import (
     BadFrame,
     Connection,
--- a/cranberryline/entry/notices.py
+++ b/cranberryline/entry/notices.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from cranberryline.platform.model import VmRole
+from cranberryline.ports.model import VmRole
 from cranberryline.transport.model import Members
 from cranberryline.upstreams import Membership
 
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -10,8 +10,8 @@
 from cranberryline.configs import ConfigFold
 from cranberryline.decisions import rendezvous
 from cranberryline.helpers.clock import Clock
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import ScorePort
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import ScorePort
 from cranberryline.samples.attribution import CompletionStream
 from cranberryline.samples.errors import DiscardReason
 from cranberryline.samples.model import Completion
--- a/cranberryline/requests/claims.py
+++ b/cranberryline/requests/claims.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.platform.model import LogPage, LogRecord
+from cranberryline.ports.model import LogPage, LogRecord
 
 from .const import (
     ATTR_BODY,
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -14,7 +14,7 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.model import ScorePort
+from cranberryline.ports.model import ScorePort
 
 from .const import ATTR_TEXT
 from .errors import CursorError, DiscardReason
--- a/cranberryline/samples/scoring.py
+++ b/cranberryline/samples/scoring.py
@@ -8,7 +8,7 @@
 from result import Ok
 
 from cranberryline.helpers.clock import Clock
-from cranberryline.platform.model import ScorePort
+from cranberryline.ports.model import ScorePort
 
 __all__ = ["async_score_patiently"]
 
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -18,7 +18,7 @@
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.problem import ProblemHandler
 from cranberryline.helpers.shutdown import Shutdown
-from cranberryline.platform.clients import HttpEngine, HttpLog
+from cranberryline.ports.clients import HttpEngine, HttpLog
 from cranberryline.requests import SideBook
 from cranberryline.settings import SideSettings
 from cranberryline.transport import Connection
--- a/cranberryline/side/claims.py
+++ b/cranberryline/side/claims.py
@@ -13,8 +13,8 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import LogPort
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import LogPort
 from cranberryline.requests.claims import (
     ClaimFold,
     abandon_record,
--- a/cranberryline/side/execution.py
+++ b/cranberryline/side/execution.py
@@ -9,8 +9,8 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason, UpstreamCut
-from cranberryline.platform.model import PlainServicePort, UpstreamBody, UpstreamRequest
+from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
+from cranberryline.ports.model import PlainServicePort, UpstreamBody, UpstreamRequest
 from cranberryline.requests import fingerprint
 from cranberryline.requests.errors import ClaimReason, ClaimRefused
 from cranberryline.requests.model import ClaimOutcome
--- a/cranberryline/side/stream.py
+++ b/cranberryline/side/stream.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from cranberryline.platform.model import UpstreamBody
+from cranberryline.ports.model import UpstreamBody
 from cranberryline.requests.const import MAX_RECORDED_BODY
 from cranberryline.transport.model import Chunk, End, Head, Message
 
--- a/cranberryline/side/weights.py
+++ b/cranberryline/side/weights.py
@@ -13,8 +13,8 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import EngineLoad, EnginePort
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import EngineLoad, EnginePort
 from cranberryline.weights import SwapOrder, SwapState
 
 from .config_sync import SideConfigSync
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 
 from .const import (
     ADDRESS_PREFIX,
--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -15,8 +15,8 @@
 from cranberryline.configs.tail import LogTail
 from cranberryline.entry.config_sync import EntryConfigSync, SyncTimings
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogPage, LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPage, LogPort, LogRecord
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import Message
--- a/tests/configs/test_config_agreement.py
+++ b/tests/configs/test_config_agreement.py
@@ -15,7 +15,7 @@
 from cranberryline.configs import ConfigFold, Kind
 from cranberryline.configs.checkpoint import checkpoint_record, find_start
 from cranberryline.configs.relay import ConfigRelay
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from cranberryline.transport.model import ConfigDelta, ConfigRequest, Message
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
--- a/tests/configs/test_config_checkpoint.py
+++ b/tests/configs/test_config_checkpoint.py
@@ -10,7 +10,7 @@
 from cranberryline.configs.checkpoint import CheckpointPolicy, checkpoint_record, find_start
 from cranberryline.configs.model import Kind
 from cranberryline.configs.schema import READERS
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from tests.configs.config_fakes import Cluster, FakeLog, service_data, weights_data
 from tests.configs.virtual_time import run_virtual
 
--- a/tests/configs/test_config_fold.py
+++ b/tests/configs/test_config_fold.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cranberryline.configs import ConfigFold, Kind, RejectReason, ServiceType
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 
--- a/tests/configs/test_config_publish.py
+++ b/tests/configs/test_config_publish.py
@@ -15,7 +15,7 @@
     PublishRefused,
     Ran,
 )
-from cranberryline.platform.errors import PlatformError, PlatformReason
+from cranberryline.ports.errors import PlatformError, PlatformReason
 from tests.configs.config_fakes import (
     LOST,
     OUTAGE,
--- a/tests/configs/test_config_relay.py
+++ b/tests/configs/test_config_relay.py
@@ -9,7 +9,7 @@
 
 from cranberryline.configs import ConfigFold
 from cranberryline.configs.relay import ConfigRelay
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import ConfigDelta, ConfigRequest
 from tests.configs.config_fakes import weights_data
--- a/tests/configs/test_config_sync.py
+++ b/tests/configs/test_config_sync.py
@@ -9,8 +9,8 @@
 
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.decisions import rendezvous
-from cranberryline.platform.errors import PlatformError
-from cranberryline.platform.model import LogPage
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import LogPage
 from tests.configs.config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
 from tests.configs.virtual_time import LoopClock, run_virtual
 
--- a/tests/configs/test_config_traces.py
+++ b/tests/configs/test_config_traces.py
@@ -11,7 +11,7 @@
 from cranberryline.configs import ConfigFold
 from cranberryline.configs.checkpoint import checkpoint_record, find_start
 from cranberryline.configs.relay import ConfigRelay
-from cranberryline.platform.model import LogRecord, VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.model import LogRecord, VmEntry, VmList, VmRole, VmState
 from cranberryline.upstreams import Membership
 from cranberryline.weights import SwapOrder, SwapState
 
--- a/tests/configs/test_operators.py
+++ b/tests/configs/test_operators.py
@@ -16,7 +16,7 @@
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tokens import Identity, Role, TokenTable
-from cranberryline.platform.errors import PlatformError
+from cranberryline.ports.errors import PlatformError
 from tests.configs.config_fakes import DirectSource, FakeLog, service_data, weights_data
 
 TOKEN = "operator-token-0123456789"
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -14,7 +14,7 @@
 from cranberryline.entry.upstreams import PeerTable
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.model import LogRecord
+from cranberryline.ports.model import LogRecord
 from cranberryline.transport import Exchange
 from cranberryline.transport.model import (
     Cancel,
--- a/tests/entry/test_direct.py
+++ b/tests/entry/test_direct.py
@@ -17,8 +17,8 @@
 from cranberryline.entry.model import CollectingSink
 from cranberryline.helpers.clock import FakeClock, SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.requests import Ran
 from cranberryline.transport import Dialer, DialerEvents
 from cranberryline.transport.model import Hello
--- a/tests/entry/test_member_notices.py
+++ b/tests/entry/test_member_notices.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cranberryline.entry.notices import MAX_LISTED_MEMBERS, MemberNotices
-from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.transport import encode
 from cranberryline.upstreams import Membership
 
--- a/tests/entry/test_mesh.py
+++ b/tests/entry/test_mesh.py
@@ -11,7 +11,7 @@
 
 from cranberryline.entry.mesh import EntryMesh, MeshEvents, PeerReply
 from cranberryline.helpers.clock import SystemClock
-from cranberryline.platform.model import VmEntry, VmRole, VmState
+from cranberryline.ports.model import VmEntry, VmRole, VmState
 from cranberryline.transport.model import Hello, PeerRequest
 
 _SECOND = timedelta(seconds=1)
--- a/tests/platform/test_clients.py
+++ b/tests/ports/test_clients.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cranberryline.platform import (
+from cranberryline.ports import (
     HttpEngine,
     HttpLog,
     HttpPlainService,
@@ -17,7 +17,7 @@
     PlatformReason,
     UpstreamCut,
 )
-from cranberryline.platform.model import UpstreamBody, UpstreamRequest
+from cranberryline.ports.model import UpstreamBody, UpstreamRequest
 from cranberryline.upstreams import Membership
 from stand_ins.engine import EngineControls, EngineStandIn
 from stand_ins.http import StandIn, async_listen
--- a/tests/requests/scripted_log.py
+++ b/tests/requests/scripted_log.py
@@ -8,8 +8,8 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import FakeClock
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import LogPage, LogPort, LogRecord
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPage, LogPort, LogRecord
 
 __all__ = ["BUDGET", "LOST", "REFUSED", "TURNS", "WINDOW", "Append", "ScriptedLog"]
 
--- a/tests/requests/test_claims.py
+++ b/tests/requests/test_claims.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cranberryline.platform.model import LogPage, LogRecord
+from cranberryline.ports.model import LogPage, LogRecord
 from cranberryline.requests import ClaimFold, ClaimOutcome, ClaimState, fingerprint, scoped_key
 from cranberryline.requests.claims import (
     abandon_record,
--- a/tests/samples/sample_fakes.py
+++ b/tests/samples/sample_fakes.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok, Result
 
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import ScorePort
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import ScorePort
 from cranberryline.samples import Completion, DiscardReason, Segment
 from cranberryline.samples.ports import (
     DispatchError,
--- a/tests/side/conftest.py
+++ b/tests/side/conftest.py
@@ -10,8 +10,8 @@
 
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason, UpstreamCut
-from cranberryline.platform.model import (
+from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
+from cranberryline.ports.model import (
     PlainServicePort,
     UpstreamBody,
     UpstreamHead,
--- a/tests/side/test_runner.py
+++ b/tests/side/test_runner.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cranberryline.platform.errors import PlatformError, PlatformReason
+from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.requests.errors import ClaimReason, ClaimRefused
 from cranberryline.requests.model import ClaimOutcome
 from cranberryline.side.stream import INITIAL_WINDOW
--- a/tests/upstreams/test_membership.py
+++ b/tests/upstreams/test_membership.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from cranberryline.platform.model import VmEntry, VmList, VmRole, VmState
+from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 from cranberryline.upstreams import Membership, MembershipReason, MemberState
 
 IDS = ("vm-0", "vm-1", "vm-2")
--- a/tests/upstreams/test_membership_watch.py
+++ b/tests/upstreams/test_membership_watch.py
@@ -7,8 +7,8 @@
 
 from cranberryline.entry.membership import MembershipWatch
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import VmEntry, VmList, VmListPort, VmRole, VmState
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import VmEntry, VmList, VmListPort, VmRole, VmState
 from cranberryline.transport.model import Drain, Welcome
 from tests.configs.virtual_time import LoopClock, run_virtual
 
--- a/tests/weights/test_weights_controller.py
+++ b/tests/weights/test_weights_controller.py
@@ -9,8 +9,8 @@
 
 from cranberryline.configs.model import ServiceSpec
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.platform.errors import PlatformError, PlatformReason
-from cranberryline.platform.model import EngineLoad, EnginePort, UpstreamBody, UpstreamRequest
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import EngineLoad, EnginePort, UpstreamBody, UpstreamRequest
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.side.weights import ShiftSlots, SwapSlots, WeightsController
 from tests.configs.config_fakes import Cluster, FakeLog, service_data, weights_data
