--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -17,7 +17,7 @@
 
 from . import __version__
 from .exit_code import ExitCode
-from .settings import EntrySettings, SettingsError, SideSettings, load_settings
+from .settings import EntrySettings, GatewaySettings, SettingsError, SideSettings, load_settings
 
 __all__ = ["ExitCode", "main"]
 
@@ -26,8 +26,9 @@
 _FIRE_HELP = ("--", "--help")
 _HELP_FLAGS = ("-h", "--help")
 
-_ROLES: dict[str, type[EntrySettings] | type[SideSettings]] = {
+_ROLES: dict[str, type[EntrySettings] | type[GatewaySettings] | type[SideSettings]] = {
     "entry": EntrySettings,
+    "gateway": GatewaySettings,
     "side": SideSettings,
 }
 
@@ -137,6 +138,15 @@
         """
         return _command(_run_role, "entry", settings)
 
+    def gateway(self, settings: str) -> _Command:
+        """Run a gateway process until SIGTERM or SIGINT; its shared state lives in the store.
+
+        Args:
+            settings: YAML file of settings; docs/SETTINGS.md describes its keys.
+
+        """
+        return _command(_run_role, "gateway", settings)
+
     def side(self, settings: str) -> _Command:
         """Run a side process until SIGTERM or SIGINT; a second signal stops it at once.
 
@@ -161,7 +171,8 @@
 
         Args:
             settings: YAML file of settings.
-            role: entry or side; without it, a file that has `service` is a side's.
+            role: entry, gateway or side; without it, a file that has `service` is a side's and one
+                that has `store` a gateway's.
 
         """
         return _command(_check_settings, settings, role)
@@ -220,7 +231,9 @@
     settings = loaded.unwrap()
     run: Callable[[Any], int]
     if role == "entry":
-        from .entry.app import run  # noqa: PLC0415 - keeps the other role out of memory
+        from .entry.app import run  # noqa: PLC0415 - keeps the other roles out of memory
+    elif role == "gateway":
+        from .gateway.app import run  # noqa: PLC0415 - keeps the other roles out of memory
     else:
         from .side.app import run  # noqa: PLC0415 - keeps the other role out of memory
     from .helpers.logging import set_up_logging  # noqa: PLC0415 - only the roles log
@@ -256,6 +269,8 @@
         raw = yaml.safe_load(Path(path).read_text())
     except (OSError, ValueError, yaml.YAMLError):
         return "entry"
+    if isinstance(raw, dict) and "store" in raw:
+        return "gateway"
     return "side" if isinstance(raw, dict) and {"service", "upstream"} & set(raw) else "entry"
 
 
--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -143,7 +143,7 @@
         next_id: Callable[[], int],
         spec: Callable[[str], ServiceSpec | None],
         on_room: Callable[[], None],
-        connect: Callable[[str], PlainServicePort] = HttpPlainService,
+        connect: Callable[[VmEntry], PlainServicePort] | None = None,
     ) -> None:
         self._clock = clock
         self._metrics = metrics
@@ -152,14 +152,14 @@
         self._incarnation = incarnation
         self._next_id = next_id
         self._on_room = on_room
-        self._connect = connect
+        self._connect = connect or (lambda row: HttpPlainService(row.address))
         self._claims: dict[str, ClaimService] = {}
         self._links: list[DirectUpstream] = []
 
     def make(self, row: VmEntry) -> DirectUpstream:
         """Return a new way to an upstream."""
         execution = Execution(
-            self._clock, self._metrics, self._connect(row.address), self._claims_of(row.service)
+            self._clock, self._metrics, self._connect(row), self._claims_of(row.service)
         )
         book = SideBook(self._incarnation)
         limit = self._concurrency(row.service)
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -194,7 +194,10 @@
             attempts=attempts,
             remaining=req.deadline - self._clock.monotonic(),
         )
-        decision = self._retry.decide(asked, lane.budget, self._rng)
+        policy = self._retry
+        if req.max_attempts is not None:
+            policy = attrs.evolve(policy, max_attempts=req.max_attempts)
+        decision = policy.decide(asked, lane.budget, self._rng)
         if isinstance(decision, GiveUp) or _is_final(outcome):
             hint = decision.retry_after if isinstance(decision, GiveUp) else None
             return _refusal_of(outcome, hint)
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -203,10 +203,13 @@
         self, item: WorkItem, waiter: _Waiter, free: list[Upstream], now: timedelta
     ) -> Upstream | None:
         spec = self._spec()
+        eligible = waiter.req.eligible
+        if eligible is not None:
+            free = [upstream for upstream in free if eligible(upstream.peer.vm_id)]
         views = [upstream.view(spec, now) for upstream in free]
         excluded = waiter.avoid & {view.id for view in views}
         # Rather the same upstream again than none: the exclusion is a wish, not a rule.
-        if len(excluded) == len(views):
+        if len(excluded) >= len(views):
             excluded = frozenset()
         wanted = RouteRequest(
             tokens=max(waiter.req.tokens, 1),
--- a/cranberryline/entry/model.py
+++ b/cranberryline/entry/model.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
@@ -23,7 +24,9 @@
 
     `tokens` is the expected work on a model engine, 0 for a plain service; `prefix_tokens` is what
     of it an upstream saves that has served the same `prefix_key`; `avoid` names upstreams
-    that should not serve it, such as those already making the same sample.
+    that should not serve it, such as those already making the same sample. `eligible` tells of an
+    upstream whether it may serve the request at all, and `max_attempts` how many upstreams may be
+    made to run it; None leaves both to the policies.
     """
 
     service: str
@@ -40,6 +43,8 @@
     prefix_key: str = ""
     prefix_tokens: int = 0
     avoid: frozenset[str] = frozenset()
+    eligible: Callable[[str], bool] | None = None
+    max_attempts: int | None = None
 
 
 class AnswerSink(abc.ABC):
--- /dev/null
+++ b/cranberryline/gateway/app.py
@@ -0,0 +1,309 @@
+"""Put the parts of a gateway together, start them and stop them in order."""
+
+import asyncio
+import random
+import sys
+import uuid
+from collections.abc import Coroutine
+from datetime import timedelta
+from typing import Any
+
+from result import Err, Result
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from cranberryline.entry.direct import DirectUpstreams
+from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.entry.upstreams import PeerTable
+from cranberryline.exit_code import ExitCode
+from cranberryline.helpers.clock import Clock, SystemClock
+from cranberryline.helpers.http_server import InputLimits, open_http_server
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics, MetricsHandler
+from cranberryline.helpers.shutdown import Shutdown
+from cranberryline.helpers.tail import KeyedTail, StoreHealth
+from cranberryline.jobs.runner import JobRunner, RunnerParts
+from cranberryline.jobs.service import JobService
+from cranberryline.leases import LeaseKeeper
+from cranberryline.platform.const import (
+    KEY_CONFIG,
+    KEY_VERSION_PREFIX,
+    TOPIC_NODES,
+    TOPIC_OPERATOR,
+    TOPIC_SERVERS,
+)
+from cranberryline.platform.config import read_config, read_version
+from cranberryline.platform.edge import PlatformEdge
+from cranberryline.platform.samplers import SamplerClient, SamplerOrders, read_registration
+from cranberryline.platform.store import HttpStore
+from cranberryline.ports.errors import PlatformError, PlatformReason
+from cranberryline.ports.model import LogPage, LogPort
+from cranberryline.ports.store import KeyedRecord
+from cranberryline.routes import RouteBook, RouteTable
+from cranberryline.settings import GatewaySettings
+from cranberryline.upstreams.directory import Directory, Registration
+from cranberryline.weights.shift import EngineView, VersionShifter
+
+from .ingress import GatewayContext, IngressHandler, ReadyHandler
+from .links import DirectLinks
+from .nodes import NodeBook, NodeSign
+
+__all__ = ["GatewayProcess", "run"]
+
+_LOGGER = get_logger(__name__)
+
+_TICK = timedelta(milliseconds=200)
+_BALANCER_NOTICE = timedelta(milliseconds=2300)
+_STOP_POLL = timedelta(milliseconds=50)
+
+
+class _NoLog(LogPort):
+    """Refuse claims of idempotency keys: this edge carries none."""
+
+    async def async_append(
+        self, stream: str, records: list[tuple[str, dict[str, Any]]]
+    ) -> Result[list[int], PlatformError]:
+        """Refuse."""
+        return Err(PlatformError(PlatformReason.REFUSED, "no log", may_have_run=False))
+
+    async def async_read(
+        self, stream: str, start: int, limit: int = 500, wait: timedelta = timedelta()
+    ) -> Result[LogPage, PlatformError]:
+        """Refuse."""
+        return Err(PlatformError(PlatformReason.REFUSED, "no log", may_have_run=False))
+
+
+class GatewayProcess:
+    """One gateway."""
+
+    def __init__(self, cfg: GatewaySettings, clock: Clock) -> None:
+        self._cfg = cfg
+        self._clock = clock
+        self._tasks: list[asyncio.Future[Any]] = []
+        self._servers: list[HTTPServer] = []
+        self._ids = iter(range(1, sys.maxsize))
+        self.stopping = False
+        self.metrics = Metrics()
+        self.routes = RouteBook()
+        self.health = StoreHealth(clock)
+        self.store = HttpStore(cfg.store)
+        self.directory = Directory(clock, self.health)
+        self.table = PeerTable()
+        self.directs = DirectUpstreams(
+            clock,
+            self.metrics,
+            _NoLog(),
+            uuid.uuid4().hex,
+            lambda: next(self._ids),
+            lambda service: self.routes.spec(service),
+            self._wake,
+            SamplerClient,
+        )
+        self.links = DirectLinks(self.table, self.directs)
+        self.dispatcher = Dispatcher(
+            clock, random.Random(), self.table, self.routes, self.metrics, cfg.data_center
+        )
+        self.jobs = JobService(
+            self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
+        )
+        sign = NodeSign(cfg.vm_id, cfg.data_center)
+        self.nodes = NodeBook(self.store, TOPIC_NODES, sign, clock, self.health, self._on_nodes)
+        self.runner = JobRunner(
+            RunnerParts(
+                self.jobs,
+                self.routes,
+                self.dispatcher,
+                PlatformEdge(),
+                self.directory,
+                clock,
+                self.metrics,
+                cfg.vm_id,
+                self.nodes.live,
+            )
+        )
+        self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
+        self.shifter = VersionShifter(
+            SamplerOrders(self._address_of),
+            self.lease,
+            self._engines,
+            self._models,
+            self.directory.learn,
+            clock,
+            self.metrics,
+        )
+        self._config = self._tail(TOPIC_OPERATOR, self._on_operator)
+        self._servers_tail = self._tail(TOPIC_SERVERS, self._on_server)
+        self._nodes_tail = self._tail(TOPIC_NODES, self.nodes.take)
+        self.routes.listen(self._on_routes)
+        self.directory.listen(self._on_registration)
+        self.directory.membership.listen(self._on_members)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        loaded = self._config.loaded.is_set() and self._servers_tail.loaded.is_set()
+        return not self.stopping and loaded and self.routes.table is not None and self.jobs.loaded
+
+    def start(self) -> None:
+        """Open the ports and start the tasks."""
+        context = GatewayContext(
+            self._clock,
+            self.metrics,
+            PlatformEdge(),
+            self.routes,
+            self.dispatcher,
+            self.jobs,
+            random.Random(),
+        )
+        self._context = context
+        limits = InputLimits(
+            self._cfg.max_body_bytes, self._cfg.max_header_bytes, self._cfg.slow_sender_timeout
+        )
+        app = Application([(r".*", IngressHandler, {"context": context})], log_function=_no_log)
+        self._servers.append(open_http_server(app, self._cfg.listen, limits, self.metrics))
+        status = Application(
+            [
+                (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
+                (r".*", ReadyHandler, {"ready": lambda: self.ready}),
+            ],
+            log_function=_no_log,
+        )
+        self._status = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
+        for tail in (self._config, self._servers_tail, self._nodes_tail, self.lease.tail):
+            self._spawn(tail.async_run())
+        for part in self.jobs.tails:
+            self._spawn(part.async_run())
+        self._spawn(self.nodes.async_run())
+        self._spawn(self.runner.async_run())
+        self._spawn(self.lease.async_run())
+        self._spawn(self.shifter.async_run())
+        self._spawn(self._async_tick())
+        _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
+
+    async def async_stop(self) -> None:
+        """Fail the ready check, hand work over, wait for the balancer, finish what is in flight."""
+        self.stopping = True
+        self.runner.stopping = True
+        self.lease.stopping = True
+        self.nodes.stopping = True
+        await self.nodes.async_sign()
+        await self._clock.async_sleep(_BALANCER_NOTICE)
+        for server in self._servers:
+            server.stop()
+        while self._context.in_flight or self.runner.busy:
+            await self._clock.async_sleep(_STOP_POLL)
+        for server in self._servers:
+            await server.close_all_connections()
+
+    async def async_close(self) -> None:
+        """End the tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.runner.async_close()
+        await self.shifter.async_close()
+
+    def _tail(self, topic: str, on_key: Any) -> KeyedTail:
+        return KeyedTail(self.store, topic, self._clock, self.health, on_key, self.metrics)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.ensure_future(work)
+        task.add_done_callback(_tell_failure)
+        self._tasks.append(task)
+
+    async def _async_tick(self) -> None:
+        while True:
+            await self._clock.async_sleep(_TICK)
+            self.directory.expire()
+
+    def _on_operator(self, record: KeyedRecord) -> None:
+        if record.key == KEY_CONFIG and record.value:
+            table = read_config(record.value)
+            if isinstance(table, Err):
+                self.metrics.drop("config_unreadable")
+                _LOGGER.error("config_unreadable", detail=table.unwrap_err())
+                return
+            self.routes.apply(table.unwrap())
+        elif record.key.startswith(KEY_VERSION_PREFIX) and record.value:
+            named = read_version(record.value)
+            if isinstance(named, Err):
+                self.metrics.drop("version_unreadable")
+                return
+            self.shifter.want(*named.unwrap())
+
+    def _on_server(self, record: KeyedRecord) -> None:
+        if not record.value:
+            self.directory.remove(record.key)
+            return
+        row = read_registration(record.key, record.value)
+        if isinstance(row, Err):
+            self.metrics.drop("registration_unreadable")
+            return
+        self.directory.put(row.unwrap())
+
+    def _on_routes(self, table: RouteTable) -> None:
+        _LOGGER.info("config_applied", version=table.version, routes=len(table.routes))
+        self.directs.on_revision()
+        self._wake()
+
+    def _on_registration(self, row: Registration) -> None:
+        self.routes.set_slots(row.service, row.slots)
+
+    def _on_members(self) -> None:
+        self.links.apply(self.directory.membership)
+        self._wake()
+
+    def _on_nodes(self) -> None:
+        self.runner.wake()
+
+    def _wake(self) -> None:
+        self.dispatcher.wake()
+        self.runner.wake()
+
+    def _address_of(self, upstream: str) -> str | None:
+        row = self.directory.get(upstream)
+        return None if row is None else row.address
+
+    def _models(self, service: str) -> tuple[str, ...]:
+        table = self.routes.table
+        engine = None if table is None else table.services.get(service)
+        return () if engine is None else engine.models
+
+    def _engines(self) -> dict[str, list[EngineView]]:
+        return {
+            service: [EngineView(row.id, self._versions(row)) for row in rows]
+            for service, rows in self.directory.engines().items()
+        }
+
+    def _versions(self, row: Registration) -> dict[str, int]:
+        known = {model: self.directory.version(row.id, model) for model in row.versions}
+        return {model: version for model, version in known.items() if version is not None}
+
+
+def _no_log(_handler: object) -> None:
+    """Leave the log lines of requests to the handlers."""
+
+
+def _tell_failure(task: "asyncio.Future[Any]") -> None:
+    """Say that a task ended that should not have."""
+    if not task.cancelled() and task.exception() is not None:
+        _LOGGER.error("task_failed", error=repr(task.exception()))
+
+
+async def _async_run(cfg: GatewaySettings) -> int:
+    gateway = GatewayProcess(cfg, SystemClock())
+    shutdown = Shutdown(gateway.async_stop, cfg.stop_timeout, gateway.metrics)
+    shutdown.install()
+    try:
+        gateway.start()
+    except OSError as exc:
+        _LOGGER.error("cannot_listen", error=str(exc))
+        return ExitCode.UNAVAILABLE
+    outcome = await shutdown.async_wait()
+    await gateway.async_close()
+    return outcome.exit_code
+
+
+def run(cfg: GatewaySettings) -> int:
+    """Run a gateway until it is told to stop; return the exit code."""
+    return asyncio.run(_async_run(cfg))
--- /dev/null
+++ b/cranberryline/gateway/ingress.py
@@ -0,0 +1,360 @@
+"""HTTP handlers of the gateway: requests by route, batch jobs, readiness."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+from result import Err, Ok
+from tornado.httputil import HTTPHeaders
+from tornado.web import RequestHandler
+
+from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.entry.errors import Ran, Refusal, RefusalReason
+from cranberryline.entry.model import CallerClass, CallerRequest, CollectingSink
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.problem import problem_body
+from cranberryline.jobs.errors import JobProblem
+from cranberryline.jobs.service import JobService
+from cranberryline.ports.edge import EdgeFormat, ItemBodyRead, JobEnd, JobRead, PlainCall
+from cranberryline.routes import Route, RouteBook, RouteKind
+
+__all__ = ["GatewayContext", "IngressHandler", "ReadyHandler"]
+
+_LOGGER = get_logger(__name__)
+
+_RETRY_AFTER = timedelta(milliseconds=300)
+_DEFAULT_TIME = timedelta(seconds=30)
+_MAX_WAIT = timedelta(seconds=1)
+_SERVER_ERROR = 500
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+        "date",
+        "server",
+    }
+)
+_JOB_STATUS = {
+    JobProblem.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
+    JobProblem.UNKNOWN_ITEM: HTTPStatus.NOT_FOUND,
+    JobProblem.NOT_SURE: HTTPStatus.SERVICE_UNAVAILABLE,
+    JobProblem.NOT_KEPT: HTTPStatus.SERVICE_UNAVAILABLE,
+    JobProblem.MAY_BE_KEPT: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+@attrs.define
+class GatewayContext:
+    """What the handlers share."""
+
+    clock: Clock
+    metrics: Metrics
+    edge: EdgeFormat
+    routes: RouteBook
+    dispatcher: Dispatcher
+    jobs: JobService
+    rng: random.Random
+    in_flight: int = 0
+
+
+class ReadyHandler(RequestHandler):
+    """Answer whether new connections should come here."""
+
+    def initialize(self, ready: Callable[[], bool]) -> None:
+        """Take the question."""
+        self._ready = ready
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        good = self._ready()
+        self.set_status(HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE)
+        self.finish({"ready": good})
+
+
+class _Sink(CollectingSink):
+    """Collect an answer and note who made it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.upstream = ""
+
+    def dispatched(self, upstream: str) -> None:
+        """Note the upstream of the attempt that begins."""
+        self.upstream = upstream
+
+
+class IngressHandler(RequestHandler):
+    """Serve every call of a caller."""
+
+    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
+
+    def initialize(self, context: GatewayContext) -> None:
+        """Take the shared context."""
+        self.context = context
+
+    def prepare(self) -> None:
+        """Start the request's time."""
+        self._began = self.context.clock.monotonic()
+        self._work: asyncio.Task[Any] | None = None
+        self.request_id = ""
+
+    def clear(self) -> None:
+        """Start an answer without headers: all of them are the upstream's or a refusal's."""
+        self._headers = HTTPHeaders()
+        self._write_buffer = []
+        self._status_code = HTTPStatus.OK
+        self._reason = HTTPStatus.OK.phrase
+
+    def compute_etag(self) -> None:
+        """Leave entity tags to the upstream."""
+        return
+
+    def on_connection_close(self) -> None:
+        """Stop working for a caller that has gone."""
+        if self._work is not None:
+            self._work.cancel()
+
+    async def async_handle(self) -> None:
+        """Serve the call, or stop when its caller leaves."""
+        self._work = asyncio.current_task()
+        self.context.in_flight += 1
+        try:
+            await self._async_serve()
+        except asyncio.CancelledError:
+            self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
+            _LOGGER.info("caller_left", request_id=self.request_id, ms=self._ms())
+        finally:
+            self.context.in_flight -= 1
+            self._work = None
+
+    get = head = post = delete = patch = put = options = async_handle
+
+    async def _async_serve(self) -> None:
+        req, ctx = self.request, self.context
+        query = {name: values[-1].decode() for name, values in req.query_arguments.items()}
+        read = ctx.edge.read_call(req.method or "", req.path, query, req.headers)
+        if isinstance(read, Err):
+            self._refuse(HTTPStatus.BAD_REQUEST, "bad_request", detail=read.unwrap_err())
+            return
+        match read.unwrap():
+            case JobRead() as call:
+                await self._async_read_job(call)
+            case ItemBodyRead() as call:
+                await self._async_read_body(call)
+            case JobEnd() as call:
+                await self._async_end_job(call)
+            case PlainCall() as call:
+                await self._async_route(call)
+
+    async def _async_route(self, call: PlainCall) -> None:
+        """Find the route; without any configuration nothing can be said to be missing."""
+        self.request_id = call.request_id
+        table = self.context.routes.table
+        if table is None:
+            self._refuse_later(RefusalReason.NOT_READY.value)
+            return
+        host = self.request.headers.get("Host", "").partition(":")[0]
+        route = table.match(host, self.request.path)
+        if route is None:
+            self._refuse(HTTPStatus.NOT_FOUND, "no_route", detail=f"version {table.version}")
+            return
+        self.context.metrics.requests.labels(route.kind.value).inc()
+        if route.kind is RouteKind.JOB:
+            await self._async_submit(call, host)
+            return
+        await self._async_pass_on(call, route)
+
+    async def _async_pass_on(self, call: PlainCall, route: Route) -> None:
+        """Send the request until an upstream answers it whole, and pass that answer on."""
+        ctx = self.context
+        patience = min(call.time_left or _DEFAULT_TIME, route.timeout)
+        deadline = self._began + patience
+        avoid: frozenset[str] = frozenset()
+        attempts = max(1, route.max_attempts)
+        while True:
+            sink = _Sink()
+            req = self._upstream_request(route, deadline, avoid, attempts)
+            outcome = await ctx.dispatcher.async_run(req, sink)
+            attempts -= 1
+            failed = isinstance(outcome, Ok) and sink.status >= _SERVER_ERROR
+            if not failed or not route.repeatable or attempts <= 0:
+                break
+            avoid |= {sink.upstream}
+            ctx.metrics.retry("upstream_error")
+        if isinstance(outcome, Err):
+            self._write_refusal(outcome.unwrap_err(), route)
+            return
+        self._write_answer(sink, route)
+
+    def _upstream_request(
+        self, route: Route, deadline: timedelta, avoid: frozenset[str], attempts: int
+    ) -> CallerRequest:
+        req = self.request
+        headers = [
+            (name, value)
+            for name, value in req.headers.get_all()
+            if name.lower() not in _HOP_HEADERS
+        ]
+        return CallerRequest(
+            service=route.choose_service(self.context.rng),
+            method=req.method or "GET",
+            path=req.uri or "/",
+            headers=tuple(headers),
+            body=req.body,
+            deadline=deadline,
+            caller=route.host,
+            caller_class=CallerClass.APPLICATION,
+            idempotent=route.repeatable,
+            avoid=avoid,
+            max_attempts=attempts,
+        )
+
+    def _write_answer(self, sink: _Sink, route: Route) -> None:
+        self.set_status(sink.status)
+        for name, value in sink.headers:
+            if name.lower() not in _HOP_HEADERS:
+                self.add_header(name, value)
+        self.set_header("Content-Length", str(len(sink.body)))
+        self.finish(sink.body)
+        self.context.metrics.answers.labels(route.kind.value).inc()
+        took = self.context.clock.monotonic() - self._began
+        self.context.metrics.latency.labels(route.kind.value).observe(took.total_seconds())
+        _LOGGER.info(
+            "request_answered",
+            request_id=self.request_id,
+            route=route.name,
+            config=self._config_version(),
+            upstream=sink.upstream,
+            status=sink.status,
+            ms=self._ms(),
+        )
+
+    def _write_refusal(self, refusal: Refusal, route: Route) -> None:
+        """Give the final answer at once; only what was surely not run is told as a refusal."""
+        ctx = self.context
+        counted = ctx.metrics.refuse if refusal.ran is Ran.NO else ctx.metrics.fail
+        counted(refusal.reason.value)
+        status = refusal.status
+        if refusal.ran is not Ran.NO and status in (429, 503):
+            status = HTTPStatus.BAD_GATEWAY
+        self._refuse(
+            status,
+            refusal.reason.value,
+            ran=refusal.ran.value,
+            detail=f"{route.name} {refusal.detail}",
+            retry_after=_RETRY_AFTER if refusal.ran is Ran.NO else None,
+        )
+
+    async def _async_submit(self, call: PlainCall, host: str) -> None:
+        ctx = self.context
+        if self.request.method != "POST":
+            self._refuse(HTTPStatus.BAD_REQUEST, "bad_request", detail="a job is submitted by POST")
+            return
+        now = ctx.clock.now().timestamp()
+        job = ctx.edge.read_job(call.request_id, host, self.request.path, self.request.body, now)
+        if isinstance(job, Err):
+            self._refuse(HTTPStatus.BAD_REQUEST, "bad_job", detail=job.unwrap_err())
+            return
+        # Once the store has it the job is kept, whether or not its caller still waits.
+        taken = await asyncio.shield(ctx.jobs.async_submit(job.unwrap()))
+        if isinstance(taken, Err):
+            self._refuse_job(taken.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.ACCEPTED, b"{}")
+
+    async def _async_read_job(self, call: JobRead) -> None:
+        self.request_id = call.job
+        page = await self.context.jobs.async_read(call.job, call.after, min(call.wait, _MAX_WAIT))
+        if isinstance(page, Err):
+            self._refuse_job(page.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.OK, self.context.edge.write_page(page.unwrap()))
+
+    async def _async_read_body(self, call: ItemBodyRead) -> None:
+        self.request_id = call.job
+        found = await self.context.jobs.async_find(call.job)
+        if isinstance(found, Err):
+            self._refuse_job(found.unwrap_err().problem)
+            return
+        item = found.unwrap().item(call.item)
+        if item is None:
+            self._refuse_job(JobProblem.UNKNOWN_ITEM)
+            return
+        self.set_header("Content-Type", "application/octet-stream")
+        self._finish_body(item[1].body)
+
+    async def _async_end_job(self, call: JobEnd) -> None:
+        self.request_id = call.job
+        ended = await asyncio.shield(self.context.jobs.async_end(call.job))
+        if isinstance(ended, Err):
+            self._refuse_job(ended.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.OK, b"{}")
+
+    def _refuse_job(self, problem: JobProblem) -> None:
+        status = _JOB_STATUS[problem]
+        later = status is HTTPStatus.SERVICE_UNAVAILABLE
+        self.context.metrics.refuse(problem.value)
+        self._refuse(status, problem.value, retry_after=_RETRY_AFTER if later else None)
+
+    def _refuse_later(self, reason: str) -> None:
+        self.context.metrics.refuse(reason)
+        self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, reason, retry_after=_RETRY_AFTER)
+
+    def _refuse(
+        self,
+        status: int,
+        reason: str,
+        ran: str = "no",
+        detail: str = "",
+        retry_after: timedelta | None = None,
+    ) -> None:
+        """Write a final answer without a result, and say in the log why."""
+        _LOGGER.info(
+            "request_refused",
+            request_id=self.request_id,
+            path=self.request.path,
+            status=int(status),
+            reason=reason,
+            ran=ran,
+            detail=detail,
+            config=self._config_version(),
+            ms=self._ms(),
+        )
+        self.clear()
+        self.set_status(status)
+        if retry_after is not None:
+            self.set_header("Retry-After", f"{retry_after.total_seconds():g}")
+        body = problem_body(int(status), reason, reason.replace("_", " "), ran, self.request_id)
+        self.set_header("Content-Type", "application/problem+json")
+        self._finish_body(body)
+
+    def _write_json(self, status: HTTPStatus, body: bytes) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self._finish_body(body)
+
+    def _finish_body(self, body: bytes) -> None:
+        self.set_header("Content-Length", str(len(body)))
+        self.finish(body)
+
+    def _config_version(self) -> int:
+        table = self.context.routes.table
+        return 0 if table is None else table.version
+
+    def _ms(self) -> int:
+        return int((self.context.clock.monotonic() - self._began) / timedelta(milliseconds=1))
--- /dev/null
+++ b/cranberryline/gateway/links.py
@@ -0,0 +1,27 @@
+"""The gateway's ways to upstreams, each reached without a side process."""
+
+from cranberryline.entry.direct import DirectUpstream, DirectUpstreams
+from cranberryline.entry.upstreams import PeerTable
+from cranberryline.upstreams import Membership
+
+__all__ = ["DirectLinks"]
+
+
+class DirectLinks:
+    """Keep a direct way to each upstream that takes new work."""
+
+    def __init__(self, table: PeerTable, directs: DirectUpstreams) -> None:
+        self._table = table
+        self._directs = directs
+        self._links: dict[str, DirectUpstream] = {}
+
+    def apply(self, members: Membership) -> None:
+        """Reach what has come; give no new work to what leaves, and let its runs end."""
+        rows = {vm.id: vm for vm in members.upstreams()}
+        for vm_id in self._links.keys() - rows.keys():
+            self._table.remove(vm_id)
+            self._directs.retire(self._links.pop(vm_id))
+        for vm_id in sorted(rows.keys() - self._links.keys()):
+            row = rows[vm_id]
+            link = self._links[vm_id] = self._directs.make(row)
+            self._table.add(row.service, link, row.data_center)
--- /dev/null
+++ b/cranberryline/gateway/nodes.py
@@ -0,0 +1,100 @@
+"""The nodes that live: each writes a sign to the store, all read them."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+import msgspec
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.ports.store import KeyedRecord, SharedLog
+
+__all__ = ["NodeBook", "NodeSign"]
+
+_LOGGER = get_logger(__name__)
+
+_SIGN_INTERVAL = timedelta(milliseconds=800)
+_SIGN_TIMEOUT = timedelta(milliseconds=900)
+# Three signs: a node whose sign was lost once or came late is not taken for dead.
+_DEAD_AFTER = timedelta(milliseconds=2600)
+# While this node hears nothing from the store, silence says nothing of the others.
+_TROUBLE_MEMORY = timedelta(seconds=3)
+
+
+class NodeSign(msgspec.Struct, array_like=True, frozen=True):
+    """A node's sign of life."""
+
+    node: str
+    data_center: str
+    peer: str = ""
+    stopping: bool = False
+
+
+class NodeBook:
+    """Write this node's sign, and know which nodes live."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        topic: str,
+        sign: NodeSign,
+        clock: Clock,
+        health: StoreHealth,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.stopping = False
+        self._log = log
+        self._topic = topic
+        self._sign = sign
+        self._clock = clock
+        self._health = health
+        self._on_change = on_change
+        self._seen: dict[str, tuple[NodeSign, timedelta]] = {}
+        self._live: frozenset[str] = frozenset()
+
+    def live(self) -> frozenset[str]:
+        """Return the nodes that take work; frozen while the store is in trouble."""
+        if self._health.failed_within(_TROUBLE_MEMORY) and self._live:
+            return self._live
+        now = self._clock.monotonic()
+        live = frozenset(
+            node
+            for node, (sign, seen) in self._seen.items()
+            if not sign.stopping and now - seen < _DEAD_AFTER
+        )
+        if live != self._live:
+            _LOGGER.info("nodes_live", came=sorted(live - self._live), went=sorted(self._live - live))
+            self._live = live
+        return live
+
+    def signs(self) -> list[NodeSign]:
+        """Return the last sign of each node that may still live."""
+        return [sign for sign, _ in self._seen.values()]
+
+    def take(self, record: KeyedRecord) -> None:
+        """Take a sign from the store; one that cannot be read is passed over."""
+        if not record.value:
+            self._seen.pop(record.key, None)
+            return
+        try:
+            sign = msgspec.msgpack.decode(record.value, type=NodeSign)
+        except msgspec.DecodeError:
+            return
+        known = self._seen.get(record.key)
+        self._seen[record.key] = (sign, self._clock.monotonic())
+        if known is None or known[0].stopping != sign.stopping:
+            self._on_change()
+
+    async def async_run(self) -> None:
+        """Write signs until cancelled."""
+        while True:
+            await self.async_sign()
+            await self._clock.async_sleep(_SIGN_INTERVAL * (0.9 + 0.2 * random.random()))
+
+    async def async_sign(self) -> None:
+        """Write one sign; one that is lost is followed by the next."""
+        sign = msgspec.structs.replace(self._sign, stopping=self.stopping)
+        record = self._log.pack_keyed(sign.node, msgspec.msgpack.encode(sign))
+        await self._log.async_append(self._topic, 0, [record], _SIGN_TIMEOUT)
--- /dev/null
+++ b/cranberryline/helpers/tail.py
@@ -0,0 +1,241 @@
+"""Follow topics of the store: the newest record of each key, or every record of a partition."""
+
+import abc
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+
+from result import Err, Result
+
+from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
+
+from .clock import Clock
+from .logging import get_logger
+from .metrics import Metrics
+
+__all__ = ["KeyedTail", "PartitionTail", "StoreHealth"]
+
+_LOGGER = get_logger(__name__)
+
+# A connection that went silent for good looks like a poll with nothing to tell. Polls are short, so
+# that a change is seen within `_POLL_WAIT` + `_POLL_SLACK` of such a loss; two polls a second and
+# topic cost a hundredth of what the store takes from one node.
+_POLL_WAIT = timedelta(seconds=1)
+_POLL_SLACK = timedelta(milliseconds=1500)
+_SNAPSHOT_TIMEOUT = timedelta(seconds=3)
+_FIRST_BACKOFF = timedelta(milliseconds=100)
+_MAX_BACKOFF = timedelta(milliseconds=400)
+
+
+class StoreHealth:
+    """When the store last answered this process and when it last failed to, per process."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lost = False
+        self.last_failure: timedelta | None = None
+        self.last_success: timedelta | None = None
+
+    def succeeded(self) -> None:
+        """Note an answer."""
+        self.last_success = self._clock.monotonic()
+        if self._lost:
+            self._lost = False
+            _LOGGER.info("store_regained")
+
+    def failed(self, error: StoreError, what: str) -> None:
+        """Note a call without one."""
+        self.last_failure = self._clock.monotonic()
+        if not self._lost:
+            self._lost = True
+            _LOGGER.warning("store_lost", call=what, problem=error.problem, detail=error.detail)
+
+    def failed_within(self, span: timedelta) -> bool:
+        """Tell whether a call failed within the last `span`."""
+        if self.last_failure is None:
+            return False
+        return self._clock.monotonic() - self.last_failure < span
+
+
+class _Tail(abc.ABC):
+    """What both kinds of tail share: the loop, its pauses, and how current they are."""
+
+    def __init__(
+        self, log: SharedLog, topic: str, part: int, clock: Clock, health: StoreHealth
+    ) -> None:
+        self.topic = topic
+        self.part = part
+        self.loaded = asyncio.Event()
+        self.current_at: timedelta | None = None
+        self.offset = 0
+        self._log = log
+        self._clock = clock
+        self._health = health
+        self._backoff = _FIRST_BACKOFF
+
+    async def async_run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            error = await self._async_step()
+            if error is None:
+                self._health.succeeded()
+                self._backoff = _FIRST_BACKOFF
+                continue
+            self._health.failed(error, f"{self.topic}/{self.part}")
+            await self._clock.async_sleep(self._backoff * (0.5 + random.random()))
+            self._backoff = min(self._backoff * 2, _MAX_BACKOFF)
+
+    async def async_sync(self, timeout: timedelta) -> bool:
+        """Read to the partition's end now; False when the store could not be asked."""
+        asked = self._clock.monotonic()
+        give_up = asked + timeout
+        while True:
+            left = give_up - self._clock.monotonic()
+            if left <= timedelta() or not self.loaded.is_set():
+                return False
+            read = await self._log.async_read(
+                self.topic, self.part, self.offset, timedelta(), left
+            )
+            if isinstance(read, Err):
+                return False
+            if self._take(read.unwrap(), asked):
+                return True
+
+    @abc.abstractmethod
+    async def _async_step(self) -> StoreError | None:
+        """Make one call and take what it brings; return why it brought nothing."""
+
+    @abc.abstractmethod
+    def _fold(self, offset: int, record: bytes) -> None:
+        """Take one record."""
+
+    async def _async_poll(self) -> Result[LogRead, StoreError]:
+        return await self._log.async_read(
+            self.topic, self.part, self.offset, _POLL_WAIT, _POLL_WAIT + _POLL_SLACK
+        )
+
+    def _take(self, read: LogRead, asked: timedelta) -> bool:
+        """Take records from where this tail stands; return whether it is at the end now.
+
+        Two reads may be under way at once; the one that is answered last brings again what the
+        other brought, and folding it twice would move the tail behind itself.
+        """
+        for number, record in enumerate(read.records):
+            offset = read.start + number
+            if offset == self.offset:
+                self._fold(offset, record)
+                self.offset = offset + 1
+        if self.offset < read.end:
+            return False
+        if self.current_at is None or asked > self.current_at:
+            self.current_at = asked
+        return True
+
+
+class KeyedTail(_Tail):
+    """Follow a topic that keeps the newest record of each key.
+
+    `on_key` gets each record that is new to this tail, with an empty value for a dropped key.
+    """
+
+    def __init__(
+        self,
+        log: SharedLog,
+        topic: str,
+        clock: Clock,
+        health: StoreHealth,
+        on_key: Callable[[KeyedRecord], None],
+        metrics: Metrics,
+    ) -> None:
+        super().__init__(log, topic, 0, clock, health)
+        self._on_key = on_key
+        self._metrics = metrics
+        self._offsets: dict[str, int] = {}
+
+    async def _async_step(self) -> StoreError | None:
+        if not self.loaded.is_set():
+            return await self._async_load()
+        asked = self._clock.monotonic()
+        read = await self._async_poll()
+        if isinstance(read, Err):
+            error = read.unwrap_err()
+            if error.problem is StoreProblem.GONE:
+                # Records that were deleted before they were read: the newest of each key tells all.
+                return await self._async_load()
+            return error
+        self._take(read.unwrap(), asked)
+        return None
+
+    async def _async_load(self) -> StoreError | None:
+        asked = self._clock.monotonic()
+        loaded = await self._log.async_newest(self.topic, _SNAPSHOT_TIMEOUT)
+        if isinstance(loaded, Err):
+            return loaded.unwrap_err()
+        snapshot = loaded.unwrap()
+        found = {record.key for record in snapshot.records}
+        for key in [key for key in self._offsets if key not in found]:
+            self._hand_over(KeyedRecord(key, b"", snapshot.end))
+        for record in snapshot.records:
+            self._hand_over(record)
+        self.offset = max(self.offset, snapshot.end)
+        self.current_at = asked
+        self.loaded.set()
+        return None
+
+    def _fold(self, offset: int, record: bytes) -> None:
+        keyed = self._log.unpack_keyed(record)
+        if keyed is None:
+            self._metrics.drop("store_record_unreadable")
+            return
+        self._hand_over(KeyedRecord(keyed.key, keyed.value, offset))
+
+    def _hand_over(self, record: KeyedRecord) -> None:
+        if self._offsets.get(record.key, -1) >= record.offset and record.value:
+            return
+        if record.value:
+            self._offsets[record.key] = record.offset
+        else:
+            self._offsets.pop(record.key, None)
+        self._on_key(record)
+
+
+class PartitionTail(_Tail):
+    """Follow every record of a partition, from the oldest that is kept."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        topic: str,
+        part: int,
+        clock: Clock,
+        health: StoreHealth,
+        on_record: Callable[[int, bytes], None],
+        on_batch: Callable[[], None] = lambda: None,
+    ) -> None:
+        super().__init__(log, topic, part, clock, health)
+        self._on_record = on_record
+        self._on_batch = on_batch
+
+    async def _async_step(self) -> StoreError | None:
+        asked = self._clock.monotonic()
+        if self.loaded.is_set():
+            read = await self._async_poll()
+        else:
+            read = await self._log.async_read(
+                self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
+            )
+        if isinstance(read, Err):
+            error = read.unwrap_err()
+            if error.problem is not StoreProblem.GONE:
+                return error
+            self.offset = max(self.offset, error.position)
+            return None
+        if self._take(read.unwrap(), asked):
+            self.loaded.set()
+        if read.unwrap().records:
+            self._on_batch()
+        return None
+
+    def _fold(self, offset: int, record: bytes) -> None:
+        self._on_record(offset, record)
--- /dev/null
+++ b/cranberryline/jobs/__init__.py
@@ -0,0 +1,21 @@
+"""Batch jobs: accepted once, kept whole, run by any node, listed alike by all."""
+
+from .book import JobBook, JobState
+from .codec import decode_record, encode_job, encode_records
+from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, ResultRecord, Scorer
+
+__all__ = [
+    "Item",
+    "ItemResult",
+    "ItemState",
+    "Job",
+    "JobBook",
+    "JobEnded",
+    "JobPart",
+    "JobState",
+    "ResultRecord",
+    "Scorer",
+    "decode_record",
+    "encode_job",
+    "encode_records",
+]
--- /dev/null
+++ b/cranberryline/jobs/book.py
@@ -0,0 +1,109 @@
+"""The fold of a partition's records: every node that reads them lists the same."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import attrs
+
+from cranberryline.helpers.clock import Clock
+
+from .codec import decode_job
+from .model import Item, ItemResult, Job, JobEnded, JobPart, JobRecord, ResultRecord
+
+__all__ = ["JobBook", "JobState"]
+
+
+@attrs.define(eq=False)
+class JobState:
+    """A job, and what is listed of it: the order of `results` is the order of the records."""
+
+    job: Job
+    seen_at: timedelta
+    results: list[tuple[int, ItemResult]] = attrs.field(factory=list)
+    done: set[int] = attrs.field(factory=set)
+    ended: bool = False
+    moved_at: dict[str, timedelta] = attrs.field(factory=dict)
+
+    @property
+    def open(self) -> bool:
+        """Tell whether an item has still to be run."""
+        return not self.ended and len(self.done) < len(self.job.items)
+
+    def item(self, item_id: str) -> tuple[int, Item] | None:
+        """Return an item and its number by its id."""
+        for index, item in enumerate(self.job.items):
+            if item.id == item_id:
+                return index, item
+        return None
+
+
+@attrs.define(eq=False)
+class _Parts:
+    total: int
+    pieces: dict[int, bytes] = attrs.field(factory=dict)
+
+
+class JobBook:
+    """Fold job records in the order of their partition.
+
+    A job that is submitted at several nodes at once is appended by each of them: the copy that is
+    complete first stands, and all nodes agree on which that is without a lock. The same holds for
+    an item that two nodes ran: its first result stands at its position for good.
+    """
+
+    def __init__(self, clock: Clock, keep: timedelta) -> None:
+        self.jobs: dict[str, JobState] = {}
+        self._clock = clock
+        self._keep = keep
+        self._parts: dict[tuple[str, str], _Parts] = {}
+        self._listeners: list[Callable[[JobState], None]] = []
+
+    def listen(self, listener: Callable[[JobState], None]) -> None:
+        """Call back after each change of a job."""
+        self._listeners.append(listener)
+
+    def apply(self, record: JobRecord) -> None:
+        """Take the next record."""
+        state = self.jobs.get(record.job)
+        if isinstance(record, JobPart):
+            if state is None:
+                self._take_part(record)
+            return
+        if state is None:
+            return
+        if isinstance(record, JobEnded):
+            state.ended = True
+        else:
+            self._take_result(state, record)
+        self._notify(state)
+
+    def forget_old(self) -> None:
+        """Drop jobs that nobody may ask for any more."""
+        limit = self._clock.monotonic() - self._keep
+        for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
+            del self.jobs[job_id]
+
+    def _take_part(self, part: JobPart) -> None:
+        key = (part.job, part.writer)
+        parts = self._parts.setdefault(key, _Parts(part.total))
+        parts.pieces[part.index] = part.data
+        if len(parts.pieces) < parts.total:
+            return
+        job = decode_job(parts.pieces[number] for number in sorted(parts.pieces))
+        for other in [other for other in self._parts if other[0] == part.job]:
+            del self._parts[other]
+        if job is None or job.id != part.job:
+            return
+        state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
+        self._notify(state)
+
+    def _take_result(self, state: JobState, record: ResultRecord) -> None:
+        if record.index in state.done or not 0 <= record.index < len(state.job.items):
+            return
+        state.done.add(record.index)
+        state.results.append((record.index, record.result))
+        state.moved_at[state.job.items[record.index].group] = self._clock.monotonic()
+
+    def _notify(self, state: JobState) -> None:
+        for listener in self._listeners:
+            listener(state)
--- /dev/null
+++ b/cranberryline/jobs/item.py
@@ -0,0 +1,297 @@
+"""Run one item of a job: its text over as many runs as it takes, then its score."""
+
+import abc
+import asyncio
+from datetime import timedelta
+from random import Random
+
+import attrs
+from result import Err, Ok, Result
+
+from cranberryline.entry.attempt import CallerLeft
+from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.entry.errors import Refusal, RefusalReason
+from cranberryline.entry.model import AnswerSink, CallerClass, CallerRequest, CollectingSink
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.ports.edge import EdgeFormat
+from cranberryline.routes import Route, RouteBook
+
+from .book import JobState
+from .events import EventReader, ItemText
+from .model import ItemResult, ItemState
+
+__all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
+
+_LOGGER = get_logger(__name__)
+
+STATUS_OK = 200
+STATUS_MULTIPLE = 300
+STATUS_IMPOSSIBLE = 422
+STATUS_FAILED = 500
+
+# An upstream that fell silent is left after this long without a byte, and the text gone on with
+# elsewhere: some six times the pause that a trainer's sheet allows between events, so a slow
+# engine keeps its work.
+_STALLED = timedelta(milliseconds=1500)
+_WATCH = timedelta(milliseconds=250)
+_RUN_TIME = timedelta(seconds=10)
+_SCORE_TIME = timedelta(milliseconds=2500)
+_PAUSE = timedelta(milliseconds=40)
+_MAX_PAUSE = timedelta(milliseconds=400)
+_STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
+
+
+class UpstreamVersions(abc.ABC):
+    """Which weight version an upstream serves, as far as this node knows."""
+
+    @abc.abstractmethod
+    def version(self, upstream: str, model: str) -> int | None:
+        """Return the version, None if unknown."""
+
+    @abc.abstractmethod
+    def learn(self, upstream: str, model: str, version: int) -> None:
+        """Take the version that an answer told."""
+
+
+@attrs.define
+class ItemTools:
+    """What running an item takes."""
+
+    routes: RouteBook
+    dispatcher: Dispatcher
+    edge: EdgeFormat
+    versions: UpstreamVersions
+    clock: Clock
+    metrics: Metrics
+    rng: Random
+
+
+class _TextSink(AnswerSink):
+    """Take an item's events as they come, and leave an answer that cannot be used."""
+
+    def __init__(self, run: "ItemRun", route: Route) -> None:
+        self._run = run
+        self._route = route
+        self._reader = EventReader(run.tools.edge.version_field)
+        self._version: int | None = None
+        self.status = 0
+        self.upstream = ""
+        self.unusable = ""
+        self.moved_at: timedelta | None = None
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether the stream ended behind a whole event."""
+        return self._reader.clean
+
+    def dispatched(self, upstream: str) -> None:
+        """Note which upstream works now, and start its time."""
+        self.upstream = upstream
+        self.moved_at = self._run.tools.clock.monotonic()
+
+    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
+        """Take the status, and the version that the upstream starts with."""
+        self.status = status
+        self.moved_at = self._run.tools.clock.monotonic()
+        self._reader = EventReader(self._run.tools.edge.version_field)
+        if status != STATUS_OK:
+            return False
+        self._version = self._run.tools.edge.answer_head(headers).version
+        if self._version is None:
+            self._leave("no_version")
+        self._check_version()
+        return True
+
+    async def async_chunk(self, data: bytes, last: bool = False) -> None:
+        """Take what is whole of the events."""
+        self.moved_at = self._run.tools.clock.monotonic()
+        if self.status != STATUS_OK:
+            return
+        try:
+            events = self._reader.feed(data)
+        except ValueError:
+            self._leave("bad_event")
+        for event in events:
+            if event.version is not None:
+                self._version = event.version
+                self._check_version()
+            if self._version is None or not self._run.text.add(event, self._version):
+                self._leave("event_out_of_order")
+
+    def _check_version(self) -> None:
+        run, version = self._run, self._version
+        if version is None:
+            return
+        run.tools.versions.learn(self.upstream, run.state.job.model, version)
+        oldest = run.state.job.min_version
+        if oldest is not None and version < oldest:
+            self._leave("stale_version")
+        if self._route.single_version and any(known != version for known in run.text.versions):
+            run.text.clear()
+            self._leave("version_changed")
+
+    def _leave(self, reason: str) -> None:
+        """Stop the run: what comes would not be kept."""
+        self.unusable = reason
+        raise CallerLeft
+
+
+class ItemRun:
+    """One item from its first run to its result."""
+
+    def __init__(self, tools: ItemTools, state: JobState, index: int) -> None:
+        self.tools = tools
+        self.state = state
+        self.index = index
+        self.item = state.job.items[index]
+        self.text = ItemText()
+        self._failed_runs = 0
+        self._pause = _PAUSE
+        self._avoid: frozenset[str] = frozenset()
+
+    async def async_run(self) -> ItemResult | None:
+        """Return the result, or None when nobody wants it any more."""
+        while self._wanted():
+            route = self._route(self.state.job.host, self.item.path)
+            if route is None or self._too_old(route):
+                return ItemResult(ItemState.DEAD)
+            dead = await self._async_text(route)
+            if dead is None:
+                await self._async_pause()
+                continue
+            if dead:
+                return ItemResult(ItemState.DEAD)
+            return await self._async_score()
+        return None
+
+    def _wanted(self) -> bool:
+        return not self.state.ended and self.index not in self.state.done
+
+    def _route(self, host: str, path: str) -> Route | None:
+        table = self.tools.routes.table
+        return None if table is None else table.match(host, path)
+
+    def _too_old(self, route: Route) -> bool:
+        if route.max_wait is None:
+            return False
+        age = self.tools.clock.now().timestamp() - self.state.job.submitted
+        return age > route.max_wait.total_seconds()
+
+    async def _async_pause(self) -> None:
+        await self.tools.clock.async_sleep(self._pause * (0.5 + self.tools.rng.random()))
+        self._pause = min(self._pause * 2, _MAX_PAUSE)
+
+    async def _async_text(self, route: Route) -> bool | None:
+        """Run once; False when the text is whole, True when it never will be, None to go on."""
+        sink = _TextSink(self, route)
+        had = len(self.text.events)
+        outcome = await self._async_dispatch(route, sink)
+        if sink.upstream:
+            self._avoid = frozenset({sink.upstream})
+        if len(self.text.events) > had:
+            self._pause = _PAUSE
+        if isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole:
+            return False
+        if isinstance(outcome, Ok) and sink.status == STATUS_IMPOSSIBLE:
+            return True
+        if isinstance(outcome, Ok) and sink.status == STATUS_FAILED:
+            self._failed_runs += 1
+            return True if self._failed_runs >= route.max_attempts else None
+        reason = sink.unusable or (outcome.err().reason if outcome.err() else "cut")
+        self.tools.metrics.retry(f"item_{reason}")
+        _LOGGER.debug(
+            "item_run_broken",
+            request_id=self.item.id,
+            job=self.state.job.id,
+            upstream=sink.upstream,
+            status=sink.status,
+            reason=reason,
+            events=len(self.text.events),
+        )
+        return None
+
+    async def _async_dispatch(self, route: Route, sink: _TextSink) -> Result[str, Refusal]:
+        """Send the item, and leave an upstream that has fallen silent."""
+        job, model, oldest = self.state.job, self.state.job.model, self.state.job.min_version
+
+        def eligible(upstream: str) -> bool:
+            if oldest is None:
+                return True
+            version = self.tools.versions.version(upstream, model)
+            return version is not None and version >= oldest
+
+        req = CallerRequest(
+            service=route.choose_service(self.tools.rng),
+            method="POST",
+            path=self.item.path,
+            headers=self.tools.edge.item_headers(job, self.item, self.text.last_id),
+            body=self.item.body,
+            deadline=self.tools.clock.monotonic() + _RUN_TIME,
+            caller=job.host,
+            caller_class=CallerClass.TRAINER,
+            tokens=max(self.item.tokens, 1),
+            prefix_key=self.item.prefix,
+            prefix_tokens=self.item.prefix_tokens,
+            avoid=self._avoid,
+            eligible=eligible,
+            max_attempts=1,
+        )
+        task = asyncio.ensure_future(self.tools.dispatcher.async_run(req, sink))
+        try:
+            while True:
+                done, _ = await asyncio.wait((task,), timeout=_WATCH.total_seconds())
+                if done:
+                    return task.result()
+                if self._stalled(sink):
+                    sink.unusable = "stalled"
+                    task.cancel()
+                    await asyncio.wait((task,))
+                    return Err(_STALLED_REFUSAL)
+        finally:
+            if not task.done():
+                task.cancel()
+
+    def _stalled(self, sink: _TextSink) -> bool:
+        if sink.moved_at is None:
+            return False
+        return self.tools.clock.monotonic() - sink.moved_at > _STALLED
+
+    async def _async_score(self) -> ItemResult | None:
+        """Send the scoring request until it has an answer, then put the result together."""
+        scorer = self.item.scorer
+        if scorer is None:
+            return self._completed("")
+        self._pause = _PAUSE
+        failures = 0
+        while self._wanted():
+            route = self._route(scorer.host, scorer.path)
+            if route is None:
+                return ItemResult(ItemState.DEAD)
+            sink = CollectingSink()
+            req = CallerRequest(
+                service=route.choose_service(self.tools.rng),
+                method="POST",
+                path=scorer.path,
+                headers=self.tools.edge.scorer_headers(scorer),
+                body=scorer.body,
+                deadline=self.tools.clock.monotonic() + _SCORE_TIME,
+                caller=self.state.job.host,
+                caller_class=CallerClass.TRAINER,
+                max_attempts=1,
+            )
+            outcome = await self.tools.dispatcher.async_run(req, sink)
+            if isinstance(outcome, Ok) and STATUS_OK <= sink.status < STATUS_MULTIPLE:
+                return self._completed(self.tools.edge.answer_head(sink.headers).signature)
+            if isinstance(outcome, Ok) and sink.status == STATUS_FAILED:
+                failures += 1
+                if failures >= route.max_attempts:
+                    return ItemResult(ItemState.DEAD)
+            self.tools.metrics.retry("score")
+            await self._async_pause()
+        return None
+
+    def _completed(self, score: str) -> ItemResult:
+        versions = tuple(self.text.versions)
+        return ItemResult(ItemState.COMPLETED, self.text.text, versions, score)
--- /dev/null
+++ b/cranberryline/jobs/model.py
@@ -0,0 +1,100 @@
+"""Data of batch jobs, as callers submit them and as the store keeps them."""
+
+import enum
+
+import msgspec
+
+__all__ = [
+    "Item",
+    "ItemResult",
+    "ItemState",
+    "Job",
+    "JobEnded",
+    "JobPart",
+    "JobRecord",
+    "ResultRecord",
+    "Scorer",
+]
+
+
+class Scorer(msgspec.Struct, array_like=True, frozen=True):
+    """The request that scores an item's text, sent when the text is complete."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
+class Item(msgspec.Struct, array_like=True, frozen=True):
+    """One request of a job; items of one `group` share their prompt.
+
+    `prefix` names the longest part of the prompt that others share, of `prefix_tokens` tokens.
+    """
+
+    id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int = 0
+    group: str = ""
+    scorer: Scorer | None = None
+    prefix: str = ""
+    prefix_tokens: int = 0
+
+
+class Job(msgspec.Struct, array_like=True, frozen=True):
+    """A batch job: `submitted` is wall-clock time in seconds, for giving up items only."""
+
+    id: str
+    host: str
+    path: str
+    items: tuple[Item, ...]
+    submitted: float
+    model: str = ""
+    step: int | None = None
+    min_version: int | None = None
+    group_count: int | None = None
+
+
+class ItemState(enum.StrEnum):
+    """How an item ended."""
+
+    COMPLETED = "completed"
+    DEAD = "dead"
+
+
+class ItemResult(msgspec.Struct, array_like=True, frozen=True):
+    """What is listed of an item; `versions` are those that made an event of `text`."""
+
+    state: ItemState
+    text: str = ""
+    versions: tuple[int, ...] = ()
+    score: str = ""
+
+
+class JobPart(msgspec.Struct, array_like=True, frozen=True, tag="part"):
+    """One of `total` parts of a job as one `writer` appended it."""
+
+    job: str
+    writer: str
+    index: int
+    total: int
+    data: bytes
+
+
+class ResultRecord(msgspec.Struct, array_like=True, frozen=True, tag="result"):
+    """The end of one item; the first one in the partition stands."""
+
+    job: str
+    index: int
+    result: ItemResult
+
+
+class JobEnded(msgspec.Struct, array_like=True, frozen=True, tag="end"):
+    """The caller wants no more of the job."""
+
+    job: str
+
+
+JobRecord = JobPart | ResultRecord | JobEnded
--- /dev/null
+++ b/cranberryline/jobs/runner.py
@@ -0,0 +1,198 @@
+"""Run the items of open jobs that fall to this node, and record how they ended."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from datetime import timedelta
+
+import attrs
+
+from cranberryline.decisions.job_placement import start_delay
+from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.ports.edge import EdgeFormat
+from cranberryline.routes import RouteBook
+
+from .book import JobState
+from .item import ItemRun, ItemTools, UpstreamVersions
+from .model import ItemResult, JobRecord, ResultRecord
+from .partition import partition_of
+from .service import JobService
+
+__all__ = ["JobRunner", "RunnerParts"]
+
+_LOGGER = get_logger(__name__)
+
+_LOOK_AGAIN = timedelta(milliseconds=250)
+# Results that end within one turn of the store's answer go into its next call together.
+_BATCH_PAUSE = timedelta(milliseconds=4)
+_RECORD_PAUSE = timedelta(milliseconds=250)
+_MAX_BATCH = 200
+# Another node's silence says something only while this node hears the store.
+_CURRENT_WITHIN = timedelta(seconds=2)
+
+
+@attrs.define
+class RunnerParts:
+    """What the runner works with."""
+
+    jobs: JobService
+    routes: RouteBook
+    dispatcher: Dispatcher
+    edge: EdgeFormat
+    versions: UpstreamVersions
+    clock: Clock
+    metrics: Metrics
+    node: str
+    live: Callable[[], Collection[str]]
+
+
+class JobRunner:
+    """Start what falls to this node, once; append results until they stand."""
+
+    def __init__(self, parts: RunnerParts) -> None:
+        self._parts = parts
+        self._jobs = parts.jobs
+        self._clock = parts.clock
+        self._wake = asyncio.Event()
+        self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._finished: dict[int, list[ResultRecord]] = {}
+        self._writers: dict[int, asyncio.Task[None]] = {}
+        self._rng = random.Random()
+        self.stopping = False
+        self._tools = ItemTools(
+            parts.routes,
+            parts.dispatcher,
+            parts.edge,
+            parts.versions,
+            parts.clock,
+            parts.metrics,
+            self._rng,
+        )
+        self._jobs.book.listen(self._on_change)
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether items run or results have still to be recorded."""
+        return bool(self._running) or any(self._finished.values())
+
+    def wake(self) -> None:
+        """Look again soon: nodes or routes have changed."""
+        self._wake.set()
+
+    async def async_run(self) -> None:
+        """Start what is due until cancelled."""
+        while True:
+            if not self.stopping and self._parts.routes.table is not None:
+                self._start_due()
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(_LOOK_AGAIN.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    async def async_close(self) -> None:
+        """End every run."""
+        tasks = [*self._running.values(), *self._writers.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_change(self, state: JobState) -> None:
+        if state.ended:
+            self._cancel_job(state)
+        self._wake.set()
+
+    def _cancel_job(self, state: JobState) -> None:
+        for index in range(len(state.job.items)):
+            task = self._running.get((state.job.id, index))
+            if task is not None:
+                task.cancel()
+
+    def _start_due(self) -> None:
+        live = self._parts.live()
+        now = self._clock.monotonic()
+        states = [state for state in self._jobs.book.jobs.values() if state.open]
+        for state in sorted(states, key=lambda state: state.seen_at):
+            self._start_job(state, live, now)
+
+    def _start_job(self, state: JobState, live: Collection[str], now: timedelta) -> None:
+        delays: dict[str, timedelta | None] = {}
+        current = self._is_current(state.job.id, now)
+        for index, item in enumerate(state.job.items):
+            key = (state.job.id, index)
+            if index in state.done or key in self._running:
+                continue
+            group = item.group or item.id
+            if group not in delays:
+                delays[group] = start_delay(state.job.id, group, self._parts.node, live)
+            delay = delays[group]
+            if delay is None or (delay and not current):
+                continue
+            since = max(state.seen_at, state.moved_at.get(item.group, state.seen_at))
+            if now - since >= delay:
+                self._start_item(state, index)
+
+    def _is_current(self, job_id: str, now: timedelta) -> bool:
+        tail = self._jobs.tails[partition_of(job_id, len(self._jobs.tails))]
+        return tail.current_at is not None and now - tail.current_at < _CURRENT_WITHIN
+
+    def _start_item(self, state: JobState, index: int) -> None:
+        key = (state.job.id, index)
+        task = asyncio.ensure_future(self._async_item(state, index))
+        self._running[key] = task
+        task.add_done_callback(lambda _: self._running.pop(key, None))
+
+    async def _async_item(self, state: JobState, index: int) -> None:
+        run = ItemRun(self._tools, state, index)
+        result = await run.async_run()
+        if result is not None:
+            self._finish(state, index, result)
+
+    def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
+        _LOGGER.info(
+            "item_ended",
+            request_id=state.job.items[index].id,
+            job=state.job.id,
+            outcome=result.state,
+            versions=result.versions,
+        )
+        part = partition_of(state.job.id, len(self._jobs.tails))
+        self._finished.setdefault(part, []).append(ResultRecord(state.job.id, index, result))
+        if part not in self._writers:
+            task = asyncio.ensure_future(self._async_write(part))
+            self._writers[part] = task
+            task.add_done_callback(lambda _: self._writers.pop(part, None))
+
+    async def _async_write(self, part: int) -> None:
+        """Append what has ended until all of it stands.
+
+        A result whose append got no answer is appended again: the first one stands, so a second one
+        changes nothing, while one that was dropped would keep its step waiting.
+        """
+        await self._clock.async_sleep(_BATCH_PAUSE)
+        while waiting := self._still_wanted(part):
+            batch: list[JobRecord] = list(waiting[:_MAX_BATCH])
+            if await self._jobs.async_record(batch[0].job, batch):
+                written = {id(record) for record in batch}
+                self._finished[part] = [
+                    record for record in self._finished[part] if id(record) not in written
+                ]
+                continue
+            await self._clock.async_sleep(_RECORD_PAUSE * (0.5 + self._rng.random()))
+
+    def _still_wanted(self, part: int) -> list[ResultRecord]:
+        """Drop what stands already or belongs to a job that has ended."""
+        jobs = self._jobs.book.jobs
+        wanted = [
+            record
+            for record in self._finished.get(part, [])
+            if (state := jobs.get(record.job)) is not None
+            and not state.ended
+            and record.index not in state.done
+        ]
+        self._finished[part] = wanted
+        return wanted
--- /dev/null
+++ b/cranberryline/jobs/service.py
@@ -0,0 +1,218 @@
+"""What callers ask of batch jobs: submit, read, fetch a body, end."""
+
+import asyncio
+import uuid
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+import attrs
+from result import Err, Ok, Result
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import PartitionTail, StoreHealth
+from cranberryline.ports.store import SharedLog, StoreProblem
+
+from .book import JobBook, JobState
+from .codec import decode_record, encode_job, encode_records
+from .const import (
+    ACCEPT_PATIENCE,
+    ACCEPT_PAUSE,
+    APPEND_TIMEOUT,
+    CALL_BYTES,
+    MAX_RESULT_BYTES,
+    READ_TIMEOUT,
+    TOPIC_JOBS,
+)
+from .errors import JobProblem, JobRefused
+from .model import Item, ItemResult, Job, JobEnded, JobRecord
+from .partition import partition_of
+
+__all__ = ["JobPage", "JobService"]
+
+_LOGGER = get_logger(__name__)
+
+
+@attrs.frozen
+class JobPage:
+    """A run of results from a position on."""
+
+    total: int
+    next: int
+    results: tuple[tuple[Item, ItemResult], ...]
+
+
+class JobService:
+    """Keep this node's fold of all jobs current, and answer callers from it."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        parts: int,
+        clock: Clock,
+        health: StoreHealth,
+        metrics: Metrics,
+        keep: timedelta,
+    ) -> None:
+        self.book = JobBook(clock, keep)
+        self._log = log
+        self._clock = clock
+        self._metrics = metrics
+        self._changed: dict[str, asyncio.Event] = {}
+        self.tails = [
+            PartitionTail(
+                log, TOPIC_JOBS, part, clock, health, self._on_record, self.book.forget_old
+            )
+            for part in range(parts)
+        ]
+        self.book.listen(self._on_change)
+
+    @property
+    def loaded(self) -> bool:
+        """Tell whether every partition has been read to its end once."""
+        return all(tail.loaded.is_set() for tail in self.tails)
+
+    async def async_submit(self, job: Job) -> Result[None, JobRefused]:
+        """Keep a job for good, or say truly whether it may yet be kept."""
+        if job.id in self.book.jobs:
+            _LOGGER.info("job_known", request_id=job.id)
+            return Ok(None)
+        records = encode_records(encode_job(job, uuid.uuid4().hex))
+        for batch in _batches(records):
+            refused = await self._async_append(job.id, batch, lambda: job.id in self.book.jobs)
+            if refused is not None:
+                self._metrics.refuse(refused.problem.value)
+                _LOGGER.info("job_not_accepted", request_id=job.id, problem=refused.problem)
+                return Err(refused)
+        _LOGGER.info("job_accepted", request_id=job.id, items=len(job.items), step=job.step)
+        return Ok(None)
+
+    async def async_end(self, job_id: str) -> Result[None, JobRefused]:
+        """Keep for good that a job has ended."""
+        found = await self.async_find(job_id)
+        if isinstance(found, Err):
+            return Err(found.unwrap_err())
+        if found.unwrap().ended:
+            return Ok(None)
+        state = found.unwrap()
+        records = encode_records([JobEnded(job_id)])
+        refused = await self._async_append(job_id, records, lambda: state.ended)
+        if refused is not None:
+            return Err(refused)
+        state.ended = True
+        self._on_change(state)
+        _LOGGER.info("job_ended", request_id=job_id)
+        return Ok(None)
+
+    async def async_find(self, job_id: str) -> Result[JobState, JobRefused]:
+        """Return a job; that there is none is said only after reading to the partition's end."""
+        state = self.book.jobs.get(job_id)
+        if state is None and await self._tail(job_id).async_sync(READ_TIMEOUT):
+            state = self.book.jobs.get(job_id)
+            if state is None:
+                return Err(JobRefused(JobProblem.UNKNOWN_JOB))
+        if state is None:
+            return Err(JobRefused(JobProblem.NOT_SURE))
+        return Ok(state)
+
+    async def async_read(
+        self, job_id: str, after: int, wait: timedelta
+    ) -> Result[JobPage, JobRefused]:
+        """Return results from a position on, waiting for the first one.
+
+        An empty page is given only after a read to the partition's end: a node that lags would
+        otherwise take back what another one listed.
+        """
+        found = await self.async_find(job_id)
+        if isinstance(found, Err):
+            return Err(found.unwrap_err())
+        state = found.unwrap()
+        give_up = self._clock.monotonic() + wait
+        while len(state.results) <= after and state.open:
+            left = give_up - self._clock.monotonic()
+            if left <= timedelta() or not await self._async_changed(job_id, left):
+                break
+        complete = len(state.results) == len(state.job.items)
+        if len(state.results) <= after and not complete:
+            if not await self._tail(job_id).async_sync(READ_TIMEOUT):
+                return Err(JobRefused(JobProblem.NOT_SURE))
+        return Ok(_page(state, after))
+
+    async def async_record(self, job_id: str, records: list[JobRecord]) -> bool:
+        """Append records about a job; False when it is not sure that they stand."""
+        part = partition_of(job_id, len(self.tails))
+        taken = await self._log.async_append(
+            TOPIC_JOBS, part, encode_records(records), APPEND_TIMEOUT
+        )
+        return isinstance(taken, Ok)
+
+    async def _async_append(
+        self, job_id: str, records: list[bytes], stands: Callable[[], bool]
+    ) -> JobRefused | None:
+        """Append, and try again what was surely not done; say which of the two it was.
+
+        An append without an answer may take effect seconds later, so it is never told as a refusal:
+        the caller would take it as a promise, and the job would run all the same.
+        """
+        part = partition_of(job_id, len(self.tails))
+        give_up = self._clock.monotonic() + ACCEPT_PATIENCE
+        while True:
+            taken = await self._log.async_append(TOPIC_JOBS, part, records, APPEND_TIMEOUT)
+            if isinstance(taken, Ok):
+                return None
+            if taken.unwrap_err().problem is not StoreProblem.REFUSED:
+                await self._tail(job_id).async_sync(READ_TIMEOUT)
+                return None if stands() else JobRefused(JobProblem.MAY_BE_KEPT)
+            if self._clock.monotonic() >= give_up:
+                return JobRefused(JobProblem.NOT_KEPT)
+            await self._clock.async_sleep(ACCEPT_PAUSE)
+
+    async def _async_changed(self, job_id: str, wait: timedelta) -> bool:
+        event = self._changed.setdefault(job_id, asyncio.Event())
+        try:
+            async with asyncio.timeout(wait.total_seconds()):
+                await event.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _tail(self, job_id: str) -> PartitionTail:
+        return self.tails[partition_of(job_id, len(self.tails))]
+
+    def _on_record(self, _offset: int, data: bytes) -> None:
+        record = decode_record(data)
+        if record is None:
+            self._metrics.drop("job_record_unreadable")
+            return
+        self.book.apply(record)
+
+    def _on_change(self, state: JobState) -> None:
+        event = self._changed.pop(state.job.id, None)
+        if event is not None:
+            event.set()
+
+
+def _batches(records: list[bytes]) -> Iterator[list[bytes]]:
+    """Cut records into calls that the store takes."""
+    batch: list[bytes] = []
+    size = 0
+    for record in records:
+        if batch and size + len(record) > CALL_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(record)
+        size += len(record)
+    if batch:
+        yield batch
+
+
+def _page(state: JobState, after: int) -> JobPage:
+    results: list[tuple[Item, ItemResult]] = []
+    size = 0
+    for index, result in state.results[after:]:
+        size += len(result.text.encode()) + len(result.score) + 100
+        if results and size > MAX_RESULT_BYTES:
+            break
+        results.append((state.job.items[index], result))
+    return JobPage(len(state.job.items), after + len(results), tuple(results))
--- /dev/null
+++ b/cranberryline/leases/keeper.py
@@ -0,0 +1,131 @@
+"""Acquire a lease through the store, renew it, and know for sure whether it is still held."""
+
+import random
+import time
+import uuid
+from datetime import timedelta
+
+import msgspec
+from result import Ok
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.tail import PartitionTail, StoreHealth
+from cranberryline.ports.store import SharedLog
+
+from .const import (
+    APPEND_TIMEOUT,
+    HOLDER_MARGIN,
+    LOOK_INTERVAL,
+    RENEW_INTERVAL,
+    TAKER_MARGIN,
+    TOPIC_LEASES,
+)
+from .model import LeaseBook, LeaseRecord
+
+__all__ = ["LeaseKeeper", "elapsed"]
+
+_LOGGER = get_logger(__name__)
+
+
+def elapsed() -> timedelta:
+    """Return the time since the VM started, the time for which it was suspended included.
+
+    The monotonic clock stands still while a VM is suspended: a holder that slept through its lease
+    would take it for valid.
+    """
+    return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
+class LeaseKeeper:
+    """Hold the lease if this node is the one; `token` tells whether it may act right now."""
+
+    def __init__(
+        self,
+        log: SharedLog,
+        node: str,
+        lease: timedelta,
+        clock: Clock,
+        health: StoreHealth,
+    ) -> None:
+        self.book = LeaseBook()
+        self.holder = f"{node}/{uuid.uuid4().hex[:8]}"
+        self.tail = PartitionTail(log, TOPIC_LEASES, 0, clock, health, self._on_record)
+        self.stopping = False
+        self._log = log
+        self._lease = lease
+        self._clock = clock
+        self._token = 0
+        self._valid_until = timedelta()
+        self._was_held = False
+
+    def token(self) -> int | None:
+        """Return the fencing token, or None when this node must not act.
+
+        Asked directly before each act. The lease counts from before the record was sent, others
+        count from when they saw it, and the margins cover what lies between check and arrival.
+        """
+        held = self._token > 0 and elapsed() < self._valid_until
+        if held != self._was_held:
+            self._was_held = held
+            _LOGGER.info("lease_held" if held else "lease_lapsed", token=self._token)
+        return self._token if held else None
+
+    async def async_run(self) -> None:
+        """Acquire and renew until cancelled."""
+        await self.tail.loaded.wait()
+        while True:
+            if self._mine():
+                await self._async_renew()
+                await self._clock.async_sleep(RENEW_INTERVAL)
+                continue
+            self._token = 0
+            if self._free() and not self.stopping:
+                await self._async_acquire()
+            await self._clock.async_sleep(LOOK_INTERVAL * (0.5 + random.random()))
+
+    def _mine(self) -> bool:
+        holding = self.book.holding
+        return holding is not None and holding.holder == self.holder
+
+    def _free(self) -> bool:
+        """Tell whether the last sign of the holder is older than the lease.
+
+        The time runs from when the sign was seen here, which is later than when it was given, and
+        only while this node hears the store: what it did not hear may have been a renewal.
+        """
+        current = self.tail.current_at
+        if current is None or self._clock.monotonic() - current > self._lease:
+            return False
+        holding = self.book.holding
+        return holding is None or elapsed() - holding.seen_at > self._lease + TAKER_MARGIN
+
+    async def _async_acquire(self) -> None:
+        await self._async_append(LeaseRecord(self.holder))
+
+    async def _async_renew(self) -> None:
+        if self.stopping:
+            return
+        holding = self.book.holding
+        if holding is None:
+            return
+        asked = elapsed()
+        if await self._async_append(LeaseRecord(self.holder, holding.token)):
+            self._token = holding.token
+            self._valid_until = asked + self._lease - HOLDER_MARGIN
+
+    async def _async_append(self, record: LeaseRecord) -> bool:
+        """Append if nothing came in between; read what stands now whatever the answer."""
+        data = msgspec.msgpack.encode(record)
+        taken = await self._log.async_append(
+            TOPIC_LEASES, 0, [data], APPEND_TIMEOUT, at=self.tail.offset
+        )
+        await self.tail.async_sync(APPEND_TIMEOUT)
+        return isinstance(taken, Ok) and self._mine()
+
+    def _on_record(self, offset: int, data: bytes) -> None:
+        try:
+            record = msgspec.msgpack.decode(data, type=LeaseRecord)
+        except msgspec.DecodeError:
+            record = LeaseRecord("")
+        self.book.apply(offset, record, elapsed())
--- /dev/null
+++ b/cranberryline/leases/model.py
@@ -0,0 +1,43 @@
+"""The fold of lease records: who holds the lease, under which token, since when it was seen."""
+
+from datetime import timedelta
+
+import attrs
+import msgspec
+
+__all__ = ["Holding", "LeaseBook", "LeaseRecord"]
+
+
+class LeaseRecord(msgspec.Struct, array_like=True, frozen=True):
+    """A holder's sign of life; `token` is 0 in the record that acquires."""
+
+    holder: str
+    token: int = 0
+
+
+@attrs.frozen
+class Holding:
+    """The standing lease: its token is the offset of the record that acquired it."""
+
+    holder: str
+    token: int
+    seen_at: timedelta
+
+
+class LeaseBook:
+    """Fold the lease's partition.
+
+    Each record was appended on the condition that the partition ended just before it, so its author
+    knew all earlier ones: whoever stands last holds, and offsets give each holder a token above all
+    before it.
+    """
+
+    def __init__(self) -> None:
+        self.holding: Holding | None = None
+        self.end = 0
+
+    def apply(self, offset: int, record: LeaseRecord, now: timedelta) -> None:
+        """Take the next record."""
+        self.end = offset + 1
+        token = record.token or offset + 1
+        self.holding = Holding(record.holder, token, now)
--- /dev/null
+++ b/cranberryline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing here decides anything."""
--- /dev/null
+++ b/cranberryline/platform/store.py
@@ -0,0 +1,216 @@
+"""The platform's store over HTTP, as the product's port `SharedLog`."""
+
+import base64
+import struct
+from datetime import timedelta
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from cranberryline.ports.errors import PlatformError, UpstreamCut
+from cranberryline.ports.http import HttpOrigin, async_exchange
+from cranberryline.ports.model import UpstreamRequest
+from cranberryline.ports.store import (
+    Appended,
+    KeyedRecord,
+    KeyedSnapshot,
+    LogRead,
+    SharedLog,
+    StoreError,
+    StoreProblem,
+)
+
+from .const import (
+    PATH_APPEND,
+    PATH_NEWEST,
+    PATH_READ,
+    STATUS_AT_OTHER_END,
+    STATUS_GONE,
+    STATUS_OK,
+    STATUS_TOO_FULL,
+    STATUS_TOO_MANY,
+    STATUS_UNAVAILABLE,
+)
+
+__all__ = ["HttpStore"]
+
+_T = TypeVar("_T")
+_LENGTH = struct.Struct(">I")
+_POSITIONS = struct.Struct(">QQ")
+_NOTHING_DONE = (STATUS_UNAVAILABLE, STATUS_TOO_MANY, STATUS_TOO_FULL)
+
+
+class _AppendAnswer(msgspec.Struct):
+    offset: int = 0
+    end: int = 0
+
+
+class _GoneAnswer(msgspec.Struct):
+    first: int = 0
+
+
+class _NewestItem(msgspec.Struct):
+    key: str
+    value: str = ""
+    offset: int = 0
+
+
+class _NewestAnswer(msgspec.Struct):
+    items: list[_NewestItem]
+    end: int
+    has_more: bool = False
+
+
+class HttpStore(SharedLog):
+    """Call the store, with a connection of its own for each call.
+
+    A kept connection on which an answer was lost stays silent for good; a new one costs a round
+    trip and never leaves that doubt.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._origin = HttpOrigin(f"http://{address}")
+
+    async def async_append(
+        self,
+        topic: str,
+        part: int,
+        records: list[bytes],
+        timeout: timedelta,
+        at: int | None = None,
+    ) -> Result[Appended, StoreError]:
+        """Append records; an answer that does not come leaves UNKNOWN."""
+        path = f"{PATH_APPEND}?topic={quote(topic)}&part={part}"
+        if at is not None:
+            path += f"&at={at}"
+        body = b"".join(_LENGTH.pack(len(record)) + record for record in records)
+        match await self._async_call("POST", path, body, timeout):
+            case Err(error):
+                return Err(error)
+            case Ok((status, answer)):
+                pass
+        if status == STATUS_OK:
+            taken = _decode(answer, _AppendAnswer)
+            if taken is None:
+                return Err(StoreError(StoreProblem.UNKNOWN, "append answer unreadable"))
+            return Ok(Appended(taken.offset, taken.end))
+        if status == STATUS_AT_OTHER_END:
+            ended = _decode(answer, _AppendAnswer) or _AppendAnswer()
+            return Err(StoreError(StoreProblem.CONFLICT, position=ended.end))
+        return Err(_problem(status))
+
+    async def async_read(
+        self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
+    ) -> Result[LogRead, StoreError]:
+        """Read records from an offset."""
+        path = f"{PATH_READ}?topic={quote(topic)}&part={part}&from={start}"
+        if wait:
+            path += f"&wait_ms={int(wait / timedelta(milliseconds=1))}"
+        match await self._async_call("GET", path, b"", timeout):
+            case Err(error):
+                return Err(error)
+            case Ok((status, answer)):
+                pass
+        if status == STATUS_GONE:
+            gone = _decode(answer, _GoneAnswer) or _GoneAnswer()
+            return Err(StoreError(StoreProblem.GONE, position=gone.first))
+        if status != STATUS_OK:
+            return Err(_problem(status))
+        return _parse_read(start, answer)
+
+    async def async_newest(
+        self, topic: str, timeout: timedelta
+    ) -> Result[KeyedSnapshot, StoreError]:
+        """Read all pages; what changes between pages is told again from the first page's end."""
+        records: list[KeyedRecord] = []
+        after, end = "", None
+        while True:
+            path = f"{PATH_NEWEST}?topic={quote(topic)}&part=0"
+            if after:
+                path += f"&after={quote(after, safe='')}"
+            match await self._async_call("GET", path, b"", timeout):
+                case Err(error):
+                    return Err(error)
+                case Ok((status, answer)):
+                    pass
+            page = _decode(answer, _NewestAnswer) if status == STATUS_OK else None
+            if page is None:
+                return Err(_problem(status))
+            end = page.end if end is None else end
+            records += [_keyed_of(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return Ok(KeyedSnapshot(tuple(records), end))
+            after = page.items[-1].key
+
+    def pack_keyed(self, key: str, value: bytes) -> bytes:
+        """Put the key's length and the key before the value."""
+        name = key.encode()
+        return bytes([len(name)]) + name + value
+
+    def unpack_keyed(self, record: bytes) -> KeyedRecord | None:
+        """Take key and value apart."""
+        if not record or len(record) < 1 + record[0]:
+            return None
+        size = record[0]
+        try:
+            return KeyedRecord(record[1 : 1 + size].decode(), record[1 + size :])
+        except UnicodeDecodeError:
+            return None
+
+    async def _async_call(
+        self, method: str, path: str, body: bytes, timeout: timedelta
+    ) -> Result[tuple[int, bytes], StoreError]:
+        """Make one call; an error before the first byte was sent is a refusal, later unknown."""
+        req = UpstreamRequest(method, path, (), body)
+        sent = await async_exchange(self._origin, req, timeout)
+        if isinstance(sent, Err):
+            return Err(_unsent(sent.unwrap_err()))
+        answer = sent.unwrap()
+        try:
+            data = b"".join([chunk async for chunk in answer.chunks()])
+        except UpstreamCut as exc:
+            return Err(StoreError(StoreProblem.UNKNOWN, str(exc)))
+        return Ok((answer.head.status, data))
+
+
+def _decode(data: bytes, kind: type[_T]) -> _T | None:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError:
+        return None
+
+
+def _keyed_of(item: _NewestItem) -> KeyedRecord:
+    try:
+        value = base64.b64decode(item.value, validate=True)
+    except ValueError:
+        value = b""
+    return KeyedRecord(item.key, value, item.offset)
+
+
+def _unsent(error: PlatformError) -> StoreError:
+    problem = StoreProblem.UNKNOWN if error.may_have_run else StoreProblem.REFUSED
+    return StoreError(problem, error.detail or error.reason.value)
+
+
+def _problem(status: int) -> StoreError:
+    done = StoreProblem.REFUSED if status in _NOTHING_DONE else StoreProblem.UNKNOWN
+    return StoreError(done, f"status {status}")
+
+
+def _parse_read(start: int, data: bytes) -> Result[LogRead, StoreError]:
+    if len(data) < _POSITIONS.size:
+        return Err(StoreError(StoreProblem.UNKNOWN, "read answer too short"))
+    end, _first = _POSITIONS.unpack_from(data)
+    records: list[bytes] = []
+    at = _POSITIONS.size
+    while at + _LENGTH.size <= len(data):
+        (size,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        if at + size > len(data):
+            return Err(StoreError(StoreProblem.UNKNOWN, "read answer ends within a record"))
+        records.append(data[at : at + size])
+        at += size
+    return Ok(LogRead(start, end, tuple(records)))
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -2,11 +2,13 @@
 
 tornado's AsyncHTTPClient is not used: it cannot let go of a connection that has gone silent before
 its timeout, it queues past ten requests, and it does not say whether a connection was ever made.
-Connections are not kept alive: a request written to a kept connection that the other end has just
-closed may or may not have run, and a new connection never leaves that doubt.
+Connections are kept alive only where the caller passes a pool: a request written to a kept
+connection that the other end has just closed may or may not have run, and a new connection never
+leaves that doubt.
 """
 
 import asyncio
+import re
 import socket
 from collections.abc import AsyncIterator
 from datetime import timedelta
@@ -27,12 +29,14 @@
     DEFAULT_CONNECT_TIMEOUT,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MAX_KEPT,
+    MAX_KEPT_STREAMS,
     MAX_QUEUED_CHUNKS,
 )
 from .errors import PlatformError, PlatformReason, UpstreamCut
 from .model import UpstreamBody, UpstreamHead, UpstreamRequest
 
-__all__ = ["HttpOrigin", "async_exchange"]
+__all__ = ["HttpOrigin", "KeptStreams", "async_exchange"]
 
 _HOP_HEADERS = frozenset(
     ("connection", "content-length", "host", "keep-alive", "transfer-encoding", "upgrade", "te")
@@ -43,6 +47,70 @@
     max_header_size=MAX_HEADER_BYTES,
     max_body_size=MAX_BODY_BYTES,
 )
+_KEPT_PARAMS = HTTP1ConnectionParameters(
+    no_keep_alive=False,
+    chunk_size=CHUNK_BYTES,
+    max_header_size=MAX_HEADER_BYTES,
+    max_body_size=MAX_BODY_BYTES,
+)
+# Kept connections that nobody closed may have gone silent; past this a new one is surer.
+_DEFAULT_KEPT = timedelta(seconds=4)
+# What an upstream announces is when it closes; a request sent just before would be lost.
+_KEPT_MARGIN = 0.7
+_KEPT_SECONDS = re.compile(r"timeout=(\d+)")
+
+
+class KeptStreams:
+    """Connections to one upstream that wait for their next request.
+
+    A connection on which bytes stand unread carries an answer that nobody asked for; given to the
+    next request it would be taken for that request's answer, so such a connection is closed.
+    """
+
+    def __init__(self, most: int = MAX_KEPT_STREAMS) -> None:
+        self._most = most
+        self._idle: list[tuple[float, IOStream]] = []
+
+    def take(self) -> IOStream | None:
+        """Return the connection that was used last and is still sound, or None."""
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            until, stream = self._idle.pop()
+            if now < until and _is_quiet(stream):
+                return stream
+            stream.close()
+        return None
+
+    def put(self, stream: IOStream, headers: HTTPHeaders) -> None:
+        """Keep a connection after a whole answer, unless its end was announced."""
+        closing = headers.get("Connection", "").lower() == "close"
+        if closing or len(self._idle) >= self._most or not _is_quiet(stream):
+            stream.close()
+            return
+        told = _KEPT_SECONDS.search(headers.get("Keep-Alive", ""))
+        seconds = _DEFAULT_KEPT.total_seconds()
+        if told is not None:
+            seconds = min(int(told[1]) * _KEPT_MARGIN, MAX_KEPT.total_seconds())
+        self._idle.append((asyncio.get_running_loop().time() + seconds, stream))
+
+    def close(self) -> None:
+        """Close every connection that waits."""
+        for _, stream in self._idle:
+            stream.close()
+        self._idle.clear()
+
+
+def _is_quiet(stream: IOStream) -> bool:
+    """Tell whether a connection is open and has nothing to read."""
+    if stream.closed() or stream._read_buffer_size:  # noqa: SLF001 - no public way to ask
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
 
 
 class HttpOrigin:
@@ -70,6 +138,7 @@
         self.head: asyncio.Future[UpstreamHead] = asyncio.get_running_loop().create_future()
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         self.whole = False
+        self.headers = HTTPHeaders()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -77,6 +146,7 @@
         """Take the head, passing over interim answers."""
         if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:  # noqa: PLR2004
             return
+        self.headers = headers
         if not self.head.done():
             self.head.set_result(UpstreamHead(start_line.code, tuple(headers.get_all())))
 
@@ -99,8 +169,14 @@
     """An answer being received on its own connection."""
 
     def __init__(
-        self, stream: IOStream, receiver: _Receiver, task: asyncio.Task[None], deadline: float
+        self,
+        stream: IOStream,
+        receiver: _Receiver,
+        task: asyncio.Task[None],
+        deadline: float,
+        kept: bool,
     ) -> None:
+        self._kept = kept
         self._stream = stream
         self._receiver = receiver
         self._task = task
@@ -133,19 +209,30 @@
 
     async def async_close(self) -> None:
         """Stop receiving and let go of the connection."""
+        if self._kept and self._task.done():
+            return
         self._task.cancel()
         self._stream.close()
         self._receiver.abandon()
 
 
-async def _async_receive(conn: HTTP1Connection, receiver: _Receiver) -> None:
+async def _async_receive(
+    conn: HTTP1Connection, stream: IOStream, receiver: _Receiver, pool: KeptStreams | None
+) -> None:
     """Read one answer; the receiver's `whole` says afterwards how it ended."""
+    reusable = False
     try:
-        await conn.read_response(receiver)
+        reusable = await conn.read_response(receiver)
     except StreamClosedError:
         pass
     finally:
-        conn.close()
+        # An answer without a length ends with its connection; one that was reset is not whole.
+        if stream.error is not None:
+            receiver.whole = False
+        if pool is not None and reusable and receiver.whole and not stream.closed():
+            pool.put(conn.detach(), receiver.headers)
+        else:
+            conn.close()
         if not receiver.head.done():
             receiver.head.set_exception(UpstreamCut("no answer before the connection ended"))
             receiver.head.exception()
@@ -173,42 +260,50 @@
     return Ok(stream)
 
 
-def _headers(origin: HttpOrigin, req: UpstreamRequest) -> HTTPHeaders:
+def _headers(origin: HttpOrigin, req: UpstreamRequest, kept: bool) -> HTTPHeaders:
     """Return the request's headers with our own framing in place of the sender's."""
     headers = HTTPHeaders()
     for name, value in req.headers:
         if name.lower() not in _HOP_HEADERS:
             headers.add(name, value)
-    headers["Host"] = origin.authority
-    headers["Connection"] = "close"
+    headers["Host"] = req.host or origin.authority
+    if not kept:
+        headers["Connection"] = "close"
     if req.body or req.method not in ("GET", "HEAD", "OPTIONS", "DELETE"):
         headers["Content-Length"] = str(len(req.body))
     return headers
 
 
 async def async_exchange(
-    origin: HttpOrigin, req: UpstreamRequest, timeout: timedelta
+    origin: HttpOrigin,
+    req: UpstreamRequest,
+    timeout: timedelta,
+    pool: KeptStreams | None = None,
 ) -> Result[UpstreamBody, PlatformError]:
     """Send a request and return once its answer's head is there; `timeout` bounds it all."""
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout.total_seconds()
-    connect_s = min(timeout, DEFAULT_CONNECT_TIMEOUT).total_seconds()
-    match await _async_connect(origin, connect_s):
-        case Err() as err:
-            return err
-        case Ok(stream):
-            pass
-    conn = HTTP1Connection(stream, is_client=True, params=_PARAMS)
+    stream = None if pool is None else pool.take()
+    if stream is None:
+        connect_s = min(timeout, DEFAULT_CONNECT_TIMEOUT).total_seconds()
+        match await _async_connect(origin, connect_s):
+            case Err() as err:
+                return err
+            case Ok(stream):
+                pass
+    params = _PARAMS if pool is None else _KEPT_PARAMS
+    conn = HTTP1Connection(stream, is_client=True, params=params)
     receiver = _Receiver()
     try:
         start = RequestStartLine(req.method, origin.base_path + req.path, "")
-        conn.write_headers(start, _headers(origin, req), req.body or None)
+        conn.write_headers(start, _headers(origin, req, pool is not None), req.body or None)
         conn.finish()
     except ValueError as exc:
         stream.close()
         return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc), may_have_run=False))
-    task = asyncio.create_task(_async_receive(conn, receiver))
-    return await _async_head(_HttpBody(stream, receiver, task, deadline), receiver, deadline)
+    task = asyncio.create_task(_async_receive(conn, stream, receiver, pool))
+    body = _HttpBody(stream, receiver, task, deadline, pool is not None)
+    return await _async_head(body, receiver, deadline)
 
 
 async def _async_head(
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -117,12 +117,13 @@
 
 @attrs.frozen
 class UpstreamRequest:
-    """What goes to an upstream; `path` keeps its query string."""
+    """What goes to an upstream; `path` keeps its query, an empty `host` names the upstream's own."""
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
+    host: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/cranberryline/ports/store.py
@@ -0,0 +1,110 @@
+"""Port to the platform's store: partitioned logs, and topics that keep the newest record of a key."""
+
+import abc
+import enum
+from datetime import timedelta
+
+import attrs
+from result import Result
+
+__all__ = [
+    "Appended",
+    "KeyedRecord",
+    "KeyedSnapshot",
+    "LogRead",
+    "SharedLog",
+    "StoreError",
+    "StoreProblem",
+]
+
+
+class StoreProblem(enum.StrEnum):
+    """Why a call to the store brought nothing, and what that says of its effect."""
+
+    REFUSED = "refused"  # the store said that nothing was done
+    UNKNOWN = "unknown"  # no answer: it may have been done, or may be done seconds later
+    CONFLICT = "conflict"  # the partition does not end where the caller thought
+    GONE = "gone"  # the records asked for have been deleted
+
+
+@attrs.frozen
+class StoreError:
+    """A call that brought nothing; `position` is the end on CONFLICT, the oldest kept on GONE."""
+
+    problem: StoreProblem
+    detail: str = ""
+    position: int = 0
+
+
+@attrs.frozen
+class Appended:
+    """Where records now stand: the offset of the first one, and the partition's end."""
+
+    offset: int
+    end: int
+
+
+@attrs.frozen
+class LogRead:
+    """A run of records from `start` on; `end` is the partition's end as the store saw it."""
+
+    start: int
+    end: int
+    records: tuple[bytes, ...] = ()
+
+    @property
+    def next(self) -> int:
+        """Return the offset to read from next."""
+        return self.start + len(self.records)
+
+
+@attrs.frozen
+class KeyedRecord:
+    """The newest record of a key; an empty value says that the key was dropped."""
+
+    key: str
+    value: bytes
+    offset: int = 0
+
+
+@attrs.frozen
+class KeyedSnapshot:
+    """The newest record of each key of a topic, and an offset from which to follow on."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class SharedLog(abc.ABC):
+    """The store as the system uses it; every call is bounded by its `timeout`."""
+
+    @abc.abstractmethod
+    async def async_append(
+        self,
+        topic: str,
+        part: int,
+        records: list[bytes],
+        timeout: timedelta,
+        at: int | None = None,
+    ) -> Result[Appended, StoreError]:
+        """Append records all or nothing; with `at`, only if the partition ends there."""
+
+    @abc.abstractmethod
+    async def async_read(
+        self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
+    ) -> Result[LogRead, StoreError]:
+        """Read records from an offset, waiting up to `wait` for the first one."""
+
+    @abc.abstractmethod
+    async def async_newest(
+        self, topic: str, timeout: timedelta
+    ) -> Result[KeyedSnapshot, StoreError]:
+        """Read the newest record of each key of a topic."""
+
+    @abc.abstractmethod
+    def pack_keyed(self, key: str, value: bytes) -> bytes:
+        """Return the record that sets a key, for `async_append` to a topic of keys."""
+
+    @abc.abstractmethod
+    def unpack_keyed(self, record: bytes) -> KeyedRecord | None:
+        """Read a record of a topic of keys, None if it is not one."""
--- a/cranberryline/settings/__init__.py
+++ b/cranberryline/settings/__init__.py
@@ -2,10 +2,11 @@
 
 from .errors import SettingsError, SettingsMistake
 from .loader import load_settings, load_settings_text
-from .model import EntrySettings, SideSettings
+from .model import EntrySettings, GatewaySettings, SideSettings
 
 __all__ = [
     "EntrySettings",
+    "GatewaySettings",
     "SettingsError",
     "SettingsMistake",
     "SideSettings",
--- a/cranberryline/settings/fields.py
+++ b/cranberryline/settings/fields.py
@@ -15,6 +15,7 @@
     "Address",
     "Choice",
     "FieldKind",
+    "Milliseconds",
     "Identifier",
     "PeerAddress",
     "Seconds",
@@ -159,6 +160,24 @@
         return Ok(timedelta(seconds=raw))
 
 
+class Milliseconds(FieldKind):
+    """A duration written as a number of milliseconds, read as a timedelta."""
+
+    def __init__(self, maximum: float = MAX_SECONDS) -> None:
+        self._seconds = Seconds(maximum)
+
+    @property
+    def allowed(self) -> str:
+        """Say what may stand here."""
+        return f"a number of milliseconds, as seconds {self._seconds.allowed}"
+
+    def parse(self, raw: Any) -> Result[timedelta, str]:
+        """Check a number of milliseconds."""
+        if isinstance(raw, bool) or not isinstance(raw, int | float):
+            return Err(self.allowed)
+        return self._seconds.parse(raw / 1000)
+
+
 class Size(FieldKind):
     """A whole number of bytes between two bounds."""
 
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -8,10 +8,13 @@
 from .const import (
     DEFAULT_ENTRY_LISTEN,
     DEFAULT_ENTRY_PEER,
+    DEFAULT_KEEP_JOBS,
+    DEFAULT_LEASE,
     DEFAULT_LOG_LEVEL,
     DEFAULT_LOG_RETENTION,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
+    DEFAULT_PARTITIONS,
     DEFAULT_SIDE_LISTEN,
     DEFAULT_SIDE_PEER,
     DEFAULT_SLOW_SENDER_TIMEOUT,
@@ -20,12 +23,31 @@
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
     MAX_LOG_RETENTION_SECONDS,
+    MAX_PARTITIONS,
     MIN_BODY_BYTES,
     MIN_HEADER_BYTES,
 )
-from .fields import Address, Choice, FieldKind, Identifier, PeerAddress, Seconds, Size, Text, Url
+from .fields import (
+    Address,
+    Choice,
+    FieldKind,
+    Identifier,
+    Milliseconds,
+    PeerAddress,
+    Seconds,
+    Size,
+    Text,
+    Url,
+)
 
-__all__ = ["ATTR_HELP", "ATTR_KEY", "ATTR_KIND", "EntrySettings", "SideSettings"]
+__all__ = [
+    "ATTR_HELP",
+    "ATTR_KEY",
+    "ATTR_KIND",
+    "EntrySettings",
+    "GatewaySettings",
+    "SideSettings",
+]
 
 ATTR_HELP = "help"
 ATTR_KEY = "key"
@@ -117,3 +139,55 @@
     log_level: str = _setting(
         Choice(*LOG_LEVELS), "Lowest level that is logged.", DEFAULT_LOG_LEVEL
     )
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of a gateway process."""
+
+    vm_id: str = _setting(Identifier(), "The name of this VM.")
+    data_center: str = _setting(Identifier(), "The data center that this VM stands in.")
+    store: str = _setting(Address(), "Address of the platform's store.")
+    listen: str = _setting(Address(), "Where callers reach it over HTTP.")
+    ready_listen: str = _setting(Address(), "Where /ready and /metrics are served.", key="ready")
+    peer: str = _setting(Address(), "Where other gateways reach it.")
+    partitions: int = _setting(
+        Size(1, MAX_PARTITIONS), "Partitions of the store's topics.", DEFAULT_PARTITIONS
+    )
+    lease: timedelta = _setting(
+        Milliseconds(),
+        "How long a holder may give orders after its last renewal.",
+        DEFAULT_LEASE,
+        key="lease_ms",
+    )
+    keep_jobs: timedelta = _setting(
+        Seconds(),
+        "How long a batch job is answered for after it was submitted.",
+        DEFAULT_KEEP_JOBS,
+        key="keep_jobs_seconds",
+    )
+    stop_timeout: timedelta = _setting(
+        Seconds(),
+        "How long a planned stop waits for work in flight.",
+        DEFAULT_STOP_TIMEOUT,
+        key="stop_seconds",
+    )
+    max_body_bytes: int = _setting(
+        Size(MIN_BODY_BYTES, MAX_BODY_BYTES),
+        "Longest request body; a longer one gets 413.",
+        DEFAULT_MAX_BODY_BYTES,
+    )
+    max_header_bytes: int = _setting(
+        Size(MIN_HEADER_BYTES, MAX_HEADER_BYTES),
+        "Longest request line and headers together; longer ones get 431.",
+        DEFAULT_MAX_HEADER_BYTES,
+    )
+    slow_sender_timeout: timedelta = _setting(
+        Seconds(),
+        "How long a caller may take to send its whole request.",
+        DEFAULT_SLOW_SENDER_TIMEOUT,
+        key="slow_sender_seconds",
+    )
+    log_level: str = _setting(
+        Choice(*LOG_LEVELS), "Lowest level that is logged.", DEFAULT_LOG_LEVEL
+    )
--- a/cranberryline/side/execution.py
+++ b/cranberryline/side/execution.py
@@ -109,8 +109,9 @@
         if not error.may_have_run:
             if grant is not None:
                 await self.claims.async_abandon(grant)
-            reason = RunnerReason.UPSTREAM_UNREACHABLE.value
-            tell_not_run(held.msg.id, reason, held.reply, self.metrics)
+            refused = error.reason is PlatformReason.REFUSED
+            reason = RunnerReason.UPSTREAM_REFUSED if refused else RunnerReason.UPSTREAM_UNREACHABLE
+            tell_not_run(held.msg.id, reason.value, held.reply, self.metrics)
             return
         timed_out = error.reason is PlatformReason.TIMEOUT
         reason = FailReason.UPSTREAM_TIMEOUT if timed_out else FailReason.UPSTREAM_ERROR
--- /dev/null
+++ b/cranberryline/weights/shift.py
@@ -0,0 +1,162 @@
+"""Move engines to the versions that trainers name, a few at a time, under the lease."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import attrs
+from result import Err
+
+from cranberryline.decisions.version_placement import place_models
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.leases import LeaseKeeper
+from cranberryline.ports.orders import OrderOutcome, OrderPort, VersionOrder
+
+__all__ = ["EngineView", "VersionShifter"]
+
+_LOGGER = get_logger(__name__)
+
+# Two loads at a time run at full speed; more share the weight store and take longer each.
+_AT_ONCE = 2
+_LOOK_AGAIN = timedelta(milliseconds=500)
+_LOAD_TIME = timedelta(milliseconds=950)
+_REPORT_PAUSE = timedelta(milliseconds=200)
+_GIVE_UP = timedelta(seconds=4)
+_PAUSE_AFTER_FAILURE = timedelta(milliseconds=300)
+
+
+@attrs.frozen
+class EngineView:
+    """An engine as the shifter sees it; `versions` is what it is known to serve."""
+
+    id: str
+    versions: Mapping[str, int]
+
+
+class VersionShifter:
+    """Give the orders that bring engines to the named versions, while this node holds the lease."""
+
+    def __init__(
+        self,
+        orders: OrderPort,
+        lease: LeaseKeeper,
+        engines: Callable[[], dict[str, list[EngineView]]],
+        models: Callable[[str], tuple[str, ...]],
+        learn: Callable[[str, str, int], None],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.wanted: dict[str, int] = {}
+        self._orders = orders
+        self._lease = lease
+        self._engines = engines
+        self._models = models
+        self._learn = learn
+        self._clock = clock
+        self._metrics = metrics
+        self._wake = asyncio.Event()
+        self._loading: dict[str, asyncio.Task[None]] = {}
+
+    def want(self, model: str, version: int) -> None:
+        """Take a version that a trainer named; an older one changes nothing."""
+        if version > self.wanted.get(model, 0):
+            self.wanted[model] = version
+            _LOGGER.info("version_named", model=model, version=version)
+            self._wake.set()
+
+    async def async_run(self) -> None:
+        """Give orders until cancelled."""
+        while True:
+            if self._lease.token() is not None:
+                self._start_due()
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(_LOOK_AGAIN.total_seconds()):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    async def async_close(self) -> None:
+        """Give no more orders."""
+        tasks = list(self._loading.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _start_due(self) -> None:
+        for service, engines in self._engines().items():
+            by_id = {engine.id: engine for engine in engines}
+            placed = place_models(self._models(service), by_id)
+            for model, chosen in placed.items():
+                wanted = self.wanted.get(model, 0)
+                behind = [
+                    engine
+                    for engine in chosen
+                    if engine not in self._loading
+                    and by_id[engine].versions.get(model, 0) < wanted
+                ]
+                random.shuffle(behind)
+                for engine in behind[: max(0, _AT_ONCE - len(self._loading))]:
+                    self._start(engine, model, wanted)
+
+    def _start(self, engine: str, model: str, version: int) -> None:
+        task = asyncio.ensure_future(self._async_shift(engine, model, version))
+        self._loading[engine] = task
+
+        def done(_: object) -> None:
+            self._loading.pop(engine, None)
+            self._wake.set()
+
+        task.add_done_callback(done)
+
+    async def _async_shift(self, engine: str, model: str, version: int) -> None:
+        """Bring one engine to a version, or stop for now."""
+        give_up = self._clock.monotonic() + _GIVE_UP
+        ordered = False
+        while self._clock.monotonic() < give_up and self.wanted.get(model, 0) == version:
+            reported = await self._orders.async_report(engine)
+            if isinstance(reported, Err):
+                await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
+                continue
+            report = reported.unwrap()
+            serves = report.versions.get(model, 0)
+            if serves >= version:
+                self._learn(engine, model, serves)
+                return
+            if report.busy or ordered:
+                ordered = False
+                await self._clock.async_sleep(_REPORT_PAUSE)
+                continue
+            ordered = await self._async_order(engine, model, version, report.sequence)
+
+    async def _async_order(self, engine: str, model: str, version: int, sequence: int) -> bool:
+        """Send one order; True if the engine should be at work on it now.
+
+        The order names the sequence number that the engine reported: an order that is carried out
+        seconds late finds another one there and does nothing, where it would else bring back an
+        older version.
+        """
+        token = self._lease.token()
+        if token is None:
+            await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
+            return False
+        order = VersionOrder(model, version, self._lease.holder, token, sequence)
+        outcome = await self._orders.async_order(engine, order)
+        self._metrics.orders.labels(outcome.value).inc()
+        _LOGGER.info(
+            "version_ordered",
+            upstream=engine,
+            model=model,
+            version=version,
+            token=token,
+            sequence=sequence,
+            outcome=outcome,
+        )
+        if outcome is OrderOutcome.TAKEN:
+            await self._clock.async_sleep(_LOAD_TIME)
+            return True
+        await self._clock.async_sleep(_REPORT_PAUSE)
+        return False
