Let runs go on through a change of version; give a job's groups to a team of nodes

Ruled out: more engines a model (a load costs more than it brings); the store (its trouble ended before). Change: orders keep runs going where no route wants one version; a job's team is one node for 48 items, two at least; an upstream is silent only when no run of this node hears of it.

--- a/cranberryline/decisions/job_placement.py
+++ b/cranberryline/decisions/job_placement.py
@@ -10,6 +10,11 @@
 without anyone having noticed the freeze. Running an item twice is harmless, since its first
 result stands; it only costs the upstreams work.
 
+A job's groups go to a team of nodes, the first for the job by the same hashing, one node for each
+`ITEMS_A_NODE` items and two at least. Spread over all nodes, each would see too little of its
+upstreams to know that they are full, and would need connections of its own to each of them; two
+nodes leave half a step untouched when one of them dies.
+
 `TAKEOVER` is some five times an item's usual time with its score (0.2 to 0.6 s), so a group that
 merely waits for a place is seldom doubled, and two nodes lost one after the other still leave a
 step of 7.5 s time for a third.
@@ -21,16 +26,29 @@
 from . import rendezvous
 from .const import ZERO
 
-__all__ = ["TAKEOVER", "start_delay"]
+__all__ = ["ITEMS_A_NODE", "TAKEOVER", "JobPlacement"]
 
 TAKEOVER = timedelta(milliseconds=2500)
+ITEMS_A_NODE = 48
+_MIN_TEAM = 2
 _MAX_RANK = 3
 
 
-def start_delay(job: str, group: str, node: str, live: Collection[str]) -> timedelta | None:
-    """Return after how long without a result a node starts a group, None if it never does."""
-    ranked = rendezvous.rank(f"{job}/{group}", {*live, node})
-    rank = ranked.index(node)
-    if rank > _MAX_RANK:
-        return None
-    return rank * TAKEOVER if rank else ZERO
+class JobPlacement:
+    """Where the groups of one job run while the same nodes live."""
+
+    def __init__(self, job: str, items: int, node: str, live: Collection[str]) -> None:
+        self._node = node
+        ranked = rendezvous.rank(job, {*live, node})
+        team = max(_MIN_TEAM, -(-items // ITEMS_A_NODE))
+        self._team, self._others = ranked[:team], ranked[team:]
+
+    def start_delay(self, group: str) -> timedelta | None:
+        """Return after how long without a result the node starts a group, None if it never does."""
+        if self._node in self._team:
+            rank = rendezvous.rank(group, self._team).index(self._node)
+        else:
+            rank = len(self._team) + self._others.index(self._node)
+        if rank > _MAX_RANK:
+            return None
+        return rank * TAKEOVER if rank else ZERO
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -127,6 +127,7 @@
             self.lease,
             self._engines,
             self._models,
+            self._one_version,
             self.directory.learn,
             clock,
             self.metrics,
@@ -269,6 +270,15 @@
         engine = None if table is None else table.services.get(service)
         return () if engine is None else engine.models
 
+    def _one_version(self, service: str) -> bool:
+        """Tell whether some route wants each text made by one version."""
+        table = self.routes.table
+        routes = () if table is None else table.routes
+        return any(
+            route.single_version and any(share.service == service for share in route.services)
+            for route in routes
+        )
+
     def _engines(self) -> dict[str, list[EngineView]]:
         return {
             service: [EngineView(row.id, self._versions(row)) for row in rows]
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -31,10 +31,11 @@
 STATUS_IMPOSSIBLE = 422
 STATUS_FAILED = 500
 
-# An upstream that fell silent is left after this long without a byte, and the text gone on with
-# elsewhere: some six times the pause that a trainer's sheet allows between events, so a slow
-# engine keeps its work.
-_STALLED = timedelta(milliseconds=1500)
+# An upstream that fell silent is left after this long without a byte of any run, and the text gone on
+# with elsewhere: some ten times the pause that a trainer allows between events, so a slow
+# engine keeps its work. While other runs there go on, the item only waits for its place.
+_SILENT = timedelta(milliseconds=1800)
+_STALLED = timedelta(seconds=5)
 _WATCH = timedelta(milliseconds=250)
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
@@ -66,6 +67,7 @@
     clock: Clock
     metrics: Metrics
     rng: Random
+    heard: dict[str, timedelta] = attrs.field(factory=dict)
 
 
 class _TextSink(AnswerSink):
@@ -81,6 +83,10 @@
         self.unusable = ""
         self.moved_at: timedelta | None = None
 
+    def _note_moved(self) -> None:
+        self.moved_at = self._run.tools.clock.monotonic()
+        self._run.tools.heard[self.upstream] = self.moved_at
+
     @property
     def whole(self) -> bool:
         """Tell whether the stream ended behind a whole event."""
@@ -94,7 +100,7 @@
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status, and the version that the upstream starts with."""
         self.status = status
-        self.moved_at = self._run.tools.clock.monotonic()
+        self._note_moved()
         self._reader = EventReader(self._run.tools.edge.version_field)
         if status != STATUS_OK:
             return False
@@ -106,7 +112,7 @@
 
     async def async_chunk(self, data: bytes, last: bool = False) -> None:
         """Take what is whole of the events."""
-        self.moved_at = self._run.tools.clock.monotonic()
+        self._note_moved()
         if self.status != STATUS_OK:
             return
         try:
@@ -256,7 +262,9 @@
     def _stalled(self, sink: _TextSink) -> bool:
         if sink.moved_at is None:
             return False
-        return self.tools.clock.monotonic() - sink.moved_at > _STALLED
+        now = self.tools.clock.monotonic()
+        heard = max(self.tools.heard.get(sink.upstream, sink.moved_at), sink.moved_at)
+        return now - heard > _SILENT or now - sink.moved_at > _STALLED
 
     async def _async_score(self) -> ItemResult | None:
         """Send the scoring request until it has an answer, then put the result together."""
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from cranberryline.decisions.job_placement import start_delay
+from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
@@ -122,13 +122,14 @@
     def _start_job(self, state: JobState, live: Collection[str], now: timedelta) -> None:
         delays: dict[str, timedelta | None] = {}
         current = self._is_current(state.job.id, now)
+        placement = JobPlacement(state.job.id, len(state.job.items), self._parts.node, live)
         for index, item in enumerate(state.job.items):
             key = (state.job.id, index)
             if index in state.done or key in self._running:
                 continue
             group = item.group or item.id
             if group not in delays:
-                delays[group] = start_delay(state.job.id, group, self._parts.node, live)
+                delays[group] = placement.start_delay(group)
             delay = delays[group]
             if delay is None or (delay and not current):
                 continue
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -124,12 +124,12 @@
         return Ok(EngineReport(raw.seq, raw.busy, raw.running, versions))
 
     async def async_order(self, upstream: str, order: VersionOrder) -> OrderOutcome:
-        """Send an order that lets runs finish before the version changes."""
+        """Send an order."""
         body = {
             "op": "version",
             "model": order.model,
             "version": order.version,
-            "mode": "block",
+            "mode": "block" if order.finish_runs else "retain",
             "holder": order.holder,
             "fencing_token": order.token,
             "precondition": order.sequence,
--- a/cranberryline/ports/const.py
+++ b/cranberryline/ports/const.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 DEFAULT_CALL_TIMEOUT = timedelta(seconds=5)
-DEFAULT_CONNECT_TIMEOUT = timedelta(seconds=2)
+DEFAULT_CONNECT_TIMEOUT = timedelta(milliseconds=1200)
 
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
--- a/cranberryline/ports/orders.py
+++ b/cranberryline/ports/orders.py
@@ -24,13 +24,18 @@
 
 @attrs.frozen
 class VersionOrder:
-    """Serve a model in a version; refused where the engine has taken another order since."""
+    """Serve a model in a version; refused where the engine has taken another order since.
+
+    With `finish_runs` the engine first lets its runs end and turns new ones away until then; without
+    it they go on under the new version.
+    """
 
     model: str
     version: int
     holder: str
     token: int
     sequence: int
+    finish_runs: bool = False
 
 
 class OrderOutcome(enum.StrEnum):
--- a/cranberryline/weights/shift.py
+++ b/cranberryline/weights/shift.py
@@ -45,6 +45,7 @@
         lease: LeaseKeeper,
         engines: Callable[[], dict[str, list[EngineView]]],
         models: Callable[[str], tuple[str, ...]],
+        one_version: Callable[[str], bool],
         learn: Callable[[str, str, int], None],
         clock: Clock,
         metrics: Metrics,
@@ -54,6 +55,7 @@
         self._lease = lease
         self._engines = engines
         self._models = models
+        self._one_version = one_version
         self._learn = learn
         self._clock = clock
         self._metrics = metrics
@@ -100,10 +102,10 @@
                 ]
                 random.shuffle(behind)
                 for engine in behind[: max(0, _AT_ONCE - len(self._loading))]:
-                    self._start(engine, model, wanted)
+                    self._start(engine, model, wanted, self._one_version(service))
 
-    def _start(self, engine: str, model: str, version: int) -> None:
-        task = asyncio.ensure_future(self._async_shift(engine, model, version))
+    def _start(self, engine: str, model: str, version: int, finish_runs: bool) -> None:
+        task = asyncio.ensure_future(self._async_shift(engine, model, version, finish_runs))
         self._loading[engine] = task
 
         def done(_: object) -> None:
@@ -112,7 +114,9 @@
 
         task.add_done_callback(done)
 
-    async def _async_shift(self, engine: str, model: str, version: int) -> None:
+    async def _async_shift(
+        self, engine: str, model: str, version: int, finish_runs: bool
+    ) -> None:
         """Bring one engine to a version, or stop for now."""
         give_up = self._clock.monotonic() + _GIVE_UP
         ordered = False
@@ -130,9 +134,10 @@
                 ordered = False
                 await self._clock.async_sleep(_REPORT_PAUSE)
                 continue
-            ordered = await self._async_order(engine, model, version, report.sequence)
+            order = VersionOrder(model, version, "", 0, report.sequence, finish_runs)
+            ordered = await self._async_order(engine, order)
 
-    async def _async_order(self, engine: str, model: str, version: int, sequence: int) -> bool:
+    async def _async_order(self, engine: str, wanted: VersionOrder) -> bool:
         """Send one order; True if the engine should be at work on it now.
 
         The order names the sequence number that the engine reported: an order that is carried out
@@ -143,16 +148,16 @@
         if token is None:
             await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
             return False
-        order = VersionOrder(model, version, self._lease.holder, token, sequence)
+        order = attrs.evolve(wanted, holder=self._lease.holder, token=token)
         outcome = await self._orders.async_order(engine, order)
         self._metrics.orders.labels(outcome.value).inc()
         _LOGGER.info(
             "version_ordered",
             upstream=engine,
-            model=model,
-            version=version,
+            model=order.model,
+            version=order.version,
             token=token,
-            sequence=sequence,
+            sequence=order.sequence,
             outcome=outcome,
         )
         if outcome is OrderOutcome.TAKEN:
