Reach the store through peers; let halves of a model's engines take turns; reload settings on SIGHUP

Change: calls that the store surely did not take go through a peer's own connection; a version is loaded on half of a model's engines, never on those that the step needs at once; the settings file is read again on SIGHUP and when it changes.

--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -229,18 +229,21 @@
     if isinstance(loaded, Err):
         return _usage(str(loaded.unwrap_err()))
     settings = loaded.unwrap()
-    run: Callable[[Any], int]
+    run: Callable[..., int]
+    more: tuple[str, ...] = ()
     if role == "entry":
         from .entry.app import run  # noqa: PLC0415 - keeps the other roles out of memory
     elif role == "gateway":
         from .gateway.app import run  # noqa: PLC0415 - keeps the other roles out of memory
+
+        more = (path,)
     else:
         from .side.app import run  # noqa: PLC0415 - keeps the other role out of memory
     from .helpers.logging import set_up_logging  # noqa: PLC0415 - only the roles log
 
     writer = set_up_logging(settings.log_level, vm_id=settings.vm_id, role=role)
     try:
-        return run(settings)
+        return run(settings, *more)
     finally:
         writer.close()
 
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -18,10 +18,11 @@
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.http_server import InputLimits, open_http_server
-from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.logging import Level, get_logger, set_level
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.shutdown import Shutdown
 from cranberryline.helpers.tail import KeyedTail, StoreHealth
+from cranberryline.jobs import JobState
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
@@ -47,6 +48,8 @@
 from .ingress import GatewayContext, IngressHandler, ReadyHandler
 from .links import DirectLinks
 from .nodes import NodeBook, NodeSign
+from .reload import SettingsWatch
+from .relay import PATH_RELAY, RelayedLog, RelayHandler
 
 __all__ = ["GatewayProcess", "run"]
 
@@ -86,7 +89,7 @@
         self.metrics = Metrics()
         self.routes = RouteBook()
         self.health = StoreHealth(clock)
-        self.store = HttpStore(cfg.store)
+        self.store = RelayedLog(HttpStore(cfg.store), self._relay_peers, clock, self.metrics)
         self.directory = Directory(clock, self.health)
         self.table = PeerTable()
         self.directs = DirectUpstreams(
@@ -106,7 +109,7 @@
         self.jobs = JobService(
             self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
         )
-        sign = NodeSign(cfg.vm_id, cfg.data_center)
+        sign = NodeSign(cfg.vm_id, cfg.data_center, cfg.peer)
         self.nodes = NodeBook(self.store, TOPIC_NODES, sign, clock, self.health, self._on_nodes)
         self.runner = JobRunner(
             RunnerParts(
@@ -127,6 +130,7 @@
             self.lease,
             self._engines,
             self._models,
+            self._lag,
             self._one_version,
             self.directory.learn,
             clock,
@@ -135,6 +139,8 @@
         self._config = self._tail(TOPIC_OPERATOR, self._on_operator)
         self._servers_tail = self._tail(TOPIC_SERVERS, self._on_server)
         self._nodes_tail = self._tail(TOPIC_NODES, self.nodes.take)
+        self._lags: dict[str, int] = {}
+        self.jobs.book.listen(self._on_job)
         self.routes.listen(self._on_routes)
         self.directory.listen(self._on_registration)
         self.directory.membership.listen(self._on_members)
@@ -170,6 +176,8 @@
             log_function=_no_log,
         )
         self._status = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
+        relay = Application([(PATH_RELAY, RelayHandler, {"log": self.store})], log_function=_no_log)
+        self._servers.append(open_http_server(relay, self._cfg.peer, limits, self.metrics))
         for tail in (self._config, self._servers_tail, self._nodes_tail, self.lease.tail):
             self._spawn(tail.async_run())
         for part in self.jobs.tails:
@@ -181,6 +189,12 @@
         self._spawn(self._async_tick())
         _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
 
+    def apply_settings(self, cfg: GatewaySettings) -> None:
+        """Take changed settings into force; addresses hold until the next start."""
+        set_level(Level[cfg.log_level.upper()])
+        self.lease.set_length(cfg.lease)
+        self._cfg = cfg
+
     async def async_stop(self) -> None:
         """Fail the ready check, hand work over, wait for the balancer, finish what is in flight."""
         self.stopping = True
@@ -204,6 +218,13 @@
         await self.runner.async_close()
         await self.shifter.async_close()
 
+    def _relay_peers(self) -> list[str]:
+        return [
+            sign.peer
+            for sign in self.nodes.signs()
+            if sign.peer and not sign.stopping and sign.node != self._cfg.vm_id
+        ]
+
     def _tail(self, topic: str, on_key: Any) -> KeyedTail:
         return KeyedTail(self.store, topic, self._clock, self.health, on_key, self.metrics)
 
@@ -270,6 +291,18 @@
         engine = None if table is None else table.services.get(service)
         return () if engine is None else engine.models
 
+    def _lag(self, model: str) -> int:
+        """Return how many versions before the named one the model's trainer allows."""
+        return self._lags.get(model, 0)
+
+    def _on_job(self, state: JobState) -> None:
+        job = state.job
+        if job.min_version is None or state.results or state.ended:
+            return
+        named = self.shifter.wanted.get(job.model, 0)
+        if named:
+            self._lags[job.model] = max(0, named - job.min_version)
+
     def _one_version(self, service: str) -> bool:
         """Tell whether some route wants each text made by one version."""
         table = self.routes.table
@@ -300,7 +333,7 @@
         _LOGGER.error("task_failed", error=repr(task.exception()))
 
 
-async def _async_run(cfg: GatewaySettings) -> int:
+async def _async_run(cfg: GatewaySettings, path: str) -> int:
     gateway = GatewayProcess(cfg, SystemClock())
     shutdown = Shutdown(gateway.async_stop, cfg.stop_timeout, gateway.metrics)
     shutdown.install()
@@ -309,11 +342,15 @@
     except OSError as exc:
         _LOGGER.error("cannot_listen", error=str(exc))
         return ExitCode.UNAVAILABLE
+    watch = SettingsWatch(path, cfg, gateway.apply_settings, SystemClock())
+    watch.install()
+    watching = asyncio.ensure_future(watch.async_run())
     outcome = await shutdown.async_wait()
+    watching.cancel()
     await gateway.async_close()
     return outcome.exit_code
 
 
-def run(cfg: GatewaySettings) -> int:
+def run(cfg: GatewaySettings, path: str) -> int:
     """Run a gateway until it is told to stop; return the exit code."""
-    return asyncio.run(_async_run(cfg))
+    return asyncio.run(_async_run(cfg, path))
--- /dev/null
+++ b/cranberryline/gateway/relay.py
@@ -0,0 +1,295 @@
+"""Reach the store through another gateway when it does not answer this one."""
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+from tornado.web import RequestHandler
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.ports.errors import UpstreamCut
+from cranberryline.ports.http import HttpOrigin, async_exchange
+from cranberryline.ports.model import UpstreamRequest
+from cranberryline.ports.store import (
+    Appended,
+    KeyedRecord,
+    KeyedSnapshot,
+    LogRead,
+    SharedLog,
+    StoreError,
+    StoreProblem,
+)
+
+__all__ = ["PATH_RELAY", "RelayHandler", "RelayedLog"]
+
+_LOGGER = get_logger(__name__)
+_T = TypeVar("_T")
+
+PATH_RELAY = "/relay"
+
+# The store is asked directly again this often while it does not answer this node.
+_PROBE_INTERVAL = timedelta(milliseconds=1000)
+_MAX_PEERS_ASKED = 2
+_LINK_TIME = timedelta(milliseconds=300)
+_ANSWERED = (StoreProblem.CONFLICT, StoreProblem.GONE)
+
+
+class RelayAppend(msgspec.Struct, array_like=True, frozen=True, tag="append"):
+    """Ask a peer to append."""
+
+    topic: str
+    part: int
+    records: list[bytes]
+    timeout_ms: int
+    at: int | None = None
+
+
+class RelayRead(msgspec.Struct, array_like=True, frozen=True, tag="read"):
+    """Ask a peer to read."""
+
+    topic: str
+    part: int
+    start: int
+    wait_ms: int
+    timeout_ms: int
+
+
+class RelayNewest(msgspec.Struct, array_like=True, frozen=True, tag="newest"):
+    """Ask a peer for the newest records of a topic."""
+
+    topic: str
+    timeout_ms: int
+
+
+class RelayAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """What a peer got: numbers and records, or the problem."""
+
+    problem: str = ""
+    detail: str = ""
+    first: int = 0
+    second: int = 0
+    records: list[bytes] = []
+    keys: list[tuple[str, bytes, int]] = []
+
+
+_CALLS = msgspec.msgpack.Decoder(RelayAppend | RelayRead | RelayNewest)
+_ANSWERS = msgspec.msgpack.Decoder(RelayAnswer)
+
+
+class RelayedLog(SharedLog):
+    """Call the store directly, and through a peer while that fails.
+
+    A store that turns this VM away or is cut off from it still serves others. Without this the
+    node can take no job, list no result and renew no lease for as long as that lasts.
+    """
+
+    def __init__(
+        self,
+        direct: SharedLog,
+        peers: Callable[[], list[str]],
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.direct = direct
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._probe_at: timedelta | None = None
+        self._good_peer = ""
+
+    @property
+    def direct_lost(self) -> bool:
+        """Tell whether the store does not answer this node itself."""
+        return self._probe_at is not None
+
+    async def async_append(
+        self,
+        topic: str,
+        part: int,
+        records: list[bytes],
+        timeout: timedelta,
+        at: int | None = None,
+    ) -> Result[Appended, StoreError]:
+        """Append; only what was surely not done is tried again through a peer."""
+        call = RelayAppend(topic, part, records, _ms(timeout), at)
+        return await self._async_call(
+            lambda left: self.direct.async_append(topic, part, records, left, at),
+            call,
+            lambda answer: Appended(answer.first, answer.second),
+            timeout,
+            repeatable=False,
+        )
+
+    async def async_read(
+        self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
+    ) -> Result[LogRead, StoreError]:
+        """Read."""
+        call = RelayRead(topic, part, start, _ms(wait), _ms(timeout))
+        return await self._async_call(
+            lambda left: self.direct.async_read(topic, part, start, wait, left),
+            call,
+            lambda answer: LogRead(answer.first, answer.second, tuple(answer.records)),
+            timeout,
+            repeatable=True,
+        )
+
+    async def async_newest(
+        self, topic: str, timeout: timedelta
+    ) -> Result[KeyedSnapshot, StoreError]:
+        """Read the newest record of each key."""
+        return await self._async_call(
+            lambda left: self.direct.async_newest(topic, left),
+            RelayNewest(topic, _ms(timeout)),
+            lambda answer: KeyedSnapshot(
+                tuple(KeyedRecord(*row) for row in answer.keys), answer.second
+            ),
+            timeout,
+            repeatable=True,
+        )
+
+    def pack_keyed(self, key: str, value: bytes) -> bytes:
+        """Return the record that sets a key."""
+        return self.direct.pack_keyed(key, value)
+
+    def unpack_keyed(self, record: bytes) -> KeyedRecord | None:
+        """Read a record of a topic of keys."""
+        return self.direct.unpack_keyed(record)
+
+    async def _async_call(
+        self,
+        direct: Callable[[timedelta], Awaitable[Result[_T, StoreError]]],
+        call: msgspec.Struct,
+        make: Callable[[RelayAnswer], _T],
+        timeout: timedelta,
+        repeatable: bool,
+    ) -> Result[_T, StoreError]:
+        error = StoreError(StoreProblem.REFUSED, "store not asked")
+        now = self._clock.monotonic()
+        if self._probe_at is None or now >= self._probe_at:
+            if self._probe_at is not None:
+                self._probe_at = now + _PROBE_INTERVAL
+            taken = await direct(timeout)
+            if isinstance(taken, Ok) or taken.unwrap_err().problem in _ANSWERED:
+                self._note_direct(True, "")
+                return taken
+            error = taken.unwrap_err()
+            self._note_direct(False, error.detail)
+            if error.problem is StoreProblem.UNKNOWN and not repeatable:
+                return taken
+        return await self._async_relay(call, make, timeout, repeatable, error)
+
+    async def _async_relay(
+        self,
+        call: msgspec.Struct,
+        make: Callable[[RelayAnswer], _T],
+        timeout: timedelta,
+        repeatable: bool,
+        error: StoreError,
+    ) -> Result[_T, StoreError]:
+        peers = self._peers()
+        random.shuffle(peers)
+        if self._good_peer in peers:
+            peers.remove(self._good_peer)
+            peers.insert(0, self._good_peer)
+        for peer in peers[:_MAX_PEERS_ASKED]:
+            asked = await self._async_ask(peer, call, timeout + _LINK_TIME)
+            if isinstance(asked, Err):
+                error = asked.unwrap_err()
+                if error.problem is StoreProblem.UNKNOWN and not repeatable:
+                    return Err(error)
+                continue
+            answer = asked.unwrap()
+            if not answer.problem:
+                self._good_peer = peer
+                self._metrics.relayed.labels("answered").inc()
+                return Ok(make(answer))
+            error = StoreError(StoreProblem(answer.problem), answer.detail, answer.first)
+            if error.problem in _ANSWERED:
+                self._good_peer = peer
+                return Err(error)
+            if error.problem is StoreProblem.UNKNOWN and not repeatable:
+                return Err(error)
+        self._good_peer = ""
+        self._metrics.relayed.labels("failed").inc()
+        return Err(error)
+
+    async def _async_ask(
+        self, peer: str, call: msgspec.Struct, timeout: timedelta
+    ) -> Result[RelayAnswer, StoreError]:
+        req = UpstreamRequest("POST", PATH_RELAY, (), msgspec.msgpack.encode(call))
+        sent = await async_exchange(HttpOrigin(f"http://{peer}"), req, timeout)
+        if isinstance(sent, Err):
+            lost = sent.unwrap_err()
+            problem = StoreProblem.UNKNOWN if lost.may_have_run else StoreProblem.REFUSED
+            return Err(StoreError(problem, f"peer {peer}: {lost.detail}"))
+        try:
+            data = b"".join([chunk async for chunk in sent.unwrap().chunks()])
+            return Ok(_ANSWERS.decode(data))
+        except (UpstreamCut, msgspec.DecodeError) as exc:
+            return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
+
+    def _note_direct(self, good: bool, detail: str) -> None:
+        if good and self._probe_at is not None:
+            self._probe_at = None
+            _LOGGER.info("store_direct_regained")
+        elif not good and self._probe_at is None:
+            self._probe_at = self._clock.monotonic() + _PROBE_INTERVAL
+            _LOGGER.warning("store_direct_lost", detail=detail)
+
+
+class RelayHandler(RequestHandler):
+    """Make a peer's call to the store, directly and once."""
+
+    def initialize(self, log: RelayedLog) -> None:
+        """Take the store."""
+        self._log = log
+
+    async def post(self) -> None:
+        """Make the call and answer with what it brought."""
+        try:
+            call = _CALLS.decode(self.request.body)
+        except msgspec.DecodeError:
+            self.set_status(400)
+            return
+        answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
+        if not self._log.direct_lost:
+            answer = await _async_make(self._log.direct, call)
+        self.set_header("Content-Type", "application/msgpack")
+        self.finish(msgspec.msgpack.encode(answer))
+
+
+async def _async_make(
+    log: SharedLog, call: RelayAppend | RelayRead | RelayNewest
+) -> RelayAnswer:
+    timeout = timedelta(milliseconds=call.timeout_ms)
+    if isinstance(call, RelayAppend):
+        appended = await log.async_append(call.topic, call.part, call.records, timeout, call.at)
+        if isinstance(appended, Ok):
+            return RelayAnswer("", "", appended.unwrap().offset, appended.unwrap().end)
+        return _failed(appended.unwrap_err())
+    if isinstance(call, RelayRead):
+        wait = timedelta(milliseconds=call.wait_ms)
+        read = await log.async_read(call.topic, call.part, call.start, wait, timeout)
+        if isinstance(read, Ok):
+            found = read.unwrap()
+            return RelayAnswer("", "", found.start, found.end, list(found.records))
+        return _failed(read.unwrap_err())
+    newest = await log.async_newest(call.topic, timeout)
+    if isinstance(newest, Ok):
+        snapshot = newest.unwrap()
+        keys = [(row.key, row.value, row.offset) for row in snapshot.records]
+        return RelayAnswer("", "", 0, snapshot.end, [], keys)
+    return _failed(newest.unwrap_err())
+
+
+def _failed(error: StoreError) -> RelayAnswer:
+    return RelayAnswer(error.problem.value, error.detail, error.position)
+
+
+def _ms(span: timedelta) -> int:
+    return int(span / timedelta(milliseconds=1))
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -53,6 +53,9 @@
         )
         self.samples = self._counter("samples", "Samples handed to trainers.", "trainer")
         self.orders = self._counter("weight_orders", "Orders to load weights.", "outcome")
+        self.relayed = self._counter(
+            "store_calls_relayed", "Calls to the store made through a peer.", "outcome"
+        )
         self.stops = self._counter("stops", "Planned stops, by how they ended.", "outcome")
         self.in_flight = self._gauge("in_flight", "Requests taken in and not yet answered.")
         self.queued = self._gauge("queued", "Requests that wait for a place.")
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -153,6 +153,9 @@
         self.index = index
         self.item = state.job.items[index]
         self.text = ItemText()
+        self.runs = 0
+        self.began = tools.clock.monotonic()
+        self.text_at = self.began
         self._failed_runs = 0
         self._pause = _PAUSE
         self._avoid: frozenset[str] = frozenset()
@@ -191,6 +194,7 @@
 
     async def _async_text(self, route: Route) -> bool | None:
         """Run once; False when the text is whole, True when it never will be, None to go on."""
+        self.runs += 1
         sink = _TextSink(self, route)
         had = len(self.text.events)
         outcome = await self._async_dispatch(route, sink)
@@ -268,6 +272,7 @@
 
     async def _async_score(self) -> ItemResult | None:
         """Send the scoring request until it has an answer, then put the result together."""
+        self.text_at = self.tools.clock.monotonic()
         scorer = self.item.scorer
         if scorer is None:
             return self._completed("")
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -151,16 +151,25 @@
         run = ItemRun(self._tools, state, index)
         result = await run.async_run()
         if result is not None:
+            self._tell(run, result)
             self._finish(state, index, result)
 
-    def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
+    def _tell(self, run: ItemRun, result: ItemResult) -> None:
+        now = self._clock.monotonic()
         _LOGGER.info(
             "item_ended",
-            request_id=state.job.items[index].id,
-            job=state.job.id,
+            request_id=run.item.id,
+            job=run.state.job.id,
             outcome=result.state,
             versions=result.versions,
+            events=len(run.text.events),
+            runs=run.runs,
+            waited_ms=_ms(run.began - run.state.seen_at),
+            text_ms=_ms(run.text_at - run.began),
+            score_ms=_ms(now - run.text_at),
         )
+
+    def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
         part = partition_of(state.job.id, len(self._jobs.tails))
         self._finished.setdefault(part, []).append(ResultRecord(state.job.id, index, result))
         if part not in self._writers:
@@ -197,3 +206,7 @@
         ]
         self._finished[part] = wanted
         return wanted
+
+
+def _ms(span: timedelta) -> int:
+    return int(span / timedelta(milliseconds=1))
--- a/cranberryline/leases/keeper.py
+++ b/cranberryline/leases/keeper.py
@@ -71,6 +71,10 @@
             _LOGGER.info("lease_held" if held else "lease_lapsed", token=self._token)
         return self._token if held else None
 
+    def set_length(self, lease: timedelta) -> None:
+        """Take another length of the lease, from the next renewal on."""
+        self._lease = lease
+
     async def async_run(self) -> None:
         """Acquire and renew until cancelled."""
         await self.tail.loaded.wait()
--- a/cranberryline/weights/shift.py
+++ b/cranberryline/weights/shift.py
@@ -1,14 +1,13 @@
 """Move engines to the versions that trainers name, a few at a time, under the lease."""
 
 import asyncio
-import random
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 import attrs
 from result import Err
 
-from cranberryline.decisions.version_placement import place_models
+from cranberryline.decisions.version_placement import engines_to_load, place_models
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -45,6 +44,7 @@
         lease: LeaseKeeper,
         engines: Callable[[], dict[str, list[EngineView]]],
         models: Callable[[str], tuple[str, ...]],
+        lag: Callable[[str], int],
         one_version: Callable[[str], bool],
         learn: Callable[[str, str, int], None],
         clock: Clock,
@@ -55,6 +55,7 @@
         self._lease = lease
         self._engines = engines
         self._models = models
+        self._lag = lag
         self._one_version = one_version
         self._learn = learn
         self._clock = clock
@@ -91,17 +92,13 @@
     def _start_due(self) -> None:
         for service, engines in self._engines().items():
             by_id = {engine.id: engine for engine in engines}
-            placed = place_models(self._models(service), by_id)
-            for model, chosen in placed.items():
+            lags = {model: self._lag(model) for model in self._models(service)}
+            for model, chosen in place_models(lags, by_id).items():
                 wanted = self.wanted.get(model, 0)
-                behind = [
-                    engine
-                    for engine in chosen
-                    if engine not in self._loading
-                    and by_id[engine].versions.get(model, 0) < wanted
-                ]
-                random.shuffle(behind)
-                for engine in behind[: max(0, _AT_ONCE - len(self._loading))]:
+                versions = {engine: by_id[engine].versions.get(model, 0) for engine in chosen}
+                due = engines_to_load(versions, wanted, lags[model])
+                idle = [engine for engine in due if engine not in self._loading]
+                for engine in idle[: max(0, _AT_ONCE - len(self._loading))]:
                     self._start(engine, model, wanted, self._one_version(service))
 
     def _start(self, engine: str, model: str, version: int, finish_runs: bool) -> None:
