--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -247,7 +247,7 @@
 
     def initialize(self, log: RelayedLog) -> None:
         """Take the store."""
-        self._log = log
+        self._store = log
 
     async def post(self) -> None:
         """Make the call and answer with what it brought."""
@@ -257,8 +257,8 @@
             self.set_status(400)
             return
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
-        if not self._log.direct_lost:
-            answer = await _async_make(self._log.direct, call)
+        if not self._store.direct_lost:
+            answer = await _async_make(self._store.direct, call)
         self.set_header("Content-Type", "application/msgpack")
         self.finish(msgspec.msgpack.encode(answer))
 
