--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -26,6 +26,7 @@
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
+from cranberryline.platform.config import read_config, read_version
 from cranberryline.platform.const import (
     KEY_CONFIG,
     KEY_VERSION_PREFIX,
@@ -33,7 +34,6 @@
     TOPIC_OPERATOR,
     TOPIC_SERVERS,
 )
-from cranberryline.platform.config import read_config, read_version
 from cranberryline.platform.edge import PlatformEdge
 from cranberryline.platform.samplers import SamplerClient, SamplerOrders, read_registration
 from cranberryline.platform.store import HttpStore
@@ -48,8 +48,8 @@
 from .ingress import GatewayContext, IngressHandler, ReadyHandler
 from .links import DirectLinks
 from .nodes import NodeBook, NodeSign
-from .reload import SettingsWatch
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
+from .reload import SettingsWatch
 
 __all__ = ["GatewayProcess", "run"]
 
@@ -101,7 +101,7 @@
             _NoLog(),
             uuid.uuid4().hex,
             lambda: next(self._ids),
-            lambda service: self.routes.spec(service),
+            self.routes.spec,
             self._wake,
             SamplerClient,
         )
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -65,7 +65,9 @@
             if not sign.stopping and now - seen < _DEAD_AFTER
         )
         if live != self._live:
-            _LOGGER.info("nodes_live", came=sorted(live - self._live), went=sorted(self._live - live))
+            _LOGGER.info(
+                "nodes_live", came=sorted(live - self._live), went=sorted(self._live - live)
+            )
             self._live = live
         return live
 
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -263,9 +263,7 @@
         self.finish(msgspec.msgpack.encode(answer))
 
 
-async def _async_make(
-    log: SharedLog, call: RelayAppend | RelayRead | RelayNewest
-) -> RelayAnswer:
+async def _async_make(log: SharedLog, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
     timeout = timedelta(milliseconds=call.timeout_ms)
     if isinstance(call, RelayAppend):
         appended = await log.async_append(call.topic, call.part, call.records, timeout, call.at)
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -94,9 +94,7 @@
             left = give_up - self._clock.monotonic()
             if left <= timedelta() or not self.loaded.is_set():
                 return False
-            read = await self._log.async_read(
-                self.topic, self.part, self.offset, timedelta(), left
-            )
+            read = await self._log.async_read(self.topic, self.part, self.offset, timedelta(), left)
             if isinstance(read, Err):
                 return False
             if self._take(read.unwrap(), asked):
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -17,9 +17,9 @@
 
 from .book import JobState
 from .item import ItemRun, ItemTools, UpstreamVersions
-from .scoring import ScoringPlaces
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
+from .scoring import ScoringPlaces
 from .service import JobService
 
 __all__ = ["JobRunner", "RunnerParts"]
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -134,9 +134,9 @@
             if left <= timedelta() or not await self._async_changed(job_id, left):
                 break
         complete = len(state.results) == len(state.job.items)
-        if len(state.results) <= after and not complete:
-            if not await self._tail(job_id).async_sync(READ_TIMEOUT):
-                return Err(JobRefused(JobProblem.NOT_SURE))
+        unsure = len(state.results) <= after and not complete
+        if unsure and not await self._tail(job_id).async_sync(READ_TIMEOUT):
+            return Err(JobRefused(JobProblem.NOT_SURE))
         return Ok(_page(state, after))
 
     async def async_record(self, job_id: str, records: list[JobRecord]) -> bool:
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -131,9 +131,7 @@
             if result.score:
                 row["score"] = result.score
             rows.append(row)
-        return msgspec.json.encode(
-            {"total": page.total, "next_token": page.next, "results": rows}
-        )
+        return msgspec.json.encode({"total": page.total, "next_token": page.next, "results": rows})
 
     def item_headers(self, job: Job, item: Item, last_event: int | None) -> Pairs:
         """Return the item's own headers, its id, the route's host and where to go on."""
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -63,9 +63,7 @@
         return Err(str(exc))
     versions = {model.name: model.version for model in raw.models}
     draining = raw.state != "ready"
-    return Ok(
-        Registration(key, raw.service, raw.address, raw.zone, raw.slots, draining, versions)
-    )
+    return Ok(Registration(key, raw.service, raw.address, raw.zone, raw.slots, draining, versions))
 
 
 class SamplerClient(PlainServicePort):
@@ -170,9 +168,7 @@
     """Tell what is wrong with an answer's head, if anything."""
     head = body.head
     if _find(head.headers, HEADER_NOT_RUN) is not None or head.status == STATUS_MISDIRECTED:
-        return PlatformError(
-            PlatformReason.REFUSED, "not run", head.status, may_have_run=False
-        )
+        return PlatformError(PlatformReason.REFUSED, "not run", head.status, may_have_run=False)
     echoed = _find(head.headers, HEADER_REQUEST_ID)
     if request_id is not None and echoed != request_id:
         return PlatformError(PlatformReason.BAD_ANSWER, "answer to another request", head.status)
--- a/cranberryline/weights/shift.py
+++ b/cranberryline/weights/shift.py
@@ -116,9 +116,7 @@
 
         task.add_done_callback(done)
 
-    async def _async_shift(
-        self, engine: str, model: str, version: int, finish_runs: bool
-    ) -> None:
+    async def _async_shift(self, engine: str, model: str, version: int, finish_runs: bool) -> None:
         """Bring one engine to a version, or stop for now."""
         give_up = self._clock.monotonic() + _GIVE_UP
         ordered = False
