--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -8,13 +8,14 @@
 from typing import Any
 
 import attrs
-from result import Err, Ok
+from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 from tornado.web import RequestHandler
 
+from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import CallerClass, CallerRequest, CollectingSink
+from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -24,6 +25,8 @@
 from cranberryline.ports.edge import EdgeFormat, ItemBodyRead, JobEnd, JobRead, PlainCall
 from cranberryline.routes import Route, RouteBook, RouteKind, RouteTable
 
+from .attempts import AttemptSink, RepeatedRequest
+
 __all__ = ["GatewayContext", "IngressHandler", "ReadyHandler"]
 
 _LOGGER = get_logger(__name__)
@@ -33,7 +36,6 @@
 _START_PATIENCE = timedelta(milliseconds=400)
 _START_LOOK = timedelta(milliseconds=10)
 _MAX_WAIT = timedelta(seconds=1)
-_SERVER_ERROR = 500
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -70,6 +72,7 @@
     dispatcher: Dispatcher
     jobs: JobService
     rng: random.Random
+    hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
     in_flight: int = 0
     stopping: bool = False
 
@@ -88,18 +91,6 @@
         self.finish({"ready": good})
 
 
-class _Sink(CollectingSink):
-    """Collect an answer and note who made it."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.upstream = ""
-
-    def dispatched(self, upstream: str) -> None:
-        """Note the upstream of the attempt that begins."""
-        self.upstream = upstream
-
-
 class IngressHandler(RequestHandler):
     """Serve every call of a caller."""
 
@@ -197,22 +188,27 @@
         ctx = self.context
         patience = min(call.time_left or _DEFAULT_TIME, route.timeout)
         deadline = self._began + patience
-        avoid: frozenset[str] = frozenset()
-        attempts = max(1, route.max_attempts)
-        while True:
-            sink = _Sink()
-            req = self._upstream_request(route, deadline, avoid, attempts)
-            outcome = await ctx.dispatcher.async_run(req, sink)
-            attempts -= 1
-            failed = isinstance(outcome, Ok) and sink.status >= _SERVER_ERROR
-            if not failed or not route.repeatable or attempts <= 0:
-                break
-            avoid |= {sink.upstream}
-            ctx.metrics.retry("upstream_error")
+        outcome: Result[AttemptSink, Refusal]
+        if route.repeatable:
+            repeated = RepeatedRequest(
+                ctx.dispatcher,
+                ctx.hedges,
+                ctx.clock,
+                ctx.metrics,
+                lambda avoid: self._upstream_request(route, deadline, avoid, 1),
+                route.goal,
+                max(1, route.max_attempts),
+            )
+            outcome = await repeated.async_run()
+        else:
+            sink = AttemptSink()
+            req = self._upstream_request(route, deadline, frozenset(), max(1, route.max_attempts))
+            once = await ctx.dispatcher.async_run(req, sink)
+            outcome = Ok(sink) if isinstance(once, Ok) else Err(once.unwrap_err())
         if isinstance(outcome, Err):
             self._write_refusal(outcome.unwrap_err(), route)
             return
-        self._write_answer(sink, route)
+        self._write_answer(outcome.unwrap(), route)
 
     def _upstream_request(
         self, route: Route, deadline: timedelta, avoid: frozenset[str], attempts: int
@@ -237,7 +233,7 @@
             max_attempts=attempts,
         )
 
-    def _write_answer(self, sink: _Sink, route: Route) -> None:
+    def _write_answer(self, sink: AttemptSink, route: Route) -> None:
         self.set_status(sink.status)
         for name, value in sink.headers:
             if name.lower() not in _HOP_HEADERS:
