Put the platform behind one port; pass streams on event by event; keep the operator's limits

Cause: gateway/app.py knew the platform's topics and keys; stream routes were answered whole, at the end. Change: ports/platform.py with cranberryline/platform/adapter.py; gateway/streams.py goes on at another upstream after the last whole event; body, header and idle limits follow the configuration.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -26,19 +26,10 @@
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
-from cranberryline.platform.config import read_config, read_version
-from cranberryline.platform.const import (
-    KEY_CONFIG,
-    KEY_VERSION_PREFIX,
-    TOPIC_NODES,
-    TOPIC_OPERATOR,
-    TOPIC_SERVERS,
-)
-from cranberryline.platform.edge import PlatformEdge
-from cranberryline.platform.samplers import SamplerClient, SamplerOrders, read_registration
-from cranberryline.platform.store import HttpStore
+from cranberryline.platform.adapter import UsersPlatform
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.model import LogPage, LogPort
+from cranberryline.ports.platform import NamedVersion, PlatformPort
 from cranberryline.ports.store import KeyedRecord
 from cranberryline.routes import RouteBook, RouteTable
 from cranberryline.settings import GatewaySettings
@@ -82,8 +73,9 @@
 class GatewayProcess:
     """One gateway."""
 
-    def __init__(self, cfg: GatewaySettings, clock: Clock) -> None:
+    def __init__(self, cfg: GatewaySettings, platform: PlatformPort, clock: Clock) -> None:
         self._cfg = cfg
+        self._platform = platform
         self._clock = clock
         self._tasks: list[asyncio.Future[Any]] = []
         self._servers: list[HTTPServer] = []
@@ -92,7 +84,7 @@
         self.metrics = Metrics()
         self.routes = RouteBook()
         self.health = StoreHealth(clock)
-        self.store = RelayedLog(HttpStore(cfg.store), self._relay_peers, clock, self.metrics)
+        self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
         self.directory = Directory(clock, self.health)
         self.table = PeerTable()
         self.directs = DirectUpstreams(
@@ -103,7 +95,7 @@
             lambda: next(self._ids),
             self.routes.spec,
             self._wake,
-            SamplerClient,
+            platform.connect,
         )
         self.links = DirectLinks(self.table, self.directs)
         self.dispatcher = Dispatcher(
@@ -113,13 +105,15 @@
             self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
         )
         sign = NodeSign(cfg.vm_id, cfg.data_center, cfg.peer)
-        self.nodes = NodeBook(self.store, TOPIC_NODES, sign, clock, self.health, self._on_nodes)
+        self.nodes = NodeBook(
+            self.store, platform.topic_nodes, sign, clock, self.health, self._on_nodes
+        )
         self.runner = JobRunner(
             RunnerParts(
                 self.jobs,
                 self.routes,
                 self.dispatcher,
-                PlatformEdge(),
+                platform.edge,
                 self.directory,
                 clock,
                 self.metrics,
@@ -129,7 +123,7 @@
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
         self.shifter = VersionShifter(
-            SamplerOrders(self._address_of),
+            platform.orders(self._address_of),
             self.lease,
             self._engines,
             self._models,
@@ -139,9 +133,9 @@
             clock,
             self.metrics,
         )
-        self._config = self._tail(TOPIC_OPERATOR, self._on_operator)
-        self._servers_tail = self._tail(TOPIC_SERVERS, self._on_server)
-        self._nodes_tail = self._tail(TOPIC_NODES, self.nodes.take)
+        self._config = self._tail(platform.topic_operator, self._on_operator)
+        self._servers_tail = self._tail(platform.topic_upstreams, self._on_server)
+        self._nodes_tail = self._tail(platform.topic_nodes, self.nodes.take)
         self._lags: dict[str, int] = {}
         self.jobs.book.listen(self._on_job)
         self.routes.listen(self._on_routes)
@@ -159,14 +153,14 @@
         context = GatewayContext(
             self._clock,
             self.metrics,
-            PlatformEdge(),
+            self._platform.edge,
             self.routes,
             self.dispatcher,
             self.jobs,
             random.Random(),
         )
         self._context = context
-        limits = InputLimits(
+        limits = self._limits = InputLimits(
             self._cfg.max_body_bytes, self._cfg.max_header_bytes, self._cfg.slow_sender_timeout
         )
         app = Application([(r".*", IngressHandler, {"context": context})], log_function=_no_log)
@@ -255,31 +249,35 @@
             self.directory.expire()
 
     def _on_operator(self, record: KeyedRecord) -> None:
-        if record.key == KEY_CONFIG and record.value:
-            table = read_config(record.value)
-            if isinstance(table, Err):
-                self.metrics.drop("config_unreadable")
-                _LOGGER.error("config_unreadable", detail=table.unwrap_err())
-                return
-            self.routes.apply(table.unwrap())
-        elif record.key.startswith(KEY_VERSION_PREFIX) and record.value:
-            named = read_version(record.value)
-            if isinstance(named, Err):
-                self.metrics.drop("version_unreadable")
-                return
-            self.shifter.want(*named.unwrap())
+        read = self._platform.read_operator(record)
+        if isinstance(read, Err):
+            # What was in force stays in force; the operator's next record may be whole again.
+            self.metrics.drop("operator_record_unreadable")
+            _LOGGER.error("operator_record_unreadable", key=record.key, detail=read.unwrap_err())
+            return
+        change = read.unwrap()
+        if isinstance(change, RouteTable):
+            self.routes.apply(change)
+        elif isinstance(change, NamedVersion):
+            self.shifter.want(change.model, change.version)
 
     def _on_server(self, record: KeyedRecord) -> None:
         if not record.value:
             self.directory.remove(record.key)
             return
-        row = read_registration(record.key, record.value)
+        row = self._platform.read_registration(record)
         if isinstance(row, Err):
             self.metrics.drop("registration_unreadable")
             return
         self.directory.put(row.unwrap())
 
     def _on_routes(self, table: RouteTable) -> None:
+        self._limits.max_body_bytes = table.limits.body_bytes
+        self._limits.max_header_bytes = table.limits.header_bytes
+        for server in self._servers:
+            # Callers may rest on a connection up to the limit; closed sooner, their next request
+            # would be lost.
+            server.conn_params.header_timeout = table.limits.idle_timeout.total_seconds()
         _LOGGER.info("config_applied", version=table.version, routes=len(table.routes))
         self.directs.on_revision()
         self._wake()
@@ -350,7 +348,7 @@
 
 
 async def _async_run(cfg: GatewaySettings, path: str) -> int:
-    gateway = GatewayProcess(cfg, SystemClock())
+    gateway = GatewayProcess(cfg, UsersPlatform(cfg.store), SystemClock())
     shutdown = Shutdown(gateway.async_stop, cfg.stop_timeout, gateway.metrics)
     shutdown.install()
     try:
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -10,9 +10,11 @@
 import attrs
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
 from cranberryline.decisions.hedging import HedgeBudget
+from cranberryline.entry.attempt import CallerLeft
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import CallerClass, CallerRequest
@@ -22,10 +24,18 @@
 from cranberryline.helpers.problem import problem_body
 from cranberryline.jobs.errors import JobProblem
 from cranberryline.jobs.service import JobService
-from cranberryline.ports.edge import EdgeFormat, ItemBodyRead, JobEnd, JobRead, PlainCall
+from cranberryline.ports.edge import (
+    EdgeFormat,
+    ItemBodyRead,
+    JobEnd,
+    JobRead,
+    Pairs,
+    PlainCall,
+)
 from cranberryline.routes import Route, RouteBook, RouteKind, RouteTable
 
 from .attempts import AttemptSink, RepeatedRequest
+from .streams import StreamAnswer, StreamRun
 
 __all__ = ["GatewayContext", "IngressHandler", "ReadyHandler"]
 
@@ -170,6 +180,9 @@
         if route.kind is RouteKind.JOB:
             await self._async_submit(call, host)
             return
+        if route.kind is RouteKind.STREAM:
+            await self._async_stream(call, route)
+            return
         await self._async_pass_on(call, route)
 
     async def _async_table(self) -> RouteTable | None:
@@ -210,6 +223,65 @@
             return
         self._write_answer(outcome.unwrap(), route)
 
+    async def _async_stream(self, call: PlainCall, route: Route) -> None:
+        """Pass a stream on as it comes; one that breaks off must look broken to its caller."""
+        ctx = self.context
+        deadline = self._began + (call.time_left or _DEFAULT_TIME)
+
+        def make(last_event: int | None, avoid: frozenset[str]) -> CallerRequest:
+            req = self._upstream_request(route, deadline, avoid, 1)
+            headers = ctx.edge.resume_headers(req.headers, last_event)
+            # Not repeated by the dispatcher, but stopped at the upstream when the caller leaves.
+            return attrs.evolve(req, headers=headers, idempotent=True)
+
+        run = StreamRun(
+            ctx.dispatcher,
+            StreamAnswer(self._async_stream_head, self._async_stream_events),
+            make,
+            ctx.edge.version_field,
+            route.resumable,
+            max(1, route.max_attempts),
+            call.last_event,
+        )
+        ended = await run.async_run()
+        if isinstance(ended, Ok):
+            sink = ended.unwrap()
+            if run.begun:
+                await self.finish()
+                _LOGGER.info("stream_ended", request_id=self.request_id, ms=self._ms())
+                return
+            answer = AttemptSink()
+            answer.upstream = sink.upstream
+            await answer.async_head(sink.status, sink.headers)
+            await answer.async_chunk(sink.body)
+            self._write_answer(answer, route)
+            return
+        refusal = ended.unwrap_err()
+        if not refusal.begun:
+            self._write_refusal(refusal, route)
+            return
+        ctx.metrics.fail("stream_cut")
+        _LOGGER.warning("stream_cut", request_id=self.request_id, ms=self._ms())
+        self.request.connection.detach().close()  # type: ignore[union-attr]
+        self._finished = True
+
+    async def _async_stream_head(self, status: int, headers: Pairs) -> None:
+        self.set_status(status)
+        for name, value in headers:
+            if name.lower() not in _HOP_HEADERS:
+                self.add_header(name, value)
+        await self._async_flush()
+
+    async def _async_stream_events(self, data: bytes) -> None:
+        self.write(data)
+        await self._async_flush()
+
+    async def _async_flush(self) -> None:
+        try:
+            await self.flush()
+        except StreamClosedError as exc:
+            raise CallerLeft from exc
+
     def _upstream_request(
         self, route: Route, deadline: timedelta, avoid: frozenset[str], attempts: int
     ) -> CallerRequest:
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -38,9 +38,12 @@
 _SLOW_SENDER_MARGIN = timedelta(seconds=5)
 
 
-@attrs.frozen
+@attrs.define
 class InputLimits:
-    """What a request may be at most, and how long its sender may take for the body."""
+    """What a request may be at most, and how long its sender may take for the body.
+
+    A change counts from the next request on, up to what the server was opened with.
+    """
 
     max_body_bytes: int
     max_header_bytes: int
--- a/cranberryline/jobs/events.py
+++ b/cranberryline/jobs/events.py
@@ -10,11 +10,15 @@
 
 @attrs.frozen
 class Event:
-    """One whole event; `version` is set where the stream says that it changes with this one."""
+    """One whole event; `version` is set where the stream says that it changes with this one.
+
+    `raw` is the event as it came, its end included.
+    """
 
     id: int
     data: str
     version: int | None = None
+    raw: bytes = b""
 
 
 class EventReader:
@@ -55,7 +59,7 @@
                 version = int(value)
         if event_id is None:
             raise ValueError("an event without an id")
-        return Event(event_id, "\n".join(data), version)
+        return Event(event_id, "\n".join(data), version, block + _EVENT_END)
 
 
 @attrs.define
--- /dev/null
+++ b/cranberryline/platform/adapter.py
@@ -0,0 +1,68 @@
+"""The users' platform behind the product's port."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from cranberryline.ports.edge import EdgeFormat
+from cranberryline.ports.model import PlainServicePort, VmEntry
+from cranberryline.ports.orders import OrderPort
+from cranberryline.ports.platform import NamedVersion, OperatorChange, PlatformPort
+from cranberryline.ports.store import KeyedRecord, SharedLog
+from cranberryline.upstreams.directory import Registration
+
+from .config import read_config, read_version
+from .const import KEY_CONFIG, KEY_VERSION_PREFIX, TOPIC_NODES, TOPIC_OPERATOR, TOPIC_SERVERS
+from .edge import PlatformEdge
+from .samplers import SamplerClient, SamplerOrders, read_registration
+from .store import HttpStore
+
+__all__ = ["UsersPlatform"]
+
+
+class UsersPlatform(PlatformPort):
+    """Names, formats and calls of the users' platform."""
+
+    topic_operator = TOPIC_OPERATOR
+    topic_upstreams = TOPIC_SERVERS
+    topic_nodes = TOPIC_NODES
+
+    def __init__(self, store: str) -> None:
+        self._log = HttpStore(store)
+        self._edge = PlatformEdge()
+
+    @property
+    def log(self) -> SharedLog:
+        """Return the store."""
+        return self._log
+
+    @property
+    def edge(self) -> EdgeFormat:
+        """Return the platform's messages."""
+        return self._edge
+
+    def read_operator(self, record: KeyedRecord) -> Result[OperatorChange | None, str]:
+        """Read a configuration or a named version; a dropped key says nothing."""
+        if not record.value:
+            return Ok(None)
+        if record.key == KEY_CONFIG:
+            table = read_config(record.value)
+            return Err(table.unwrap_err()) if isinstance(table, Err) else Ok(table.unwrap())
+        if record.key.startswith(KEY_VERSION_PREFIX):
+            named = read_version(record.value)
+            if isinstance(named, Err):
+                return Err(named.unwrap_err())
+            return Ok(NamedVersion(*named.unwrap()))
+        return Ok(None)
+
+    def read_registration(self, record: KeyedRecord) -> Result[Registration, str]:
+        """Read an upstream's entry."""
+        return read_registration(record.key, record.value)
+
+    def connect(self, row: VmEntry) -> PlainServicePort:
+        """Return the client of one incarnation of an upstream."""
+        return SamplerClient(row)
+
+    def orders(self, address_of: Callable[[str], str | None]) -> OrderPort:
+        """Return the client for orders."""
+        return SamplerOrders(address_of)
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -92,7 +92,8 @@
         if left is not None and number is None:
             return Err(f"{HEADER_TIME_LEFT} must be a whole number of milliseconds")
         time_left = None if number is None else timedelta(milliseconds=number)
-        return Ok(PlainCall(headers.get(HEADER_REQUEST_ID, ""), time_left))
+        last = _number(headers.get(HEADER_LAST_EVENT, ""))
+        return Ok(PlainCall(headers.get(HEADER_REQUEST_ID, ""), time_left, last))
 
     def read_job(
         self, request_id: str, host: str, path: str, body: bytes, now: float
@@ -140,6 +141,14 @@
             headers.append((HEADER_LAST_EVENT, str(last_event)))
         return tuple(headers)
 
+    def resume_headers(self, headers: Pairs, last_event: int | None) -> Pairs:
+        """Return the headers with the event to go on after in place of the caller's own."""
+        if last_event is None:
+            return headers
+        own = HEADER_LAST_EVENT.lower()
+        kept = [pair for pair in headers if pair[0].lower() != own]
+        return (*kept, (HEADER_LAST_EVENT, str(last_event)))
+
     def scorer_headers(self, scorer: Scorer) -> Pairs:
         """Return the scoring request's id and host."""
         return ((HEADER_REQUEST_ID, scorer.id), (HEADER_HOST, scorer.host))
--- a/cranberryline/ports/edge.py
+++ b/cranberryline/ports/edge.py
@@ -54,6 +54,7 @@
 
     request_id: str
     time_left: timedelta | None
+    last_event: int | None = None
 
 
 CallerCall = JobRead | ItemBodyRead | JobEnd | PlainCall
@@ -92,6 +93,10 @@
     def item_headers(self, job: Job, item: Item, last_event: int | None) -> Pairs:
         """Return the headers with which an item is run, or gone on with after an event."""
 
+    @abc.abstractmethod
+    def resume_headers(self, headers: Pairs, last_event: int | None) -> Pairs:
+        """Return a caller's headers, asking to go on after an event."""
+
     @abc.abstractmethod
     def scorer_headers(self, scorer: Scorer) -> Pairs:
         """Return the headers of the request that scores an item's text."""
--- /dev/null
+++ b/cranberryline/ports/platform.py
@@ -0,0 +1,62 @@
+"""Port to a platform as a whole: what stands in its store, and how its upstreams are reached."""
+
+import abc
+from collections.abc import Callable
+
+import attrs
+from result import Result
+
+from cranberryline.routes import RouteTable
+from cranberryline.upstreams.directory import Registration
+
+from .edge import EdgeFormat
+from .model import PlainServicePort, VmEntry
+from .orders import OrderPort
+from .store import KeyedRecord, SharedLog
+
+__all__ = ["NamedVersion", "OperatorChange", "PlatformPort"]
+
+
+@attrs.frozen
+class NamedVersion:
+    """A version that a trainer named for its model."""
+
+    model: str
+    version: int
+
+
+OperatorChange = RouteTable | NamedVersion
+
+
+class PlatformPort(abc.ABC):
+    """One platform; the topics are names of its store."""
+
+    topic_operator: str
+    topic_upstreams: str
+    topic_nodes: str
+
+    @property
+    @abc.abstractmethod
+    def log(self) -> SharedLog:
+        """Return the store."""
+
+    @property
+    @abc.abstractmethod
+    def edge(self) -> EdgeFormat:
+        """Return the way in which callers and upstreams write."""
+
+    @abc.abstractmethod
+    def read_operator(self, record: KeyedRecord) -> Result[OperatorChange | None, str]:
+        """Read what an operator or a trainer wrote; None for what does not concern us."""
+
+    @abc.abstractmethod
+    def read_registration(self, record: KeyedRecord) -> Result[Registration, str]:
+        """Read what an upstream wrote of itself."""
+
+    @abc.abstractmethod
+    def connect(self, row: VmEntry) -> PlainServicePort:
+        """Return the way to one upstream."""
+
+    @abc.abstractmethod
+    def orders(self, address_of: Callable[[str], str | None]) -> OrderPort:
+        """Return the way to order engines, found by their id."""
