--- a/cranberryline/helpers/clock.py
+++ b/cranberryline/helpers/clock.py
@@ -19,6 +19,14 @@
     def monotonic(self) -> timedelta:
         """Return the time since an arbitrary start; it never goes back."""
 
+    def elapsed(self) -> timedelta:
+        """Return the time since an arbitrary start, with the time for which the VM was suspended.
+
+        The monotonic time stands still while a VM is suspended: who held something for a limited
+        time would wake up and take it as still held.
+        """
+        return self.monotonic()
+
     @abc.abstractmethod
     async def async_sleep(self, duration: timedelta) -> None:
         """Sleep for at least the given duration."""
@@ -35,6 +43,10 @@
         """Return the operating system's monotonic time."""
         return timedelta(seconds=time.monotonic())
 
+    def elapsed(self) -> timedelta:
+        """Return the operating system's time since its start, suspension included."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
     async def async_sleep(self, duration: timedelta) -> None:
         """Sleep on the running event loop."""
         await asyncio.sleep(duration.total_seconds())
--- a/cranberryline/leases/keeper.py
+++ b/cranberryline/leases/keeper.py
@@ -1,7 +1,6 @@
 """Acquire a lease through the store, renew it, and know for sure whether it is still held."""
 
 import random
-import time
 import uuid
 from datetime import timedelta
 
@@ -23,20 +22,11 @@
 )
 from .model import LeaseBook, LeaseRecord
 
-__all__ = ["LeaseKeeper", "elapsed"]
+__all__ = ["LeaseKeeper"]
 
 _LOGGER = get_logger(__name__)
 
 
-def elapsed() -> timedelta:
-    """Return the time since the VM started, the time for which it was suspended included.
-
-    The monotonic clock stands still while a VM is suspended: a holder that slept through its lease
-    would take it for valid.
-    """
-    return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
-
-
 class LeaseKeeper:
     """Hold the lease if this node is the one; `token` tells whether it may act right now."""
 
@@ -66,7 +56,7 @@
         Asked directly before each act. The lease counts from before the record was sent, others
         count from when they saw it, and the margins cover what lies between check and arrival.
         """
-        held = self._token > 0 and elapsed() < self._valid_until
+        held = self._token > 0 and self._clock.elapsed() < self._valid_until
         if held != self._was_held:
             self._was_held = held
             _LOGGER.info("lease_held" if held else "lease_lapsed", token=self._token)
@@ -106,7 +96,9 @@
         holding = self.book.holding
         if holding is not None and holding.holder.rpartition("/")[0] == self._node:
             return True
-        return holding is None or elapsed() - holding.seen_at > self._lease + TAKER_MARGIN
+        return (
+            holding is None or self._clock.elapsed() - holding.seen_at > self._lease + TAKER_MARGIN
+        )
 
     async def _async_acquire(self) -> None:
         await self._async_append(LeaseRecord(self.holder))
@@ -117,7 +109,7 @@
         holding = self.book.holding
         if holding is None:
             return
-        asked = elapsed()
+        asked = self._clock.elapsed()
         if await self._async_append(LeaseRecord(self.holder, holding.token)):
             self._token = holding.token
             self._valid_until = asked + self._lease - HOLDER_MARGIN
@@ -136,4 +128,4 @@
             record = msgspec.msgpack.decode(data, type=LeaseRecord)
         except msgspec.DecodeError:
             record = LeaseRecord("")
-        self.book.apply(offset, record, elapsed())
+        self.book.apply(offset, record, self._clock.elapsed())
--- a/tests/configs/config_fakes.py
+++ b/tests/configs/config_fakes.py
@@ -20,7 +20,7 @@
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.transport.codec import decode, encode
 from cranberryline.transport.model import Message
-from tests.configs.virtual_time import LoopClock
+from tests.virtual_time import LoopClock
 
 OUTAGE = PlatformError(PlatformReason.REFUSED, "outage", status=503)
 LOST = PlatformError(PlatformReason.CUT, "answer lost")
--- a/tests/configs/test_config_checkpoint.py
+++ b/tests/configs/test_config_checkpoint.py
@@ -12,7 +12,7 @@
 from cranberryline.configs.schema import READERS
 from cranberryline.ports.model import LogRecord
 from tests.configs.config_fakes import Cluster, FakeLog, service_data, weights_data
-from tests.configs.virtual_time import run_virtual
+from tests.virtual_time import run_virtual
 
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 POLICY = CheckpointPolicy(retention=timedelta(seconds=60), check=timedelta(seconds=1))
--- a/tests/configs/test_config_publish.py
+++ b/tests/configs/test_config_publish.py
@@ -25,7 +25,7 @@
     service_data,
     weights_data,
 )
-from tests.configs.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, run_virtual
 
 Outcome = Result[Accepted, PublishRefused]
 
--- a/tests/configs/test_config_sync.py
+++ b/tests/configs/test_config_sync.py
@@ -12,7 +12,7 @@
 from cranberryline.ports.errors import PlatformError
 from cranberryline.ports.model import LogPage
 from tests.configs.config_fakes import Cluster, FakeLog, SilentLog, service_data, weights_data
-from tests.configs.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, run_virtual
 
 ENTRIES = [f"entry-{number}" for number in range(6)]
 SIDES = [f"side-{number}" for number in range(4)]
--- a/tests/entry/test_direct.py
+++ b/tests/entry/test_direct.py
@@ -49,7 +49,7 @@
             itertools.count(1).__next__,
             bench.fold.service,
             bench.dispatcher.wake,
-            lambda address: self.upstreams[address],
+            lambda row: self.upstreams[row.address],
         )
 
     def add(self, vm_id: str) -> tuple[DirectUpstream, FakeUpstream]:
--- a/tests/upstreams/test_membership_watch.py
+++ b/tests/upstreams/test_membership_watch.py
@@ -10,7 +10,7 @@
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.model import VmEntry, VmList, VmListPort, VmRole, VmState
 from cranberryline.transport.model import Drain, Welcome
-from tests.configs.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, run_virtual
 
 DOWN = PlatformError(PlatformReason.UNREACHABLE)
 
--- a/tests/weights/test_weights_controller.py
+++ b/tests/weights/test_weights_controller.py
@@ -14,7 +14,7 @@
 from cranberryline.side.config_sync import SideConfigSync
 from cranberryline.side.weights import ShiftSlots, SwapSlots, WeightsController
 from tests.configs.config_fakes import Cluster, FakeLog, service_data, weights_data
-from tests.configs.virtual_time import run_virtual
+from tests.virtual_time import run_virtual
 
 BUSY = PlatformError(PlatformReason.REFUSED, "store busy", status=503, retry_after_s=2.0)
 HALF = PlatformError(PlatformReason.REFUSED, "the swap failed half way", status=500)
