Tell lost partitions apart; copies of slow scoring; use what earlier jobs list of the same items

Ruled out: fewer partitions (one that is out would then stop every job). Change: loss is kept by partition; scoring goes through the same copies as callers' requests; an item that an earlier job lists complete, in versions that fit, is listed again and not made again.

--- a/cranberryline/gateway/attempts.py
+++ b/cranberryline/entry/repeated.py
@@ -8,12 +8,12 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.hedging import HedgeBudget, hedge_delay
-from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import CallerRequest, CollectingSink
-from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 
+from .dispatch import Dispatcher
+from .errors import Ran, Refusal, RefusalReason
+from .model import CallerRequest, CollectingSink
+
 __all__ = ["AttemptSink", "RepeatedRequest"]
 
 STATUS_SERVER_ERROR = 500
@@ -37,15 +37,18 @@
 
 @attrs.define
 class RepeatedRequest:
-    """One caller's request until its first good answer, within the upstreams it may run on."""
+    """One request until its first good answer, within the upstreams that it may run on.
+
+    `failures` counts the upstreams that answered with a failure of their own.
+    """
 
     dispatcher: Dispatcher
     budget: HedgeBudget
-    clock: Clock
     metrics: Metrics
     make: Callable[[frozenset[str]], CallerRequest]
     goal: timedelta
     max_attempts: int
+    failures: int = 0
     _running: dict[asyncio.Task[Result[str, Refusal]], AttemptSink] = attrs.field(factory=dict)
     _avoid: frozenset[str] = frozenset()
     _may_have_run: int = 0
@@ -114,6 +117,7 @@
             self._may_have_run += 1
             if sink.status < STATUS_SERVER_ERROR:
                 return sink
+            self.failures += 1
             self._failed = sink
             return None
         refusal = outcome.unwrap_err()
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -18,6 +18,7 @@
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import CallerClass, CallerRequest
+from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -34,7 +35,6 @@
 )
 from cranberryline.routes import Route, RouteBook, RouteKind, RouteTable
 
-from .attempts import AttemptSink, RepeatedRequest
 from .streams import StreamAnswer, StreamRun
 
 __all__ = ["GatewayContext", "IngressHandler", "ReadyHandler"]
@@ -206,7 +206,6 @@
             repeated = RepeatedRequest(
                 ctx.dispatcher,
                 ctx.hedges,
-                ctx.clock,
                 ctx.metrics,
                 lambda avoid: self._upstream_request(route, deadline, avoid, 1),
                 route.goal,
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -29,6 +29,7 @@
 
 _LOGGER = get_logger(__name__)
 _T = TypeVar("_T")
+_Where = tuple[str, int]
 
 PATH_RELAY = "/relay"
 
@@ -99,13 +100,16 @@
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
-        self._probe_at: timedelta | None = None
+        self._probe_at: dict[_Where, timedelta] = {}
         self._good_peer = ""
 
-    @property
-    def direct_lost(self) -> bool:
-        """Tell whether the store does not answer this node itself."""
-        return self._probe_at is not None
+    def direct_lost(self, topic: str, part: int) -> bool:
+        """Tell whether the store does not answer this node itself about a partition.
+
+        A store may be out for some partitions only; taken as lost for all, calls about the others
+        would go to peers who are no better off.
+        """
+        return (topic, part) in self._probe_at
 
     async def async_append(
         self,
@@ -163,29 +167,31 @@
     async def _async_call(
         self,
         direct: Callable[[timedelta], Awaitable[Result[_T, StoreError]]],
-        call: msgspec.Struct,
+        call: "RelayAppend | RelayRead | RelayNewest",
         make: Callable[[RelayAnswer], _T],
         timeout: timedelta,
         repeatable: bool,
     ) -> Result[_T, StoreError]:
         error = StoreError(StoreProblem.REFUSED, "store not asked")
         now = self._clock.monotonic()
-        if self._probe_at is None or now >= self._probe_at:
-            if self._probe_at is not None:
-                self._probe_at = now + _PROBE_INTERVAL
+        where = _where(call)
+        probe_at = self._probe_at.get(where)
+        if probe_at is None or now >= probe_at:
+            if probe_at is not None:
+                self._probe_at[where] = now + _PROBE_INTERVAL
             taken = await direct(timeout)
             if isinstance(taken, Ok) or taken.unwrap_err().problem in _ANSWERED:
-                self._note_direct(True, "")
+                self._note_direct(where, True, "")
                 return taken
             error = taken.unwrap_err()
-            self._note_direct(False, error.detail)
+            self._note_direct(where, False, error.detail)
             if error.problem is StoreProblem.UNKNOWN and not repeatable:
                 return taken
         return await self._async_relay(call, make, timeout, repeatable, error)
 
     async def _async_relay(
         self,
-        call: msgspec.Struct,
+        call: "RelayAppend | RelayRead | RelayNewest",
         make: Callable[[RelayAnswer], _T],
         timeout: timedelta,
         repeatable: bool,
@@ -219,7 +225,7 @@
         return Err(error)
 
     async def _async_ask(
-        self, peer: str, call: msgspec.Struct, timeout: timedelta
+        self, peer: str, call: "RelayAppend | RelayRead | RelayNewest", timeout: timedelta
     ) -> Result[RelayAnswer, StoreError]:
         req = UpstreamRequest("POST", PATH_RELAY, (), msgspec.msgpack.encode(call))
         sent = await async_exchange(HttpOrigin(f"http://{peer}"), req, timeout)
@@ -233,13 +239,19 @@
         except (UpstreamCut, msgspec.DecodeError) as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
 
-    def _note_direct(self, good: bool, detail: str) -> None:
-        if good and self._probe_at is not None:
-            self._probe_at = None
-            _LOGGER.info("store_direct_regained")
-        elif not good and self._probe_at is None:
-            self._probe_at = self._clock.monotonic() + _PROBE_INTERVAL
-            _LOGGER.warning("store_direct_lost", detail=detail)
+    def _note_direct(self, where: _Where, good: bool, detail: str) -> None:
+        if good and where in self._probe_at:
+            del self._probe_at[where]
+            if not self._probe_at:
+                _LOGGER.info("store_direct_regained")
+        elif not good and where not in self._probe_at:
+            if not self._probe_at:
+                _LOGGER.warning("store_direct_lost", detail=detail)
+            self._probe_at[where] = self._clock.monotonic() + _PROBE_INTERVAL
+
+
+def _where(call: "RelayAppend | RelayRead | RelayNewest") -> _Where:
+    return (call.topic, 0 if isinstance(call, RelayNewest) else call.part)
 
 
 class RelayHandler(RequestHandler):
@@ -257,7 +269,7 @@
             self.set_status(400)
             return
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
-        if not self._store.direct_lost:
+        if not self._store.direct_lost(*_where(call)):
             answer = await _async_make(self._store.direct, call)
         self.set_header("Content-Type", "application/msgpack")
         self.finish(msgspec.msgpack.encode(answer))
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -26,6 +26,9 @@
 _SNAPSHOT_TIMEOUT = timedelta(seconds=3)
 _FIRST_BACKOFF = timedelta(milliseconds=100)
 _MAX_BACKOFF = timedelta(milliseconds=400)
+# A store that is out for some partitions answers and fails by turns; told each time, the log would
+# hold nothing else.
+_REGAINED_AFTER = timedelta(seconds=1)
 
 
 class StoreHealth:
@@ -40,7 +43,7 @@
     def succeeded(self) -> None:
         """Note an answer."""
         self.last_success = self._clock.monotonic()
-        if self._lost:
+        if self._lost and not self.failed_within(_REGAINED_AFTER):
             self._lost = False
             _LOGGER.info("store_regained")
 
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -8,7 +8,7 @@
 from cranberryline.helpers.clock import Clock
 
 from .codec import decode_job
-from .model import Item, ItemResult, Job, JobEnded, JobPart, JobRecord, ResultRecord
+from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
 
 __all__ = ["JobBook", "JobState"]
 
@@ -56,6 +56,7 @@
         self._clock = clock
         self._keep = keep
         self._parts: dict[tuple[str, str], _Parts] = {}
+        self._completed: dict[str, tuple[Item, ItemResult]] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
     def listen(self, listener: Callable[[JobState], None]) -> None:
@@ -77,11 +78,21 @@
             self._take_result(state, record)
         self._notify(state)
 
+    def completed(self, item: Item) -> ItemResult | None:
+        """Return the result that some job lists of just this item, if it is complete.
+
+        A trainer asks again for groups that an earlier job did not finish; what is listed of them
+        need not be made twice.
+        """
+        found = self._completed.get(item.id)
+        return found[1] if found is not None and found[0] == item else None
+
     def forget_old(self) -> None:
         """Drop jobs that nobody may ask for any more."""
         limit = self._clock.monotonic() - self._keep
         for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
-            del self.jobs[job_id]
+            for item in self.jobs.pop(job_id).job.items:
+                self._completed.pop(item.id, None)
 
     def _take_part(self, part: JobPart) -> None:
         key = (part.job, part.writer)
@@ -102,7 +113,10 @@
             return
         state.done.add(record.index)
         state.results.append((record.index, record.result))
-        state.moved_at[state.job.items[record.index].group] = self._clock.monotonic()
+        item = state.job.items[record.index]
+        state.moved_at[item.group] = self._clock.monotonic()
+        if record.result.state is ItemState.COMPLETED:
+            self._completed[item.id] = (item, record.result)
 
     def _notify(self, state: JobState) -> None:
         for listener in self._listeners:
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -2,16 +2,19 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
 import attrs
 from result import Err, Ok, Result
 
+from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.entry.attempt import CallerLeft
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.entry.errors import Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerClass, CallerRequest, CollectingSink
+from cranberryline.entry.model import AnswerSink, CallerClass, CallerRequest
+from cranberryline.entry.repeated import RepeatedRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -20,7 +23,7 @@
 
 from .book import JobState
 from .events import EventReader, ItemText
-from .model import ItemResult, ItemState, Scorer
+from .model import Item, ItemResult, ItemState, Scorer
 from .scoring import ScoringPlaces
 
 __all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
@@ -40,6 +43,7 @@
 _WATCH = timedelta(milliseconds=250)
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
+_SCORE_ATTEMPTS = 2
 _PAUSE = timedelta(milliseconds=40)
 _MAX_PAUSE = timedelta(milliseconds=400)
 _STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
@@ -69,6 +73,8 @@
     metrics: Metrics
     rng: Random
     scoring: ScoringPlaces
+    kept: Callable[[Item], ItemResult | None]
+    hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
     heard: dict[str, timedelta] = attrs.field(factory=dict)
 
 
@@ -164,6 +170,9 @@
 
     async def async_run(self) -> ItemResult | None:
         """Return the result, or None when nobody wants it any more."""
+        kept = self._kept_result()
+        if kept is not None:
+            return kept
         while self._wanted():
             route = self._route(self.state.job.host, self.item.path)
             if route is None or self._too_old(route):
@@ -177,6 +186,17 @@
             return await self._async_score()
         return None
 
+    def _kept_result(self) -> ItemResult | None:
+        """Return what an earlier job lists of the same item, if its versions fit this job."""
+        kept = self.tools.kept(self.item)
+        route = self._route(self.state.job.host, self.item.path)
+        if kept is None or route is None:
+            return None
+        oldest = self.state.job.min_version
+        if oldest is not None and min(kept.versions, default=0) < oldest:
+            return None
+        return kept
+
     def _wanted(self) -> bool:
         return not self.state.ended and self.index not in self.state.done
 
@@ -284,36 +304,43 @@
             route = self._route(scorer.host, scorer.path)
             if route is None:
                 return ItemResult(ItemState.DEAD)
-            sink = CollectingSink()
-            outcome = await self._async_ask_score(scorer, route, sink)
-            if isinstance(outcome, Ok) and STATUS_OK <= sink.status < STATUS_MULTIPLE:
-                return self._completed(self.tools.edge.answer_head(sink.headers).signature)
-            if isinstance(outcome, Ok) and sink.status == STATUS_FAILED:
-                failures += 1
-                if failures >= route.max_attempts:
-                    return ItemResult(ItemState.DEAD)
+            service = route.choose_service(self.tools.rng)
+            async with self.tools.scoring.place(service):
+                asked = self._score_request(scorer, route, service)
+                outcome = await asked.async_run()
+            failures += asked.failures
+            answer = outcome.ok()
+            if answer is not None and STATUS_OK <= answer.status < STATUS_MULTIPLE:
+                return self._completed(self.tools.edge.answer_head(answer.headers).signature)
+            if failures >= route.max_attempts:
+                return ItemResult(ItemState.DEAD)
             self.tools.metrics.retry("score")
             await self._async_pause()
         return None
 
-    async def _async_ask_score(
-        self, scorer: Scorer, route: Route, sink: CollectingSink
-    ) -> Result[str, Refusal]:
-        """Send the scoring request once there is a place for it."""
-        service = route.choose_service(self.tools.rng)
-        async with self.tools.scoring.place(service):
-            req = CallerRequest(
+    def _score_request(self, scorer: Scorer, route: Route, service: str) -> RepeatedRequest:
+        """Return the scoring request, with a copy at another upstream if its answer takes long."""
+        deadline = self.tools.clock.monotonic() + _SCORE_TIME
+
+        def make(avoid: frozenset[str]) -> CallerRequest:
+            return CallerRequest(
                 service=service,
                 method="POST",
                 path=scorer.path,
                 headers=self.tools.edge.scorer_headers(scorer),
                 body=scorer.body,
-                deadline=self.tools.clock.monotonic() + _SCORE_TIME,
+                deadline=deadline,
                 caller=self.state.job.host,
                 caller_class=CallerClass.TRAINER,
+                avoid=avoid,
                 max_attempts=1,
             )
-            return await self.tools.dispatcher.async_run(req, sink)
+
+        attempts = min(route.max_attempts, _SCORE_ATTEMPTS)
+        tools = self.tools
+        return RepeatedRequest(
+            tools.dispatcher, tools.hedges, tools.metrics, make, route.goal, attempts
+        )
 
     def _completed(self, score: str) -> ItemResult:
         versions = tuple(self.text.versions)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -72,6 +72,7 @@
             parts.metrics,
             self._rng,
             ScoringPlaces(parts.dispatcher.places),
+            parts.jobs.book.completed,
         )
         self._jobs.book.listen(self._on_change)
 
