--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -36,7 +36,8 @@
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.shift import EngineView, VersionShifter
 
-from .ingress import GatewayContext, IngressHandler, ReadyHandler
+from .handler import GatewayContext, ReadyHandler
+from .ingress import IngressHandler
 from .links import DirectLinks
 from .nodes import NodeBook, NodeSign
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -1,51 +1,38 @@
 """HTTP handlers of the gateway: requests by route, batch jobs, readiness."""
 
 import asyncio
-import random
-from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
-from typing import Any
 
 import attrs
 from result import Err, Ok, Result
-from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
-from tornado.web import RequestHandler
 
-from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.entry.attempt import CallerLeft
-from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
-from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
-from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.problem import problem_body
-from cranberryline.jobs.errors import JobProblem
-from cranberryline.jobs.service import JobService
 from cranberryline.ports.edge import (
-    EdgeFormat,
     ItemBodyRead,
     JobEnd,
     JobRead,
     Pairs,
     PlainCall,
 )
-from cranberryline.routes import Route, RouteBook, RouteKind, RouteTable
+from cranberryline.routes import Route, RouteKind, RouteTable
 
+from .handler import RETRY_AFTER
+from .job_calls import JobCalls
 from .streams import StreamAnswer, StreamRun
 
-__all__ = ["GatewayContext", "IngressHandler", "ReadyHandler"]
+__all__ = ["IngressHandler"]
 
 _LOGGER = get_logger(__name__)
 
-_RETRY_AFTER = timedelta(milliseconds=300)
 _DEFAULT_TIME = timedelta(seconds=30)
 _START_PATIENCE = timedelta(milliseconds=400)
 _START_LOOK = timedelta(milliseconds=10)
-_MAX_WAIT = timedelta(seconds=1)
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -62,76 +49,11 @@
         "server",
     }
 )
-_JOB_STATUS = {
-    JobProblem.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
-    JobProblem.UNKNOWN_ITEM: HTTPStatus.NOT_FOUND,
-    JobProblem.NOT_SURE: HTTPStatus.SERVICE_UNAVAILABLE,
-    JobProblem.NOT_KEPT: HTTPStatus.SERVICE_UNAVAILABLE,
-    JobProblem.MAY_BE_KEPT: HTTPStatus.GATEWAY_TIMEOUT,
-}
 
 
-@attrs.define
-class GatewayContext:
-    """What the handlers share."""
-
-    clock: Clock
-    metrics: Metrics
-    edge: EdgeFormat
-    routes: RouteBook
-    dispatcher: Dispatcher
-    jobs: JobService
-    rng: random.Random
-    hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
-    in_flight: int = 0
-    stopping: bool = False
-
-
-class ReadyHandler(RequestHandler):
-    """Answer whether new connections should come here."""
-
-    def initialize(self, ready: Callable[[], bool]) -> None:
-        """Take the question."""
-        self._ready = ready
-
-    def get(self) -> None:
-        """Answer 200 or 503."""
-        good = self._ready()
-        self.set_status(HTTPStatus.OK if good else HTTPStatus.SERVICE_UNAVAILABLE)
-        self.finish({"ready": good})
-
-
-class IngressHandler(RequestHandler):
+class IngressHandler(JobCalls):
     """Serve every call of a caller."""
 
-    SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
-
-    def initialize(self, context: GatewayContext) -> None:
-        """Take the shared context."""
-        self.context = context
-
-    def prepare(self) -> None:
-        """Start the request's time."""
-        self._began = self.context.clock.monotonic()
-        self._work: asyncio.Task[Any] | None = None
-        self.request_id = ""
-
-    def clear(self) -> None:
-        """Start an answer without headers: all of them are the upstream's or a refusal's."""
-        self._headers = HTTPHeaders()
-        self._write_buffer = []
-        self._status_code = HTTPStatus.OK
-        self._reason = HTTPStatus.OK.phrase
-
-    def compute_etag(self) -> None:
-        """Leave entity tags to the upstream."""
-        return
-
-    def on_connection_close(self) -> None:
-        """Stop working for a caller that has gone."""
-        if self._work is not None:
-            self._work.cancel()
-
     async def async_handle(self) -> None:
         """Serve the call, or stop when its caller leaves."""
         self._work = asyncio.current_task()
@@ -338,108 +260,5 @@
             refusal.reason.value,
             ran=refusal.ran.value,
             detail=f"{route.name} {refusal.detail}",
-            retry_after=_RETRY_AFTER if refusal.ran is Ran.NO else None,
+            retry_after=RETRY_AFTER if refusal.ran is Ran.NO else None,
         )
-
-    async def _async_submit(self, call: PlainCall, host: str) -> None:
-        ctx = self.context
-        if self.request.method != "POST":
-            self._refuse(HTTPStatus.BAD_REQUEST, "bad_request", detail="a job is submitted by POST")
-            return
-        now = ctx.clock.now().timestamp()
-        job = ctx.edge.read_job(call.request_id, host, self.request.path, self.request.body, now)
-        if isinstance(job, Err):
-            self._refuse(HTTPStatus.BAD_REQUEST, "bad_job", detail=job.unwrap_err())
-            return
-        # Once the store has it the job is kept, whether or not its caller still waits.
-        taken = await asyncio.shield(ctx.jobs.async_submit(job.unwrap()))
-        if isinstance(taken, Err):
-            self._refuse_job(taken.unwrap_err().problem)
-            return
-        self._write_json(HTTPStatus.ACCEPTED, b"{}")
-
-    async def _async_read_job(self, call: JobRead) -> None:
-        self.request_id = call.job
-        page = await self.context.jobs.async_read(call.job, call.after, min(call.wait, _MAX_WAIT))
-        if isinstance(page, Err):
-            self._refuse_job(page.unwrap_err().problem)
-            return
-        self._write_json(HTTPStatus.OK, self.context.edge.write_page(page.unwrap()))
-
-    async def _async_read_body(self, call: ItemBodyRead) -> None:
-        self.request_id = call.job
-        found = await self.context.jobs.async_find(call.job)
-        if isinstance(found, Err):
-            self._refuse_job(found.unwrap_err().problem)
-            return
-        item = found.unwrap().item(call.item)
-        if item is None:
-            self._refuse_job(JobProblem.UNKNOWN_ITEM)
-            return
-        self.set_header("Content-Type", "application/octet-stream")
-        self._finish_body(item[1].body)
-
-    async def _async_end_job(self, call: JobEnd) -> None:
-        self.request_id = call.job
-        ended = await asyncio.shield(self.context.jobs.async_end(call.job))
-        if isinstance(ended, Err):
-            self._refuse_job(ended.unwrap_err().problem)
-            return
-        self._write_json(HTTPStatus.OK, b"{}")
-
-    def _refuse_job(self, problem: JobProblem) -> None:
-        status = _JOB_STATUS[problem]
-        later = status is HTTPStatus.SERVICE_UNAVAILABLE
-        self.context.metrics.refuse(problem.value)
-        self._refuse(status, problem.value, retry_after=_RETRY_AFTER if later else None)
-
-    def _refuse_later(self, reason: str) -> None:
-        self.context.metrics.refuse(reason)
-        self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, reason, retry_after=_RETRY_AFTER)
-
-    def _refuse(
-        self,
-        status: int,
-        reason: str,
-        ran: str = "no",
-        detail: str = "",
-        retry_after: timedelta | None = None,
-    ) -> None:
-        """Write a final answer without a result, and say in the log why."""
-        _LOGGER.info(
-            "request_refused",
-            request_id=self.request_id,
-            path=self.request.path,
-            status=int(status),
-            reason=reason,
-            ran=ran,
-            detail=detail,
-            config=self._config_version(),
-            ms=self._ms(),
-        )
-        self.clear()
-        self.set_status(status)
-        if retry_after is not None:
-            self.set_header("Retry-After", f"{retry_after.total_seconds():g}")
-        body = problem_body(int(status), reason, reason.replace("_", " "), ran, self.request_id)
-        self.set_header("Content-Type", "application/problem+json")
-        self._finish_body(body)
-
-    def _write_json(self, status: HTTPStatus, body: bytes) -> None:
-        self.set_status(status)
-        self.set_header("Content-Type", "application/json")
-        self._finish_body(body)
-
-    def _finish_body(self, body: bytes) -> None:
-        self.set_header("Content-Length", str(len(body)))
-        if self.context.stopping:
-            # A request sent on a kept connection in the moment in which it closes would be lost.
-            self.set_header("Connection", "close")
-        self.finish(body)
-
-    def _config_version(self) -> int:
-        table = self.context.routes.table
-        return 0 if table is None else table.version
-
-    def _ms(self) -> int:
-        return int((self.context.clock.monotonic() - self._began) / timedelta(milliseconds=1))
--- /dev/null
+++ b/cranberryline/gateway/job_calls.py
@@ -0,0 +1,79 @@
+"""Calls about batch jobs."""
+
+import asyncio
+from datetime import timedelta
+from http import HTTPStatus
+
+from result import Err
+
+from cranberryline.jobs.errors import JobProblem
+from cranberryline.ports.edge import ItemBodyRead, JobEnd, JobRead, PlainCall
+
+from .handler import RETRY_AFTER, CallerHandler
+
+__all__ = ["JobCalls"]
+
+_MAX_WAIT = timedelta(seconds=1)
+_JOB_STATUS = {
+    JobProblem.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
+    JobProblem.UNKNOWN_ITEM: HTTPStatus.NOT_FOUND,
+    JobProblem.NOT_SURE: HTTPStatus.SERVICE_UNAVAILABLE,
+    JobProblem.NOT_KEPT: HTTPStatus.SERVICE_UNAVAILABLE,
+    JobProblem.MAY_BE_KEPT: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+class JobCalls(CallerHandler):
+    """Submit, read and end jobs."""
+
+    async def _async_submit(self, call: PlainCall, host: str) -> None:
+        ctx = self.context
+        if self.request.method != "POST":
+            self._refuse(HTTPStatus.BAD_REQUEST, "bad_request", detail="a job is submitted by POST")
+            return
+        now = ctx.clock.now().timestamp()
+        job = ctx.edge.read_job(call.request_id, host, self.request.path, self.request.body, now)
+        if isinstance(job, Err):
+            self._refuse(HTTPStatus.BAD_REQUEST, "bad_job", detail=job.unwrap_err())
+            return
+        # Once the store has it the job is kept, whether or not its caller still waits.
+        taken = await asyncio.shield(ctx.jobs.async_submit(job.unwrap()))
+        if isinstance(taken, Err):
+            self._refuse_job(taken.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.ACCEPTED, b"{}")
+
+    async def _async_read_job(self, call: JobRead) -> None:
+        self.request_id = call.job
+        page = await self.context.jobs.async_read(call.job, call.after, min(call.wait, _MAX_WAIT))
+        if isinstance(page, Err):
+            self._refuse_job(page.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.OK, self.context.edge.write_page(page.unwrap()))
+
+    async def _async_read_body(self, call: ItemBodyRead) -> None:
+        self.request_id = call.job
+        found = await self.context.jobs.async_find(call.job)
+        if isinstance(found, Err):
+            self._refuse_job(found.unwrap_err().problem)
+            return
+        item = found.unwrap().item(call.item)
+        if item is None:
+            self._refuse_job(JobProblem.UNKNOWN_ITEM)
+            return
+        self.set_header("Content-Type", "application/octet-stream")
+        self._finish_body(item[1].body)
+
+    async def _async_end_job(self, call: JobEnd) -> None:
+        self.request_id = call.job
+        ended = await asyncio.shield(self.context.jobs.async_end(call.job))
+        if isinstance(ended, Err):
+            self._refuse_job(ended.unwrap_err().problem)
+            return
+        self._write_json(HTTPStatus.OK, b"{}")
+
+    def _refuse_job(self, problem: JobProblem) -> None:
+        status = _JOB_STATUS[problem]
+        later = status is HTTPStatus.SERVICE_UNAVAILABLE
+        self.context.metrics.refuse(problem.value)
+        self._refuse(status, problem.value, retry_after=RETRY_AFTER if later else None)
