--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -122,7 +122,7 @@
         """Append; only what was surely not done is tried again through a peer."""
         call = RelayAppend(topic, part, records, _ms(timeout), at)
         return await self._async_call(
-            lambda left: self.direct.async_append(topic, part, records, left, at),
+            lambda left, _probing: self.direct.async_append(topic, part, records, left, at),
             call,
             lambda answer: Appended(answer.first, answer.second),
             timeout,
@@ -135,7 +135,10 @@
         """Read."""
         call = RelayRead(topic, part, start, _ms(wait), _ms(timeout))
         return await self._async_call(
-            lambda left: self.direct.async_read(topic, part, start, wait, left),
+            # A probe that waits for a record would tell of the store's return only with the record.
+            lambda left, probing: self.direct.async_read(
+                topic, part, start, timedelta() if probing else wait, left
+            ),
             call,
             lambda answer: LogRead(answer.first, answer.second, tuple(answer.records)),
             timeout,
@@ -147,7 +150,7 @@
     ) -> Result[KeyedSnapshot, StoreError]:
         """Read the newest record of each key."""
         return await self._async_call(
-            lambda left: self.direct.async_newest(topic, left),
+            lambda left, _probing: self.direct.async_newest(topic, left),
             RelayNewest(topic, _ms(timeout)),
             lambda answer: KeyedSnapshot(
                 tuple(KeyedRecord(*row) for row in answer.keys), answer.second
@@ -166,7 +169,7 @@
 
     async def _async_call(
         self,
-        direct: Callable[[timedelta], Awaitable[Result[_T, StoreError]]],
+        direct: Callable[[timedelta, bool], Awaitable[Result[_T, StoreError]]],
         call: "RelayAppend | RelayRead | RelayNewest",
         make: Callable[[RelayAnswer], _T],
         timeout: timedelta,
@@ -179,7 +182,7 @@
         if probe_at is None or now >= probe_at:
             if probe_at is not None:
                 self._probe_at[where] = now + _PROBE_INTERVAL
-            taken = await direct(timeout)
+            taken = await direct(timeout, probe_at is not None)
             if isinstance(taken, Ok) or taken.unwrap_err().problem in _ANSWERED:
                 self._note_direct(where, True, "")
                 return taken
--- /dev/null
+++ b/stand_ins/platform_sampler.py
@@ -0,0 +1,177 @@
+"""A stand-in for the users' platform's upstreams: plain services and model samplers."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import attrs
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["PlatformSampler", "Run"]
+
+_ids = itertools.count(1)
+EVENTS = 6
+EVENT_PAUSE = 0.01
+
+
+@attrs.frozen
+class Run:
+    """A request that a sampler ran."""
+
+    id: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+@attrs.define(eq=False)
+class PlatformSampler:
+    """One sampler; the fields say how it answers."""
+
+    service: str
+    model: str = ""
+    version: int = 1
+    id: str = attrs.field(factory=lambda: f"i-{next(_ids)}")
+    delay_s: float = 0.0
+    shed: int = 0
+    fail: int = 0
+    silent: int = 0
+    cut_after: int = 0
+    seal: bool = True
+    spoil_id: int = 0
+    runs: list[Run] = attrs.field(factory=list)
+    orders: list[dict[str, Any]] = attrs.field(factory=list)
+    sequence: int = 0
+    fence: int = 0
+    address: str = ""
+    _server: HTTPServer | None = None
+
+    def start(self) -> None:
+        """Listen on a free port of loopback."""
+        sampler = {"sampler": self}
+        app = Application(
+            [
+                ("/api/report", _Report, sampler),
+                ("/api/order", _Order, sampler),
+                (".*", _Serve, sampler),
+            ],
+            log_function=lambda _: None,
+        )
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server = HTTPServer(app)
+        self._server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def beat(self, state: str = "ready") -> dict[str, Any]:
+        """Return what the sampler writes of itself."""
+        models = [{"name": self.model, "version": self.version}] if self.model else []
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "levis",
+            "slots": 4,
+            "state": state,
+            "models": models,
+            "seq": self.sequence,
+        }
+
+
+class _Handler(RequestHandler):
+    def initialize(self, sampler: PlatformSampler) -> None:
+        """Take the sampler."""
+        self.sampler = sampler
+
+
+class _Report(_Handler):
+    def get(self) -> None:
+        """Tell what is served."""
+        made = self.sampler
+        models = [{"name": made.model, "version": made.version}]
+        self.finish({"busy": False, "seq": made.sequence, "running": 0, "models": models})
+
+
+class _Order(_Handler):
+    def post(self) -> None:
+        """Carry an order out at once, unless its number or precondition is old."""
+        order, made = msgspec.json.decode(self.request.body), self.sampler
+        if self.request.headers.get("Target-Instance") != made.id:
+            self.set_status(421)
+            return
+        if order["fencing_token"] < made.fence:
+            self.set_status(412)
+            return
+        if order["precondition"] != made.sequence:
+            self.set_status(409)
+            return
+        made.fence, made.version = order["fencing_token"], order["version"]
+        made.sequence += 1
+        made.orders.append(order)
+        self.set_status(202)
+
+
+class _Serve(_Handler):
+    SUPPORTED_METHODS = ("GET", "POST", "PUT", "DELETE")
+
+    async def serve(self) -> None:
+        """Run a request as the fields say."""
+        made, headers = self.sampler, self.request.headers
+        if headers.get("Target-Instance") not in (None, made.id):
+            self.set_status(421)
+            self.set_header("Instance-Id", made.id)
+            return
+        if made.shed:
+            made.shed -= 1
+            self.set_status(503)
+            self.set_header("Not-Run", "1")
+            return
+        name = headers["Attempt-Id"]
+        run = Run(name, self.request.uri or "", self.request.body, dict(headers.get_all()))
+        made.runs.append(run)
+        if made.silent:
+            made.silent -= 1
+            await asyncio.sleep(60)
+        await asyncio.sleep(made.delay_s)
+        if made.spoil_id:
+            made.spoil_id -= 1
+            name = "another"
+        self.set_header("Attempt-Id", name)
+        if made.fail:
+            made.fail -= 1
+            self.set_status(500)
+            return
+        if made.seal:
+            self.set_header("Response-Seal", f"seal-{name}")
+        if made.model:
+            await self._async_events(name)
+            return
+        self.finish(b"answer to " + name.encode())
+
+    async def _async_events(self, name: str) -> None:
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Weight-Versions", str(self.sampler.version))
+        first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {name}.{number}\n\n".encode()
+            await asyncio.sleep(EVENT_PAUSE)
+            if first == 1 and 0 < self.sampler.cut_after < number:
+                self.write(event[:7])
+                await self.flush()
+                self.request.connection.detach().close()  # type: ignore[union-attr]
+                self._finished = True
+                return
+            self.write(event)
+            try:
+                await self.flush()
+            except StreamClosedError:
+                return
+
+    get = post = put = delete = serve
--- /dev/null
+++ b/stand_ins/platform_store.py
@@ -0,0 +1,144 @@
+"""A stand-in for the users' platform's store: its log calls over HTTP, with faults."""
+
+import asyncio
+import base64
+import struct
+from collections import defaultdict
+from typing import Any
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["PlatformStore"]
+
+_LENGTH = struct.Struct(">I")
+_POSITIONS = struct.Struct(">QQ")
+
+
+class PlatformStore:
+    """Topics in memory; `down` answers 503 to the callers named, "" for all; `lose` loses answers."""
+
+    def __init__(self) -> None:
+        self.records: dict[tuple[str, int], list[bytes]] = defaultdict(list)
+        self.first: dict[tuple[str, int], int] = defaultdict(int)
+        self.down = False
+        self.lose = 0
+        self.address = ""
+        self._grown = asyncio.Event()
+        self._server: HTTPServer | None = None
+
+    def start(self) -> None:
+        """Listen on a free port of loopback."""
+        store = {"store": self}
+        app = Application(
+            [
+                ("/api/log-append", _Append, store),
+                ("/api/log-read", _Read, store),
+                ("/api/log-newest", _Newest, store),
+            ],
+            log_function=lambda _: None,
+        )
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server = HTTPServer(app)
+        self._server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.stop()
+
+    def append(self, topic: str, part: int, records: list[bytes]) -> tuple[int, int]:
+        """Append and wake who waits; return the first offset and the end."""
+        kept = self.records[(topic, part)]
+        offset = len(kept)
+        kept += records
+        self._grown.set()
+        self._grown = asyncio.Event()
+        return offset, len(kept)
+
+    def put(self, topic: str, key: str, value: Any) -> None:
+        """Set a key as the operator, a trainer or a sampler does; None drops it."""
+        data = b"" if value is None else msgspec.json.encode(value)
+        name = key.encode()
+        self.append(topic, 0, [bytes([len(name)]) + name + data])
+
+    async def async_grown(self, seconds: float) -> None:
+        """Wait for the next append, or for the time given."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._grown.wait()
+        except TimeoutError:
+            return
+
+
+class _Call(RequestHandler):
+    def initialize(self, store: PlatformStore) -> None:
+        """Take the store."""
+        self.store = store
+
+    def prepare(self) -> None:
+        """Answer 503 while the store is down."""
+        if self.store.down:
+            self.set_status(503)
+            self.finish()
+
+    @property
+    def where(self) -> tuple[str, int]:
+        """Return the topic and partition of the call."""
+        return self.get_query_argument("topic"), int(self.get_query_argument("part", "0"))
+
+
+class _Append(_Call):
+    async def post(self) -> None:
+        """Append all records of the body, or none."""
+        records, at, body = [], 0, self.request.body
+        while at < len(body):
+            (size,) = _LENGTH.unpack_from(body, at)
+            records.append(body[at + 4 : at + 4 + size])
+            at += 4 + size
+        expected = self.get_query_argument("at", None)
+        end = len(self.store.records[self.where])
+        if expected is not None and int(expected) != end:
+            self.set_status(412)
+            self.finish({"end": end})
+            return
+        offset, end = self.store.append(*self.where, records)
+        if self.store.lose:
+            self.store.lose -= 1
+            await asyncio.sleep(60)
+        self.finish({"offset": offset, "end": end})
+
+
+class _Read(_Call):
+    async def get(self) -> None:
+        """Return records from an offset on, waiting for the first."""
+        start, wait = int(self.get_query_argument("from")), self.get_query_argument("wait_ms", "0")
+        if start < self.store.first[self.where]:
+            self.set_status(410)
+            self.finish({"first": self.store.first[self.where]})
+            return
+        if len(self.store.records[self.where]) <= start and int(wait):
+            await self.store.async_grown(int(wait) / 1000)
+        kept = self.store.records[self.where]
+        parts = [_POSITIONS.pack(len(kept), self.store.first[self.where])]
+        parts += [_LENGTH.pack(len(record)) + record for record in kept[start:]]
+        self.finish(b"".join(parts))
+
+
+class _Newest(_Call):
+    def get(self) -> None:
+        """Return the newest record of each key, two to a page."""
+        rows: dict[str, dict[str, Any]] = {}
+        kept = self.store.records[self.where]
+        for offset, record in enumerate(kept):
+            size = record[0]
+            key, value = record[1 : 1 + size].decode(), record[1 + size :]
+            rows[key] = {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            if not value:
+                del rows[key]
+        after = self.get_query_argument("after", "")
+        left = [rows[key] for key in sorted(rows) if key > after]
+        self.finish({"items": left[:2], "has_more": len(left) > 2, "end": len(kept)})
