Judge a node's silence by what this node is sure to have heard

Cause (found by a test): cut off silently, a node noted the store's failure after its poll's time limit; by then every other node's sign was older than the limit, and it took all of them for dead. Ruled out: a longer memory of trouble (the first failure is noted too late whatever its length). Change: silence counts up to the last moment at which this node's tail was current; a lost sign is written again at once.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -107,7 +107,12 @@
         )
         sign = NodeSign(cfg.vm_id, cfg.data_center, cfg.peer)
         self.nodes = NodeBook(
-            self.store, platform.topic_nodes, sign, clock, self.health, self._on_nodes
+            self.store,
+            platform.topic_nodes,
+            sign,
+            clock,
+            lambda: self._nodes_tail.current_at,
+            self._on_nodes,
         )
         self.runner = JobRunner(
             RunnerParts(
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -9,7 +9,6 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
-from cranberryline.helpers.tail import StoreHealth
 from cranberryline.ports.store import KeyedRecord, SharedLog
 
 __all__ = ["NodeBook", "NodeSign"]
@@ -18,10 +17,10 @@
 
 _SIGN_INTERVAL = timedelta(milliseconds=800)
 _SIGN_TIMEOUT = timedelta(milliseconds=900)
-# Three signs: a node whose sign was lost once or came late is not taken for dead.
-_DEAD_AFTER = timedelta(milliseconds=2600)
-# While this node hears nothing from the store, silence says nothing of the others.
-_TROUBLE_MEMORY = timedelta(seconds=3)
+_SIGN_AGAIN = timedelta(milliseconds=150)
+# Two signs and the time that a lost one takes to be written again. This node's own polls lag by up
+# to a second, so a dead node is known after some three.
+_DEAD_AFTER = timedelta(milliseconds=2200)
 
 
 class NodeSign(msgspec.Struct, array_like=True, frozen=True):
@@ -51,7 +50,7 @@
         topic: str,
         sign: NodeSign,
         clock: Clock,
-        health: StoreHealth,
+        current_at: Callable[[], timedelta | None],
         on_change: Callable[[], None],
     ) -> None:
         self.stopping = False
@@ -59,21 +58,27 @@
         self._topic = topic
         self._sign = sign
         self._clock = clock
-        self._health = health
+        self._current_at = current_at
         self._on_change = on_change
         self._seen: dict[str, _Seen] = {}
         self._live: frozenset[str] = frozenset()
 
     def live(self, since: timedelta) -> frozenset[str]:
-        """Return the nodes that do the work that came at `since`; frozen while the store is in trouble.
+        """Return the nodes that do the work that came at `since`.
+
+        A node is silent for the time between its last sign and the last moment at which this node
+        was sure to have heard all: cut off from the store it would else take all others for dead,
+        and run every group of every job by itself.
 
         A node that stops takes no new work and finishes what it has: work that came before its
         notice stays with it until it is silent, or other nodes would run all of it a second time.
         """
-        if self._health.failed_within(_TROUBLE_MEMORY) and self._live:
-            return self._live
-        now = self._clock.monotonic()
-        there = {node: seen for node, seen in self._seen.items() if now - seen.heard < _DEAD_AFTER}
+        sure = self._current_at()
+        there = {
+            node: seen
+            for node, seen in self._seen.items()
+            if sure is None or sure - seen.heard < _DEAD_AFTER
+        }
         self._note(frozenset(there))
         return frozenset(
             node for node, seen in there.items() if seen.stopping is None or seen.stopping > since
@@ -110,11 +115,12 @@
     async def async_run(self) -> None:
         """Write signs until cancelled."""
         while True:
-            await self.async_sign()
-            await self._clock.async_sleep(_SIGN_INTERVAL * (0.9 + 0.2 * random.random()))
+            written = await self.async_sign()
+            pause = _SIGN_INTERVAL if written else _SIGN_AGAIN
+            await self._clock.async_sleep(pause * (0.9 + 0.2 * random.random()))
 
-    async def async_sign(self) -> None:
-        """Write one sign; one that is lost is followed by the next."""
+    async def async_sign(self) -> bool:
+        """Write one sign; False when it is not sure that it stands."""
         sign = msgspec.structs.replace(self._sign, stopping=self.stopping)
         record = self._log.pack_keyed(sign.node, msgspec.msgpack.encode(sign))
-        await self._log.async_append(self._topic, 0, [record], _SIGN_TIMEOUT)
+        return (await self._log.async_append(self._topic, 0, [record], _SIGN_TIMEOUT)).is_ok()
--- /dev/null
+++ b/tests/gateway/test_relay.py
@@ -0,0 +1,151 @@
+"""The store through a peer: what is told when either way loses an answer."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+from result import Ok
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from cranberryline.gateway.relay import PATH_RELAY, RelayedLog, RelayHandler
+from cranberryline.helpers.clock import SystemClock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.ports.store import StoreProblem
+from tests.store_fake import FakeStore, StoreLink
+
+TIMEOUT = timedelta(milliseconds=300)
+
+
+class Peer:
+    """A gateway's relay over its own link to the store."""
+
+    def __init__(self, store: FakeStore) -> None:
+        self.link = StoreLink(store)
+        self.log = RelayedLog(self.link, list, SystemClock(), Metrics())
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.server = HTTPServer(Application([(PATH_RELAY, RelayHandler, {"log": self.log})]))
+        self.server.add_sockets(sockets)
+        self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+
+def _log(link: StoreLink, *peers: str) -> RelayedLog:
+    return RelayedLog(link, lambda: list(peers), SystemClock(), Metrics())
+
+
+def _refuse_all(link: StoreLink) -> None:
+    link.refusing = lambda _topic, _part: True
+
+
+def test_every_kind_of_call_goes_through_a_peer() -> None:
+    """The store refuses this node alone: it appends, reads and loads through its peer."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        peer, link = Peer(store), StoreLink(store)
+        _refuse_all(link)
+        log = _log(link, peer.address)
+        appended = await log.async_append("t", 0, [b"a", b"b"], TIMEOUT)
+        assert appended.unwrap().end == 2
+        read = await log.async_read("t", 0, 1, timedelta(), TIMEOUT)
+        assert read.unwrap().records == (b"b",)
+        peer.link.put("keyed.x", "k", b"v")
+        newest = await log.async_newest("keyed.x", TIMEOUT)
+        assert [(row.key, row.value) for row in newest.unwrap().records] == [("k", b"v")]
+
+    asyncio.run(scene())
+
+
+def test_an_append_that_may_stand_is_not_sent_a_second_way() -> None:
+    """The direct answer is lost: the caller is told so, and the peer is not asked to append too."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        peer, link = Peer(store), StoreLink(store)
+        link.lost = 1
+        taken = await _log(link, peer.address).async_append("t", 0, [b"a"], TIMEOUT)
+        assert taken.unwrap_err().problem is StoreProblem.UNKNOWN
+        assert peer.link.appends == 0 and store.records[("t", 0)] == [b"a"]
+
+    asyncio.run(scene())
+
+
+def test_an_answer_lost_behind_the_peer_is_unknown_too() -> None:
+    """The store refuses this node, and the peer's answer is lost: it may stand."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        peer, link = Peer(store), StoreLink(store)
+        _refuse_all(link)
+        peer.link.lost = 1
+        taken = await _log(link, peer.address).async_append("t", 0, [b"a"], TIMEOUT)
+        assert taken.unwrap_err().problem is StoreProblem.UNKNOWN
+        assert store.records[("t", 0)] == [b"a"]
+
+    asyncio.run(scene())
+
+
+def test_a_condition_that_fails_is_told_from_either_way() -> None:
+    """A conflict is an answer: nobody else is asked."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("t", 0, [b"x"])
+        peer, link = Peer(store), StoreLink(store)
+        for _ in range(2):
+            taken = await _log(link, peer.address).async_append("t", 0, [b"a"], TIMEOUT, at=0)
+            error = taken.unwrap_err()
+            assert (error.problem, error.position) == (StoreProblem.CONFLICT, 1)
+            _refuse_all(link)
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("dead", [True, False])
+def test_without_a_peer_that_can_do_it_the_refusal_stands(dead: bool) -> None:
+    """No peer listens, or the store refuses the peer as well: surely not done."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        peer, link = Peer(store), StoreLink(store)
+        _refuse_all(link)
+        _refuse_all(peer.link)
+        address = "127.0.0.1:9" if dead else peer.address
+        taken = await _log(link, address).async_append("t", 0, [b"a"], TIMEOUT)
+        assert taken.unwrap_err().problem is StoreProblem.REFUSED
+        assert store.records[("t", 0)] == []
+
+    asyncio.run(scene())
+
+
+def test_a_partition_that_is_out_leaves_the_others_direct() -> None:
+    """Calls about sound partitions do not take the way through peers."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        link = StoreLink(store)
+        link.refusing = lambda _topic, part: part == 1
+        log = _log(link)
+        assert (await log.async_append("t", 1, [b"a"], TIMEOUT)).is_err()
+        assert isinstance(await log.async_append("t", 0, [b"a"], TIMEOUT), Ok)
+        assert log.direct_lost("t", 1) and not log.direct_lost("t", 0)
+
+    asyncio.run(scene())
+
+
+def test_the_stores_return_is_seen_though_nothing_comes_to_read() -> None:
+    """A poll on an idle partition probes without waiting for a record."""
+
+    async def scene() -> None:
+        link = StoreLink(FakeStore())
+        log = _log(link)
+        _refuse_all(link)
+        assert (await log.async_read("t", 0, 0, timedelta(seconds=5), TIMEOUT)).is_err()
+        link.refusing = lambda _topic, _part: False
+        await asyncio.sleep(1.05)
+        async with asyncio.timeout(0.5):
+            assert (await log.async_read("t", 0, 0, timedelta(seconds=5), TIMEOUT)).is_ok()
+        assert not log.direct_lost("t", 0)
+
+    asyncio.run(scene())
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -306,8 +306,9 @@
     play(scene())
 
 
-async def _async_nothing() -> None:
+async def _async_nothing() -> bool:
     """Write no sign, so that the next append is the test's own."""
+    return True
 
 
 def test_a_planned_stop_finishes_what_it_has() -> None:
