--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-COMMANDS = ("decisions", "path", "idle", "capacity", "replay")
+COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway")
 
 
 def main(argv: list[str]) -> int:
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import struct
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Any
 
 import msgspec
@@ -25,6 +25,7 @@
         self.first: dict[tuple[str, int], int] = defaultdict(int)
         self.down = False
         self.lose = 0
+        self.calls: Counter[str] = Counter()
         self.address = ""
         self._grown = asyncio.Event()
         self._server: HTTPServer | None = None
@@ -80,7 +81,8 @@
         self.store = store
 
     def prepare(self) -> None:
-        """Answer 503 while the store is down."""
+        """Count the call, and answer 503 while the store is down."""
+        self.store.calls[type(self).__name__.lstrip("_").lower()] += 1
         if self.store.down:
             self.set_status(503)
             self.finish()
--- a/tests/settings/test_documents.py
+++ b/tests/settings/test_documents.py
@@ -8,14 +8,15 @@
 
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.settings import EntrySettings, SideSettings
+from cranberryline.settings import EntrySettings, GatewaySettings, SideSettings
 from cranberryline.settings.model import ATTR_KEY
 
 _DOCS = Path(__file__).resolve().parents[2] / "docs"
 
 
 @pytest.mark.parametrize(
-    ("cls", "title"), [(EntrySettings, "Entry"), (SideSettings, "Side process")]
+    ("cls", "title"),
+    [(EntrySettings, "Entry"), (GatewaySettings, "Gateway"), (SideSettings, "Side process")],
 )
 def test_each_setting_is_described_with_its_default(cls: type, title: str) -> None:
     """A key or a default that changes without its page is found here."""
