Gather what stood twice: hop-by-hop headers, whole bodies, milliseconds; drop unused names

No behaviour: each piece is what stood there. ports/http.py keeps its own, shorter list: making it the longer one would change what upstreams are sent.

--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -15,6 +15,7 @@
 from tornado.iostream import StreamClosedError
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.logging import Logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import ProblemHandler, write_problem
@@ -46,25 +47,13 @@
 _NOT_READY_RETRY = timedelta(seconds=1)
 
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
-# Hop-by-hop headers belong to one connection (RFC 9110, 7.6.1), ours belong to the entry.
-_DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-        "host",
-        HEADER_PRIORITY.lower(),
-        HEADER_DEADLINE.lower(),
-        HEADER_IDEMPOTENT.lower(),
-    }
-)
+# Hop-by-hop headers belong to one connection, ours belong to the entry.
+_DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {
+    "host",
+    HEADER_PRIORITY.lower(),
+    HEADER_DEADLINE.lower(),
+    HEADER_IDEMPOTENT.lower(),
+}
 
 
 @attrs.define
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -13,7 +13,7 @@
 
 from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import problem_body
@@ -138,4 +138,4 @@
         return 0 if table is None else table.version
 
     def _ms(self) -> int:
-        return int((self.context.clock.monotonic() - self._began) / timedelta(milliseconds=1))
+        return in_milliseconds(self.context.clock.monotonic() - self._began)
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -12,6 +12,7 @@
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
+from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.logging import get_logger
 from cranberryline.ports.edge import (
     ItemBodyRead,
@@ -33,22 +34,8 @@
 _DEFAULT_TIME = timedelta(seconds=30)
 _START_PATIENCE = timedelta(milliseconds=400)
 _START_LOOK = timedelta(milliseconds=10)
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-        "date",
-        "server",
-    }
-)
+# What the server of the answering process sets by itself is not passed on either.
+_DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"date", "server"}
 
 
 class IngressHandler(JobCalls):
@@ -189,7 +176,7 @@
     async def _async_stream_head(self, status: int, headers: Pairs) -> None:
         self.set_status(status)
         for name, value in headers:
-            if name.lower() not in _HOP_HEADERS:
+            if name.lower() not in _DROPPED_HEADERS:
                 self.add_header(name, value)
         await self._async_flush()
 
@@ -210,7 +197,7 @@
         headers = [
             (name, value)
             for name, value in req.headers.get_all()
-            if name.lower() not in _HOP_HEADERS
+            if name.lower() not in _DROPPED_HEADERS
         ]
         return CallerRequest(
             service=route.choose_service(self.context.rng),
@@ -229,7 +216,7 @@
     def _write_answer(self, sink: AttemptSink, route: Route) -> None:
         self.set_status(sink.status)
         for name, value in sink.headers:
-            if name.lower() not in _HOP_HEADERS:
+            if name.lower() not in _DROPPED_HEADERS:
                 self.add_header(name, value)
         self._finish_body(sink.body)
         self.context.metrics.answers.labels(route.kind.value).inc()
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 from tornado.web import RequestHandler
 
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.errors import UpstreamCut
@@ -120,7 +120,7 @@
         at: int | None = None,
     ) -> Result[Appended, StoreError]:
         """Append; only what was surely not done is tried again through a peer."""
-        call = RelayAppend(topic, part, records, _ms(timeout), at)
+        call = RelayAppend(topic, part, records, in_milliseconds(timeout), at)
         return await self._async_call(
             lambda left, _probing: self.direct.async_append(topic, part, records, left, at),
             call,
@@ -133,7 +133,7 @@
         self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
     ) -> Result[LogRead, StoreError]:
         """Read."""
-        call = RelayRead(topic, part, start, _ms(wait), _ms(timeout))
+        call = RelayRead(topic, part, start, in_milliseconds(wait), in_milliseconds(timeout))
         return await self._async_call(
             # A probe that waits for a record would tell of the store's return only with the record.
             lambda left, probing: self.direct.async_read(
@@ -151,7 +151,7 @@
         """Read the newest record of each key."""
         return await self._async_call(
             lambda left, _probing: self.direct.async_newest(topic, left),
-            RelayNewest(topic, _ms(timeout)),
+            RelayNewest(topic, in_milliseconds(timeout)),
             lambda answer: KeyedSnapshot(
                 tuple(KeyedRecord(*row) for row in answer.keys), answer.second
             ),
@@ -237,7 +237,7 @@
             problem = StoreProblem.UNKNOWN if lost.may_have_run else StoreProblem.REFUSED
             return Err(StoreError(problem, f"peer {peer}: {lost.detail}"))
         try:
-            data = b"".join([chunk async for chunk in sent.unwrap().chunks()])
+            data = await sent.unwrap().async_whole()
             return Ok(_ANSWERS.decode(data))
         except (UpstreamCut, msgspec.DecodeError) as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
@@ -302,7 +302,3 @@
 
 def _failed(error: StoreError) -> RelayAnswer:
     return RelayAnswer(error.problem.value, error.detail, error.position)
-
-
-def _ms(span: timedelta) -> int:
-    return int(span / timedelta(milliseconds=1))
--- a/cranberryline/helpers/clock.py
+++ b/cranberryline/helpers/clock.py
@@ -5,7 +5,7 @@
 import time
 from datetime import UTC, datetime, timedelta
 
-__all__ = ["Clock", "FakeClock", "SystemClock"]
+__all__ = ["Clock", "FakeClock", "SystemClock", "in_milliseconds"]
 
 
 class Clock(abc.ABC):
@@ -75,3 +75,8 @@
     def advance(self, duration: timedelta) -> None:
         """Move the time forward."""
         self._elapsed += duration
+
+
+def in_milliseconds(span: timedelta) -> int:
+    """Return a span as whole milliseconds, rounded towards zero."""
+    return int(span / timedelta(milliseconds=1))
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -38,11 +38,9 @@
         self._clock = clock
         self._lost = False
         self.last_failure: timedelta | None = None
-        self.last_success: timedelta | None = None
 
     def succeeded(self) -> None:
         """Note an answer."""
-        self.last_success = self._clock.monotonic()
         if self._lost and not self.failed_within(_REGAINED_AFTER):
             self._lost = False
             _LOGGER.info("store_regained")
--- a/cranberryline/jobs/const.py
+++ b/cranberryline/jobs/const.py
@@ -16,5 +16,3 @@
 # a refused caller would have come back at another node.
 ACCEPT_PATIENCE = timedelta(milliseconds=900)
 ACCEPT_PAUSE = timedelta(milliseconds=120)
-REFUSED_RETRY_AFTER = timedelta(milliseconds=300)
-UNSURE_RETRY_AFTER = timedelta(milliseconds=300)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -9,7 +9,7 @@
 
 from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.edge import EdgeFormat
@@ -173,9 +173,9 @@
             versions=result.versions,
             events=len(run.text.events),
             runs=run.runs,
-            waited_ms=_ms(run.began - run.state.seen_at),
-            text_ms=_ms(run.text_at - run.began),
-            score_ms=_ms(now - run.text_at),
+            waited_ms=in_milliseconds(run.began - run.state.seen_at),
+            text_ms=in_milliseconds(run.text_at - run.began),
+            score_ms=in_milliseconds(now - run.text_at),
         )
 
     def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
@@ -220,7 +220,3 @@
 def trainer_of(state: JobState) -> str:
     """Return what tells a job's trainer from others: the model that it trains."""
     return state.job.model or state.job.host
-
-
-def _ms(span: timedelta) -> int:
-    return int(span / timedelta(milliseconds=1))
--- a/cranberryline/leases/model.py
+++ b/cranberryline/leases/model.py
@@ -34,10 +34,8 @@
 
     def __init__(self) -> None:
         self.holding: Holding | None = None
-        self.end = 0
 
     def apply(self, offset: int, record: LeaseRecord, now: timedelta) -> None:
         """Take the next record."""
-        self.end = offset + 1
         token = record.token or offset + 1
         self.holding = Holding(record.holder, token, now)
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -6,6 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
 from cranberryline.ports.http import HttpOrigin, KeptStreams, async_exchange
 from cranberryline.ports.model import PlainServicePort, UpstreamBody, UpstreamRequest, VmEntry
@@ -78,7 +79,7 @@
         self, req: UpstreamRequest, timeout: timedelta
     ) -> Result[UpstreamBody, PlatformError]:
         """Send a request; an answer that says so, and only that, means that it was not run."""
-        left = str(max(1, int(timeout / timedelta(milliseconds=1))))
+        left = str(max(1, in_milliseconds(timeout)))
         own = {HEADER_INSTANCE.lower(), HEADER_TIME_LEFT.lower(), HEADER_HOST.lower()}
         headers = [pair for pair in req.headers if pair[0].lower() not in own]
         headers += [(HEADER_INSTANCE, self._id), (HEADER_TIME_LEFT, left)]
@@ -158,7 +159,7 @@
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         try:
-            data = b"".join([chunk async for chunk in answer.chunks()])
+            data = await answer.async_whole()
         except UpstreamCut as exc:
             return Err(PlatformError(PlatformReason.CUT, str(exc)))
         return Ok((answer.head.status, data))
--- a/cranberryline/platform/store.py
+++ b/cranberryline/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.ports.errors import PlatformError, UpstreamCut
 from cranberryline.ports.http import HttpOrigin, async_exchange
 from cranberryline.ports.model import UpstreamRequest
@@ -107,7 +108,7 @@
         """Read records from an offset."""
         path = f"{PATH_READ}?topic={quote(topic)}&part={part}&from={start}"
         if wait:
-            path += f"&wait_ms={int(wait / timedelta(milliseconds=1))}"
+            path += f"&wait_ms={in_milliseconds(wait)}"
         match await self._async_call("GET", path, b"", timeout):
             case Err(error):
                 return Err(error)
@@ -169,7 +170,7 @@
             return Err(_unsent(sent.unwrap_err()))
         answer = sent.unwrap()
         try:
-            data = b"".join([chunk async for chunk in answer.chunks()])
+            data = await answer.async_whole()
         except UpstreamCut as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, str(exc)))
         return Ok((answer.head.status, data))
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -146,6 +146,10 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raise UpstreamCut when it ends before its own declared end."""
 
+    async def async_whole(self) -> bytes:
+        """Return the whole body; raise UpstreamCut when it ends before its own declared end."""
+        return b"".join([chunk async for chunk in self.chunks()])
+
     @abc.abstractmethod
     async def async_close(self) -> None:
         """Stop receiving and let go of the connection."""
