Tell trainers when to come back by the age of the store's outage; send no append into a silent store

In a silent outage an append was itself the probe: callers left after 1.1 s, before they were told anything. The store's return was seen up to 2.4 s late, since a probe sent into the silence waits for its whole time limit. Ruled out: accepting jobs without the store (a killed node would lose what it promised). Change: refusals and unknown outcomes come within a second, with half of the outage's age to come back, 0.5 to 2 s; only reads probe, every 0.4 s with 0.8 s to answer.

--- a/cranberryline/gateway/job_calls.py
+++ b/cranberryline/gateway/job_calls.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from cranberryline.jobs.errors import JobProblem
+from cranberryline.jobs.errors import JobProblem, JobRefused
 from cranberryline.ports.edge import ItemBodyRead, JobEnd, JobRead, PlainCall
 
 from .handler import RETRY_AFTER, CallerHandler
@@ -39,7 +39,7 @@
         # Once the store has it the job is kept, whether or not its caller still waits.
         taken = await asyncio.shield(ctx.jobs.async_submit(job.unwrap()))
         if isinstance(taken, Err):
-            self._refuse_job(taken.unwrap_err().problem)
+            self._refuse_job(taken.unwrap_err())
             return
         self._write_json(HTTPStatus.ACCEPTED, b"{}")
 
@@ -47,7 +47,7 @@
         self.request_id = call.job
         page = await self.context.jobs.async_read(call.job, call.after, min(call.wait, _MAX_WAIT))
         if isinstance(page, Err):
-            self._refuse_job(page.unwrap_err().problem)
+            self._refuse_job(page.unwrap_err())
             return
         self._write_json(HTTPStatus.OK, self.context.edge.write_page(page.unwrap()))
 
@@ -55,11 +55,11 @@
         self.request_id = call.job
         found = await self.context.jobs.async_find(call.job)
         if isinstance(found, Err):
-            self._refuse_job(found.unwrap_err().problem)
+            self._refuse_job(found.unwrap_err())
             return
         item = found.unwrap().item(call.item)
         if item is None:
-            self._refuse_job(JobProblem.UNKNOWN_ITEM)
+            self._refuse_job(JobRefused(JobProblem.UNKNOWN_ITEM))
             return
         self.set_header("Content-Type", "application/octet-stream")
         self._finish_body(item[1].body)
@@ -68,12 +68,15 @@
         self.request_id = call.job
         ended = await asyncio.shield(self.context.jobs.async_end(call.job))
         if isinstance(ended, Err):
-            self._refuse_job(ended.unwrap_err().problem)
+            self._refuse_job(ended.unwrap_err())
             return
         self._write_json(HTTPStatus.OK, b"{}")
 
-    def _refuse_job(self, problem: JobProblem) -> None:
+    def _refuse_job(self, refused: JobRefused) -> None:
+        problem = refused.problem
         status = _JOB_STATUS[problem]
-        later = status is HTTPStatus.SERVICE_UNAVAILABLE
+        later = refused.retry_after
+        if later is None and status is HTTPStatus.SERVICE_UNAVAILABLE:
+            later = RETRY_AFTER
         self.context.metrics.refuse(problem.value)
-        self._refuse(status, problem.value, retry_after=RETRY_AFTER if later else None)
+        self._refuse(status, problem.value, retry_after=later)
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -33,8 +33,11 @@
 
 PATH_RELAY = "/relay"
 
-# The store is asked directly again this often while it does not answer this node.
-_PROBE_INTERVAL = timedelta(milliseconds=1000)
+# The store is asked directly again this often while it does not answer this node, and has this long to
+# answer: one that is there answers in milliseconds, and a longer probe into a silent store is still out
+# when the store is back.
+_PROBE_INTERVAL = timedelta(milliseconds=400)
+_PROBE_TIME = timedelta(milliseconds=800)
 _MAX_PEERS_ASKED = 2
 _LINK_TIME = timedelta(milliseconds=300)
 _ANSWERED = (StoreProblem.CONFLICT, StoreProblem.GONE)
@@ -179,10 +182,13 @@
         now = self._clock.monotonic()
         where = _where(call)
         probe_at = self._probe_at.get(where)
-        if probe_at is None or now >= probe_at:
+        # Only reads probe, and every partition is read all the time: an append into a silent store would
+        # leave its caller in doubt where a peer, or a plain refusal, is sure.
+        if probe_at is None or (repeatable and now >= probe_at):
             if probe_at is not None:
                 self._probe_at[where] = now + _PROBE_INTERVAL
-            taken = await direct(timeout, probe_at is not None)
+            allowed = timeout if probe_at is None else min(timeout, _PROBE_TIME)
+            taken = await direct(allowed, probe_at is not None)
             if isinstance(taken, Ok) or taken.unwrap_err().problem in _ANSWERED:
                 self._note_direct(where, True, "")
                 return taken
--- a/cranberryline/jobs/const.py
+++ b/cranberryline/jobs/const.py
@@ -12,7 +12,9 @@
 
 APPEND_TIMEOUT = timedelta(seconds=2)
 READ_TIMEOUT = timedelta(milliseconds=900)
-# How long a refused append is tried again before the caller hears of it: within the time in which
-# a refused caller would have come back at another node.
-ACCEPT_PATIENCE = timedelta(milliseconds=900)
+# A caller hears what became of its call within this time for each call to the store that it takes: callers
+# leave after little more than a second, and one that left was told neither the outcome nor when to come back.
+ACCEPT_PATIENCE = timedelta(milliseconds=950)
+# The end of that time, kept for reading whether an append without an answer stands.
+SETTLE_TIME = timedelta(milliseconds=200)
 ACCEPT_PAUSE = timedelta(milliseconds=120)
--- a/cranberryline/jobs/errors.py
+++ b/cranberryline/jobs/errors.py
@@ -1,6 +1,7 @@
 """Why a call about a batch job is not answered as asked."""
 
 import enum
+from datetime import timedelta
 
 import attrs
 
@@ -19,6 +20,7 @@
 
 @attrs.frozen
 class JobRefused:
-    """A call that is not answered as asked."""
+    """A call that is not answered as asked; `retry_after` says when to try again, if that helps."""
 
     problem: JobProblem
+    retry_after: timedelta | None = None
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -8,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cranberryline.decisions.come_back import come_back_after
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -23,6 +24,7 @@
     CALL_BYTES,
     MAX_RESULT_BYTES,
     READ_TIMEOUT,
+    SETTLE_TIME,
     TOPIC_JOBS,
 )
 from .errors import JobProblem, JobRefused
@@ -80,7 +82,7 @@
             return Ok(None)
         records = encode_records(encode_job(job, uuid.uuid4().hex))
         for batch in _batches(records):
-            refused = await self._async_append(job.id, batch, lambda: job.id in self.book.jobs)
+            refused = await self._async_keep(job.id, batch, lambda: job.id in self.book.jobs)
             if refused is not None:
                 self._metrics.refuse(refused.problem.value)
                 _LOGGER.info("job_not_accepted", request_id=job.id, problem=refused.problem)
@@ -97,7 +99,7 @@
             return Ok(None)
         state = found.unwrap()
         records = encode_records([JobEnded(job_id)])
-        refused = await self._async_append(job_id, records, lambda: state.ended)
+        refused = await self._async_keep(job_id, records, lambda: state.ended)
         if refused is not None:
             return Err(refused)
         state.ended = True
@@ -147,7 +149,7 @@
         )
         return isinstance(taken, Ok)
 
-    async def _async_append(
+    async def _async_keep(
         self, job_id: str, records: list[bytes], stands: Callable[[], bool]
     ) -> JobRefused | None:
         """Append, and try again what was surely not done; say which of the two it was.
@@ -156,17 +158,22 @@
         the caller would take it as a promise, and the job would run all the same.
         """
         part = partition_of(job_id, len(self.tails))
-        give_up = self._clock.monotonic() + ACCEPT_PATIENCE
-        while True:
-            taken = await self._log.async_append(TOPIC_JOBS, part, records, APPEND_TIMEOUT)
+        give_up = self._clock.monotonic() + ACCEPT_PATIENCE - SETTLE_TIME
+        while (left := give_up - self._clock.monotonic()) > timedelta():
+            taken = await self._log.async_append(TOPIC_JOBS, part, records, left)
             if isinstance(taken, Ok):
                 return None
             if taken.unwrap_err().problem is not StoreProblem.REFUSED:
-                await self._tail(job_id).async_sync(READ_TIMEOUT)
-                return None if stands() else JobRefused(JobProblem.MAY_BE_KEPT)
-            if self._clock.monotonic() >= give_up:
-                return JobRefused(JobProblem.NOT_KEPT)
+                await self._tail(job_id).async_sync(SETTLE_TIME)
+                return None if stands() else self._refusal(JobProblem.MAY_BE_KEPT, job_id)
             await self._clock.async_sleep(ACCEPT_PAUSE)
+        return self._refusal(JobProblem.NOT_KEPT, job_id)
+
+    def _refusal(self, problem: JobProblem, job_id: str) -> JobRefused:
+        """Return a refusal with when to come back, by how long the partition has been out of reach."""
+        known = self._tail(job_id).current_at
+        outage = timedelta() if known is None else self._clock.monotonic() - known
+        return JobRefused(problem, come_back_after(outage))
 
     async def _async_changed(self, job_id: str, wait: timedelta) -> bool:
         event = self._changed.setdefault(job_id, asyncio.Event())
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -101,6 +101,28 @@
     run_virtual(scene())
 
 
+def test_a_caller_hears_when_to_come_back_before_it_leaves() -> None:
+    """The store is silent for four seconds when a job comes.
+
+    Within a second the caller is told that the job may be kept, and to come back later than after a
+    short failure: its few tries reach past the outage.
+    """
+
+    async def scene() -> None:
+        (one,) = await _async_nodes(FakeStore(), 1)
+        one.link.silent = True
+        began = LoopClock().monotonic()
+        first = (await one.jobs.async_submit(make_job())).unwrap_err()
+        assert LoopClock().monotonic() - began < timedelta(seconds=1.05)
+        assert first.problem is JobProblem.MAY_BE_KEPT
+        await asyncio.sleep(3)
+        later = (await one.jobs.async_submit(make_job())).unwrap_err()
+        assert first.retry_after and later.retry_after
+        assert timedelta() < first.retry_after < later.retry_after
+
+    run_virtual(scene())
+
+
 def test_a_node_that_cannot_ask_the_store_says_so_and_never_that_there_is_no_job() -> None:
     """A node cut from the store is asked for a job that others took: it is not sure."""
 
