Add a fault soak of gateways in processes of their own

What was missing: scenes run gateways in one process, so nothing of ours killed, froze and stopped gateway processes beside faults of store and samplers, or compared all gateways' lists afterwards.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway")
+COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway", "soak")
 
 
 def main(argv: list[str]) -> int:
--- /dev/null
+++ b/bench/soak/model.py
@@ -0,0 +1,90 @@
+"""What a soak is made of: its settings, its counts, and what callers expect."""
+
+import base64
+from collections import Counter
+from typing import Any
+
+import attrs
+
+__all__ = ["ENGINES", "GROUP", "HOST", "MODEL", "PLAIN", "Book", "SoakPlan", "config", "job"]
+
+HOST = "soak.example"
+MODEL = "m"
+PLAIN = "plain"
+ENGINES = "engines"
+GROUP = 4
+_GROUPS = 4
+
+
+@attrs.frozen
+class SoakPlan:
+    """How long, how large, and which luck."""
+
+    seconds: float = 60.0
+    seed: int = 1
+    gateways: int = 3
+    fault_every_s: float = 2.5
+    callers: int = 4
+
+
+@attrs.define
+class Book:
+    """What was asked and what came of it; `broken` holds one line for each broken promise."""
+
+    counts: Counter[str] = attrs.field(factory=Counter)
+    broken: list[str] = attrs.field(factory=list)
+    refused: set[str] = attrs.field(factory=set)
+    once: set[str] = attrs.field(factory=set)
+
+    def break_promise(self, what: str, detail: str) -> None:
+        """Note a broken promise; only the first of a kind are told in full."""
+        self.counts[f"broken_{what}"] += 1
+        self.broken.append(f"{what}: {detail}")
+
+
+def config(version: int) -> dict[str, Any]:
+    """Return the operator's configuration; every version allows the same requests."""
+    common = {"host": HOST, "timeout_ms": 2500, "goal_ms": 400, "priority": 2, "max_attempts": 3}
+    routes = [
+        {"name": "safe", "path_prefix": "/safe/", "kind": "safe", "service": PLAIN, **common},
+        {"name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": PLAIN, **common},
+        {
+            **common,
+            "name": "jobs",
+            "path_prefix": "/jobs/",
+            "kind": "rollout",
+            "service": ENGINES,
+            "max_wait_s": 60,
+        },
+    ]
+    engine = {"slots": 4, "models": [{"name": MODEL}]}
+    services = [{"name": PLAIN}, {"name": ENGINES, "engine": engine}]
+    return {"version": version, "routes": routes, "services": services, "limits": {}}
+
+
+def job(step: int, min_version: int) -> dict[str, Any]:
+    """Return a trainer's job for a step."""
+    items = [
+        {
+            "id": f"s{step}i{number}",
+            "path": f"/jobs/x/{number}",
+            "headers": {"Model": MODEL, "Prompt-Prefix": f"{step:x}{number // GROUP:x}:10,bb:2"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 20,
+            "group": f"s{step}g{number // GROUP}",
+            "scorer": {
+                "id": f"s{step}r{number}",
+                "host": HOST,
+                "path": "/safe/score",
+                "body": base64.b64encode(b"how good").decode(),
+            },
+        }
+        for number in range(GROUP * _GROUPS)
+    ]
+    return {
+        "step": step,
+        "model": MODEL,
+        "min_version": min_version,
+        "group_count": _GROUPS,
+        "items": items,
+    }
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -45,6 +45,7 @@
     spoil_id: int = 0
     runs: list[Run] = attrs.field(factory=list)
     orders: list[dict[str, Any]] = attrs.field(factory=list)
+    versions_of: dict[str, set[int]] = attrs.field(factory=dict)
     sequence: int = 0
     fence: int = 0
     address: str = ""
@@ -158,6 +159,7 @@
     async def _async_events(self, name: str) -> None:
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Weight-Versions", str(self.sampler.version))
+        self.sampler.versions_of.setdefault(name, set()).add(self.sampler.version)
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {name}.{number}\n\n".encode()
