--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -16,6 +16,7 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
+from cranberryline.helpers.http_server import break_off
 from cranberryline.helpers.logging import Logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import ProblemHandler, write_problem
@@ -149,7 +150,7 @@
         )
         if self._headers_written or refusal.begun:
             # The status has left: a tidy end would make a part look like the whole.
-            self._cut()
+            break_off(self)
             return
         write_problem(
             self,
@@ -161,11 +162,6 @@
             detail=refusal.detail,
         )
 
-    def _cut(self) -> None:
-        stream = self.request.connection.detach()  # type: ignore[union-attr]
-        stream.close()
-        self._finished = True
-
     async def async_serve(self, req: CallerRequest) -> None:
         """Run a request and write its answer."""
         sink = _HandlerSink(self)
@@ -272,6 +268,7 @@
             await self.async_serve(built.unwrap())
         except asyncio.CancelledError:
             self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
+            break_off(self)
         finally:
             self._work = None
 
--- a/cranberryline/entry/trainers.py
+++ b/cranberryline/entry/trainers.py
@@ -11,6 +11,7 @@
 from result import Err, Result
 from tornado.web import RequestHandler
 
+from cranberryline.helpers.http_server import break_off
 from cranberryline.helpers.problem import ProblemHandler, problem_body, write_problem
 from cranberryline.samples.const import (
     CURSOR_START,
@@ -327,6 +328,7 @@
         try:
             answer = await self._work
         except asyncio.CancelledError:
+            break_off(self)
             return
         self._write(answer)
 
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -14,6 +14,7 @@
 from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
+from cranberryline.helpers.http_server import break_off
 from cranberryline.helpers.logging import get_logger
 from cranberryline.ports.edge import (
     ItemBodyRead,
@@ -51,6 +52,7 @@
         except asyncio.CancelledError:
             self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
             _LOGGER.info("caller_left", request_id=self.request_id, ms=self._ms())
+            break_off(self)
         finally:
             self.context.in_flight -= 1
             self._work = None
@@ -171,8 +173,7 @@
             return
         ctx.metrics.fail("stream_cut")
         _LOGGER.warning("stream_cut", request_id=self.request_id, ms=self._ms())
-        self.request.connection.detach().close()  # type: ignore[union-attr]
-        self._finished = True
+        break_off(self)
 
     async def _async_stream_head(self, status: int, headers: Pairs) -> None:
         self.set_status(status)
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 import attrs
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -19,11 +20,12 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.web import RequestHandler
 
 from .metrics import Metrics
 from .problem import CONTENT_TYPE_PROBLEM, problem_body
 
-__all__ = ["InputLimits", "open_http_server"]
+__all__ = ["InputLimits", "break_off", "open_http_server"]
 
 REASON_BODY_TOO_LARGE = "body_too_large"
 REASON_HEADERS_TOO_LARGE = "headers_too_large"
@@ -50,6 +52,21 @@
     slow_sender: timedelta
 
 
+def break_off(handler: RequestHandler) -> None:
+    """End a request without an answer, by closing its connection.
+
+    A handler that returns unanswered, as one does whose task is cancelled when a stop is forced, is
+    finished by tornado with status 200 and an empty body: a whole answer that nobody gave.
+    """
+    if handler._finished:  # noqa: SLF001 - no public way to ask
+        return
+    conn = handler.request.connection
+    stream = conn.detach() if isinstance(conn, HTTP1Connection) else None
+    if stream is not None:
+        stream.close()
+    handler._finished = True  # noqa: SLF001 - tornado would answer otherwise
+
+
 @attrs.frozen
 class _Refusal:
     status: HTTPStatus
