Start items of a partition only where it has been read to its end

Cause: after a start the jobs of the last minutes are read in pages of a megabyte. Between two pages a job was known and its results and end were not, and the runner started it. Ruled out: a tail behind a silent connection (the node had started 0.8 s before), the end's own append (acknowledged and read by the others). Change: jobs of a partition whose last read did not reach its end are left alone. Test: a partition read record by record with a job that ended long ago; before, it was run.

--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -60,7 +60,11 @@
 
 
 class _Tail(abc.ABC):
-    """What both kinds of tail share: the loop, its pauses, and how current they are."""
+    """What both kinds of tail share: the loop, its pauses, and how current they are.
+
+    `at_end` says whether the last read reached the partition's end: between two pages of a long partition
+    what was read is older than what the store has, by as much as is left.
+    """
 
     def __init__(
         self, log: SharedLog, topic: str, part: int, clock: Clock, health: StoreHealth
@@ -68,6 +72,7 @@
         self.topic = topic
         self.part = part
         self.loaded = asyncio.Event()
+        self.at_end = False
         self.current_at: timedelta | None = None
         self.offset = 0
         self._log = log
@@ -125,7 +130,8 @@
             if offset == self.offset:
                 self._fold(offset, record)
                 self.offset = offset + 1
-        if self.offset < read.end:
+        self.at_end = self.offset >= read.end
+        if not self.at_end:
             return False
         if self.current_at is None or asked > self.current_at:
             self.current_at = asked
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -13,6 +13,7 @@
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import PartitionTail
 from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
 
@@ -121,7 +122,13 @@
 
     def _start_due(self) -> None:
         now = self._clock.monotonic()
-        states = [state for state in self._jobs.book.jobs.values() if state.open]
+        # A node that starts reads the jobs of the last minutes page by page, and a job before its end: run
+        # then, its items reach upstreams long after its caller was told that it is over.
+        states = [
+            state
+            for state in self._jobs.book.jobs.values()
+            if state.open and self._tail(state.job.id).at_end
+        ]
         for job_id in self._ended.keys() - {state.job.id for state in states}:
             del self._ended[job_id]
         parts: dict[str, JobPlacement] = {}
@@ -153,8 +160,11 @@
             if now - since >= delay:
                 self._start_item(state, index)
 
+    def _tail(self, job_id: str) -> PartitionTail:
+        return self._jobs.tails[partition_of(job_id, len(self._jobs.tails))]
+
     def _is_current(self, job_id: str, now: timedelta) -> bool:
-        tail = self._jobs.tails[partition_of(job_id, len(self._jobs.tails))]
+        tail = self._tail(job_id)
         return tail.current_at is not None and now - tail.current_at < _CURRENT_WITHIN
 
     def _start_item(self, state: JobState, index: int) -> None:
--- /dev/null
+++ b/tests/jobs/test_runner.py
@@ -0,0 +1,65 @@
+"""Which items a node starts, and when."""
+
+import asyncio
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any, cast
+
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.jobs.codec import encode_job, encode_records
+from cranberryline.jobs.model import JobEnded
+from cranberryline.jobs.runner import JobRunner, RunnerParts
+from cranberryline.jobs.service import JobService
+from tests.store_fake import FakeStore, StoreLink
+from tests.virtual_time import LoopClock, run_virtual
+
+from .test_book import make_job
+
+
+class Node:
+    """A node whose runner notes what it starts."""
+
+    def __init__(self, link: StoreLink) -> None:
+        clock, metrics = LoopClock(), Metrics()
+        keep = timedelta(seconds=180)
+        self.jobs = JobService(link, 1, clock, StoreHealth(clock), metrics, keep)
+        parts = RunnerParts(
+            self.jobs,
+            cast(Any, SimpleNamespace(table=object())),
+            cast(Any, SimpleNamespace(places=lambda _service: 1)),
+            cast(Any, None),
+            cast(Any, None),
+            clock,
+            metrics,
+            "front-1",
+            lambda _since: ["front-1"],
+        )
+        self.runner = JobRunner(parts)
+        self.started: list[tuple[str, int]] = []
+        self.runner._start_item = (  # type: ignore[method-assign]
+            lambda state, index: self.started.append((state.job.id, index))
+        )
+        work = (self.jobs.tails[0].async_run(), self.runner.async_run())
+        self.tasks = [asyncio.ensure_future(part) for part in work]
+
+
+def test_a_node_that_starts_runs_nothing_of_a_job_whose_end_it_has_not_read_yet() -> None:
+    """All nodes are killed; one starts and reads the partition in pages.
+
+    A job that ended long ago comes a page before its end. Run in between, its items would reach
+    engines after the trainer was told that the job is over.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        for name in ("job-1", "job-2"):
+            store.append("jobs", 0, encode_records(encode_job(make_job(name), "w")))
+        store.append("jobs", 0, encode_records([JobEnded("job-1")]))
+        link = StoreLink(store)
+        link.page = 1
+        node = Node(link)
+        await asyncio.sleep(1)
+        assert {name for name, _ in node.started} == {"job-2"}
+
+    run_virtual(scene())
--- a/tests/store_fake.py
+++ b/tests/store_fake.py
@@ -50,7 +50,8 @@
     """One node's way to the store.
 
     `refusing` answers that nothing was done, `silent` answers nothing, `lost` is how many next
-    appends take effect and get no answer, and `late` after how long those do.
+    appends take effect and get no answer, `late` after how long those do, and `page` how many records
+    a read brings at most.
     """
 
     def __init__(self, store: FakeStore) -> None:
@@ -60,6 +61,7 @@
         self.lost = 0
         self.late = timedelta()
         self.appends = 0
+        self.page = 1_000_000
 
     async def async_append(
         self,
@@ -104,7 +106,7 @@
             if self.silent:
                 return await self._async_no_answer(timeout)
         kept = self.store.records[(topic, part)]
-        return Ok(LogRead(start, len(kept), tuple(kept[start:])))
+        return Ok(LogRead(start, len(kept), tuple(kept[start : start + self.page])))
 
     async def async_newest(
         self, topic: str, timeout: timedelta
