--- a/bench/capacity/samples.py
+++ b/bench/capacity/samples.py
@@ -16,7 +16,7 @@
 from cranberryline.ports.model import ScorePort
 from cranberryline.samples.hedging import SlowestFirst
 from cranberryline.samples.ledger import StepLedger
-from cranberryline.samples.model import Completion, GroupDeclaration, Segment, StepDeclaration
+from cranberryline.samples.model import Completion, GroupDeclaration, Pull, Segment, StepDeclaration
 from cranberryline.samples.ports import (
     DispatchError,
     RolloutConfig,
@@ -24,7 +24,7 @@
     SampleDispatch,
     SampleRequest,
 )
-from cranberryline.samples.runner import Pull, RunnerPorts
+from cranberryline.samples.runner import RunnerPorts
 from cranberryline.samples.table import StepTable
 
 from .report import print_fits, print_line
--- a/cranberryline/entry/trainers.py
+++ b/cranberryline/entry/trainers.py
@@ -22,9 +22,8 @@
 )
 from cranberryline.samples.declaration import read_declaration
 from cranberryline.samples.errors import CursorError, CursorReason, StepRefusal
-from cranberryline.samples.model import Batch, Sample, StepDeclaration, sample_name
+from cranberryline.samples.model import Batch, Pull, Sample, StepDeclaration, sample_name
 from cranberryline.samples.ports import RolloutConfig
-from cranberryline.samples.runner import Pull
 from cranberryline.samples.table import StepTable
 
 __all__ = [
--- a/cranberryline/samples/model.py
+++ b/cranberryline/samples/model.py
@@ -1,6 +1,7 @@
 """Data of samples: identities, declarations, segments and batches."""
 
 import hashlib
+from datetime import timedelta
 from itertools import accumulate
 
 import attrs
@@ -9,6 +10,7 @@
     "Batch",
     "Completion",
     "GroupDeclaration",
+    "Pull",
     "Sample",
     "SampleId",
     "Segment",
@@ -127,3 +129,13 @@
     """Return a sample's identity as one text, for logs, scorers and trainers."""
     place = f"{sample_id.group}/{sample_id.index}"
     return f"{declaration.trainer}/{declaration.step}/{place}"
+
+
+@attrs.frozen
+class Pull:
+    """A trainer's pull: where it stands, at which version, and how long it waits."""
+
+    cursor: str
+    version: int
+    limit: int
+    wait: timedelta
--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -19,7 +19,7 @@
 from .const import ATTR_TEXT
 from .errors import CursorError, DiscardReason
 from .ledger import FinishOutcome, StepLedger
-from .model import Batch, Completion, SampleId, StepDeclaration, sample_name
+from .model import Batch, Completion, Pull, SampleId, StepDeclaration, sample_name
 from .pacing import StepWork, TrainerPace
 from .ports import (
     DispatchError,
@@ -31,7 +31,7 @@
 )
 from .scoring import async_score_patiently
 
-__all__ = ["Pull", "RunnerPorts", "StepRunner"]
+__all__ = ["RunnerPorts", "StepRunner"]
 
 # Failures without a success between them make the step pause this long, doubled each time.
 BACKOFF_START = timedelta(milliseconds=100)
@@ -49,16 +49,6 @@
 _LOGGER = get_logger(__name__)
 
 
-@attrs.frozen
-class Pull:
-    """A trainer's pull: where it stands, at which version, and how long it waits."""
-
-    cursor: str
-    version: int
-    limit: int
-    wait: timedelta
-
-
 @attrs.frozen
 class RunnerPorts:
     """What all steps of an entry share."""
--- a/tests/samples/test_runner.py
+++ b/tests/samples/test_runner.py
@@ -17,8 +17,9 @@
 )
 from cranberryline.samples import runner as runner_module
 from cranberryline.samples.hedging import SlowestFirst
+from cranberryline.samples.model import Pull
 from cranberryline.samples.ports import RolloutLimits, RunningSample
-from cranberryline.samples.runner import BACKOFF_MOST, BACKOFF_START, Pull, StepRunner
+from cranberryline.samples.runner import BACKOFF_MOST, BACKOFF_START, StepRunner
 from cranberryline.samples.table import StepTable
 
 from .sample_fakes import FakeConfig, FakeDispatch, FakeScorer
