Keep the connection open until the process of the build test has ended

Failed once in a run of all tests: exit code 4 in place of 130. Cause: the test closed its connection before it sent the signal, so the process could end by itself with 'no answer' first; with half a second between the two it fails every time. The check is the same: one process, ended by SIGINT with 130.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -1,5 +1,6 @@
 """The one file: it runs by itself, as one process."""
 
+import contextlib
 import json
 import os
 import signal
@@ -115,16 +116,19 @@
             stdout=subprocess.DEVNULL,
             start_new_session=True,
         )
-        try:
-            silent.settimeout(60)
-            conn, _ = silent.accept()
-            with conn:
+        # The connection stays open until the process has ended: closed before the signal arrives, it makes
+        # the process end by itself with "no answer".
+        with contextlib.ExitStack() as kept:
+            try:
+                silent.settimeout(60)
+                conn, _ = silent.accept()
+                kept.enter_context(conn)
                 for _ in range(5):
                     assert _processes_of_session(process.pid) == [process.pid]
                     time.sleep(0.02)
-        finally:
-            process.send_signal(signal.SIGINT)
-            assert process.wait(timeout=30) == 130
+            finally:
+                process.send_signal(signal.SIGINT)
+                assert process.wait(timeout=30) == 130
 
 
 @pytest.mark.parametrize("role", ["entry", "side"])
