Remember what ended while a partition is read on; close what is kept to engines that are gone

The runner's memory of ended items was pruned by the jobs whose partition had been read to its end, so between two pages it forgot, and the items were due again: the fault that it was made for. Kept connections to engines for orders were closed only when a gone engine was asked for again, which nobody does: one a replaced engine would have stayed. Change: pruned by the jobs that are open; pools of gone engines go when a new one is made. Test: failed before (item 0 due again).

--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -122,15 +122,12 @@
 
     def _start_due(self) -> None:
         now = self._clock.monotonic()
+        unfinished = [state for state in self._jobs.book.jobs.values() if state.open]
+        for job_id in self._ended.keys() - {state.job.id for state in unfinished}:
+            del self._ended[job_id]
         # A node that starts reads the jobs of the last minutes page by page, and a job before its end: run
         # then, its items reach upstreams long after its caller was told that it is over.
-        states = [
-            state
-            for state in self._jobs.book.jobs.values()
-            if state.open and self._tail(state.job.id).at_end
-        ]
-        for job_id in self._ended.keys() - {state.job.id for state in states}:
-            del self._ended[job_id]
+        states = [state for state in unfinished if self._tail(state.job.id).at_end]
         parts: dict[str, JobPlacement] = {}
         for state in sorted(states, key=lambda state: state.seen_at):
             live = self._parts.live(state.seen_at)
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -155,8 +155,10 @@
     ) -> Result[tuple[int, bytes], PlatformError]:
         address = self._address_of(upstream)
         if address is None:
-            self._forget(upstream)
+            self._forget_gone()
             return Err(PlatformError(PlatformReason.UNREACHABLE, "gone", may_have_run=False))
+        if upstream not in self._pools:
+            self._forget_gone()
         pool = self._pools.setdefault(upstream, KeptStreams(most=1))
         headers: list[tuple[str, str]] = [(HEADER_INSTANCE, upstream)]
         if body:
@@ -172,10 +174,10 @@
             return Err(PlatformError(PlatformReason.CUT, str(exc)))
         return Ok((answer.head.status, data))
 
-    def _forget(self, upstream: str) -> None:
-        pool = self._pools.pop(upstream, None)
-        if pool is not None:
-            pool.close()
+    def _forget_gone(self) -> None:
+        """Close what is kept to upstreams that are gone: nobody asks for them by name again."""
+        for upstream in [name for name in self._pools if self._address_of(name) is None]:
+            self._pools.pop(upstream).close()
 
 
 def _check(body: UpstreamBody, request_id: str | None) -> PlatformError | None:
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -63,3 +63,25 @@
         assert {name for name, _ in node.started} == {"job-2"}
 
     run_virtual(scene())
+
+
+def test_what_ended_is_remembered_while_the_partition_is_read_on() -> None:
+    """An item ended here and is not listed yet, and for a moment the partition has more to read.
+
+    The item is still not due afterwards: forgotten in that moment, it would be run a second time.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("jobs", 0, encode_records(encode_job(make_job("job-1"), "w")))
+        node = Node(StoreLink(store))
+        await asyncio.sleep(0.1)
+        node.runner._ended["job-1"].add(0)
+        node.started.clear()
+        tail = node.jobs.tails[0]
+        for at_end in (False, True):
+            tail.at_end = at_end
+            node.runner._start_due()
+        assert node.started and ("job-1", 0) not in node.started
+
+    run_virtual(scene())
