Send work for a job only on knowledge of it that is younger than 2.4 s

Cause: the end of a job is learned by reading, and nothing bounded the age of what had been read. A slow VM that took seconds to take a page in, a gateway cut off from store and peers, an item that waited for its place or was scored again: all sent items by a fold that was older than the end. Ruled out: a check at the start of items alone (three of the four cases pass it by); stopping all work whenever the store does not answer (in an outage for all no end can be recorded, and the step's trainer would wait for what was not made meanwhile). Change: tails tell how old what they know may be (nothing between pages; a quiet poll counts up to the end of its wait; an outage that peers confirm counts as knowledge); items wait for knowledge before each run and scoring request, and the check is made again as each request gets its upstream. Logs: the age at which an item last went out, and the oldest such age among items that an end cancels.

--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TypeVar
 
+import attrs
 import msgspec
 from result import Err, Ok, Result
 from tornado.web import RequestHandler
@@ -211,6 +212,7 @@
     ) -> Result[_T, StoreError]:
         give_up = self._clock.monotonic() + timeout
         peers = self._peers()
+        nobody_has_it = not peers
         random.shuffle(peers)
         if self._good_peer in peers:
             peers.remove(self._good_peer)
@@ -234,11 +236,12 @@
             if error.problem in _ANSWERED:
                 self._good_peer = peer
                 return Err(error)
+            nobody_has_it = True
             if error.problem is StoreProblem.UNKNOWN and not repeatable:
                 return Err(error)
         self._good_peer = ""
         self._metrics.relayed.labels("failed").inc()
-        return Err(error)
+        return Err(attrs.evolve(error, everywhere=nobody_has_it))
 
     async def _async_ask(
         self, peer: str, call: "RelayAppend | RelayRead | RelayNewest", timeout: timedelta
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -63,7 +63,9 @@
     """What both kinds of tail share: the loop, its pauses, and how current they are.
 
     `at_end` says whether the last read reached the partition's end: between two pages of a long partition
-    what was read is older than what the store has, by as much as is left.
+    what was read is older than what the store has, by as much as is left. `current_at` is the moment up to
+    which everything has been read, and `out_at` the last one at which nobody reached the store, so that
+    nothing can have been written.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.loaded = asyncio.Event()
         self.at_end = False
         self.current_at: timedelta | None = None
+        self.out_at: timedelta | None = None
         self.offset = 0
         self._log = log
         self._clock = clock
@@ -102,10 +105,18 @@
                 return False
             read = await self._log.async_read(self.topic, self.part, self.offset, timedelta(), left)
             if isinstance(read, Err):
+                self._note_outage(read.unwrap_err(), asked)
                 return False
             if self._take(read.unwrap(), asked):
                 return True
 
+    def age(self) -> timedelta | None:
+        """Return how old what is known here may be; None before the end was reached, or between pages."""
+        if self.current_at is None or not self.at_end:
+            return None
+        known = self.current_at if self.out_at is None else max(self.current_at, self.out_at)
+        return self._clock.monotonic() - known
+
     @abc.abstractmethod
     async def _async_step(self) -> StoreError | None:
         """Make one call and take what it brings; return why it brought nothing."""
@@ -114,12 +125,27 @@
     def _fold(self, offset: int, record: bytes) -> None:
         """Take one record."""
 
-    async def _async_poll(self) -> Result[LogRead, StoreError]:
-        return await self._log.async_read(
+    async def _async_poll(self) -> tuple[Result[LogRead, StoreError], timedelta]:
+        """Wait for records; return what came, and the moment up to which it tells everything.
+
+        A poll that brought nothing was answered when its wait was over. Counted from when it was asked,
+        what is known of a quiet partition would always seem more than a second old.
+        """
+        asked = self._clock.monotonic()
+        read = await self._log.async_read(
             self.topic, self.part, self.offset, _POLL_WAIT, _POLL_WAIT + _POLL_SLACK
         )
+        if isinstance(read, Err):
+            self._note_outage(read.unwrap_err(), asked)
+        elif not read.unwrap().records and self._clock.monotonic() - asked >= _POLL_WAIT:
+            return read, asked + _POLL_WAIT
+        return read, asked
+
+    def _note_outage(self, error: StoreError, asked: timedelta) -> None:
+        if error.everywhere:
+            self.out_at = asked
 
-    def _take(self, read: LogRead, asked: timedelta) -> bool:
+    def _take(self, read: LogRead, as_of: timedelta) -> bool:
         """Take records from where this tail stands; return whether it is at the end now.
 
         Two reads may be under way at once; the one that is answered last brings again what the
@@ -133,8 +159,8 @@
         self.at_end = self.offset >= read.end
         if not self.at_end:
             return False
-        if self.current_at is None or asked > self.current_at:
-            self.current_at = asked
+        if self.current_at is None or as_of > self.current_at:
+            self.current_at = as_of
         return True
 
 
@@ -165,15 +191,14 @@
     async def _async_step(self) -> StoreError | None:
         if not self.loaded.is_set():
             return await self._async_load()
-        asked = self._clock.monotonic()
-        read = await self._async_poll()
+        read, as_of = await self._async_poll()
         if isinstance(read, Err):
             error = read.unwrap_err()
             if error.problem is StoreProblem.GONE:
                 # Records that were deleted before they were read: the newest of each key tells all.
                 return await self._async_load()
             return error
-        self._take(read.unwrap(), asked)
+        self._take(read.unwrap(), as_of)
         if read.unwrap().records and self._gather:
             await self._clock.async_sleep(self._gather)
         return None
@@ -229,9 +254,9 @@
         self._on_batch = on_batch
 
     async def _async_step(self) -> StoreError | None:
-        asked = self._clock.monotonic()
+        as_of = self._clock.monotonic()
         if self.loaded.is_set():
-            read = await self._async_poll()
+            read, as_of = await self._async_poll()
         else:
             read = await self._log.async_read(
                 self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
@@ -241,8 +266,9 @@
             if error.problem is not StoreProblem.GONE:
                 return error
             self.offset = max(self.offset, error.position)
+            self.at_end = False
             return None
-        if self._take(read.unwrap(), asked):
+        if self._take(read.unwrap(), as_of):
             self.loaded.set()
         if read.unwrap().records:
             self._on_batch()
--- a/cranberryline/jobs/const.py
+++ b/cranberryline/jobs/const.py
@@ -17,4 +17,9 @@
 ACCEPT_PATIENCE = timedelta(milliseconds=950)
 # The end of that time, kept for reading whether an append without an answer stands.
 SETTLE_TIME = timedelta(milliseconds=200)
+# How old what a gateway knows of a job may be when work for it goes out. Platforms allow three seconds from
+# the end of a job to its last item at an engine; polls of a quiet partition come a second apart, and 0.6 s
+# are left for a store that is slow and for the way to the engine.
+KNOWN_WITHIN = timedelta(milliseconds=2400)
+REFRESH_TIMEOUT = timedelta(milliseconds=600)
 ACCEPT_PAUSE = timedelta(milliseconds=120)
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -24,6 +24,7 @@
 
 from .book import JobState
 from .events import EventReader, ItemText
+from .knowledge import JobKnowledge
 from .model import Item, ItemResult, ItemState, Scorer
 from .scoring import ScoringPlaces
 
@@ -75,6 +76,7 @@
     rng: Random
     scoring: ScoringPlaces
     kept: Callable[[Item], ItemResult | None]
+    knowledge: JobKnowledge
     hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
     heard: dict[str, timedelta] = attrs.field(factory=dict)
     turned_away: TurnedAway = attrs.field(factory=TurnedAway)
@@ -166,6 +168,7 @@
         self.runs = 0
         self.began = tools.clock.monotonic()
         self.text_at = self.began
+        self.known_age: timedelta | None = None
         self._failed_runs = 0
         self._pause = _PAUSE
         self._avoid: frozenset[str] = frozenset()
@@ -175,7 +178,7 @@
         kept = self._kept_result()
         if kept is not None:
             return kept
-        while self._wanted():
+        while await self._async_wanted():
             route = self._route(self.state.job.host, self.item.path)
             if route is None or self._too_old(route):
                 return ItemResult(ItemState.DEAD)
@@ -199,9 +202,27 @@
             return None
         return kept
 
+    async def _async_wanted(self) -> bool:
+        """Tell whether the item is still to be done, once enough is known of its job to tell."""
+        job, knowledge = self.state.job.id, self.tools.knowledge
+        while self._wanted() and not knowledge.suffices(job):
+            self.tools.metrics.retry("job_known_too_little")
+            await knowledge.async_refresh(job)
+            if not knowledge.suffices(job):
+                await self._async_pause()
+        return self._wanted()
+
     def _wanted(self) -> bool:
         return not self.state.ended and self.index not in self.state.done
 
+    def _may_go_out(self) -> bool:
+        """Tell, as a request gets its upstream, whether it may still go there.
+
+        It may have waited for its place for seconds, in which its job ended unheard.
+        """
+        self.known_age = self.tools.knowledge.age(self.state.job.id)
+        return self._wanted() and self.tools.knowledge.suffices(self.state.job.id)
+
     def _route(self, host: str, path: str) -> Route | None:
         table = self.tools.routes.table
         return None if table is None else table.match(host, path)
@@ -254,6 +275,8 @@
         job, model, oldest = self.state.job, self.state.job.model, self.state.job.min_version
 
         def eligible(upstream: str) -> bool:
+            if not self._may_go_out():
+                return False
             if self.tools.turned_away.rests(upstream, self.tools.clock.monotonic()):
                 return False
             if oldest is None:
@@ -307,7 +330,7 @@
             return self._completed("")
         self._pause = _PAUSE
         failures = 0
-        while self._wanted():
+        while await self._async_wanted():
             route = self._route(scorer.host, scorer.path)
             if route is None:
                 return ItemResult(ItemState.DEAD)
@@ -340,6 +363,7 @@
                 caller=self.state.job.host,
                 caller_class=CallerClass.TRAINER,
                 avoid=avoid,
+                eligible=lambda _upstream: self._may_go_out(),
                 max_attempts=1,
             )
 
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -52,6 +52,14 @@
     live: Callable[[timedelta], Collection[str]]
 
 
+@attrs.frozen(eq=False)
+class _Running:
+    """An item's run and the task that it goes on in."""
+
+    run: ItemRun
+    task: asyncio.Task[None]
+
+
 class JobRunner:
     """Start what falls to this node, once; append results until they stand."""
 
@@ -60,7 +68,7 @@
         self._jobs = parts.jobs
         self._clock = parts.clock
         self._wake = asyncio.Event()
-        self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._running: dict[tuple[str, int], _Running] = {}
         # What ended here and may not be listed yet. Looked for in the book alone it would be due again
         # until its record comes back from the store: one item in eight ran twice, and was scored twice.
         self._ended: defaultdict[str, set[int]] = defaultdict(set)
@@ -78,6 +86,7 @@
             self._rng,
             ScoringPlaces(parts.dispatcher.places),
             parts.jobs.book.completed,
+            parts.jobs.knowledge,
         )
         self._jobs.book.listen(self._on_change)
 
@@ -104,7 +113,7 @@
 
     async def async_close(self) -> None:
         """End every run."""
-        tasks = [*self._running.values(), *self._writers.values()]
+        tasks = [*(item.task for item in self._running.values()), *self._writers.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -115,10 +124,19 @@
         self._wake.set()
 
     def _cancel_job(self, state: JobState) -> None:
-        for index in range(len(state.job.items)):
-            task = self._running.get((state.job.id, index))
-            if task is not None:
-                task.cancel()
+        keys = ((state.job.id, index) for index in range(len(state.job.items)))
+        items = [self._running[key] for key in keys if key in self._running]
+        for item in items:
+            item.task.cancel()
+        if items:
+            ages = [item.run.known_age for item in items if item.run.known_age is not None]
+            oldest = in_milliseconds(max(ages, default=timedelta()))
+            _LOGGER.info(
+                "job_items_cancelled",
+                request_id=state.job.id,
+                items=len(items),
+                oldest_known_ms=oldest,
+            )
 
     def _start_due(self) -> None:
         now = self._clock.monotonic()
@@ -166,16 +184,16 @@
 
     def _start_item(self, state: JobState, index: int) -> None:
         key = (state.job.id, index)
-        task = asyncio.ensure_future(self._async_item(state, index))
-        self._running[key] = task
+        run = ItemRun(self._tools, state, index)
+        task = asyncio.ensure_future(self._async_item(run))
+        self._running[key] = _Running(run, task)
         task.add_done_callback(lambda _: self._running.pop(key, None))
 
-    async def _async_item(self, state: JobState, index: int) -> None:
-        run = ItemRun(self._tools, state, index)
+    async def _async_item(self, run: ItemRun) -> None:
         result = await run.async_run()
         if result is not None:
             self._tell(run, result)
-            self._finish(state, index, result)
+            self._finish(run.state, run.index, result)
 
     def _tell(self, run: ItemRun, result: ItemResult) -> None:
         now = self._clock.monotonic()
@@ -187,6 +205,7 @@
             versions=result.versions,
             events=len(run.text.events),
             runs=run.runs,
+            known_ms=None if run.known_age is None else in_milliseconds(run.known_age),
             waited_ms=in_milliseconds(run.began - run.state.seen_at),
             text_ms=in_milliseconds(run.text_at - run.began),
             score_ms=in_milliseconds(now - run.text_at),
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -28,6 +28,7 @@
     TOPIC_JOBS,
 )
 from .errors import JobProblem, JobRefused
+from .knowledge import JobKnowledge
 from .model import Item, ItemResult, Job, JobEnded, JobRecord
 from .partition import partition_of
 
@@ -68,6 +69,7 @@
             )
             for part in range(parts)
         ]
+        self.knowledge = JobKnowledge(self.tails)
         self.book.listen(self._on_change)
 
     @property
--- a/cranberryline/ports/store.py
+++ b/cranberryline/ports/store.py
@@ -29,11 +29,15 @@
 
 @attrs.frozen
 class StoreError:
-    """A call that brought nothing; `position` is the end on CONFLICT, the oldest kept on GONE."""
+    """A call that brought nothing; `position` is the end on CONFLICT, the oldest kept on GONE.
+
+    `everywhere` says that no other node that could be asked reaches the store either.
+    """
 
     problem: StoreProblem
     detail: str = ""
     position: int = 0
+    everywhere: bool = False
 
 
 @attrs.frozen
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -201,3 +201,30 @@
         assert not log.direct_lost("t", 0)
 
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    ("peer_there", "peer_refused", "everywhere"),
+    [(True, True, True), (False, False, False), (True, False, None)],
+)
+def test_an_outage_for_all_is_told_from_being_cut_off(
+    peer_there: bool, peer_refused: bool, everywhere: bool | None
+) -> None:
+    """Nobody reaches the store if a peer says so too; a node that reaches no peer cannot tell.
+
+    Taken for an outage of the store, being cut off alone would let work go out for jobs that ended.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        peer, link = Peer(store), StoreLink(store)
+        _refuse_all(link)
+        if peer_refused:
+            _refuse_all(peer.link)
+        address = peer.address if peer_there else "127.0.0.1:1"
+        read = await _log(link, address).async_read("t", 0, 0, timedelta(), TIMEOUT)
+        assert (read.unwrap_err().everywhere if read.is_err() else None) is everywhere
+        alone = await _log(link).async_read("t", 0, 0, timedelta(), TIMEOUT)
+        assert alone.unwrap_err().everywhere
+
+    asyncio.run(scene())
--- a/tests/helpers/test_tail.py
+++ b/tests/helpers/test_tail.py
@@ -2,9 +2,13 @@
 
 import asyncio
 from datetime import timedelta
+from typing import Any
+
+from result import Err, Result
 
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.tail import KeyedTail, StoreHealth
+from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
+from cranberryline.ports.store import StoreError, StoreProblem
 from tests.store_fake import FakeStore, StoreLink
 from tests.virtual_time import LoopClock, run_virtual
 
@@ -43,3 +47,77 @@
         assert reads <= 10
 
     run_virtual(scene())
+
+
+class SharedOutage(StoreLink):
+    """A way to a store that, while `out`, no other node reaches either."""
+
+    out = False
+
+    async def async_read(self, *args: Any, **more: Any) -> Result[Any, StoreError]:
+        """Read, or tell that nobody reaches the store."""
+        if self.out:
+            return Err(StoreError(StoreProblem.REFUSED, "status 503", everywhere=True))
+        return await super().async_read(*args, **more)
+
+
+def _partition(link: StoreLink) -> PartitionTail:
+    clock = LoopClock()
+    return PartitionTail(link, "jobs", 0, clock, StoreHealth(clock), lambda _offset, _data: None)
+
+
+def test_what_is_known_of_a_quiet_partition_stays_young() -> None:
+    """Polls that bring nothing are answered after their wait: nothing was written up to then."""
+
+    async def scene() -> None:
+        tail = _partition(StoreLink(FakeStore()))
+        assert tail.age() is None
+        following = asyncio.ensure_future(tail.async_run())
+        oldest = timedelta()
+        await asyncio.sleep(0.1)
+        for _ in range(100):
+            await asyncio.sleep(0.05)
+            oldest = max(oldest, tail.age() or timedelta.max)
+        following.cancel()
+        assert oldest < timedelta(seconds=1.1)
+
+    run_virtual(scene())
+
+
+def test_what_is_known_ages_while_one_node_is_cut_off_and_not_while_all_are() -> None:
+    """Cut off alone, others may write unheard; while nobody reaches the store there is nothing to hear."""
+
+    async def scene() -> None:
+        link = SharedOutage(FakeStore())
+        tail = _partition(link)
+        following = asyncio.ensure_future(tail.async_run())
+        await asyncio.sleep(0.1)
+        link.out = True
+        await asyncio.sleep(5)
+        shared = tail.age()
+        link.out, link.silent = False, True
+        await asyncio.sleep(5)
+        alone = tail.age()
+        following.cancel()
+        assert shared is not None and shared < timedelta(seconds=1)
+        assert alone is not None and alone > timedelta(seconds=4)
+
+    run_virtual(scene())
+
+
+def test_between_two_pages_the_age_of_what_is_known_is_not_known() -> None:
+    """The newest of what has been read may be older by all that is left to read."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("jobs", 0, [b"a", b"b", b"c"])
+        link = StoreLink(store)
+        link.page = 1
+        tail = _partition(link)
+        ages = []
+        for _ in range(3):
+            await tail._async_step()
+            ages.append(tail.age())
+        assert ages[:2] == [None, None] and ages[2] is not None
+
+    run_virtual(scene())
