--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -18,7 +18,10 @@
 
 
 class PlatformStore:
-    """Topics in memory; `down` answers 503, `lose` loses answers, `append_s` is what an append takes."""
+    """Topics in memory; `down` answers 503, `lose` loses answers, `append_s` is what an append takes.
+
+    `page` is how many of the newest records go into one answer.
+    """
 
     def __init__(self) -> None:
         self.records: dict[tuple[str, int], list[bytes]] = defaultdict(list)
@@ -26,6 +29,7 @@
         self.down = False
         self.lose = 0
         self.append_s = 0.0
+        self.page = 2
         self.calls: Counter[str] = Counter()
         self.address = ""
         self._grown = asyncio.Event()
@@ -124,8 +128,11 @@
             self.set_status(410)
             self.finish({"first": self.store.first[self.where]})
             return
-        if len(self.store.records[self.where]) <= start and int(wait):
-            await self.store.async_grown(int(wait) / 1000)
+        loop = asyncio.get_running_loop()
+        give_up = loop.time() + int(wait) / 1000
+        # An append to another partition wakes this call too, and is no reason to answer it.
+        while len(self.store.records[self.where]) <= start and loop.time() < give_up:
+            await self.store.async_grown(give_up - loop.time())
         kept = self.store.records[self.where]
         parts = [_POSITIONS.pack(len(kept), self.store.first[self.where])]
         parts += [_LENGTH.pack(len(record)) + record for record in kept[start:]]
@@ -134,7 +141,7 @@
 
 class _Newest(_Call):
     def get(self) -> None:
-        """Return the newest record of each key, two to a page."""
+        """Return the newest record of each key, some to a page."""
         rows: dict[str, dict[str, Any]] = {}
         kept = self.store.records[self.where]
         for offset, record in enumerate(kept):
@@ -145,4 +152,5 @@
                 del rows[key]
         after = self.get_query_argument("after", "")
         left = [rows[key] for key in sorted(rows) if key > after]
-        self.finish({"items": left[:2], "has_more": len(left) > 2, "end": len(kept)})
+        page = self.store.page
+        self.finish({"items": left[:page], "has_more": len(left) > page, "end": len(kept)})
