Keep the connections of polls, and read the store's answers without a task each

Cause: nine tenths of what a gateway spends on the work of others went into polls: 53 a second, each with a new connection and a task, a queue and parsed headers for its answer. Ruled out: longer waits, gathering jobs' records (knowledge would be older); kept connections for appends and single reads (a silent one would leave their callers in doubt). Change: ports/short_call.py; polls keep theirs, on which they stand all the time anyway. A test that cut the store off by its port now does so by its calls, since a kept connection outlives a changed port.

--- a/cranberryline/platform/store.py
+++ b/cranberryline/platform/store.py
@@ -10,9 +10,9 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import in_milliseconds
-from cranberryline.ports.errors import PlatformError, UpstreamCut
-from cranberryline.ports.http import HttpOrigin, async_exchange
-from cranberryline.ports.model import UpstreamRequest
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.http import HttpOrigin
+from cranberryline.ports.short_call import ShortCalls
 from cranberryline.ports.store import (
     Appended,
     KeyedRecord,
@@ -65,14 +65,14 @@
 
 
 class HttpStore(SharedLog):
-    """Call the store, with a connection of its own for each call.
+    """Call the store, with a connection of its own for each call but for polls.
 
     A kept connection on which an answer was lost stays silent for good; a new one costs a round
-    trip and never leaves that doubt.
+    trip and never leaves that doubt. Polls stand on theirs all the time, kept or new.
     """
 
     def __init__(self, address: str) -> None:
-        self._origin = HttpOrigin(f"http://{address}")
+        self._calls = ShortCalls(HttpOrigin(f"http://{address}"))
 
     async def async_append(
         self,
@@ -109,7 +109,8 @@
         path = f"{PATH_READ}?topic={quote(topic)}&part={part}&from={start}"
         if wait:
             path += f"&wait_ms={in_milliseconds(wait)}"
-        match await self._async_call("GET", path, b"", timeout):
+        poll = f"{topic}/{part}" if wait else ""
+        match await self._async_call("GET", path, b"", timeout, poll):
             case Err(error):
                 return Err(error)
             case Ok((status, answer)):
@@ -161,19 +162,11 @@
             return None
 
     async def _async_call(
-        self, method: str, path: str, body: bytes, timeout: timedelta
+        self, method: str, path: str, body: bytes, timeout: timedelta, poll: str = ""
     ) -> Result[tuple[int, bytes], StoreError]:
         """Make one call; an error before the first byte was sent is a refusal, later unknown."""
-        req = UpstreamRequest(method, path, (), body)
-        sent = await async_exchange(self._origin, req, timeout)
-        if isinstance(sent, Err):
-            return Err(_unsent(sent.unwrap_err()))
-        answer = sent.unwrap()
-        try:
-            data = await answer.async_whole()
-        except UpstreamCut as exc:
-            return Err(StoreError(StoreProblem.UNKNOWN, str(exc)))
-        return Ok((answer.head.status, data))
+        sent = await self._calls.async_call(method, path, body, timeout, poll)
+        return Err(_unsent(sent.unwrap_err())) if isinstance(sent, Err) else Ok(sent.unwrap())
 
 
 def _decode(data: bytes, kind: type[_T]) -> _T | None:
--- a/cranberryline/ports/const.py
+++ b/cranberryline/ports/const.py
@@ -8,6 +8,8 @@
 CHUNK_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 1024 * 1024 * 1024
+# An answer of the store has at most 1 MiB of records, and one record more.
+MAX_SHORT_BYTES = 8 * 1024 * 1024
 MAX_JSON_BYTES = 64 * 1024 * 1024
 MAX_QUEUED_CHUNKS = 4
 MAX_KEPT_STREAMS = 16
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from cranberryline.helpers.clock import SystemClock
+from cranberryline.ports.http import HttpOrigin
+from cranberryline.ports.short_call import ShortCalls
 
 from .conftest import HOST, MODEL, async_platform, async_until, config, job, play
 
@@ -282,7 +284,8 @@
         platform = await async_platform(2)
         first = platform.gateways[0]
         await async_until(lambda: len(first.nodes.signs()) == 2)
-        first.store.direct._origin.port = 9  # nobody listens there
+        nobody = HttpOrigin("http://127.0.0.1:9")
+        first.store.direct._calls = ShortCalls(nobody)  # type: ignore[attr-defined]
         sent = await platform.async_call("POST", "/jobs/j1", body=job(), Attempt_Id="j1")
         assert sent.code == 202
         assert len(await platform.async_results("j1", 4)) == 4
