Leave jobs and results packed where nobody needs them, and look only at jobs that changed

Cause: every gateway unpacked and decoded each job (3.3 ms for 112 items of 1 KB) and each result, and worked out the placement of every group of every open job at each of some 30 changes a second. Ruled out: records of its own for bodies (a second thing that may be missing); reading ended jobs newest first (the fold must be the same from any start). Change: a job's record is a head, and its items packed behind it with a checksum; a result is packed within its record. Items are unpacked when one runs or is asked for here, results when they are listed. What falls to a node is worked out once for a job and its live nodes; a change looks at its own job, all are looked at each 250 ms. Pages are folded in turns of 5 ms. Records of the release before stay readable; that release does not read the new ones.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -340,8 +340,8 @@
         return self._lags.lag(model, self.shifter.wanted.get(model, 0))
 
     def _on_job(self, state: JobState) -> None:
-        job = state.job
-        if job.min_version is not None and not state.results and not state.ended:
+        job = state.head
+        if job.min_version is not None and not state.listed and not state.ended:
             named = self.shifter.wanted.get(job.model, 0)
             self._lags.note(job.model, job.min_version, named)
 
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -29,6 +29,9 @@
 # A store that is out for some partitions answers and fails by turns; told each time, the log would
 # hold nothing else.
 _REGAINED_AFTER = timedelta(seconds=1)
+# How long a page is folded in one go. A megabyte of records takes a slow VM a tenth of a second, in which
+# callers and the balancer's questions would wait.
+_FOLD_TURN = timedelta(milliseconds=5)
 
 
 class StoreHealth:
@@ -107,7 +110,7 @@
             if isinstance(read, Err):
                 self._note_outage(read.unwrap_err(), asked)
                 return False
-            if self._take(read.unwrap(), asked):
+            if await self._async_take(read.unwrap(), asked):
                 return True
 
     def age(self) -> timedelta | None:
@@ -145,17 +148,27 @@
         if error.everywhere:
             self.out_at = asked
 
-    def _take(self, read: LogRead, as_of: timedelta) -> bool:
+    async def _async_take(self, read: LogRead, as_of: timedelta) -> bool:
         """Take records from where this tail stands; return whether it is at the end now.
 
         Two reads may be under way at once; the one that is answered last brings again what the
         other brought, and folding it twice would move the tail behind itself.
+
+        Between two turns of a long page the tail is not at the end: a job may have been taken and its end,
+        further on in the page, not yet.
         """
+        turn_ends = self._clock.monotonic() + _FOLD_TURN
         for number, record in enumerate(read.records):
-            offset = read.start + number
-            if offset == self.offset:
-                self._fold(offset, record)
-                self.offset = offset + 1
+            if read.start + number != self.offset:
+                continue
+            if self._clock.monotonic() >= turn_ends:
+                self.at_end = False
+                await asyncio.sleep(0)
+                turn_ends = self._clock.monotonic() + _FOLD_TURN
+                if read.start + number != self.offset:
+                    continue
+            self._fold(self.offset, record)
+            self.offset += 1
         self.at_end = self.offset >= read.end
         if not self.at_end:
             return False
@@ -198,7 +211,7 @@
                 # Records that were deleted before they were read: the newest of each key tells all.
                 return await self._async_load()
             return error
-        self._take(read.unwrap(), as_of)
+        await self._async_take(read.unwrap(), as_of)
         if read.unwrap().records and self._gather:
             await self._clock.async_sleep(self._gather)
         return None
@@ -268,7 +281,7 @@
             self.offset = max(self.offset, error.position)
             self.at_end = False
             return None
-        if self._take(read.unwrap(), as_of):
+        if await self._async_take(read.unwrap(), as_of):
             self.loaded.set()
         if read.unwrap().records:
             self._on_batch()
--- a/cranberryline/jobs/__init__.py
+++ b/cranberryline/jobs/__init__.py
@@ -1,8 +1,9 @@
 """Batch jobs: accepted once, kept whole, run by any node, listed alike by all."""
 
-from .book import JobBook, JobState
+from .book import JobBook
 from .codec import decode_record, encode_job, encode_records
 from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, ResultRecord, Scorer
+from .state import JobState
 
 __all__ = [
     "Item",
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -8,35 +8,21 @@
 from cranberryline.helpers.clock import Clock
 
 from .codec import decode_job
-from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
+from .model import (
+    Item,
+    ItemResult,
+    ItemState,
+    JobEnded,
+    JobPart,
+    JobRecord,
+    PackedResult,
+    ResultRecord,
+)
+from .state import JobState, Listed
 
 __all__ = ["JobBook", "JobState"]
 
 
-@attrs.define(eq=False)
-class JobState:
-    """A job, and what is listed of it: the order of `results` is the order of the records."""
-
-    job: Job
-    seen_at: timedelta
-    results: list[tuple[int, ItemResult]] = attrs.field(factory=list)
-    done: set[int] = attrs.field(factory=set)
-    ended: bool = False
-    moved_at: dict[str, timedelta] = attrs.field(factory=dict)
-
-    @property
-    def open(self) -> bool:
-        """Tell whether an item has still to be run."""
-        return not self.ended and len(self.done) < len(self.job.items)
-
-    def item(self, item_id: str) -> tuple[int, Item] | None:
-        """Return an item and its number by its id."""
-        for index, item in enumerate(self.job.items):
-            if item.id == item_id:
-                return index, item
-        return None
-
-
 @attrs.define(eq=False)
 class _Parts:
     total: int
@@ -56,7 +42,7 @@
         self._clock = clock
         self._keep = keep
         self._parts: dict[tuple[str, str], _Parts] = {}
-        self._completed: dict[str, tuple[Item, ItemResult]] = {}
+        self._completed: dict[str, tuple[JobState, Listed]] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
     def listen(self, listener: Callable[[JobState], None]) -> None:
@@ -85,13 +71,20 @@
         need not be made twice.
         """
         found = self._completed.get(item.id)
-        return found[1] if found is not None and found[0] == item else None
+        if found is None:
+            return None
+        state, listed = found
+        same = state.readable and state.job.items[listed.index] == item
+        return listed.result if same else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more."""
+        """Drop jobs that nobody may ask for any more; they stand in the order in which they were seen."""
         limit = self._clock.monotonic() - self._keep
-        for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
-            for item in self.jobs.pop(job_id).job.items:
+        while self.jobs:
+            job_id = next(iter(self.jobs))
+            if self.jobs[job_id].seen_at >= limit:
+                return
+            for item in self.jobs.pop(job_id).head.items:
                 self._completed.pop(item.id, None)
 
     def _take_part(self, part: JobPart) -> None:
@@ -100,23 +93,28 @@
         parts.pieces[part.index] = part.data
         if len(parts.pieces) < parts.total:
             return
-        job = decode_job(parts.pieces[number] for number in sorted(parts.pieces))
+        found = decode_job(parts.pieces[number] for number in sorted(parts.pieces))
         for other in [other for other in self._parts if other[0] == part.job]:
             del self._parts[other]
-        if job is None or job.id != part.job:
+        if found is None or found[0].id != part.job:
             return
-        state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
+        state = self.jobs[part.job] = JobState(*found, self._clock.monotonic())
         self._notify(state)
 
-    def _take_result(self, state: JobState, record: ResultRecord) -> None:
-        if record.index in state.done or not 0 <= record.index < len(state.job.items):
+    def _take_result(self, state: JobState, record: ResultRecord | PackedResult) -> None:
+        if record.index in state.done or not 0 <= record.index < len(state.head.items):
             return
+        if isinstance(record, PackedResult):
+            listed, completed = Listed(record.index, record.data), record.completed
+        else:
+            listed = Listed(record.index, record.result)
+            completed = record.result.state is ItemState.COMPLETED
         state.done.add(record.index)
-        state.results.append((record.index, record.result))
-        item = state.job.items[record.index]
+        state.listed.append(listed)
+        item = state.head.items[record.index]
         state.moved_at[item.group] = self._clock.monotonic()
-        if record.result.state is ItemState.COMPLETED:
-            self._completed[item.id] = (item, record.result)
+        if completed:
+            self._completed[item.id] = (state, listed)
 
     def _notify(self, state: JobState) -> None:
         for listener in self._listeners:
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -22,11 +22,11 @@
 from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import Route, RouteBook
 
-from .book import JobState
 from .events import EventReader, ItemText
 from .knowledge import JobKnowledge
 from .model import Item, ItemResult, ItemState, Scorer
 from .scoring import ScoringPlaces
+from .state import JobState
 
 __all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
 
--- a/cranberryline/jobs/model.py
+++ b/cranberryline/jobs/model.py
@@ -6,12 +6,15 @@
 
 __all__ = [
     "Item",
+    "ItemHead",
     "ItemResult",
     "ItemState",
     "Job",
     "JobEnded",
+    "JobHead",
     "JobPart",
     "JobRecord",
+    "PackedResult",
     "ResultRecord",
     "Scorer",
 ]
@@ -57,6 +60,31 @@
     group_count: int | None = None
 
 
+class ItemHead(msgspec.Struct, array_like=True, frozen=True):
+    """What every node needs to know of an item; the rest is read where it runs."""
+
+    id: str
+    group: str
+
+
+class JobHead(msgspec.Struct, array_like=True, frozen=True):
+    """What every node needs to know of a job, field by field as in `Job`.
+
+    `details_crc` is the checksum of the packed items, which only a node that runs one unpacks.
+    """
+
+    id: str
+    host: str
+    path: str
+    items: tuple[ItemHead, ...]
+    submitted: float
+    model: str = ""
+    step: int | None = None
+    min_version: int | None = None
+    group_count: int | None = None
+    details_crc: int = 0
+
+
 class ItemState(enum.StrEnum):
     """How an item ended."""
 
@@ -91,10 +119,19 @@
     result: ItemResult
 
 
+class PackedResult(msgspec.Struct, array_like=True, frozen=True, tag="packed"):
+    """The end of one item as it is stored: `data` is the packed result, read when it is listed."""
+
+    job: str
+    index: int
+    completed: bool
+    data: bytes
+
+
 class JobEnded(msgspec.Struct, array_like=True, frozen=True, tag="end"):
     """The caller wants no more of the job."""
 
     job: str
 
 
-JobRecord = JobPart | ResultRecord | JobEnded
+JobRecord = JobPart | ResultRecord | PackedResult | JobEnded
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -3,12 +3,11 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from datetime import timedelta
 
 import attrs
 
-from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
@@ -17,12 +16,13 @@
 from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
 
-from .book import JobState
 from .item import ItemRun, ItemTools, UpstreamVersions
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
+from .plan import JobPlan
 from .scoring import ScoringPlaces
 from .service import JobService
+from .state import JobState
 
 __all__ = ["JobRunner", "RunnerParts"]
 
@@ -72,6 +72,10 @@
         # What ended here and may not be listed yet. Looked for in the book alone it would be due again
         # until its record comes back from the store: one item in eight ran twice, and was scored twice.
         self._ended: defaultdict[str, set[int]] = defaultdict(set)
+        self._plans: dict[str, JobPlan] = {}
+        # Jobs to look at next; the others only when something may be due by time or by who lives.
+        self._touched: set[str] = set()
+        self._all_at = timedelta()
         self._finished: dict[int, list[ResultRecord]] = {}
         self._writers: dict[int, asyncio.Task[None]] = {}
         self._rng = random.Random()
@@ -96,17 +100,20 @@
         return bool(self._running) or any(self._finished.values())
 
     def wake(self) -> None:
-        """Look again soon: nodes or routes have changed."""
+        """Look at all jobs again soon: nodes or routes have changed."""
+        self._all_at = timedelta()
         self._wake.set()
 
     async def async_run(self) -> None:
         """Start what is due until cancelled."""
         while True:
+            pause = _LOOK_AGAIN
             if not self.stopping and self._parts.routes.table is not None:
-                self._start_due()
+                self._look()
+                pause = max(self._all_at - self._clock.monotonic(), timedelta())
             self._wake.clear()
             try:
-                async with asyncio.timeout(_LOOK_AGAIN.total_seconds()):
+                async with asyncio.timeout(pause.total_seconds()):
                     await self._wake.wait()
             except TimeoutError:
                 pass
@@ -121,10 +128,12 @@
     def _on_change(self, state: JobState) -> None:
         if state.ended:
             self._cancel_job(state)
+        self._touched.add(state.head.id)
         self._wake.set()
 
     def _cancel_job(self, state: JobState) -> None:
-        keys = ((state.job.id, index) for index in range(len(state.job.items)))
+        job_id = state.head.id
+        keys = ((job_id, index) for index in range(len(state.head.items))) if self._running else ()
         items = [self._running[key] for key in keys if key in self._running]
         for item in items:
             item.task.cancel()
@@ -133,57 +142,83 @@
             oldest = in_milliseconds(max(ages, default=timedelta()))
             _LOGGER.info(
                 "job_items_cancelled",
-                request_id=state.job.id,
+                request_id=job_id,
                 items=len(items),
                 oldest_known_ms=oldest,
             )
 
+    def _look(self) -> None:
+        """Look at what was touched, and at everything each `_LOOK_AGAIN`.
+
+        A result of one job makes nothing due of another: looked at with each of some 40 results a second,
+        all open jobs together cost a node ten milliseconds of processor time a second.
+        """
+        if self._clock.monotonic() >= self._all_at:
+            self._start_due()
+            return
+        jobs = self._jobs.book.jobs
+        states = [jobs[job_id] for job_id in self._touched if job_id in jobs]
+        self._look_at(sorted(states, key=lambda state: state.seen_at))
+
     def _start_due(self) -> None:
-        now = self._clock.monotonic()
+        """Look at every open job."""
+        self._all_at = self._clock.monotonic() + _LOOK_AGAIN
         unfinished = [state for state in self._jobs.book.jobs.values() if state.open]
-        for job_id in self._ended.keys() - {state.job.id for state in unfinished}:
+        open_ids = {state.head.id for state in unfinished}
+        for job_id in self._ended.keys() - open_ids:
             del self._ended[job_id]
+        for job_id in self._plans.keys() - open_ids:
+            del self._plans[job_id]
+        self._look_at(unfinished)
+
+    def _look_at(self, states: Iterable[JobState]) -> None:
+        now = self._clock.monotonic()
+        self._touched.clear()
+        for state in states:
+            plan = self._plan(state)
+            if plan is not None:
+                self._start_job(state, plan, now)
+        plans = sorted(self._plans.values(), key=lambda plan: plan.seen_at)
+        placements = {plan.trainer: plan.placement for plan in plans if plan.tail.at_end}
+        self._tools.scoring.own_parts = sum(placed.in_team for placed in placements.values())
+        self._tools.scoring.all_parts = sum(placed.team_size for placed in placements.values())
+
+    def _plan(self, state: JobState) -> JobPlan | None:
+        """Return what of a job falls to this node, None while nothing of it may start."""
+        job_id = state.head.id
+        if not state.open:
+            self._plans.pop(job_id, None)
+            return None
+        tail = self._tail(job_id)
         # A node that starts reads the jobs of the last minutes page by page, and a job before its end: run
         # then, its items reach upstreams long after its caller was told that it is over.
-        states = [state for state in unfinished if self._tail(state.job.id).at_end]
-        parts: dict[str, JobPlacement] = {}
-        for state in sorted(states, key=lambda state: state.seen_at):
-            live = self._parts.live(state.seen_at)
-            placement = JobPlacement(
-                trainer_of(state), len(state.job.items), self._parts.node, live
-            )
-            parts[trainer_of(state)] = placement
-            self._start_job(state, placement, now)
-        self._tools.scoring.own_parts = sum(placement.in_team for placement in parts.values())
-        self._tools.scoring.all_parts = sum(placement.team_size for placement in parts.values())
-
-    def _start_job(self, state: JobState, placement: JobPlacement, now: timedelta) -> None:
-        delays: dict[str, timedelta | None] = {}
-        current = self._is_current(state.job.id, now)
-        ended = self._ended.get(state.job.id, ())
-        for index, item in enumerate(state.job.items):
-            key = (state.job.id, index)
-            if index in state.done or index in ended or key in self._running:
-                continue
-            group = item.group or item.id
-            if group not in delays:
-                delays[group] = placement.start_delay(group)
-            delay = delays[group]
-            if delay is None or (delay and not current):
+        if not tail.at_end:
+            self._touched.add(job_id)
+            return None
+        live = self._parts.live(state.seen_at)
+        plan = self._plans.get(job_id)
+        if plan is None or plan.live != live:
+            plan = self._plans[job_id] = JobPlan(state, tail, self._parts.node, live)
+        return plan
+
+    def _start_job(self, state: JobState, plan: JobPlan, now: timedelta) -> None:
+        ended = self._ended.get(state.head.id, ())
+        for index in plan.due(now, self._is_current(plan.tail, now)):
+            if index in ended or (state.head.id, index) in self._running:
                 continue
-            since = max(state.seen_at, state.moved_at.get(item.group, state.seen_at))
-            if now - since >= delay:
-                self._start_item(state, index)
+            if not state.readable:
+                return
+            self._start_item(state, index)
 
     def _tail(self, job_id: str) -> PartitionTail:
         return self._jobs.tails[partition_of(job_id, len(self._jobs.tails))]
 
-    def _is_current(self, job_id: str, now: timedelta) -> bool:
-        tail = self._tail(job_id)
+    @staticmethod
+    def _is_current(tail: PartitionTail, now: timedelta) -> bool:
         return tail.current_at is not None and now - tail.current_at < _CURRENT_WITHIN
 
     def _start_item(self, state: JobState, index: int) -> None:
-        key = (state.job.id, index)
+        key = (state.head.id, index)
         run = ItemRun(self._tools, state, index)
         task = asyncio.ensure_future(self._async_item(run))
         self._running[key] = _Running(run, task)
@@ -200,7 +235,7 @@
         _LOGGER.info(
             "item_ended",
             request_id=run.item.id,
-            job=run.state.job.id,
+            job=run.state.head.id,
             outcome=result.state,
             versions=result.versions,
             events=len(run.text.events),
@@ -212,9 +247,9 @@
         )
 
     def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
-        self._ended[state.job.id].add(index)
-        part = partition_of(state.job.id, len(self._jobs.tails))
-        self._finished.setdefault(part, []).append(ResultRecord(state.job.id, index, result))
+        self._ended[state.head.id].add(index)
+        part = partition_of(state.head.id, len(self._jobs.tails))
+        self._finished.setdefault(part, []).append(ResultRecord(state.head.id, index, result))
         if part not in self._writers:
             task = asyncio.ensure_future(self._async_write(part))
             self._writers[part] = task
@@ -249,8 +284,3 @@
         ]
         self._finished[part] = wanted
         return wanted
-
-
-def trainer_of(state: JobState) -> str:
-    """Return what tells a job's trainer from others: the model that it trains."""
-    return state.job.model or state.job.host
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -15,7 +15,7 @@
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
 from cranberryline.ports.store import SharedLog, StoreProblem
 
-from .book import JobBook, JobState
+from .book import JobBook
 from .codec import decode_record, encode_job, encode_records
 from .const import (
     ACCEPT_PATIENCE,
@@ -29,8 +29,9 @@
 )
 from .errors import JobProblem, JobRefused
 from .knowledge import JobKnowledge
-from .model import Item, ItemResult, Job, JobEnded, JobRecord
+from .model import ItemHead, ItemResult, Job, JobEnded, JobRecord
 from .partition import partition_of
+from .state import JobState
 
 __all__ = ["JobPage", "JobService"]
 
@@ -43,7 +44,7 @@
 
     total: int
     next: int
-    results: tuple[tuple[Item, ItemResult], ...]
+    results: tuple[tuple[ItemHead, ItemResult], ...]
 
 
 class JobService:
@@ -133,12 +134,12 @@
             return Err(found.unwrap_err())
         state = found.unwrap()
         give_up = self._clock.monotonic() + wait
-        while len(state.results) <= after and state.open:
+        while len(state.listed) <= after and state.open:
             left = give_up - self._clock.monotonic()
             if left <= timedelta() or not await self._async_changed(job_id, left):
                 break
-        complete = len(state.results) == len(state.job.items)
-        unsure = len(state.results) <= after and not complete
+        complete = len(state.listed) == len(state.head.items)
+        unsure = len(state.listed) <= after and not complete
         if unsure and not await self._tail(job_id).async_sync(READ_TIMEOUT):
             return Err(JobRefused(JobProblem.NOT_SURE))
         return Ok(_page(state, after))
@@ -197,7 +198,7 @@
         self.book.apply(record)
 
     def _on_change(self, state: JobState) -> None:
-        event = self._changed.pop(state.job.id, None)
+        event = self._changed.pop(state.head.id, None)
         if event is not None:
             event.set()
 
@@ -217,11 +218,12 @@
 
 
 def _page(state: JobState, after: int) -> JobPage:
-    results: list[tuple[Item, ItemResult]] = []
+    results: list[tuple[ItemHead, ItemResult]] = []
     size = 0
-    for index, result in state.results[after:]:
+    for listed in state.listed[after:]:
+        result = listed.result
         size += len(result.text.encode()) + len(result.score) + 100
         if results and size > MAX_RESULT_BYTES:
             break
-        results.append((state.job.items[index], result))
-    return JobPage(len(state.job.items), after + len(results), tuple(results))
+        results.append((state.head.items[listed.index], result))
+    return JobPage(len(state.head.items), after + len(results), tuple(results))
--- /dev/null
+++ b/cranberryline/jobs/state.py
@@ -0,0 +1,100 @@
+"""A job as a node knows it: packed until an item runs here or a result is read here."""
+
+from datetime import timedelta
+
+import attrs
+
+from cranberryline.helpers.logging import get_logger
+
+from .codec import decode_items, decode_result
+from .model import Item, ItemResult, ItemState, Job, JobHead
+
+__all__ = ["JobState", "Listed"]
+
+_LOGGER = get_logger(__name__)
+
+
+class Listed:
+    """A result at its position, unpacked when it is read for the first time."""
+
+    __slots__ = ("_result", "index")
+
+    def __init__(self, index: int, result: bytes | ItemResult) -> None:
+        self.index = index
+        self._result = result
+
+    @property
+    def result(self) -> ItemResult:
+        """Return the result; one that cannot be read is the same at all nodes, and dead."""
+        if isinstance(self._result, bytes):
+            found = decode_result(self._result)
+            if found is None:
+                _LOGGER.error("result_unreadable", index=self.index)
+                found = ItemResult(ItemState.DEAD)
+            self._result = found
+        return self._result
+
+
+@attrs.define(eq=False)
+class JobState:
+    """A job, and what is listed of it: the order of `listed` is the order of the records.
+
+    `details` are the job's items, packed until the first one is asked for here.
+    """
+
+    head: JobHead
+    details: bytes | tuple[Item, ...]
+    seen_at: timedelta
+    listed: list[Listed] = attrs.field(factory=list)
+    done: set[int] = attrs.field(factory=set)
+    ended: bool = False
+    moved_at: dict[str, timedelta] = attrs.field(factory=dict)
+    _job: Job | None = None
+
+    @property
+    def open(self) -> bool:
+        """Tell whether an item has still to be run."""
+        return not self.ended and len(self.done) < len(self.head.items)
+
+    @property
+    def readable(self) -> bool:
+        """Unpack the job's items if need be, and tell whether that went well."""
+        if isinstance(self.details, bytes):
+            items = decode_items(self.details)
+            if items is None or len(items) != len(self.head.items):
+                _LOGGER.error("job_unreadable", request_id=self.head.id)
+                return False
+            self.details = items
+        return True
+
+    @property
+    def job(self) -> Job:
+        """Return the whole job; raise ValueError if its items cannot be read."""
+        if self._job is None:
+            if not self.readable or isinstance(self.details, bytes):
+                raise ValueError(f"the items of job {self.head.id} cannot be read")
+            head = self.head
+            self._job = Job(
+                head.id,
+                head.host,
+                head.path,
+                self.details,
+                head.submitted,
+                head.model,
+                head.step,
+                head.min_version,
+                head.group_count,
+            )
+        return self._job
+
+    @property
+    def results(self) -> list[tuple[int, ItemResult]]:
+        """Return what is listed, unpacked."""
+        return [(listed.index, listed.result) for listed in self.listed]
+
+    def item(self, item_id: str) -> tuple[int, Item] | None:
+        """Return an item and its number by its id."""
+        for index, head in enumerate(self.head.items):
+            if head.id == item_id:
+                return (index, self.job.items[index]) if self.readable else None
+        return None
--- a/tests/helpers/test_tail.py
+++ b/tests/helpers/test_tail.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from datetime import timedelta
-from typing import Any
+from typing import Any, cast
 
 from result import Err, Result
 
@@ -10,7 +10,7 @@
 from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
 from cranberryline.ports.store import StoreError, StoreProblem
 from tests.store_fake import FakeStore, StoreLink
-from tests.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, VirtualLoop, run_virtual
 
 
 def test_a_gathering_tail_hears_every_record_in_a_few_polls() -> None:
@@ -121,3 +121,64 @@
         assert ages[:2] == [None, None] and ages[2] is not None
 
     run_virtual(scene())
+
+
+def test_a_long_page_is_taken_in_turns_and_is_not_at_its_end_between_them() -> None:
+    """A slow VM folds a page for 40 ms; callers' work goes on between, and sees that more is to come.
+
+    Taken for the partition's end, a record in the middle would count as the newest: an item of a job whose
+    end stands further on in the page would start.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("jobs", 0, [b"%d" % number for number in range(20)])
+        loop, clock = cast(VirtualLoop, asyncio.get_running_loop()), LoopClock()
+        folded: list[int] = []
+        begun = asyncio.Event()
+
+        def fold(offset: int, _data: bytes) -> None:
+            folded.append(offset)
+            begun.set()
+            loop.jump(0.002)
+
+        tail = PartitionTail(StoreLink(store), "jobs", 0, clock, StoreHealth(clock), fold)
+        tail.at_end, tail.current_at = True, clock.monotonic()
+        seen: list[tuple[int, bool, bool]] = []
+
+        async def others() -> None:
+            await begun.wait()
+            while len(folded) < 20:
+                seen.append((len(folded), tail.at_end, tail.age() is None))
+                await asyncio.sleep(0)
+
+        working = asyncio.ensure_future(others())
+        taken = asyncio.ensure_future(tail._async_step())
+        await asyncio.wait((taken, working), timeout=1)
+        assert folded == list(range(20)) and tail.at_end
+        assert len({count for count, *_ in seen}) >= 5
+        assert all(not at_end and unknown for _, at_end, unknown in seen)
+
+    run_virtual(scene())
+
+
+def test_two_reads_taken_in_turns_fold_each_record_once_and_in_order() -> None:
+    """A caller's read and the poll bring the same page; each gives way to the other in the middle."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("jobs", 0, [b"%d" % number for number in range(20)])
+        loop, clock = cast(VirtualLoop, asyncio.get_running_loop()), LoopClock()
+        folded: list[int] = []
+
+        def fold(offset: int, _data: bytes) -> None:
+            folded.append(offset)
+            loop.jump(0.002)
+
+        tail = PartitionTail(StoreLink(store), "jobs", 0, clock, StoreHealth(clock), fold)
+        tail.loaded.set()
+        step, sync = tail._async_step(), tail.async_sync(timedelta(seconds=1))
+        _, read = await asyncio.gather(step, sync)
+        assert folded == list(range(20)) and read and tail.at_end
+
+    run_virtual(scene())
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -5,10 +5,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs.codec import encode_job, encode_records
-from cranberryline.jobs.model import JobEnded
+from cranberryline.jobs.model import ItemResult, ItemState, JobEnded, ResultRecord
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from tests.store_fake import FakeStore, StoreLink
@@ -22,6 +23,7 @@
 
     def __init__(self, link: StoreLink) -> None:
         clock, metrics = LoopClock(), Metrics()
+        self.live = ["front-1"]
         keep = timedelta(seconds=180)
         self.jobs = JobService(link, 1, clock, StoreHealth(clock), metrics, keep)
         parts = RunnerParts(
@@ -33,7 +35,7 @@
             clock,
             metrics,
             "front-1",
-            lambda _since: ["front-1"],
+            lambda _since: self.live,
         )
         self.runner = JobRunner(parts)
         self.started: list[tuple[str, int]] = []
@@ -85,3 +87,60 @@
         assert node.started and ("job-1", 0) not in node.started
 
     run_virtual(scene())
+
+
+def _node_with(live: list[str]) -> tuple[FakeStore, Node]:
+    store = FakeStore()
+    node = Node(StoreLink(store))
+    node.live = live
+    store.append("jobs", 0, encode_records(encode_job(make_job("job-1", items=16), "w")))
+    return store, node
+
+
+def test_what_fell_to_a_dead_node_starts_without_a_change_of_its_job() -> None:
+    """Two nodes share a job; one dies, and nothing of the job changes after that."""
+
+    async def scene() -> None:
+        _, node = _node_with(["front-1", "front-2"])
+        await asyncio.sleep(0.5)
+        first = {index for _, index in node.started}
+        assert 0 < len(first) < 16
+        node.live = ["front-1"]
+        await asyncio.sleep(0.6)
+        assert {index for _, index in node.started} == set(range(16))
+
+    run_virtual(scene())
+
+
+def test_results_of_one_job_do_not_keep_the_time_of_another_from_being_noticed() -> None:
+    """The other node froze behind its sign of life, while results of a second job come all the time.
+
+    Each wakes the runner for its own job only; what the frozen node had is still taken over in time.
+    """
+
+    async def scene() -> None:
+        store, node = _node_with(["front-1", "front-2"])
+        busy = make_job("job-2", items=400)
+        store.append("jobs", 0, encode_records(encode_job(busy, "w")))
+        for number in range(100):
+            result = ResultRecord("job-2", number, ItemResult(ItemState.COMPLETED, "t"))
+            store.append("jobs", 0, encode_records([result]))
+            await asyncio.sleep(0.05)
+        assert {index for job, index in node.started if job == "job-1"} == set(range(16))
+
+    run_virtual(scene())
+
+
+def test_a_node_outside_of_a_jobs_team_leaves_its_items_packed() -> None:
+    """Of 26 nodes two share the job; the results that the others hear cost them no item."""
+
+    async def scene() -> None:
+        names = [f"front-{number}" for number in range(1, 27)]
+        placed = JobPlacement("model", 16, "front-1", names)
+        assert placed.start_delay("g0") is None
+        _, node = _node_with(names)
+        await asyncio.sleep(1)
+        state = node.jobs.book.jobs["job-1"]
+        assert node.started == [] and isinstance(state.details, bytes)
+
+    run_virtual(scene())
