Bound the age of what is known by what the store answered, and ask again before a request goes

Ruled out: no exception for outages at all (the step's trainer would wait for what was not made meanwhile).

--- a/cranberryline/entry/attempt.py
+++ b/cranberryline/entry/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from datetime import timedelta
+from functools import partial
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.requests import (
@@ -46,7 +47,9 @@
     peer: UpstreamLink, req: CallerRequest, sink: AnswerSink, clock: Clock
 ) -> AttemptOutcome:
     """Run a request at one upstream and hand its answer to the sink."""
-    exchange = peer.open(lambda rid, life: _make_submit(rid, life, req, clock), req.tokens)
+    eligible = req.eligible
+    may_go = None if eligible is None else partial(eligible, peer.vm_id)
+    exchange = peer.open(lambda rid, life: _make_submit(rid, life, req, clock), req.tokens, may_go)
     if exchange is None:
         return AttemptNotRun(_NOT_CONNECTED)
     runner = _AttemptRunner(exchange, req, sink, clock)
--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -82,7 +82,12 @@
         """Count the expected tokens of the requests whose answer is awaited."""
         return self._tokens
 
-    def open(self, make: Callable[[int, str], Message], tokens: int) -> Exchange | None:
+    def open(
+        self,
+        make: Callable[[int, str], Message],
+        tokens: int,
+        may_go: Callable[[], bool] | None = None,
+    ) -> Exchange | None:
         """Run a request; None when this way is closed, so that nothing was run."""
         if self.draining:
             return None
@@ -90,7 +95,9 @@
         self._exchanges[exchange.id] = exchange
         self._tokens += tokens
         self._unfinished.add(exchange.id)
-        self.send(make(exchange.id, self._incarnation))
+        msg = make(exchange.id, self._incarnation)
+        if isinstance(msg, Submit):
+            self.runner.submit(_key(msg.id), msg, self._take, may_go)
         return exchange
 
     def send(self, msg: Message) -> bool:
--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -29,6 +29,7 @@
 __all__ = ["Dispatcher", "ServiceBook"]
 
 _RETRY_AFTER = timedelta(seconds=1)
+_NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 # What says something of the upstream itself, and not of its queue or of the caller.
 _UPSTREAM_FAULTS = frozenset(
     {
@@ -157,6 +158,10 @@
             if isinstance(taken, Err):
                 return Err(_with_earlier(taken.unwrap_err(), earlier))
             turn = taken.unwrap()
+            if req.eligible is not None and not req.eligible(turn.upstream.peer.vm_id):
+                # The loop may have been busy for any time since the turn was given.
+                lane.give_back(turn)
+                return Err(_with_earlier(_NO_LONGER_ELIGIBLE, earlier))
             sink.dispatched(turn.upstream.peer.vm_id)
             outcome = await self._async_attempt(lane, turn, req, sink)
             if isinstance(outcome, AttemptDone):
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -159,6 +159,12 @@
             self._full_since = now
         self.pump()
 
+    def give_back(self, turn: Turn) -> None:
+        """Take a turn back that was not used, and let the next one go."""
+        self._queue.finish(turn.item.id)
+        turn.upstream.release()
+        self.pump()
+
     def pump(self) -> None:
         """Give turns as long as there is work and room for it."""
         now = self._clock.monotonic()
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -313,7 +313,9 @@
         self._wake()
 
     def _on_registration(self, row: Registration) -> None:
-        self.routes.set_slots(row.service, row.slots)
+        if self.routes.set_slots(row.service, row.slots):
+            # The lane gives turns by the new number; what the ways do not let run would wait unseen in them.
+            self.directs.on_revision()
 
     def _on_members(self) -> None:
         self.links.apply(self.directory.membership)
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -83,6 +83,8 @@
     second: int = 0
     records: list[bytes] = []
     keys: list[tuple[str, bytes, int]] = []
+    # How long the store has answered this peer nothing at all, in milliseconds; -1 if it never did.
+    silent_ms: int = -1
 
 
 _CALLS = msgspec.msgpack.Decoder(RelayAppend | RelayRead | RelayNewest)
@@ -109,6 +111,7 @@
         self._metrics = metrics
         self._probe_at: dict[_Where, timedelta] = {}
         self._good_peer = ""
+        self._answered_at: timedelta | None = None
 
     def direct_lost(self, topic: str, part: int) -> bool:
         """Tell whether the store does not answer this node itself about a partition.
@@ -142,16 +145,28 @@
         """Read."""
         call = RelayRead(topic, part, start, in_milliseconds(wait), in_milliseconds(timeout))
         return await self._async_call(
-            # A probe that waits for a record would tell of the store's return only with the record.
-            lambda left, probing: self.direct.async_read(
-                topic, part, start, timedelta() if probing else wait, left
-            ),
+            lambda left, probing: self._async_read(topic, part, start, wait, left, probing),
             call,
             lambda answer: LogRead(answer.first, answer.second, tuple(answer.records)),
             timeout,
             repeatable=True,
         )
 
+    async def _async_read(
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        wait: timedelta,
+        timeout: timedelta,
+        probing: bool,
+    ) -> Result[LogRead, StoreError]:
+        """Read; a probe that waits for a record would tell of the store's return only with the record."""
+        if not probing:
+            return await self.direct.async_read(topic, part, start, wait, timeout)
+        read = await self.direct.async_read(topic, part, start, timedelta(), timeout)
+        return read.map(lambda found: attrs.evolve(found, at_once=True))
+
     async def async_newest(
         self, topic: str, timeout: timedelta
     ) -> Result[KeyedSnapshot, StoreError]:
@@ -166,6 +181,19 @@
             repeatable=True,
         )
 
+    async def async_serve(self, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
+        """Make a peer's call, directly and once; a failure tells how long the store has been silent here."""
+        answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
+        if not self.direct_lost(*_where(call)):
+            answer = await _async_make(self.direct, call)
+        if not answer.problem or StoreProblem(answer.problem) in _ANSWERED:
+            self._answered_at = self._clock.elapsed()
+            return answer
+        if self._answered_at is None:
+            return answer
+        silent = in_milliseconds(self._clock.elapsed() - self._answered_at)
+        return msgspec.structs.replace(answer, silent_ms=silent)
+
     def pack_keyed(self, key: str, value: bytes) -> bytes:
         """Return the record that sets a key."""
         return self.direct.pack_keyed(key, value)
@@ -194,6 +222,7 @@
             allowed = timeout if probe_at is None else min(timeout, _PROBE_TIME)
             taken = await direct(allowed, probe_at is not None)
             if isinstance(taken, Ok) or taken.unwrap_err().problem in _ANSWERED:
+                self._answered_at = self._clock.elapsed()
                 self._note_direct(where, True, "")
                 return taken
             error = taken.unwrap_err()
@@ -212,7 +241,7 @@
     ) -> Result[_T, StoreError]:
         give_up = self._clock.monotonic() + timeout
         peers = self._peers()
-        nobody_has_it = not peers
+        peer_answered_at: timedelta | None = None
         random.shuffle(peers)
         if self._good_peer in peers:
             peers.remove(self._good_peer)
@@ -236,12 +265,25 @@
             if error.problem in _ANSWERED:
                 self._good_peer = peer
                 return Err(error)
-            nobody_has_it = True
+            if answer.silent_ms >= 0:
+                silent = timedelta(milliseconds=answer.silent_ms)
+                answered_at = self._clock.elapsed() - silent
+                peer_answered_at = max(peer_answered_at or answered_at, answered_at)
             if error.problem is StoreProblem.UNKNOWN and not repeatable:
                 return Err(error)
         self._good_peer = ""
         self._metrics.relayed.labels("failed").inc()
-        return Err(attrs.evolve(error, everywhere=nobody_has_it))
+        return Err(attrs.evolve(error, out_since=self._out_since(peer_answered_at)))
+
+    def _out_since(self, peer_answered_at: timedelta | None) -> timedelta | None:
+        """Return since when the store has answered neither this node nor a peer, None if not known.
+
+        Every node writes a sign of life a second, so a store that only turns reads away, or is slow with
+        them, answers some call in between: then it may have taken records that nobody could read.
+        """
+        if peer_answered_at is None or self._answered_at is None:
+            return None
+        return max(peer_answered_at, self._answered_at)
 
     async def _async_ask(
         self, peer: str, call: "RelayAppend | RelayRead | RelayNewest", timeout: timedelta
@@ -289,9 +331,7 @@
         except msgspec.DecodeError:
             self.set_status(400)
             return
-        answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
-        if not self._store.direct_lost(*_where(call)):
-            answer = await _async_make(self._store.direct, call)
+        answer = await self._store.async_serve(call)
         self.set_header("Content-Type", "application/msgpack")
         self.finish(msgspec.msgpack.encode(answer))
 
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import attrs
 from result import Err, Result
 
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
@@ -59,13 +60,24 @@
         return self._clock.monotonic() - self.last_failure < span
 
 
+@attrs.frozen
+class _Moment:
+    """A moment on the monotonic clock, and on the one that counts suspensions of the VM."""
+
+    monotonic: timedelta
+    elapsed: timedelta
+
+    def later(self, span: timedelta) -> "_Moment":
+        """Return the moment after a span in which nothing was suspended."""
+        return _Moment(self.monotonic + span, self.elapsed + span)
+
+
 class _Tail(abc.ABC):
     """What both kinds of tail share: the loop, its pauses, and how current they are.
 
     `at_end` says whether the last read reached the partition's end: between two pages of a long partition
     what was read is older than what the store has, by as much as is left. `current_at` is the moment up to
-    which everything has been read, and `out_at` the last one at which nobody reached the store, so that
-    nothing can have been written.
+    which everything has been read.
     """
 
     def __init__(
@@ -76,7 +88,8 @@
         self.loaded = asyncio.Event()
         self.at_end = False
         self.current_at: timedelta | None = None
-        self.out_at: timedelta | None = None
+        self._read_at: timedelta | None = None
+        self._outage = (timedelta(), timedelta())
         self.offset = 0
         self._log = log
         self._clock = clock
@@ -97,25 +110,30 @@
 
     async def async_sync(self, timeout: timedelta) -> bool:
         """Read to the partition's end now; False when the store could not be asked."""
-        asked = self._clock.monotonic()
-        give_up = asked + timeout
+        asked = self._moment()
+        give_up = asked.monotonic + timeout
         while True:
             left = give_up - self._clock.monotonic()
             if left <= timedelta() or not self.loaded.is_set():
                 return False
             read = await self._log.async_read(self.topic, self.part, self.offset, timedelta(), left)
             if isinstance(read, Err):
-                self._note_outage(read.unwrap_err(), asked)
+                self._note_outage(read.unwrap_err())
                 return False
             if self._take(read.unwrap(), asked):
                 return True
 
     def age(self) -> timedelta | None:
-        """Return how old what is known here may be; None before the end was reached, or between pages."""
-        if self.current_at is None or not self.at_end:
+        """Return how old what is known here may be; None before the end was reached, or between pages.
+
+        Suspensions of the VM count. A span in which the store answered nobody does not: nothing can
+        have been written in it. What was missed before that span still does.
+        """
+        if self._read_at is None or not self.at_end:
             return None
-        known = self.current_at if self.out_at is None else max(self.current_at, self.out_at)
-        return self._clock.monotonic() - known
+        since, until = self._outage
+        outage = max(until - max(since, self._read_at), timedelta())
+        return self._clock.elapsed() - self._read_at - outage
 
     @abc.abstractmethod
     async def _async_step(self) -> StoreError | None:
@@ -125,27 +143,37 @@
     def _fold(self, offset: int, record: bytes) -> None:
         """Take one record."""
 
-    async def _async_poll(self) -> tuple[Result[LogRead, StoreError], timedelta]:
+    def _moment(self) -> _Moment:
+        return _Moment(self._clock.monotonic(), self._clock.elapsed())
+
+    async def _async_poll(self) -> tuple[Result[LogRead, StoreError], _Moment]:
         """Wait for records; return what came, and the moment up to which it tells everything.
 
         A poll that brought nothing was answered when its wait was over. Counted from when it was asked,
         what is known of a quiet partition would always seem more than a second old.
         """
-        asked = self._clock.monotonic()
+        asked = self._moment()
         read = await self._log.async_read(
             self.topic, self.part, self.offset, _POLL_WAIT, _POLL_WAIT + _POLL_SLACK
         )
         if isinstance(read, Err):
-            self._note_outage(read.unwrap_err(), asked)
-        elif not read.unwrap().records and self._clock.monotonic() - asked >= _POLL_WAIT:
-            return read, asked + _POLL_WAIT
+            self._note_outage(read.unwrap_err())
+            return read, asked
+        waited = not read.unwrap().records and not read.unwrap().at_once
+        if waited and self._clock.monotonic() - asked.monotonic >= _POLL_WAIT:
+            return read, asked.later(_POLL_WAIT)
         return read, asked
 
-    def _note_outage(self, error: StoreError, asked: timedelta) -> None:
-        if error.everywhere:
-            self.out_at = asked
+    def _note_outage(self, error: StoreError) -> None:
+        """Take from a failed call that the store answers nobody.
+
+        It may have come back within the last probe of either node, a second ago at most; the next one,
+        half a second later, tells so, long before anybody counts on a store that was out until now.
+        """
+        if error.out_since is not None:
+            self._outage = (error.out_since, self._clock.elapsed())
 
-    def _take(self, read: LogRead, as_of: timedelta) -> bool:
+    def _take(self, read: LogRead, as_of: _Moment) -> bool:
         """Take records from where this tail stands; return whether it is at the end now.
 
         Two reads may be under way at once; the one that is answered last brings again what the
@@ -159,8 +187,8 @@
         self.at_end = self.offset >= read.end
         if not self.at_end:
             return False
-        if self.current_at is None or as_of > self.current_at:
-            self.current_at = as_of
+        if self.current_at is None or as_of.monotonic > self.current_at:
+            self.current_at, self._read_at = as_of.monotonic, as_of.elapsed
         return True
 
 
@@ -248,13 +276,15 @@
         health: StoreHealth,
         on_record: Callable[[int, bytes], None],
         on_batch: Callable[[], None] = lambda: None,
+        on_gap: Callable[[], None] = lambda: None,
     ) -> None:
         super().__init__(log, topic, part, clock, health)
         self._on_record = on_record
         self._on_batch = on_batch
+        self._on_gap = on_gap
 
     async def _async_step(self) -> StoreError | None:
-        as_of = self._clock.monotonic()
+        as_of = self._moment()
         if self.loaded.is_set():
             read, as_of = await self._async_poll()
         else:
@@ -265,6 +295,8 @@
             error = read.unwrap_err()
             if error.problem is not StoreProblem.GONE:
                 return error
+            if error.position > self.offset > 0:
+                self._on_gap()
             self.offset = max(self.offset, error.position)
             self.at_end = False
             return None
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -6,12 +6,15 @@
 import attrs
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
 
 from .codec import decode_job
 from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
 
 __all__ = ["JobBook", "JobState"]
 
+_LOGGER = get_logger(__name__)
+
 
 @attrs.define(eq=False)
 class JobState:
@@ -57,6 +60,7 @@
         self._keep = keep
         self._parts: dict[tuple[str, str], _Parts] = {}
         self._completed: dict[str, tuple[Item, ItemResult]] = {}
+        self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
     def listen(self, listener: Callable[[JobState], None]) -> None:
@@ -71,6 +75,9 @@
                 self._take_part(record)
             return
         if state is None:
+            if isinstance(record, JobEnded):
+                # A copy of the job that took effect late may be all that is kept of it besides its end.
+                self._ended_unseen[record.job] = self._clock.monotonic()
             return
         if isinstance(record, JobEnded):
             state.ended = True
@@ -88,11 +95,25 @@
         return found[1] if found is not None and found[0] == item else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more."""
+        """Drop jobs that nobody may ask for any more; an open one may be asked for until it ends.
+
+        Forgotten while open, its runs would not hear of its end.
+        """
         limit = self._clock.monotonic() - self._keep
-        for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
-            for item in self.jobs.pop(job_id).job.items:
+        old = [state for state in self.jobs.values() if state.seen_at < limit and not state.open]
+        for state in old:
+            del self.jobs[state.job.id]
+            for item in state.job.items:
                 self._completed.pop(item.id, None)
+        for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
+            del self._ended_unseen[job_id]
+
+    def end_all(self) -> None:
+        """Take every open job as ended: records that may have told so were deleted unread."""
+        for state in [state for state in self.jobs.values() if state.open]:
+            _LOGGER.warning("job_end_unread", request_id=state.job.id)
+            state.ended = True
+            self._notify(state)
 
     def _take_part(self, part: JobPart) -> None:
         key = (part.job, part.writer)
@@ -106,6 +127,7 @@
         if job is None or job.id != part.job:
             return
         state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
+        state.ended = self._ended_unseen.pop(job.id, None) is not None
         self._notify(state)
 
     def _take_result(self, state: JobState, record: ResultRecord) -> None:
--- a/cranberryline/jobs/const.py
+++ b/cranberryline/jobs/const.py
@@ -17,9 +17,12 @@
 ACCEPT_PATIENCE = timedelta(milliseconds=950)
 # The end of that time, kept for reading whether an append without an answer stands.
 SETTLE_TIME = timedelta(milliseconds=200)
-# How old what a gateway knows of a job may be when work for it goes out. Platforms allow three seconds from
-# the end of a job to its last item at an engine; polls of a quiet partition come a second apart, and 0.6 s
-# are left for a store that is slow and for the way to the engine.
-KNOWN_WITHIN = timedelta(milliseconds=2400)
+# How old what a gateway knows of a job may be when a request for it gets its upstream. Platforms allow three
+# seconds from the end of a job to its last item at an engine, and 1.2 s of them may go by until a connection
+# stands. Polls of a quiet partition come a second apart, so that knowledge seldom has to be asked for.
+KNOWN_WITHIN = timedelta(milliseconds=1600)
 REFRESH_TIMEOUT = timedelta(milliseconds=600)
+# Between failed questions about one partition; with it 200 waiting items ask some 3 times a second, without it
+# 314 times, counted in a test with two peers that refuse at once.
+REFRESH_PAUSE = timedelta(milliseconds=250)
 ACCEPT_PAUSE = timedelta(milliseconds=120)
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -220,8 +220,10 @@
 
         It may have waited for its place for seconds, in which its job ended unheard.
         """
+        if not self._wanted() or not self.tools.knowledge.suffices(self.state.job.id):
+            return False
         self.known_age = self.tools.knowledge.age(self.state.job.id)
-        return self._wanted() and self.tools.knowledge.suffices(self.state.job.id)
+        return True
 
     def _route(self, host: str, path: str) -> Route | None:
         table = self.tools.routes.table
@@ -255,7 +257,8 @@
             self._failed_runs += 1
             return True if self._failed_runs >= route.max_attempts else None
         refusal = outcome.err()
-        if refusal is not None and refusal.ran is Ran.NO and sink.upstream:
+        knows = self.tools.knowledge.suffices(self.state.job.id)
+        if refusal is not None and refusal.ran is Ran.NO and sink.upstream and knows:
             self.tools.turned_away.note(sink.upstream, self.tools.clock.monotonic())
         reason = sink.unusable or (refusal.reason if refusal else "cut")
         self.tools.metrics.retry(f"item_{reason}")
--- a/cranberryline/jobs/knowledge.py
+++ b/cranberryline/jobs/knowledge.py
@@ -4,9 +4,10 @@
 from collections.abc import Sequence
 from datetime import timedelta
 
+from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.tail import PartitionTail
 
-from .const import KNOWN_WITHIN, REFRESH_TIMEOUT
+from .const import KNOWN_WITHIN, REFRESH_PAUSE, REFRESH_TIMEOUT
 from .partition import partition_of
 
 __all__ = ["JobKnowledge"]
@@ -21,9 +22,10 @@
     the store no end can be recorded, and work goes on.
     """
 
-    def __init__(self, tails: Sequence[PartitionTail]) -> None:
+    def __init__(self, tails: Sequence[PartitionTail], clock: Clock) -> None:
         self._tails = tails
-        self._refreshing: dict[int, asyncio.Future[bool]] = {}
+        self._clock = clock
+        self._refreshing: dict[int, asyncio.Future[None]] = {}
 
     def age(self, job_id: str) -> timedelta | None:
         """Return how old what is known of a job may be, None if of any age."""
@@ -39,10 +41,15 @@
         part = self._part(job_id)
         reading = self._refreshing.get(part)
         if reading is None:
-            reading = asyncio.ensure_future(self._tails[part].async_sync(REFRESH_TIMEOUT))
+            reading = asyncio.ensure_future(self._async_read(part))
             self._refreshing[part] = reading
             reading.add_done_callback(lambda _: self._refreshing.pop(part, None))
         await asyncio.shield(reading)
 
+    async def _async_read(self, part: int) -> None:
+        """Read once; a failed read rests, or hundreds of items would ask the store and peers in a loop."""
+        if not await self._tails[part].async_sync(REFRESH_TIMEOUT):
+            await self._clock.async_sleep(REFRESH_PAUSE)
+
     def _part(self, job_id: str) -> int:
         return partition_of(job_id, len(self._tails))
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -65,11 +65,18 @@
         self._changed: dict[str, asyncio.Event] = {}
         self.tails = [
             PartitionTail(
-                log, TOPIC_JOBS, part, clock, health, self._on_record, self.book.forget_old
+                log,
+                TOPIC_JOBS,
+                part,
+                clock,
+                health,
+                self._on_record,
+                self.book.forget_old,
+                self.book.end_all,
             )
             for part in range(parts)
         ]
-        self.knowledge = JobKnowledge(self.tails)
+        self.knowledge = JobKnowledge(self.tails, clock)
         self.book.listen(self._on_change)
 
     @property
--- a/cranberryline/ports/store.py
+++ b/cranberryline/ports/store.py
@@ -31,13 +31,14 @@
 class StoreError:
     """A call that brought nothing; `position` is the end on CONFLICT, the oldest kept on GONE.
 
-    `everywhere` says that no other node that could be asked reaches the store either.
+    `out_since` is set where another node confirms that the store answers nobody: the moment, with
+    suspensions counted, of the last answer that either of the two had.
     """
 
     problem: StoreProblem
     detail: str = ""
     position: int = 0
-    everywhere: bool = False
+    out_since: timedelta | None = None
 
 
 @attrs.frozen
@@ -50,11 +51,15 @@
 
 @attrs.frozen
 class LogRead:
-    """A run of records from `start` on; `end` is the partition's end as the store saw it."""
+    """A run of records from `start` on; `end` is the partition's end as the store saw it.
+
+    `at_once` tells that the store was asked not to wait for a record, whatever its caller wanted.
+    """
 
     start: int
     end: int
     records: tuple[bytes, ...] = ()
+    at_once: bool = False
 
     @property
     def next(self) -> int:
--- a/cranberryline/routes/book.py
+++ b/cranberryline/routes/book.py
@@ -46,11 +46,13 @@
             listener(table)
         return True
 
-    def set_slots(self, service: str, slots: int) -> None:
-        """Take how many requests one upstream of a service works on at once."""
-        if slots > 0 and self._slots.get(service) != slots:
-            self._slots[service] = slots
-            self._specs.pop(service, None)
+    def set_slots(self, service: str, slots: int) -> bool:
+        """Take how many requests one upstream of a service works on at once; True if that is new."""
+        if slots <= 0 or self._slots.get(service) == slots:
+            return False
+        self._slots[service] = slots
+        self._specs.pop(service, None)
+        return True
 
     def knows(self, service: str) -> bool:
         """Tell whether any table named the service or an upstream serves it."""
--- a/cranberryline/side/errors.py
+++ b/cranberryline/side/errors.py
@@ -14,6 +14,7 @@
     UPSTREAM_REFUSED = "upstream_refused"  # it answered that it did not run the request
     LOG_UNAVAILABLE = "log_unavailable"
     KEY_REUSED = "key_reused"
+    NO_LONGER_WANTED = "no_longer_wanted"  # its sender would not send it any more
 
 
 class FailReason(enum.StrEnum):
--- a/cranberryline/side/execution.py
+++ b/cranberryline/side/execution.py
@@ -92,6 +92,10 @@
 
     async def _async_run_once(self, held: Held, grant: Granted | None) -> None:
         msg = held.msg
+        if held.may_go is not None and not held.may_go():
+            # Between its turn and here the loop may have been busy for any time.
+            tell_not_run(msg.id, RunnerReason.NO_LONGER_WANTED.value, held.reply, self.metrics)
+            return
         req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body)
         sent = await self.upstream.async_send(req, self._budget(held))
         if isinstance(sent, Err):
--- a/cranberryline/side/model.py
+++ b/cranberryline/side/model.py
@@ -26,6 +26,7 @@
     deadline: timedelta
     seq: int
     stream: AnswerStream
+    may_go: Callable[[], bool] | None = None
     timer: asyncio.TimerHandle | None = None
     task: asyncio.Task[None] | None = None
 
--- a/cranberryline/side/runner.py
+++ b/cranberryline/side/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 import itertools
+from collections.abc import Callable
 from datetime import timedelta
 
 from result import Err
@@ -51,8 +52,14 @@
         self.concurrency = concurrency
         self._start_next()
 
-    def submit(self, key: RequestKey, msg: Submit, reply: Reply) -> None:
-        """Take a request, or vouch at once that it will not run."""
+    def submit(
+        self,
+        key: RequestKey,
+        msg: Submit,
+        reply: Reply,
+        may_go: Callable[[], bool] | None = None,
+    ) -> None:
+        """Take a request, or vouch at once that it will not run; `may_go` is asked before it runs."""
         now = self._clock.monotonic()
         deadline = now + timedelta(milliseconds=msg.budget_ms)
         taken = self.book.submit(key, msg.incarnation, deadline, msg.idempotent, now)
@@ -64,7 +71,7 @@
             reply(Failed(msg.id, FailReason.FORGOTTEN.value, "unknown"))
         if outcome is not SubmitOutcome.QUEUED:
             return
-        held = Held(key, msg, reply, deadline, next(self._seq), AnswerStream(msg.id, reply))
+        held = Held(key, msg, reply, deadline, next(self._seq), AnswerStream(msg.id, reply), may_go)
         self._held[key] = held
         heapq.heappush(self._queue, held)
         self._start_next()
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -120,7 +120,12 @@
         """Count the expected tokens of the requests whose answer has not ended."""
         return self._tokens
 
-    def open(self, make: Callable[[int, str], Message], tokens: int) -> Exchange | None:
+    def open(
+        self,
+        make: Callable[[int, str], Message],
+        tokens: int,
+        may_go: Callable[[], bool] | None = None,
+    ) -> Exchange | None:
         """Send a request; None when there is no connection, so that nothing was sent."""
         if self.welcome is None or self._sock is None:
             return None
--- a/cranberryline/transport/link.py
+++ b/cranberryline/transport/link.py
@@ -42,8 +42,16 @@
         """Count the expected tokens of the requests whose answer has not ended."""
 
     @abstractmethod
-    def open(self, make: Callable[[int, str], Message], tokens: int) -> "Exchange | None":
-        """Send a request; None when there is no connection, so that nothing was sent."""
+    def open(
+        self,
+        make: Callable[[int, str], Message],
+        tokens: int,
+        may_go: Callable[[], bool] | None = None,
+    ) -> "Exchange | None":
+        """Send a request; None when there is no connection, so that nothing was sent.
+
+        Where requests run in this process, `may_go` is asked once more directly before the upstream's.
+        """
 
     @abstractmethod
     def send(self, msg: Message) -> bool:
--- /dev/null
+++ b/tests/jobs/gateway_fake.py
@@ -0,0 +1,204 @@
+"""A gateway's jobs and its runner before one engine, in virtual time, with peers in this process."""
+
+import asyncio
+from collections.abc import Mapping
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any, cast
+
+import attrs
+from result import Err, Ok, Result
+
+from cranberryline.entry.errors import Ran, Refusal, RefusalReason
+from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.gateway.relay import RelayAnswer, RelayedLog
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.jobs.codec import encode_job, encode_records
+from cranberryline.jobs.model import Item, Job, JobEnded, Scorer
+from cranberryline.jobs.runner import JobRunner, RunnerParts
+from cranberryline.jobs.service import JobService
+from cranberryline.ports.edge import AnswerHead
+from cranberryline.ports.store import LogRead, StoreError, StoreProblem
+from tests.store_fake import FakeStore, StoreLink
+from tests.virtual_time import LoopClock
+
+CANCEL_BOUND = 3.0
+SIGN_INTERVAL = 0.8
+SIGN_TIMEOUT = timedelta(seconds=0.9)
+_REFUSED = Refusal(RefusalReason.NO_UPSTREAM)
+_BROKEN = Refusal(RefusalReason.UPSTREAM_FAILED, ran=Ran.UNKNOWN)
+
+
+class OneEngine:
+    """Stands for the dispatcher: a request waits `queued` seconds for its place, then runs `takes`.
+
+    Runs break off, but for the first `whole`; `reached` has the moment at which each got to the engine.
+    """
+
+    def __init__(self, queued: float = 0.0, takes: float = 0.3, whole: int = 0) -> None:
+        self.queued = queued
+        self.takes = takes
+        self.whole = whole
+        self.reached: list[float] = []
+
+    def places(self, _service: str) -> int:
+        """Return the places of the service."""
+        return 4
+
+    async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
+        """Let the request reach the engine, if it may still go there when its turn comes."""
+        await asyncio.sleep(self.queued)
+        if req.eligible is not None and not req.eligible("engine-1"):
+            return Err(_REFUSED)
+        self.reached.append(asyncio.get_running_loop().time())
+        sink.dispatched("engine-1")
+        whole, self.whole = self.whole, max(0, self.whole - 1)
+        await asyncio.sleep(self.takes)
+        if not whole:
+            return Err(_BROKEN)
+        await sink.async_head(200, (("version", "1"),))
+        await sink.async_chunk(b"id: 0\ndata: a\n\n", last=True)
+        return Ok("engine-1")
+
+
+def make_open_job(scored: bool = False) -> Job:
+    """Return a job of one item."""
+    scorer = Scorer("score-1", "host.example", "/s/1", b"") if scored else None
+    item = Item("item-1", "/p/x", (), b"b", 10, "g0", scorer)
+    return Job("job-1", "host.example", "/p/1", (item,), 0.0, "model", 1, 1, 1)
+
+
+def _routes() -> SimpleNamespace:
+    route = SimpleNamespace(
+        single_version=False,
+        max_wait=None,
+        max_attempts=3,
+        goal=timedelta(seconds=1),
+        choose_service=lambda _rng: "engines",
+    )
+    return SimpleNamespace(table=SimpleNamespace(match=lambda _host, _path: route))
+
+
+def _edge() -> SimpleNamespace:
+    return SimpleNamespace(
+        version_field="version",
+        item_headers=lambda _job, _item, _last: (),
+        scorer_headers=lambda _scorer: (),
+        answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
+    )
+
+
+class ReadsFail(StoreLink):
+    """A way to a store that takes appends, and whose reads are turned away or too slow when asked for."""
+
+    turned_away = False
+    too_slow = False
+
+    async def async_read(self, *args: Any, **more: Any) -> Result[LogRead, StoreError]:
+        """Read, unless reads are what the store cannot serve now."""
+        if self.turned_away:
+            return Err(StoreError(StoreProblem.REFUSED, "status 429"))
+        if self.too_slow:
+            return cast(Any, await self._async_no_answer(args[4]))
+        return await super().async_read(*args, **more)
+
+
+class _Log(RelayedLog):
+    """A way to the store whose peers are in this process; `deaf` hears none of them."""
+
+    def __init__(self, link: StoreLink, others: Mapping[str, "_Log"]) -> None:
+        super().__init__(link, lambda: list(others), LoopClock(), Metrics())
+        self.deaf = False
+        self.asked = 0
+        self._others = others
+
+    async def _async_ask(
+        self, peer: str, call: Any, timeout: timedelta
+    ) -> Result[RelayAnswer, StoreError]:
+        self.asked += 1
+        await asyncio.sleep(0.002)
+        if self.deaf:
+            return Err(StoreError(StoreProblem.REFUSED, "no route"))
+        return Ok(await self._others[peer].async_serve(call))
+
+
+class Node:
+    """A gateway as others see it: it writes signs of life, and calls the store for those who cannot.
+
+    It follows the partition of jobs too, and so learns that the store has fallen silent.
+    """
+
+    def __init__(self, store: FakeStore, peers: Mapping[str, "Node"] | None = None) -> None:
+        self.link = ReadsFail(store)
+        self.log = _Log(self.link, {name: node.log for name, node in (peers or {}).items()})
+        clock, metrics = LoopClock(), Metrics()
+        health, keep = StoreHealth(clock), timedelta(seconds=180)
+        self.jobs = JobService(self.log, 1, clock, health, metrics, keep)
+        self.tasks = [
+            asyncio.ensure_future(self._async_signs()),
+            asyncio.ensure_future(self.jobs.tails[0].async_run()),
+        ]
+
+    async def _async_signs(self) -> None:
+        while True:
+            await self.log.async_append("keyed.nodes", 0, [b"sign"], SIGN_TIMEOUT)
+            await asyncio.sleep(SIGN_INTERVAL)
+
+
+class Gateway(Node):
+    """A gateway's fold of jobs and its runner, before one engine."""
+
+    def __init__(
+        self,
+        store: FakeStore,
+        engine: OneEngine,
+        peers: Mapping[str, Node] | None = None,
+        keep: timedelta = timedelta(seconds=180),
+    ) -> None:
+        super().__init__(store, peers)
+        clock, metrics = LoopClock(), Metrics()
+        self.jobs.book._keep = keep
+        versions = SimpleNamespace(version=lambda _up, _model: 1, learn=lambda *_: None)
+        parts = RunnerParts(
+            self.jobs,
+            cast(Any, _routes()),
+            cast(Any, engine),
+            cast(Any, _edge()),
+            cast(Any, versions),
+            clock,
+            metrics,
+            "front-1",
+            lambda _since: ["front-1"],
+        )
+        self.runner = JobRunner(parts)
+        self.tasks.append(asyncio.ensure_future(self.runner.async_run()))
+
+    def cut_off(self) -> None:
+        """Cut this gateway off from the store and from its peers."""
+        self.link.silent = True
+        self.log.deaf = True
+
+
+@attrs.define
+class Ended:
+    """A store with one job, and when its end got there."""
+
+    store: FakeStore
+    at: float = 0.0
+
+    def end(self) -> None:
+        """Let another gateway record the end."""
+        self.at = asyncio.get_running_loop().time()
+        self.store.append("jobs", 0, encode_records([JobEnded("job-1")]))
+
+    def late(self, engine: OneEngine) -> list[float]:
+        """Return what reached the engine later than a trainer has to bear."""
+        return [moment for moment in engine.reached if moment > self.at + CANCEL_BOUND]
+
+
+def make_store(scored: bool = False) -> FakeStore:
+    """Return a store with that job."""
+    store = FakeStore()
+    store.append("jobs", 0, encode_records(encode_job(make_open_job(scored), "w")))
+    return store
