--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -6,6 +6,7 @@
 import attrs
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
 
 from .codec import decode_job
 from .model import (
@@ -22,6 +23,8 @@
 
 __all__ = ["JobBook", "JobState"]
 
+_LOGGER = get_logger(__name__)
+
 
 @attrs.define(eq=False)
 class _Parts:
@@ -43,6 +46,7 @@
         self._keep = keep
         self._parts: dict[tuple[str, str], _Parts] = {}
         self._completed: dict[str, tuple[JobState, Listed]] = {}
+        self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
     def listen(self, listener: Callable[[JobState], None]) -> None:
@@ -57,6 +61,9 @@
                 self._take_part(record)
             return
         if state is None:
+            if isinstance(record, JobEnded):
+                # A copy of the job that took effect late may be all that is kept of it besides its end.
+                self._ended_unseen[record.job] = self._clock.monotonic()
             return
         if isinstance(record, JobEnded):
             state.ended = True
@@ -78,14 +85,31 @@
         return listed.result if same else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more; they stand in the order in which they were seen."""
+        """Drop jobs that nobody may ask for any more; an open one may be asked for until it ends.
+
+        Forgotten while open, its runs would not hear of its end. Jobs stand in the order in which they
+        were seen.
+        """
         limit = self._clock.monotonic() - self._keep
-        while self.jobs:
-            job_id = next(iter(self.jobs))
-            if self.jobs[job_id].seen_at >= limit:
-                return
-            for item in self.jobs.pop(job_id).head.items:
+        old: list[JobState] = []
+        for state in self.jobs.values():
+            if state.seen_at >= limit:
+                break
+            if not state.open:
+                old.append(state)
+        for state in old:
+            del self.jobs[state.head.id]
+            for item in state.head.items:
                 self._completed.pop(item.id, None)
+        for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
+            del self._ended_unseen[job_id]
+
+    def end_all(self) -> None:
+        """Take every open job as ended: records that may have told so were deleted unread."""
+        for state in [state for state in self.jobs.values() if state.open]:
+            _LOGGER.warning("job_end_unread", request_id=state.head.id)
+            state.ended = True
+            self._notify(state)
 
     def _take_part(self, part: JobPart) -> None:
         key = (part.job, part.writer)
@@ -99,6 +123,7 @@
         if found is None or found[0].id != part.job:
             return
         state = self.jobs[part.job] = JobState(*found, self._clock.monotonic())
+        state.ended = self._ended_unseen.pop(part.job, None) is not None
         self._notify(state)
 
     def _take_result(self, state: JobState, record: ResultRecord | PackedResult) -> None:
