Show that an upstream's new start is taken for its former one

Cause: not mended here. What is known of an upstream is kept by its id; one that starts again under it stays drained, keeps the versions learned before, gets no say in what ran at its former start until time limits run out, and can be given the former one's order. Entries that name no upstream leave the former row in force; one that nests without end raises in the reader and ends it (RecursionError is no DecodeError). Ruled out: nothing. Change: tests, and a stand-in that starts again under its id, killed or silent, at its address or another.

--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -36,11 +36,13 @@
     model: str = ""
     version: int = 1
     id: str = attrs.field(factory=lambda: f"i-{next(_ids)}")
+    born: int = 1_000
     delay_s: float = 0.0
     shed: int = 0
     fail: int = 0
     silent: int = 0
     cut_after: int = 0
+    hang_after: int = 0
     seal: bool = True
     spoil_id: int = 0
     runs: list[Run] = attrs.field(factory=list)
@@ -52,7 +54,7 @@
     _server: HTTPServer | None = None
 
     def start(self) -> None:
-        """Listen on a free port of loopback."""
+        """Listen on a free port of loopback, or at the address given."""
         sampler = {"sampler": self}
         app = Application(
             [
@@ -62,7 +64,8 @@
             ],
             log_function=lambda _: None,
         )
-        sockets = bind_sockets(0, "127.0.0.1")
+        port = int(self.address.rpartition(":")[2] or 0)
+        sockets = bind_sockets(port, "127.0.0.1")
         self._server = HTTPServer(app)
         self._server.add_sockets(sockets)
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
@@ -72,6 +75,26 @@
         if self._server is not None:
             self._server.stop()
 
+    async def async_kill(self) -> None:
+        """Stop listening and reset every connection, as a process that is killed."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    def start_again(self, elsewhere: bool = False, **fields: Any) -> "PlatformSampler":
+        """Return the next start under this id, which knows nothing of this one.
+
+        What runs at this one hangs, as at a machine that lost power: its connections stay open, and
+        those that wait would be answered by this one, late.
+        """
+        self.stop()
+        address = "" if elsewhere else self.address
+        kept = {"model": self.model, "version": self.version, "id": self.id}
+        told = {**kept, "born": self.born + 1_000, "address": address, **fields}
+        again = PlatformSampler(self.service, **told)
+        again.start()
+        return again
+
     def beat(self, state: str = "ready") -> dict[str, Any]:
         """Return what the sampler writes of itself."""
         models = [{"name": self.model, "version": self.version}] if self.model else []
@@ -83,6 +106,7 @@
             "state": state,
             "models": models,
             "seq": self.sequence,
+            "born": self.born,
         }
 
 
@@ -97,7 +121,8 @@
         """Tell what is served."""
         made = self.sampler
         models = [{"name": made.model, "version": made.version}]
-        self.finish({"busy": False, "seq": made.sequence, "running": 0, "models": models})
+        report = {"busy": False, "seq": made.sequence, "running": 0, "models": models}
+        self.finish({**report, "born": made.born})
 
 
 class _Order(_Handler):
@@ -170,6 +195,8 @@
                 self.request.connection.detach().close()  # type: ignore[union-attr]
                 self._finished = True
                 return
+            if 0 < self.sampler.hang_after < number:
+                await asyncio.sleep(60)
             self.write(event)
             try:
                 await self.flush()
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -99,6 +99,13 @@
         self.store.put("keyed.servers", sampler.id, sampler.beat())
         return sampler
 
+    def start_again(self, sampler: PlatformSampler, **fields: Any) -> PlatformSampler:
+        """Start a sampler again under its id, and let it register."""
+        again = sampler.start_again(**fields)
+        self.samplers[self.samplers.index(sampler)] = again
+        self.store.put("keyed.servers", again.id, again.beat())
+        return again
+
     async def async_add_gateway(self) -> GatewayProcess:
         """Start a gateway and wait until it is ready."""
         front, ready, peer = (f"127.0.0.1:{port}" for port in free_ports(3))
