Tell an upstream's starts apart; let an entry that names none take its key out of use

Cause: everything known of an upstream was kept by its id, and an id may start again. Entries were taken with whatever they said, and those that could not be read left the row before in force. Ruled out: keeping id and start side by side in each of the seven places that remember something of an upstream; one key for each start, given out by the directory, moves them all, and only the adapter writes the bare id. Checking an order by its sequence number alone: a new start counts from 0 like any other. Change: Registration has a start and a key. The directory keeps the newest start of each id (also of those that went), ends the former one at once and says so; its runs are told then, by the way to it. Orders go out on the connection on which a report told the start. Entries are checked in the adapter and refused with a reason, counted each and logged once a burst. A read of many entries is published once. The last upstream of all can go. Models stay placed by the engine, not by its start.

--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -154,7 +154,8 @@
         self._on_room = on_room
         self._connect = connect or (lambda row: HttpPlainService(row.address))
         self._claims: dict[str, ClaimService] = {}
-        self._links: list[DirectUpstream] = []
+        self._links: dict[str, list[DirectUpstream]] = {}
+        self._made = 0
 
     def make(self, row: VmEntry) -> DirectUpstream:
         """Return a new way to an upstream."""
@@ -165,27 +166,54 @@
         limit = self._concurrency(row.service)
         runner = Runner(self._clock, execution, self._metrics, book, limit)
         link = DirectUpstream(row, runner, self._incarnation, self._next_id, self._on_room)
-        self._links = [old for old in self._links if not old.draining or old.outstanding]
-        self._links.append(link)
+        self._prune()
+        self._links.setdefault(row.id, []).append(link)
         return link
 
     def retire(self, link: DirectUpstream) -> None:
         """Give an upstream that has left no new work; what it has goes on to its end."""
         link.draining = True
 
+    def end(self, vm_id: str) -> None:
+        """Decide at once what is at an upstream of which nothing more will come.
+
+        It has started again, under another id of ours. Its connections may stay open and silent, so
+        its runs would be given up one time limit after the other: a caller waits, a text stands still.
+        What has not been sent was not run; all else may have been.
+        """
+        for link in self._links.pop(vm_id, []):
+            link.draining = True
+            link.runner.end()
+
     def on_revision(self) -> None:
         """Take the concurrency that the configuration in force allows."""
-        for link in self._links:
+        for link in self._all():
             link.runner.set_concurrency(self._concurrency(link.service))
 
     async def async_stop(self) -> None:
         """Refuse what has not begun, finish what runs, and record the outcomes of keyed calls."""
-        for link in self._links:
+        for link in self._all():
             link.draining = True
             link.runner.drain()
-        await asyncio.gather(*(link.runner.async_wait_idle() for link in self._links))
+        await asyncio.gather(*(link.runner.async_wait_idle() for link in self._all()))
         await asyncio.gather(*(claims.async_stop() for claims in self._claims.values()))
 
+    def _all(self) -> list[DirectUpstream]:
+        return [link for links in self._links.values() for link in links]
+
+    def _prune(self) -> None:
+        """Forget what has left and has nothing outstanding, once for as many ways as there are."""
+        self._made += 1
+        if self._made <= len(self._links):
+            return
+        self._made = 0
+        for vm_id, links in list(self._links.items()):
+            left = [link for link in links if not link.draining or link.outstanding]
+            if left:
+                self._links[vm_id] = left
+            else:
+                del self._links[vm_id]
+
     def _claims_of(self, service: str) -> ClaimService:
         claims = self._claims.get(service)
         if claims is None:
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -4,7 +4,7 @@
 import random
 import sys
 import uuid
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -35,12 +35,13 @@
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.lags import TrainerLags
-from cranberryline.weights.shift import EngineView, VersionShifter
+from cranberryline.weights.shift import VersionShifter
 
 from .handler import GatewayContext, ReadyHandler
 from .ingress import IngressHandler
 from .links import DirectLinks
 from .nodes import NodeBook, NodeSign
+from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .reload import SettingsWatch
 
@@ -94,7 +95,8 @@
         self.routes = RouteBook()
         self.health = StoreHealth(clock)
         self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
-        self.directory = Directory(clock, self.health)
+        self.directory = Directory(clock, self.health, _soon)
+        self.registrations = Registrations(platform, self.directory, self.metrics)
         self.table = PeerTable()
         self.directs = DirectUpstreams(
             clock,
@@ -137,9 +139,9 @@
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
         self.shifter = VersionShifter(
-            platform.orders(self._address_of),
+            platform.orders(self.directory.get),
             self.lease,
-            self._engines,
+            self.registrations.engines,
             self._models,
             self._lag,
             self._one_version,
@@ -149,13 +151,14 @@
         )
         self._config = self._tail(platform.topic_operator, self._on_operator)
         self._servers_tail = self._tail(
-            platform.topic_upstreams, self._on_server, _GATHER_UPSTREAMS
+            platform.topic_upstreams, self.registrations.take, _GATHER_UPSTREAMS
         )
         self._nodes_tail = self._tail(platform.topic_nodes, self.nodes.take, _GATHER_SIGNS)
         self._lags = TrainerLags()
         self.jobs.book.listen(self._on_job)
         self.routes.listen(self._on_routes)
         self.directory.listen(self._on_registration)
+        self.directory.listen_over(self.directs.end)
         self.directory.membership.listen(self._on_members)
 
     @property
@@ -291,16 +294,6 @@
         elif isinstance(change, NamedVersion):
             self.shifter.want(change.model, change.version)
 
-    def _on_server(self, record: KeyedRecord) -> None:
-        if not record.value:
-            self.directory.remove(record.key)
-            return
-        row = self._platform.read_registration(record)
-        if isinstance(row, Err):
-            self.metrics.drop("registration_unreadable")
-            return
-        self.directory.put(row.unwrap())
-
     def _on_routes(self, table: RouteTable) -> None:
         self._limits.max_body_bytes = table.limits.body_bytes
         self._limits.max_header_bytes = table.limits.header_bytes
@@ -326,10 +319,6 @@
         self.dispatcher.wake()
         self.runner.wake()
 
-    def _address_of(self, upstream: str) -> str | None:
-        row = self.directory.get(upstream)
-        return None if row is None else row.address
-
     def _models(self, service: str) -> tuple[str, ...]:
         table = self.routes.table
         engine = None if table is None else table.services.get(service)
@@ -354,15 +343,10 @@
             for route in routes
         )
 
-    def _engines(self) -> dict[str, list[EngineView]]:
-        return {
-            service: [EngineView(row.id, self._versions(row)) for row in rows]
-            for service, rows in self.directory.engines().items()
-        }
 
-    def _versions(self, row: Registration) -> dict[str, int]:
-        known = {model: self.directory.version(row.id, model) for model in row.versions}
-        return {model: version for model, version in known.items() if version is not None}
+def _soon(work: Callable[[], None]) -> None:
+    """Do work once what is being read now has been taken in."""
+    asyncio.get_running_loop().call_soon(work)
 
 
 def _no_log(_handler: object) -> None:
--- a/cranberryline/gateway/links.py
+++ b/cranberryline/gateway/links.py
@@ -2,6 +2,7 @@
 
 from cranberryline.entry.direct import DirectUpstream, DirectUpstreams
 from cranberryline.entry.upstreams import PeerTable
+from cranberryline.ports.model import VmEntry
 from cranberryline.upstreams import Membership
 
 __all__ = ["DirectLinks"]
@@ -13,15 +14,16 @@
     def __init__(self, table: PeerTable, directs: DirectUpstreams) -> None:
         self._table = table
         self._directs = directs
-        self._links: dict[str, DirectUpstream] = {}
+        self._links: dict[str, tuple[VmEntry, DirectUpstream]] = {}
 
     def apply(self, members: Membership) -> None:
         """Reach what has come; give no new work to what leaves, and let its runs end."""
         rows = {vm.id: vm for vm in members.upstreams()}
-        for vm_id in self._links.keys() - rows.keys():
+        for vm_id in [key for key, (row, _) in self._links.items() if rows.get(key) != row]:
             self._table.remove(vm_id)
-            self._directs.retire(self._links.pop(vm_id))
+            self._directs.retire(self._links.pop(vm_id)[1])
         for vm_id in sorted(rows.keys() - self._links.keys()):
             row = rows[vm_id]
-            link = self._links[vm_id] = self._directs.make(row)
+            link = self._directs.make(row)
+            self._links[vm_id] = (row, link)
             self._table.add(row.service, link, row.data_center)
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -10,6 +10,7 @@
 from cranberryline.ports.platform import NamedVersion, OperatorChange, PlatformPort
 from cranberryline.ports.store import KeyedRecord, SharedLog
 from cranberryline.upstreams.directory import Registration
+from cranberryline.upstreams.errors import RegistrationProblem
 
 from .config import read_config, read_version
 from .const import KEY_CONFIG, KEY_VERSION_PREFIX, TOPIC_NODES, TOPIC_OPERATOR, TOPIC_SERVERS
@@ -55,7 +56,7 @@
             return Ok(NamedVersion(*named.unwrap()))
         return Ok(None)
 
-    def read_registration(self, record: KeyedRecord) -> Result[Registration, str]:
+    def read_registration(self, record: KeyedRecord) -> Result[Registration, RegistrationProblem]:
         """Read an upstream's entry."""
         return read_registration(record.key, record.value)
 
@@ -63,6 +64,6 @@
         """Return the client of one incarnation of an upstream."""
         return SamplerClient(row)
 
-    def orders(self, address_of: Callable[[str], str | None]) -> OrderPort:
+    def orders(self, find: Callable[[str], Registration | None]) -> OrderPort:
         """Return the client for orders."""
-        return SamplerOrders(address_of)
+        return SamplerOrders(find)
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -1,7 +1,10 @@
 """The platform's upstreams: their registrations, requests to them, orders to engines."""
 
+import re
 from collections.abc import Callable
 from datetime import timedelta
+from ipaddress import IPv6Address
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,7 +14,9 @@
 from cranberryline.ports.http import HttpOrigin, KeptStreams, async_exchange
 from cranberryline.ports.model import PlainServicePort, UpstreamBody, UpstreamRequest, VmEntry
 from cranberryline.ports.orders import EngineReport, OrderOutcome, OrderPort, VersionOrder
+from cranberryline.upstreams.const import MAX_TEXT_LENGTH
 from cranberryline.upstreams.directory import Registration
+from cranberryline.upstreams.errors import RegistrationProblem
 
 from .const import (
     HEADER_HOST,
@@ -33,45 +38,113 @@
 
 _CALL_TIMEOUT = timedelta(milliseconds=1200)
 _SUCCESS = range(200, 300)
+_STATE_READY = "ready"
+_STATE_DRAINING = "draining"
+# What goes into a header, leaves room for the start in a row's id, and cannot be taken for a row's id itself.
+_ID = re.compile(r"(?!.*@[0-9]+$)[!-~]{1,160}")
+_ADDRESS = re.compile(
+    r"(?:\[(?P<v6>[0-9A-Fa-f:.]{2,45})\]|[A-Za-z0-9._-]{1,190}):(?P<port>[0-9]{1,5})"
+)
+_MAX_PORT = 65_535
+# A count or version beyond it is no sound one, and past 64 bits it could not be written back into an order.
+_MAX_COUNT = 10**15
+# Far beyond any upstream: what is meant to keep a slip of another writer from opening a service wide.
+_MAX_SLOTS = 10_000
+# Milliseconds; the year 5138. A start beyond it would stand above every true one.
+_MAX_START = 10**14
+
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Zone = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
 
 
 class _Model(msgspec.Struct):
-    name: str
-    version: int = 0
+    name: _Text
+    version: _Count = 0
 
 
 class _Beat(msgspec.Struct):
-    service: str
+    service: _Text
     address: str
-    zone: str = ""
-    slots: int = 0
-    state: str = "ready"
+    zone: _Zone
+    slots: int
+    state: str
     models: list[_Model] = []
+    seq: _Count = 0
+    born: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class _Report(msgspec.Struct):
+    born: int | msgspec.UnsetType = msgspec.UNSET
     busy: bool = False
-    seq: int = 0
-    running: int = 0
+    seq: _Count = 0
+    running: _Count = 0
     models: list[_Model] = []
 
 
-def read_registration(key: str, value: bytes) -> Result[Registration, str]:
-    """Read what an upstream wrote of itself."""
+_BEATS = msgspec.json.Decoder(_Beat)
+
+
+def read_registration(key: str, value: bytes) -> Result[Registration, RegistrationProblem]:
+    """Read what stands for an upstream, written by itself or by another; never raises."""
+    if not _ID.fullmatch(key):
+        return Err(RegistrationProblem.BAD_ID)
     try:
-        raw = msgspec.json.decode(value, type=_Beat)
-    except msgspec.DecodeError as exc:
-        return Err(str(exc))
-    versions = {model.name: model.version for model in raw.models}
-    draining = raw.state != "ready"
-    return Ok(Registration(key, raw.service, raw.address, raw.zone, raw.slots, draining, versions))
+        raw = _BEATS.decode(value)
+    except msgspec.ValidationError:
+        return Err(RegistrationProblem.BAD_FIELD)
+    except (msgspec.DecodeError, ValueError, RecursionError):
+        # Text that nests deeper than the interpreter goes raises no error of the decoder. Passed on, it
+        # would end the reader of all upstreams, and the gateway would hear of none any more.
+        return Err(RegistrationProblem.UNREADABLE)
+    problem = _out_of_range(raw)
+    if problem is not None:
+        return Err(problem)
+    return Ok(
+        Registration(
+            key,
+            raw.service,
+            raw.address,
+            raw.zone,
+            raw.slots,
+            raw.state == _STATE_DRAINING,
+            {model.name: model.version for model in raw.models},
+            _start(raw),
+        )
+    )
+
+
+def _out_of_range(raw: _Beat) -> RegistrationProblem | None:
+    if raw.state not in (_STATE_READY, _STATE_DRAINING):
+        return RegistrationProblem.BAD_STATE
+    if not 0 < raw.slots <= _MAX_SLOTS:
+        return RegistrationProblem.BAD_SLOTS
+    if raw.born is not msgspec.UNSET and not 0 < raw.born < _MAX_START:
+        return RegistrationProblem.BAD_START
+    return None if _is_address(raw.address) else RegistrationProblem.BAD_ADDRESS
+
+
+def _is_address(address: str) -> bool:
+    """Tell whether this is HOST:PORT; a host in brackets must be an address of IPv6."""
+    found = _ADDRESS.fullmatch(address)
+    if found is None or not 0 < int(found["port"]) <= _MAX_PORT:
+        return False
+    try:
+        return found["v6"] is None or bool(IPv6Address(found["v6"]))
+    except ValueError:
+        return False
+
+
+def _start(raw: _Beat | _Report) -> int:
+    return 0 if raw.born is msgspec.UNSET else raw.born
 
 
 class SamplerClient(PlainServicePort):
     """Send requests to one upstream over kept connections, for this incarnation only."""
 
     def __init__(self, row: VmEntry) -> None:
-        self._id = row.id
+        self._id = row.name or row.id
         self._origin = HttpOrigin(row.address)
         self._pool = KeptStreams()
 
@@ -104,15 +177,19 @@
 
 
 class SamplerOrders(OrderPort):
-    """Reports of and orders to engines.
+    """Reports of and orders to engines, each to the start that it is meant for.
 
     An order is framed by reports, and the three share a kept connection; new ones are paid for, and
     these were a third of all on a calm day. An order whose answer is lost on a kept connection is
     settled by the next report, as any other.
+
+    An order carries the engine's id and a sequence number, and both fit the next start as well, which
+    counts from 0 again. Only its connection tells one start from another: an order goes out on the one on
+    which a report told the start, or, where that has closed, on a new one after a report on that.
     """
 
-    def __init__(self, address_of: Callable[[str], str | None]) -> None:
-        self._address_of = address_of
+    def __init__(self, find: Callable[[str], Registration | None]) -> None:
+        self._find = find
         self._pools: dict[str, KeptStreams] = {}
 
     async def async_report(self, upstream: str) -> Result[EngineReport, PlatformError]:
@@ -123,13 +200,24 @@
         status, data = called.unwrap()
         try:
             raw = msgspec.json.decode(data, type=_Report)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, ValueError, RecursionError) as exc:
             return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc), status))
+        row = self._find(upstream)
+        if row is None or (row.born and _start(raw) not in (0, row.born)):
+            # The engine is further than its entry, or what it said came after its end.
+            return Err(
+                PlatformError(PlatformReason.START_OVER, "another start", may_have_run=False)
+            )
         versions = {model.name: model.version for model in raw.models}
         return Ok(EngineReport(raw.seq, raw.busy, raw.running, versions))
 
     async def async_order(self, upstream: str, order: VersionOrder) -> OrderOutcome:
-        """Send an order."""
+        """Send an order, unless the start is over that it was decided for."""
+        pool = self._pools.get(upstream)
+        if pool is None or not pool.ready():
+            reported = await self.async_report(upstream)
+            if isinstance(reported, Err) or reported.unwrap().sequence != order.sequence:
+                return OrderOutcome.REFUSED
         body = {
             "op": "version",
             "model": order.model,
@@ -153,18 +241,18 @@
     async def _async_call(
         self, upstream: str, method: str, path: str, body: bytes
     ) -> Result[tuple[int, bytes], PlatformError]:
-        address = self._address_of(upstream)
-        if address is None:
+        row = self._find(upstream)
+        if row is None:
             self._forget_gone()
-            return Err(PlatformError(PlatformReason.UNREACHABLE, "gone", may_have_run=False))
+            return Err(PlatformError(PlatformReason.START_OVER, "gone", may_have_run=False))
         if upstream not in self._pools:
             self._forget_gone()
         pool = self._pools.setdefault(upstream, KeptStreams(most=1))
-        headers: list[tuple[str, str]] = [(HEADER_INSTANCE, upstream)]
+        headers: list[tuple[str, str]] = [(HEADER_INSTANCE, row.id)]
         if body:
             headers.append(("Content-Type", "application/json"))
         req = UpstreamRequest(method, path, tuple(headers), body)
-        sent = await async_exchange(HttpOrigin(f"http://{address}"), req, _CALL_TIMEOUT, pool)
+        sent = await async_exchange(HttpOrigin(f"http://{row.address}"), req, _CALL_TIMEOUT, pool)
         if isinstance(sent, Err):
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
@@ -175,8 +263,8 @@
         return Ok((answer.head.status, data))
 
     def _forget_gone(self) -> None:
-        """Close what is kept to upstreams that are gone: nobody asks for them by name again."""
-        for upstream in [name for name in self._pools if self._address_of(name) is None]:
+        """Close what is kept to starts that are over: nobody asks for them again."""
+        for upstream in [key for key in self._pools if self._find(key) is None]:
             self._pools.pop(upstream).close()
 
 
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -98,6 +98,11 @@
             seconds = min(seconds, MAX_KEPT.total_seconds())
         self._idle.append((asyncio.get_running_loop().time() + seconds, stream))
 
+    def ready(self) -> bool:
+        """Tell whether the next request would go out on a connection that waits."""
+        now = asyncio.get_running_loop().time()
+        return any(now < until and _is_quiet(stream) for until, stream in self._idle)
+
     def close(self) -> None:
         """Close every connection that waits."""
         for _, stream in self._idle:
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -85,7 +85,7 @@
 
     `peer` is the address of our process on it ("tcp://127.0.0.1:7001"), empty for an upstream
     without a side process; `address` that of the upstream itself ("http://127.0.0.1:9001"), empty
-    for an entry.
+    for an entry. `name` is what an upstream itself goes by, where `id` tells its starts apart.
     """
 
     id: str
@@ -95,6 +95,7 @@
     peer: str
     address: str = ""
     service: str = ""
+    name: str = ""
 
 
 @attrs.frozen
--- a/cranberryline/ports/orders.py
+++ b/cranberryline/ports/orders.py
@@ -14,7 +14,7 @@
 
 @attrs.frozen
 class EngineReport:
-    """What an engine says of itself, some hundred milliseconds late."""
+    """What a start of an engine says of itself, some hundred milliseconds late."""
 
     sequence: int
     busy: bool
@@ -26,6 +26,9 @@
 class VersionOrder:
     """Serve a model in a version; refused where the engine has taken another order since.
 
+    It is meant for the start of the engine that reported `sequence`: the next one counts anew, so the same
+    number says nothing there.
+
     With `finish_runs` the engine first lets its runs end and turns new ones away until then; without
     it they go on under the new version.
     """
@@ -50,12 +53,12 @@
 
 
 class OrderPort(abc.ABC):
-    """Orders to engines, by the engine's id."""
+    """Orders to engines, by the key of the engine's start; never given to another start."""
 
     @abc.abstractmethod
     async def async_report(self, upstream: str) -> Result[EngineReport, PlatformError]:
-        """Ask an engine what it serves."""
+        """Ask an engine what it serves; START_OVER where the start is over, or another one answers."""
 
     @abc.abstractmethod
     async def async_order(self, upstream: str, order: VersionOrder) -> OrderOutcome:
-        """Send an order; UNKNOWN may still be carried out."""
+        """Send an order; UNKNOWN may still be carried out, REFUSED never."""
--- a/cranberryline/ports/platform.py
+++ b/cranberryline/ports/platform.py
@@ -8,6 +8,7 @@
 
 from cranberryline.routes import RouteTable
 from cranberryline.upstreams.directory import Registration
+from cranberryline.upstreams.errors import RegistrationProblem
 
 from .edge import EdgeFormat
 from .model import PlainServicePort, VmEntry
@@ -50,13 +51,13 @@
         """Read what an operator or a trainer wrote; None for what does not concern us."""
 
     @abc.abstractmethod
-    def read_registration(self, record: KeyedRecord) -> Result[Registration, str]:
-        """Read what an upstream wrote of itself."""
+    def read_registration(self, record: KeyedRecord) -> Result[Registration, RegistrationProblem]:
+        """Read what stands for an upstream; an Err where it names none. Never raises."""
 
     @abc.abstractmethod
     def connect(self, row: VmEntry) -> PlainServicePort:
         """Return the way to one upstream."""
 
     @abc.abstractmethod
-    def orders(self, address_of: Callable[[str], str | None]) -> OrderPort:
-        """Return the way to order engines, found by their id."""
+    def orders(self, find: Callable[[str], Registration | None]) -> OrderPort:
+        """Return the way to order engines; `find` tells of a start by its key, None once it is over."""
--- a/cranberryline/side/runner.py
+++ b/cranberryline/side/runner.py
@@ -113,6 +113,16 @@
             self._drop(key)
             tell_not_run(held.msg.id, RunnerReason.DRAINING.value, held.reply, self._metrics)
 
+    def end(self) -> None:
+        """Refuse what has not been started, and stop what runs: its upstream is no more.
+
+        Other than `cancel`, this stops calls that are not idempotent too; nobody works on them, and
+        their entries are told that they may have run.
+        """
+        self.drain()
+        for held in list(self._held.values()):
+            self._stop(held.key)
+
     async def async_wait_idle(self) -> None:
         """Return when nothing runs any more."""
         while tasks := [held.task for held in self._held.values() if held.task is not None]:
--- a/cranberryline/upstreams/errors.py
+++ b/cranberryline/upstreams/errors.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["MembershipReason", "MembershipRefused"]
+__all__ = ["MembershipReason", "MembershipRefused", "RegistrationProblem"]
 
 
 class MembershipReason(enum.StrEnum):
@@ -19,6 +19,19 @@
     SUPERSEDED = "superseded"  # a notice of a life that a later one has followed
 
 
+class RegistrationProblem(enum.StrEnum):
+    """Why what stands for an upstream was not taken."""
+
+    UNREADABLE = "unreadable"
+    BAD_ID = "bad_id"
+    BAD_FIELD = "bad_field"  # missing, or of another type
+    BAD_ADDRESS = "bad_address"
+    BAD_SLOTS = "bad_slots"
+    BAD_START = "bad_start"  # out of range, or not told by an upstream that always tells it
+    BAD_STATE = "bad_state"
+    OLD_START = "old_start"  # of a start that a newer one has followed
+
+
 @attrs.frozen
 class MembershipRefused:
     """Something that was refused as a whole and changed nothing."""
--- a/cranberryline/upstreams/membership.py
+++ b/cranberryline/upstreams/membership.py
@@ -38,9 +38,13 @@
 
     A VM is usable while the list shows it live and its process has announced no stop. `leaving`
     in the list is final for an id. A drain notice holds for the incarnation that gave it.
+
+    `may_be_empty` is for a list that is folded here, row by row: without it, the end of the last
+    upstream would be taken for a list service that lost its data, and the upstream stay in use.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, may_be_empty: bool = False) -> None:
+        self._may_be_empty = may_be_empty
         self._version = 0
         self._rows: dict[str, VmEntry] = {}
         self._left: OrderedDict[str, None] = OrderedDict()
@@ -171,7 +175,7 @@
             )
         # A list service that lost its data answers an empty list. Taking it would drop every
         # upstream at once; a true end of all VMs ends the entry that reads it too.
-        if self._rows and not vm_list.vms:
+        if self._rows and not vm_list.vms and not self._may_be_empty:
             return MembershipRefused(MembershipReason.EMPTY_LIST, "no VMs, not even ourselves")
         return None
 
--- a/cranberryline/weights/shift.py
+++ b/cranberryline/weights/shift.py
@@ -18,6 +18,7 @@
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.leases import LeaseKeeper
+from cranberryline.ports.errors import PlatformReason
 from cranberryline.ports.orders import OrderOutcome, OrderPort, VersionOrder
 
 __all__ = ["EngineView", "VersionShifter"]
@@ -33,10 +34,15 @@
 
 @attrs.frozen
 class EngineView:
-    """An engine as the shifter sees it; `versions` is what it is known to serve."""
+    """A start of an engine as the shifter sees it; `versions` is what it is known to serve.
+
+    `place` is the same for all starts of one engine, which begin with the version that it had. Models
+    placed by the start would move to other engines whenever one starts again, and be loaded there.
+    """
 
     id: str
     versions: Mapping[str, int]
+    place: str = ""
 
 
 @attrs.frozen(eq=False)
@@ -109,7 +115,9 @@
             by_id = {engine.id: engine for engine in engines}
             lags = {model: self._lag(model) for model in self._models(service)}
             part = part_of(len(lags), len(by_id))
-            places = place_models(lags, by_id)
+            at_place = {engine.place or engine.id: engine.id for engine in engines}
+            placed = place_models(lags, at_place)
+            places = {model: [at_place[name] for name in placed[model]] for model in lags}
             loading = len(self._loading.keys() & by_id.keys())
             for _ in range(loads_at_once(len(by_id)) - loading):
                 needs = [self._need(model, lags[model], places[model], by_id) for model in lags]
@@ -140,12 +148,14 @@
         task.add_done_callback(done)
 
     async def _async_shift(self, engine: str, model: str, version: int, finish_runs: bool) -> None:
-        """Bring one engine to a version, or stop for now."""
+        """Bring one start of an engine to a version, or stop for now, and for good once it is over."""
         give_up = self._clock.monotonic() + _GIVE_UP
         ordered = False
         while self._clock.monotonic() < give_up and self.wanted.get(model, 0) == version:
             reported = await self._orders.async_report(engine)
             if isinstance(reported, Err):
+                if reported.unwrap_err().reason is PlatformReason.START_OVER:
+                    return
                 await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
                 continue
             report = reported.unwrap()
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -1,5 +1,6 @@
 """What stands in the store for an upstream: sound entries are read, others name no upstream."""
 
+import json
 from typing import Any
 
 import msgspec
@@ -109,7 +110,7 @@
     | st.integers(-(10**30), 10**30)
     | st.floats()
     | st.text(max_size=20)
-    | st.sampled_from(["ready", "draining", "lost", "h:1", "h:99999", "[::1]:80", "[", 10**5000])
+    | st.sampled_from(["ready", "draining", "lost", "h:1", "h:99999", "[::1]:80", "[", 10**400])
 )
 _ANY = st.recursive(
     _SCALARS,
@@ -133,10 +134,15 @@
 
 
 def _json(value: Any) -> bytes:
-    try:
-        return msgspec.json.encode(value)
-    except (ValueError, OverflowError):
-        return b'{"born":' + b"9" * 5000 + b"}"
+    return json.dumps(value, allow_nan=True).encode()
+
+
+@pytest.mark.parametrize("field", ["slots", "seq", "born"])
+@pytest.mark.parametrize("digits", [19, 25, 400, 5000])
+def test_numbers_of_any_length_are_refused(field: str, digits: int) -> None:
+    """Some fit no machine word, some not even what the interpreter reads as a number."""
+    text = _json({**ENTRY, field: "@"}).replace(b'"@"', b"9" * digits)
+    assert isinstance(read_registration("i-1", text), Err)
 
 
 @given(st.text(max_size=12), st.binary(max_size=200))
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -254,7 +254,7 @@
         engine = PlatformSampler("engines", MODEL)
         engine.start()
         rows = {_row(engine).key: _row(engine)}
-        orders = SamplerOrders(lambda key: rows.get(key))
+        orders = SamplerOrders(rows.get)
         former = _row(engine).key
         assert await orders.async_order(former, _order(2, 0)) is OrderOutcome.TAKEN
         again = engine.start_again()
