Tell a run as unknown that its upstream's new start ends before its first step

Cause: a task that is cancelled before its first step runs none of its own handling, so the entry heard nothing of such a run and its caller waited for the whole of its time. Ways that had left were looked through whenever one was made. Ruled out: waiting for the run's first step before it is ended (it would be sent then). Change: the runner tells each held request itself before it stops it, with a reason of its own; ways are looked through when there are twice as many as the last time. Measured: tests/entry/test_direct.py: 2 of the 4 new cases failed by their time limit without the change to the runner; tests/entry/test_direct.py, tests/side and tests/platform/test_restarts.py passed with it.

--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -29,6 +29,9 @@
 
 __all__ = ["DirectUpstream", "DirectUpstreams"]
 
+# Ways that have left are looked through when there are twice as many as the last time: each time that one
+# is made, a list of N upstreams would cost N * N looks.
+_FEW = 4
 # There is one connection, from this entry to itself, and it never breaks.
 _CONNECTION = "direct"
 
@@ -155,7 +158,7 @@
         self._connect = connect or (lambda row: HttpPlainService(row.address))
         self._claims: dict[str, ClaimService] = {}
         self._links: dict[str, list[DirectUpstream]] = {}
-        self._made = 0
+        self._prune_at = _FEW
 
     def make(self, row: VmEntry) -> DirectUpstream:
         """Return a new way to an upstream."""
@@ -166,7 +169,11 @@
         limit = self._concurrency(row.service)
         runner = Runner(self._clock, execution, self._metrics, book, limit)
         link = DirectUpstream(row, runner, self._incarnation, self._next_id, self._on_room)
-        self._prune()
+        self._prune(row.id)
+        if len(self._links) >= self._prune_at:
+            for vm_id in list(self._links):
+                self._prune(vm_id)
+            self._prune_at = max(2 * len(self._links), _FEW)
         self._links.setdefault(row.id, []).append(link)
         return link
 
@@ -201,18 +208,12 @@
     def _all(self) -> list[DirectUpstream]:
         return [link for links in self._links.values() for link in links]
 
-    def _prune(self) -> None:
-        """Forget what has left and has nothing outstanding, once for as many ways as there are."""
-        self._made += 1
-        if self._made <= len(self._links):
-            return
-        self._made = 0
-        for vm_id, links in list(self._links.items()):
-            left = [link for link in links if not link.draining or link.outstanding]
-            if left:
-                self._links[vm_id] = left
-            else:
-                del self._links[vm_id]
+    def _prune(self, vm_id: str) -> None:
+        """Forget the ways to an upstream that have left and have nothing outstanding."""
+        links = self._links.pop(vm_id, [])
+        left = [link for link in links if not link.draining or link.outstanding]
+        if left:
+            self._links[vm_id] = left
 
     def _claims_of(self, service: str) -> ClaimService:
         claims = self._claims.get(service)
--- a/cranberryline/side/errors.py
+++ b/cranberryline/side/errors.py
@@ -22,6 +22,7 @@
     UPSTREAM_CUT = "upstream_cut"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_ERROR = "upstream_error"
+    UPSTREAM_RESTARTED = "upstream_restarted"
     CANCELLED = "cancelled"
     FORGOTTEN = "forgotten"
     CLAIM_IN_PROGRESS = "claim_in_progress"
--- a/cranberryline/side/runner.py
+++ b/cranberryline/side/runner.py
@@ -117,10 +117,13 @@
         """Refuse what has not been started, and stop what runs: its upstream is no more.
 
         Other than `cancel`, this stops calls that are not idempotent too; nobody works on them, and
-        their entries are told that they may have run.
+        their entries are told that they may have run. Told here: a run that is stopped before its first
+        step would never say a word, and its caller would wait for the whole of its time.
         """
         self.drain()
         for held in list(self._held.values()):
+            self._metrics.fail(FailReason.UPSTREAM_RESTARTED.value)
+            held.reply(Failed(held.msg.id, FailReason.UPSTREAM_RESTARTED.value, "unknown"))
             self._stop(held.key)
 
     async def async_wait_idle(self) -> None:
--- a/tests/entry/test_direct.py
+++ b/tests/entry/test_direct.py
@@ -324,3 +324,61 @@
     direct.bench.publish_again(concurrency=5)
     direct.made.on_revision()
     assert link.runner.concurrency == 5
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("begun", [True, False])
+def test_what_runs_at_an_upstream_that_is_no_more_is_decided_at_once(
+    direct: Direct, idempotent: bool, begun: bool
+) -> None:
+    """The upstream has started again; its former start's connection stays open and silent.
+
+    Told by the time limit, the caller waits for five seconds. A call that may be repeated goes to
+    another upstream now; the other kind is told as unknown now. So it is for one that this entry was
+    just about to send, of which no step had run yet.
+    """
+
+    async def async_main() -> None:
+        link, upstream = direct.add("up-1")
+        upstream.gate.clear()
+        asked = asyncio.ensure_future(direct.async_ask(idempotent=idempotent))
+        while not (upstream.bodies if begun else link.outstanding):  # noqa: ASYNC110 - single turns
+            await asyncio.sleep(0)
+        assert begun == bool(upstream.runs)
+        _, other = direct.add("up-2")
+        direct.bench.table.remove("up-1")
+        direct.made.retire(link)
+        direct.made.end("up-1")
+        async with asyncio.timeout(0.5):
+            result = await asked
+        if idempotent:
+            assert result.unwrap() == "up-2" and len(other.runs) == 1
+        else:
+            refusal = result.unwrap_err()
+            assert refusal.ran is not Ran.NO and other.runs == []
+        assert link.outstanding == 0
+        assert all(body.closed for body in upstream.bodies)
+
+    play(async_main())
+
+
+def test_an_upstream_that_left_long_ago_is_still_ended(direct: Direct) -> None:
+    """It drains with a run under way, and many others come and go before its next start."""
+
+    async def async_main() -> None:
+        link, upstream = direct.add("up-0")
+        upstream.gate.clear()
+        asked = asyncio.ensure_future(direct.async_ask(idempotent=False))
+        await async_until(lambda: bool(upstream.bodies))
+        direct.bench.table.remove("up-0")
+        direct.made.retire(link)
+        for number in range(1, 9):
+            gone, _ = direct.add(f"up-{number}")
+            direct.bench.table.remove(f"up-{number}")
+            direct.made.retire(gone)
+        assert len(direct.made._links) < 9
+        direct.made.end("up-0")
+        async with asyncio.timeout(0.5):
+            assert (await asked).unwrap_err().ran is not Ran.NO
+
+    play(async_main())
