Test that a load ends with its start; pause before an engine's next one is known

Cause: an engine whose report is further than its entry ended its load at once, and the next look began it again at once. Ruled out: keeping the load up for its four seconds (the new start would wait for it). Change: a pause before the load ends; the placing of models over starts has a function of its own, and tests. Measured: tests/weights/test_shift.py: the test of the pause failed without it (1 failed); tests/weights passed with it.

--- a/cranberryline/weights/shift.py
+++ b/cranberryline/weights/shift.py
@@ -1,7 +1,7 @@
 """Move engines to the versions that trainers name, a few at a time, under the lease."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 
 import attrs
@@ -21,7 +21,7 @@
 from cranberryline.ports.errors import PlatformReason
 from cranberryline.ports.orders import OrderOutcome, OrderPort, VersionOrder
 
-__all__ = ["EngineView", "VersionShifter"]
+__all__ = ["EngineView", "VersionShifter", "place_on_engines"]
 
 _LOGGER = get_logger(__name__)
 
@@ -115,9 +115,7 @@
             by_id = {engine.id: engine for engine in engines}
             lags = {model: self._lag(model) for model in self._models(service)}
             part = part_of(len(lags), len(by_id))
-            at_place = {engine.place or engine.id: engine.id for engine in engines}
-            placed = place_models(lags, at_place)
-            places = {model: [at_place[name] for name in placed[model]] for model in lags}
+            places = place_on_engines(lags, engines)
             loading = len(self._loading.keys() & by_id.keys())
             for _ in range(loads_at_once(len(by_id)) - loading):
                 needs = [self._need(model, lags[model], places[model], by_id) for model in lags]
@@ -154,9 +152,9 @@
         while self._clock.monotonic() < give_up and self.wanted.get(model, 0) == version:
             reported = await self._orders.async_report(engine)
             if isinstance(reported, Err):
+                await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
                 if reported.unwrap_err().reason is PlatformReason.START_OVER:
                     return
-                await self._clock.async_sleep(_PAUSE_AFTER_FAILURE)
                 continue
             report = reported.unwrap()
             serves = report.versions.get(model, 0)
@@ -198,3 +196,12 @@
             return True
         await self._clock.async_sleep(_REPORT_PAUSE)
         return False
+
+
+def place_on_engines(
+    lags: Mapping[str, int], engines: Sequence[EngineView]
+) -> dict[str, list[str]]:
+    """Return for each model the starts of the engines that are to serve it; `lags` are in versions."""
+    at_place = {engine.place or engine.id: engine.id for engine in engines}
+    placed = place_models(lags, at_place)
+    return {model: [at_place[name] for name in placed[model]] for model in lags}
--- a/tests/weights/test_shift.py
+++ b/tests/weights/test_shift.py
@@ -11,7 +11,7 @@
 from cranberryline.leases import LeaseKeeper
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.orders import EngineReport, OrderOutcome, OrderPort, VersionOrder
-from cranberryline.weights.shift import EngineView, VersionShifter
+from cranberryline.weights.shift import EngineView, VersionShifter, place_on_engines
 from tests.store_fake import FakeStore, StoreLink
 from tests.virtual_time import LoopClock, run_virtual
 
@@ -208,3 +208,106 @@
         assert made.shifter.wanted == {MODEL: 5}
 
     run_virtual(scene())
+
+
+# An engine starts again under its id while a node moves it to a version. Ordered by what its former
+# start reported, the new one would load what was decided for another: its numbers start anew at 0 and
+# fit. The trainer sees a step's engines load twice, or a version that it never asked for.
+
+
+class RestartingOrders(FakeOrders):
+    """Engines by start; those in `over` have been followed by another."""
+
+    def __init__(self, count: int) -> None:
+        super().__init__(count)
+        self.over: set[str] = set()
+        self.asked = 0
+
+    async def async_report(self, upstream: str) -> Result[EngineReport, PlatformError]:
+        """Tell that a start is over, as the port does for one that its entry no longer names."""
+        self.asked += 1
+        if upstream in self.over:
+            await asyncio.sleep(0.002)
+            return Err(PlatformError(PlatformReason.START_OVER, may_have_run=False))
+        return await super().async_report(upstream)
+
+    def start_again(self, former: str, new: str, version: int) -> None:
+        """Let an engine's next start follow its former one."""
+        self.over.add(former)
+        self.engines.pop(former)
+        self.engines[new] = Engine(version=version)
+
+
+class RestartingScene(Scene):
+    """A scene whose engines start again; `e0@2` is the second start of `e0`."""
+
+    def __init__(self, engines: int) -> None:
+        super().__init__(engines)
+        self.orders = RestartingOrders(engines)
+        self.shifter._orders = self.orders
+
+    def _views(self) -> dict[str, list[EngineView]]:
+        engines = self.orders.engines.items()
+        return {
+            "s": [
+                EngineView(key, {MODEL: engine.version}, key.partition("@")[0])
+                for key, engine in engines
+            ]
+        }
+
+
+def test_a_load_ends_with_the_start_that_it_was_for() -> None:
+    """The engine starts again, with the old version, while the node waits for its load to end.
+
+    Nothing more is sent to the former start, and the new one is brought to the version by an order of
+    its own, which names its own sequence number. It begins at once, not after the four seconds for
+    which a silent engine's load is kept up.
+    """
+
+    async def scene() -> None:
+        made = RestartingScene(1)
+        await asyncio.sleep(1)
+        made.orders.engines["e0"].sequence = 7
+        made.shifter.want(MODEL, 2)
+        await asyncio.sleep(0.2)
+        made.orders.start_again("e0", "e0@2", 1)
+        await asyncio.sleep(1.2)
+        given = [(key, order.sequence) for key, order in made.orders.orders]
+        assert given == [("e0", 7), ("e0@2", 0)]
+        await asyncio.sleep(2)
+        assert made.versions == {2} and len(made.orders.orders) == 2
+
+    run_virtual(scene())
+
+
+def test_an_engine_that_is_further_than_its_entry_is_not_asked_without_pause() -> None:
+    """Its report tells of a newer start than the store does so far, for up to some seconds.
+
+    Asked again at once, it would be asked a hundred times a second by the node that gives orders.
+    """
+
+    async def scene() -> None:
+        made = RestartingScene(1)
+        await asyncio.sleep(1)
+        made.orders.over.add("e0")
+        made.shifter.want(MODEL, 2)
+        await asyncio.sleep(2)
+        assert 2 <= made.orders.asked <= 8 and made.orders.orders == []
+
+    run_virtual(scene())
+
+
+def test_a_restart_moves_no_model_to_another_engine() -> None:
+    """Two models share four engines; one starts again with what it had.
+
+    Placed by its start, models would change places, and engines that serve one would load the other.
+    """
+    by_start = [f"e{number}@1" for number in range(4)]
+    again = ["e0@2", *by_start[1:]]
+    placed = []
+    for keys in (by_start, again):
+        views = [EngineView(key, {}, key.partition("@")[0]) for key in keys]
+        found = place_on_engines({"m0": 0, "m1": 0}, views)
+        placed.append({model: [key.partition("@")[0] for key in at] for model, at in found.items()})
+    assert placed[0] == placed[1]
+    assert place_on_engines({"m0": 0}, [EngineView("e5", {})]) == {"m0": ["e5"]}
