--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -43,6 +43,8 @@
 _SILENT = timedelta(milliseconds=1800)
 _STALLED = timedelta(seconds=5)
 _WATCH = timedelta(milliseconds=250)
+# More than all engines of the design size.
+_HEARD_KEPT = 10_000
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
 _SCORE_ATTEMPTS = 2
@@ -108,6 +110,11 @@
         """Note which upstream works now, and start its time."""
         self.upstream = upstream
         self.moved_at = self._run.tools.clock.monotonic()
+        heard = self._run.tools.heard
+        if len(heard) > _HEARD_KEPT:
+            # By starts, of which there are more each day: a stall asks about the last seconds only.
+            for key in [key for key, at in heard.items() if self.moved_at - at > _STALLED]:
+                del heard[key]
 
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status, and the version that the upstream starts with."""
