Measure registrations at a gateway: a whole list, beats, a thousand restarts

Cause: 7,300 upstreams register at each gateway; nothing measured what that costs. Ruled out: nothing. Change: script/bench capacity registrations.

--- a/bench/capacity/command.py
+++ b/bench/capacity/command.py
@@ -3,12 +3,13 @@
 import argparse
 from collections.abc import Callable
 
-from . import config, members, memory, processes, samples, weights
+from . import config, members, memory, processes, registrations, samples, weights
 
 __all__ = ["PARTS", "main"]
 
 PARTS: dict[str, Callable[[bool], None]] = {
     "members": members.measure,
+    "registrations": registrations.measure,
     "config": config.measure,
     "weights": weights.measure,
     "samples": samples.measure,
