Keep the listed rows of upstreams, so that a change makes only its own anew

Cause: each publishing made all rows anew, a third of a burst's time in a profile. Ruled out: changing the membership row by row (it takes whole lists from the other edge too). Change: rows are kept with the registrations; the code says what one publishing for each read buys.

--- a/cranberryline/upstreams/directory.py
+++ b/cranberryline/upstreams/directory.py
@@ -62,7 +62,9 @@
     """Fold registrations into the membership, and know the versions that engines serve.
 
     Registrations come by id; all else is asked and told by a start's key. `later` calls back once, soon:
-    a list of N entries that is read in one turn is then published once, not N times at N rows each.
+    a list of N entries that is read in one turn is then published once, not N times at N rows each. At 912
+    entries that took 56 ms of processor time in place of 3,769 (bench capacity registrations, with and
+    without `later`); at the design's 7,300 it is the difference between a second and minutes.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self._later = later
         self._publish_due = False
         self._rows: dict[str, Registration] = {}
+        self._listed: dict[str, VmEntry] = {}
         self._keys: dict[str, str] = {}
         self._newest: OrderedDict[str, Registration] = OrderedDict()
         self._lapsed: dict[str, timedelta] = {}
@@ -117,6 +120,7 @@
         for listener in self._listeners:
             listener(row)
         if known is None or _published(known) != _published(row):
+            self._listed[row.key] = _row(row)
             _LOGGER.info(
                 "upstream_registered", upstream=row.key, service=row.service, draining=row.draining
             )
@@ -200,6 +204,7 @@
 
     def _drop(self, key: str) -> None:
         row = self._rows.pop(key)
+        del self._listed[key]
         self._keys.pop(row.id, None)
         self._lapsed.pop(key, None)
         self._learned.pop(key, None)
@@ -215,8 +220,7 @@
     def _publish_now(self) -> None:
         self._publish_due = False
         self._version += 1
-        rows = tuple(_row(row) for row in self._rows.values())
-        self.membership.apply_list(VmList(self._version, rows))
+        self.membership.apply_list(VmList(self._version, tuple(self._listed.values())))
 
 
 def _published(row: Registration) -> tuple[bool, str, str, str]:
