Hold entries of services that nobody names; ask for every field that an entry has

Cause: an entry of another writer with the upstream's id, a service that no configuration names, a later start and a drain was folded: harmless for its service, which has no routes, but its start stood above the upstream's own for good. Entries without fields that we do not use were taken, and their drain stuck. Ruled out: refusing such an entry for good (an upstream may be there before the configuration that names its service; it is taken in with that, not with its next beat).

--- a/bench/capacity/registrations.py
+++ b/bench/capacity/registrations.py
@@ -19,6 +19,7 @@
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.platform.adapter import UsersPlatform
 from cranberryline.ports.store import KeyedRecord
+from cranberryline.routes import RouteBook, RouteTable
 from cranberryline.upstreams.directory import Directory
 
 from .report import print_fits, print_line
@@ -32,19 +33,20 @@
 _RESTARTS = 1_000
 # A second's restarts come in as many reads: a gateway gathers records for 200 ms.
 _READS = 5
+_SERVICES = 8
 _BORN = 1_764_000_000_000
 
 
 def _record(number: int, start: int, seq: int) -> KeyedRecord:
     entry = {
-        "service": f"engines-{number % 8}",
+        "service": f"engines-{number % _SERVICES}",
         "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:{9000 + start}",
         "zone": f"dc-{number % DATA_CENTERS}",
         "version": "1",
         "slots": 8,
         "state": "ready",
         "cold_left_ms": 0,
-        "models": [{"name": f"model-{number % 8}", "version": 3, "adapters": []}],
+        "models": [{"name": f"model-{number % _SERVICES}", "version": 3, "adapters": []}],
         "seq": seq,
         "born": _BORN + start,
     }
@@ -57,7 +59,7 @@
     def __init__(self) -> None:
         clock, metrics, table = SystemClock(), Metrics(), PeerTable()
         loop = asyncio.get_running_loop()
-        platform = UsersPlatform("127.0.0.1:9")
+        platform, routes = UsersPlatform("127.0.0.1:9"), RouteBook()
         self.directory = Directory(clock, StoreHealth(clock), loop.call_soon)
         directs = DirectUpstreams(
             clock,
@@ -70,7 +72,8 @@
             platform.connect,
         )
         self.links = DirectLinks(table, directs)
-        self.registrations = Registrations(platform, self.directory, metrics)
+        self.registrations = Registrations(platform, self.directory, routes, metrics)
+        routes.apply(RouteTable(1, services={f"engines-{n}": None for n in range(_SERVICES)}))
         self.directory.listen_over(directs.end)
         self.directory.membership.listen(lambda: self.links.apply(self.directory.membership))
 
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -96,7 +96,7 @@
         self.health = StoreHealth(clock)
         self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
         self.directory = Directory(clock, self.health, _soon)
-        self.registrations = Registrations(platform, self.directory, self.metrics)
+        self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.table = PeerTable()
         self.directs = DirectUpstreams(
             clock,
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from ipaddress import IPv6Address
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -68,10 +68,12 @@
     service: _Text
     address: str
     zone: _Zone
+    version: Any
     slots: int
     state: str
+    cold_left_ms: int | float
+    seq: _Count
     models: list[_Model] = []
-    seq: _Count = 0
     born: int | msgspec.UnsetType = msgspec.UNSET
 
 
--- a/cranberryline/routes/model.py
+++ b/cranberryline/routes/model.py
@@ -84,6 +84,12 @@
     services: Mapping[str, EngineService | None] = attrs.field(factory=dict)
     limits: Limits = Limits()
 
+    def names(self, service: str) -> bool:
+        """Tell whether the configuration names a service."""
+        if service in self.services:
+            return True
+        return any(share.service == service for route in self.routes for share in route.services)
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix that begins the path."""
         found: Route | None = None
--- a/cranberryline/upstreams/errors.py
+++ b/cranberryline/upstreams/errors.py
@@ -29,6 +29,7 @@
     BAD_SLOTS = "bad_slots"
     BAD_START = "bad_start"  # out of range, or not told by an upstream that always tells it
     BAD_STATE = "bad_state"
+    UNKNOWN_SERVICE = "unknown_service"  # one that no configuration names, so far
     OLD_START = "old_start"  # of a start that a newer one has followed
 
 
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -75,6 +75,13 @@
     "start_far": ({"born": 10**17}, RegistrationProblem.BAD_START),
     "zone_number": ({"zone": 1}, RegistrationProblem.BAD_FIELD),
     "models_text": ({"models": "m"}, RegistrationProblem.BAD_FIELD),
+    "no_zone": ({"zone": ...}, RegistrationProblem.BAD_FIELD),
+    "no_software": ({"version": ...}, RegistrationProblem.BAD_FIELD),
+    "no_cold": ({"cold_left_ms": ...}, RegistrationProblem.BAD_FIELD),
+    "cold_text": ({"cold_left_ms": "0"}, RegistrationProblem.BAD_FIELD),
+    "no_seq": ({"seq": ...}, RegistrationProblem.BAD_FIELD),
+    "seq_text": ({"seq": "12"}, RegistrationProblem.BAD_FIELD),
+    "seq_negative": ({"seq": -1}, RegistrationProblem.BAD_FIELD),
     "version_negative": ({"models": [{"name": "m", "version": -1}]}, RegistrationProblem.BAD_FIELD),
 }
 
--- a/tests/platform/test_restarts.py
+++ b/tests/platform/test_restarts.py
@@ -17,7 +17,7 @@
 from cranberryline.upstreams.directory import Registration
 from stand_ins.platform_sampler import PlatformSampler
 
-from .conftest import MODEL, Platform, async_platform, async_until, job, play
+from .conftest import MODEL, Platform, async_platform, async_until, config, job, play
 
 # A run at a silent upstream is left after 1.8 s at the soonest; what is decided by the new start's
 # entry is decided within the 200 ms for which entries are gathered and two turns.
@@ -194,15 +194,43 @@
     play(scene())
 
 
-def test_an_upstream_of_a_service_that_nobody_names_harms_nobody() -> None:
-    """It stands there, and nothing is ever sent to it."""
+def test_an_upstream_of_a_service_that_nobody_names_waits_until_it_is_named() -> None:
+    """Nothing is sent to it; it is there with the configuration that names its service."""
 
     async def scene() -> None:
         platform = await async_platform()
-        odd = platform.add_sampler("nobody")
-        await async_until(lambda: len(platform.gateways[0].table.usable("nobody")) == 1)
+        gateway = platform.gateways[0]
+        odd = platform.add_sampler("late")
+        await asyncio.sleep(0.5)
+        assert gateway.table.usable("late") == [] and not gateway.routes.knows("late")
         assert (await platform.async_call("GET", "/files/x", Attempt_Id="a")).code == 200
         assert odd.runs == []
+        named = config(5, plain="late")
+        named["services"].append({"name": "late"})
+        platform.store.put("keyed.op", "config", named)
+        await async_until(lambda: len(gateway.table.usable("late")) == 1, AT_ONCE)
+        assert (await platform.async_call("GET", "/files/x", Attempt_Id="b")).code == 200
+        assert [run.id for run in odd.runs] == ["b"]
+
+    play(scene())
+
+
+def test_an_entry_with_a_service_that_nobody_names_says_nothing_of_the_upstream() -> None:
+    """Another writer's entry, of a later start, that drains: the upstream's own next beat counts.
+
+    Taken in with its service passed over, its start and its drain would stand above the upstream's own
+    for good.
+    """
+
+    async def scene() -> None:
+        platform = await async_platform()
+        gateway = platform.gateways[0]
+        spoilt, _ = _of(platform, "files")
+        bad = {**spoilt.beat("draining"), "service": "nobody", "born": spoilt.born + 500}
+        platform.store.put("keyed.servers", spoilt.id, bad)
+        await async_until(lambda: len(gateway.table.usable("files")) == 1, AT_ONCE)
+        platform.store.put("keyed.servers", spoilt.id, spoilt.beat())
+        await async_until(lambda: len(gateway.table.usable("files")) == 2, AT_ONCE)
 
     play(scene())
 
