Show that a spoiled sample is started again at the same engine

Cause: the step of a trainer forgets where an attempt failed. Its next attempt at the sample follows the prompt's prefix to the same engine, which still serves no known version, again and again with pauses of up to 5 s. Ruled out: the books (the samples are in no answer of any pull, and no engine made them whole before the trainer gave up); hand-over and cursor (all batches taken at their cursors); the scorer; entries and links (no connection went down).

--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -344,7 +344,13 @@
         an attempt that was begun before the last failure that counted pauses nothing again.
         """
         self._ledger.discard(sample_id, name, error.reason)
-        _LOGGER.debug("sample_failed", sample_id=name, reason=error.reason, detail=error.detail)
+        _LOGGER.debug(
+            "sample_failed",
+            sample_id=name,
+            upstream=self._attempts[name].upstream,
+            reason=error.reason,
+            detail=error.detail,
+        )
         self._ports.metrics.retry(error.reason.value)
         now = self._clock.monotonic()
         # A refuser's word counts, up to the longest pause: an entry that has just started may name
--- a/tests/samples/sample_fakes.py
+++ b/tests/samples/sample_fakes.py
@@ -19,7 +19,7 @@
     SampleRequest,
 )
 
-__all__ = ["FakeConfig", "FakeDispatch", "FakeScorer"]
+__all__ = ["FakeConfig", "FakeDispatch", "FakeScorer", "UnlikeEngines"]
 
 
 class FakeDispatch(SampleDispatch):
@@ -59,6 +59,31 @@
         return Ok(Completion(text, (Segment(version, 3),), upstream))
 
 
+class UnlikeEngines(SampleDispatch):
+    """Engines that are chosen in this order, as by a prompt's prefix; `broken` name no version.
+
+    As in an entry's lane, the first is chosen all the same where every engine is to be avoided.
+    """
+
+    def __init__(self, engines: list[str]) -> None:
+        self.engines = engines
+        self.broken: set[str] = set()
+        self.tried: dict[str, list[str]] = {}
+
+    async def async_complete(
+        self, req: SampleRequest, on_dispatched: Callable[[str], None]
+    ) -> Result[Completion, DispatchError]:
+        """Make one sample in half a second."""
+        allowed = [engine for engine in self.engines if engine not in req.avoid]
+        upstream = (allowed or self.engines)[0]
+        self.tried.setdefault(req.sample_id, []).append(upstream)
+        on_dispatched(upstream)
+        await asyncio.sleep(0.5)
+        if upstream in self.broken:
+            return Err(DispatchError(DiscardReason.VERSION_MISSING))
+        return Ok(Completion(req.sample_id, (Segment(5, 3),), upstream))
+
+
 class FakeScorer(ScorePort):
     """Score 1, unless it is out or answers nonsense."""
 
