Make a sample that an engine spoiled at another engine

Cause: a step remembered nothing of where its attempts had failed, so a spoiled sample followed its prompt's prefix back to the engine that names no version (its swap had failed), with pauses of up to 5 s, while the other engines were idle. The trainer gave its step up after 20 s and the books rightly counted the sample as lost. Ruled out: no pause between attempts (asks the same engine more often); leaving engines out by the version in their load report (idle connections report each 5 s only, and a new report of a swapped engine would come as late); health (callers' requests are served well there). Change: samples/elsewhere.py keeps for each unfinished sample where it failed; the next attempt avoids these, as a hedge avoids where the sample runs. Failed at all, they take turns, so that one that works is found.

--- a/cranberryline/samples/runner.py
+++ b/cranberryline/samples/runner.py
@@ -17,6 +17,7 @@
 from cranberryline.ports.model import ScorePort
 
 from .const import ATTR_TEXT
+from .elsewhere import Attempt, TriedUpstreams
 from .errors import CursorError, DiscardReason
 from .ledger import FinishOutcome, StepLedger
 from .model import Batch, Completion, Pull, SampleId, StepDeclaration, sample_name
@@ -60,15 +61,6 @@
     clock: Clock
 
 
-@attrs.define(eq=False)
-class _Attempt:
-    sample_id: SampleId
-    started: timedelta
-    task: asyncio.Task[None]
-    upstream: str = ""
-    scoring: bool = False
-
-
 class StepRunner:
     """Work on one step in one task until its trainer has gone quiet."""
 
@@ -95,7 +87,8 @@
         self._quiet_after = quiet_after
         self._ledger = StepLedger(declaration)
         self._limits: RolloutLimits | None = None
-        self._attempts: dict[str, _Attempt] = {}
+        self._attempts: dict[str, Attempt] = {}
+        self._tried = TriedUpstreams()
         # Two entries can make the same sample at once; an engine that is told to stop one attempt
         # must not stop the other's, so names are never shared.
         self._life = uuid.uuid4().hex[:8]
@@ -253,17 +246,13 @@
             self._begin(sample_id)
 
     def _begin(self, sample_id: SampleId) -> None:
-        avoid = frozenset(
-            attempt.upstream
-            for attempt in self._attempts.values()
-            if attempt.sample_id == sample_id and attempt.upstream
-        )
+        avoid = self._tried.avoid(sample_id, self._attempts.values())
         serial = f"{self._life}.{next(self._numbers)}"
         name = f"{sample_name(self.declaration, sample_id)}#{serial}"
         if not self._ledger.start(sample_id, name):
             return
         task = asyncio.get_running_loop().create_task(self._async_attempt(sample_id, name, avoid))
-        self._attempts[name] = _Attempt(sample_id, self._clock.monotonic(), task)
+        self._attempts[name] = Attempt(sample_id, self._clock.monotonic(), task)
         newest = self._read_limits().newest_version
         self._early[sample_id] = self._pace.versions_early(self.declaration.step, newest)
         task.add_done_callback(lambda done: self._end(name, done))
@@ -273,6 +262,7 @@
         if task.cancelled() or task.exception() is not None:
             if not task.cancelled():
                 _LOGGER.error("sample_attempt_broke", sample_id=name, error=repr(task.exception()))
+                self._tried.note_failed(attempt)
             # Without this a cancelled or broken attempt would hold its identity for ever.
             self._ledger.discard(attempt.sample_id, name, DiscardReason.FAILED)
         # Not `wake` first: the table wakes the trainer's steps in order, so that the room goes to
@@ -329,6 +319,7 @@
         if outcome is not FinishOutcome.KEPT:
             self._ports.metrics.drop(DROP_SAMPLE + outcome.value)
             return
+        self._tried.forget(sample_id)
         spent = self._clock.monotonic() - self._attempts[name].started
         self._durations.append(spent)
         tokens = sum(segment.tokens for segment in completion.segments)
@@ -344,6 +335,7 @@
         an attempt that was begun before the last failure that counted pauses nothing again.
         """
         self._ledger.discard(sample_id, name, error.reason)
+        self._tried.note_failed(self._attempts[name])
         _LOGGER.debug(
             "sample_failed",
             sample_id=name,
