Give each launcher ports of slices that are its own

Cause: launchers beside each other drew ports from one range, and now and then one port was given to two of them before either had bound it.

--- a/stand_ins/process.py
+++ b/stand_ins/process.py
@@ -2,19 +2,18 @@
 
 import ctypes
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
 
+from .ports import free_ports
+
 __all__ = ["Process", "free_ports", "wait_for"]
 
 PR_SET_PDEATHSIG = 1
-_PORT_RANGE = (12_000, 32_000)
 _ROOT = Path(__file__).resolve().parent.parent
 _LIBC = ctypes.CDLL(None)
 
@@ -27,31 +26,6 @@
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that were free just now, all different.
-
-    They lie below the range that the kernel gives to outgoing connections: one of those could
-    otherwise take a port between this look and the start of the process it is meant for.
-    """
-    ports: list[int] = []
-    for port in random.SystemRandom().sample(range(*_PORT_RANGE), _PORT_RANGE[1] - _PORT_RANGE[0]):
-        if len(ports) == count:
-            break
-        if _is_free(port):
-            ports.append(port)
-    return ports
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def wait_for(condition: Callable[[], bool], what: str, timeout_s: float = 20.0) -> None:
     """Poll until the condition holds, or raise TimeoutError."""
     deadline = time.monotonic() + timeout_s
--- /dev/null
+++ b/tests/stand_ins/test_ports.py
@@ -0,0 +1,48 @@
+"""Ports for deployments: free, all different, and never those of another launcher."""
+
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+from stand_ins.process import free_ports
+
+ROOT = Path(__file__).resolve().parents[2]
+# So many that two random draws out of 20,000 would surely meet.
+COUNT = 1_500
+_LAUNCHER = (
+    "import sys; from stand_ins.process import free_ports; "
+    f"print(*free_ports({COUNT}), flush=True); sys.stdin.read()"
+)
+
+
+@contextmanager
+def _launcher() -> Iterator[set[int]]:
+    """Run a process that chooses ports and binds none of them yet."""
+    command = [sys.executable, "-c", _LAUNCHER]
+    pipe = subprocess.PIPE
+    with subprocess.Popen(command, cwd=ROOT, stdin=pipe, stdout=pipe, text=True) as process:
+        assert process.stdout is not None
+        try:
+            yield {int(port) for port in process.stdout.readline().split()}
+        finally:
+            process.communicate()
+
+
+def test_launchers_beside_each_other_are_given_different_ports() -> None:
+    """Two launchers choose their ports at the same moment, before either has bound one.
+
+    A port that both were given went to whoever bound it first. The other launcher took the answer
+    of that foreign process for its own process's readiness, and sent its load there: a trainer was
+    answered by a plain service, and that one's books counted calls that ran twice.
+    """
+    with _launcher() as first, _launcher() as second:
+        assert len(first) == len(second) == COUNT
+        assert not first & second
+
+
+def test_no_port_is_given_twice_before_it_is_bound() -> None:
+    """A launcher that asks for a few ports at a time gets new ones each time."""
+    ports = [port for _ in range(100) for port in free_ports(3)]
+    assert len(set(ports)) == len(ports)
