Show that a result is left to a writer that has ended

Cause: a partition's writer ends when nothing waits, and is taken off the list of writers by a callback of its task, one turn of the loop later. A result that comes in between finds a writer, starts none, and is written only when a further item of that partition ends at this node. Ruled out: engines and cuts (texts were whole and scored); the store (the lease was recorded later); the reader (no request was refused).

--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -8,7 +8,7 @@
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs.codec import encode_job, encode_records
-from cranberryline.jobs.model import JobEnded
+from cranberryline.jobs.model import ItemResult, ItemState, JobEnded, JobRecord
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from tests.store_fake import FakeStore, StoreLink
@@ -85,3 +85,41 @@
         assert node.started and ("job-1", 0) not in node.started
 
     run_virtual(scene())
+
+
+def test_a_result_that_comes_as_the_writer_ends_is_recorded() -> None:
+    """The store takes the last result at hand, and another item ends before the loop's next turn.
+
+    The writer has looked for more and is over, and still counts as at work: the result was left to
+    it, and nothing wrote it. The trainer waited for its last result until another item of the
+    partition ended at this node, or another node ran the item anew after seconds.
+    """
+
+    async def scene() -> None:
+        store, result = FakeStore(), ItemResult(ItemState.COMPLETED, "text")
+        store.append("jobs", 0, encode_records(encode_job(make_job("job-1"), "w")))
+        node = Node(StoreLink(store))
+        await asyncio.sleep(0.1)
+        state, loop = node.jobs.book.jobs["job-1"], asyncio.get_running_loop()
+        record = node.jobs.async_record
+
+        async def async_record_and_end_another(job_id: str, records: list[JobRecord]) -> bool:
+            taken = await record(job_id, records)
+            node.jobs.async_record = record  # type: ignore[method-assign]
+            answer = loop.create_future()
+
+            def answer_and_end_another() -> None:
+                """Wake the writer; the other item ends after it, before anything that follows."""
+                answer.set_result(None)
+                loop.call_soon(node.runner._finish, state, 1, result)
+
+            loop.call_soon(answer_and_end_another)
+            await answer
+            return taken
+
+        node.jobs.async_record = async_record_and_end_another  # type: ignore[method-assign]
+        node.runner._finish(state, 0, result)
+        await asyncio.sleep(2)
+        assert state.done == {0, 1}
+
+    run_virtual(scene())
