Let a writer of results leave the list in the step of its last look

Cause: between the last look of a partition's writer and the callback that took it off the list, a result that ended was left to a writer that was over. It was never appended unless a further item of that partition ended at this node; other nodes run the item anew after seconds. Ruled out: a second look in the callback (two places that must agree); one writer that never ends (eight idle tasks more, and an ended one would be as silent). Change: the writer takes itself off in `finally`; nothing else runs between its last look and that.

--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -216,12 +216,23 @@
         part = partition_of(state.job.id, len(self._jobs.tails))
         self._finished.setdefault(part, []).append(ResultRecord(state.job.id, index, result))
         if part not in self._writers:
-            task = asyncio.ensure_future(self._async_write(part))
-            self._writers[part] = task
-            task.add_done_callback(lambda _: self._writers.pop(part, None))
+            self._writers[part] = asyncio.ensure_future(self._async_write(part))
 
     async def _async_write(self, part: int) -> None:
-        """Append what has ended until all of it stands.
+        """Append what has ended until all of it stands, and count as at work no moment longer.
+
+        A callback of the task comes a turn of the loop after its last look. A result that ended in that
+        turn was left to a writer that was over, and its step waited until another node ran the item
+        anew (2 of 42 runs of the test of an item that is gone on with elsewhere). Between the last look
+        here and the end of `finally` nothing else runs.
+        """
+        try:
+            await self._async_write_all(part)
+        finally:
+            del self._writers[part]
+
+    async def _async_write_all(self, part: int) -> None:
+        """Append until nothing waits.
 
         A result whose append got no answer is appended again: the first one stands, so a second one
         changes nothing, while one that was dropped would keep its step waiting.
