Send a spoiled item to every engine before one gets it again

Cause: an item avoided the engine of its last run alone. Two engines that spoil it and that its prefix prefers pass it to and fro; with answers of 500 it is listed as dead after three though a third engine is sound. The same cause as that of samples left at one engine. Ruled out: the same in other callers of the dispatcher (streams, repeated requests and the dispatcher itself collect what they tried, and their attempts are few).

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -9,6 +9,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cranberryline.decisions.elsewhere import avoid_next
 from cranberryline.decisions.hedging import HedgeBudget, scoring_hedge_delay
 from cranberryline.decisions.turned_away import TurnedAway
 from cranberryline.entry.attempt import CallerLeft
@@ -244,7 +245,7 @@
         had = len(self.text.events)
         outcome = await self._async_dispatch(route, sink)
         if sink.upstream:
-            self._avoid = frozenset({sink.upstream})
+            self._avoid = avoid_next(self._avoid, sink.upstream)
         if len(self.text.events) > had:
             self._pause = _PAUSE
         if isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole:
--- a/cranberryline/samples/elsewhere.py
+++ b/cranberryline/samples/elsewhere.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cranberryline.decisions.elsewhere import avoid_next
+
 from .model import SampleId
 
 __all__ = ["Attempt", "TriedUpstreams"]
@@ -36,16 +38,10 @@
         self._failed: dict[SampleId, frozenset[str]] = {}
 
     def note_failed(self, attempt: Attempt) -> None:
-        """Remember where an attempt failed; one that was never sent says nothing.
-
-        An upstream that failed once more was asked although it was to be avoided, so there was no
-        other: a new round begins, or the first by prefix would be asked for good.
-        """
-        if not attempt.upstream:
-            return
-        failed = self._failed.get(attempt.sample_id, frozenset())
-        earlier = frozenset() if attempt.upstream in failed else failed
-        self._failed[attempt.sample_id] = earlier | {attempt.upstream}
+        """Remember where an attempt failed; one that was never sent says nothing."""
+        if attempt.upstream:
+            failed = self._failed.get(attempt.sample_id, frozenset())
+            self._failed[attempt.sample_id] = avoid_next(failed, attempt.upstream)
 
     def forget(self, sample_id: SampleId) -> None:
         """Drop what is known of a finished sample; made again later, it may go anywhere."""
--- /dev/null
+++ b/tests/jobs/test_elsewhere.py
@@ -0,0 +1,96 @@
+"""An item that engines spoil reaches the one that does not."""
+
+import asyncio
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any, cast
+
+from result import Err, Ok, Result
+
+from cranberryline.entry.errors import Ran, Refusal, RefusalReason
+from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.jobs.codec import encode_job, encode_records
+from cranberryline.jobs.model import Item, ItemState, Job
+from cranberryline.jobs.runner import JobRunner, RunnerParts
+from cranberryline.jobs.service import JobService
+from cranberryline.ports.edge import AnswerHead
+from tests.store_fake import FakeStore, StoreLink
+from tests.virtual_time import LoopClock, run_virtual
+
+
+class ThreeEngines:
+    """Stands for the dispatcher: the first engine that is not avoided is chosen, the last one works."""
+
+    engines = ("u1", "u2", "u3")
+
+    def __init__(self) -> None:
+        self.asked: list[str] = []
+
+    def places(self, _service: str) -> int:
+        """Return the places of the service."""
+        return 4
+
+    async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
+        """Answer 500 at all engines but the last."""
+        free = [engine for engine in self.engines if engine not in req.avoid] or self.engines
+        self.asked.append(free[0])
+        sink.dispatched(free[0])
+        await asyncio.sleep(0.05)
+        if req.eligible is not None and not req.eligible(free[0]):
+            return Err(Refusal(RefusalReason.NO_UPSTREAM, Ran.NO))
+        if free[0] != self.engines[-1]:
+            await sink.async_head(500, ())
+            return Ok(free[0])
+        await sink.async_head(200, (("version", "1"),))
+        await sink.async_chunk(b"id: 1\ndata: a\n\n", last=True)
+        return Ok(free[0])
+
+
+def _make_parts(jobs: JobService, engines: ThreeEngines, clock: LoopClock) -> RunnerParts:
+    route = SimpleNamespace(
+        single_version=False,
+        max_wait=None,
+        max_attempts=3,
+        goal=timedelta(seconds=1),
+        choose_service=lambda _rng: "engines",
+    )
+    edge = SimpleNamespace(
+        version_field="version",
+        item_headers=lambda _job, _item, _last: (),
+        answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
+    )
+    versions = SimpleNamespace(version=lambda _up, _model: 1, learn=lambda *_: None)
+    table = SimpleNamespace(match=lambda _host, _path: route)
+    stubs = (SimpleNamespace(table=table), engines, edge, versions)
+    ports = [cast(Any, stub) for stub in stubs]
+    return RunnerParts(jobs, *ports, clock, Metrics(), "front-1", lambda _since: ["front-1"])
+
+
+def test_an_item_does_not_go_to_and_fro_between_two_engines_that_fail() -> None:
+    """Two of three engines answer each run with 500, and the item's prefix lies with them.
+
+    Avoiding the last one alone, the item went back to the first on its third run, had the three
+    answers of 500 that its route allows, and was listed as dead though the third engine was sound.
+    """
+
+    async def scene() -> None:
+        store, engines, clock = FakeStore(), ThreeEngines(), LoopClock()
+        item = Item("item-1", "/p/x", (), b"b", 10, "g0")
+        job = Job("job-1", "host.example", "/p/1", (item,), 0.0, "model", 1, 1, 1)
+        store.append("jobs", 0, encode_records(encode_job(job, "w")))
+        health, keep = StoreHealth(clock), timedelta(seconds=180)
+        jobs = JobService(StoreLink(store), 1, clock, health, Metrics(), keep)
+        runner = JobRunner(_make_parts(jobs, engines, clock))
+        tasks = [
+            asyncio.ensure_future(part) for part in (jobs.tails[0].async_run(), runner.async_run())
+        ]
+        await asyncio.sleep(5)
+        results = jobs.book.jobs["job-1"].results
+        assert [result.state for _, result in results] == [ItemState.COMPLETED]
+        assert engines.asked == ["u1", "u2", "u3"]
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(scene())
