Take back the order of loads by what the next version would find

Cause: the change was to spare steps of trainers that run behind a wait for whole loads. Change: reverted.

--- a/cranberryline/decisions/version_placement.py
+++ b/cranberryline/decisions/version_placement.py
@@ -14,12 +14,10 @@
 engines moved, and its model then gets one part of them. Engines with the fewest models so far are taken first, among those the
 model's own order by rendezvous hash, so a lost engine moves few models.
 
-Few loads run at full speed beside each other, so several models wait for their turn. A model that no engine
-can serve goes first, then one that no engine could serve if its next version were named now: a trainer
-that is behind names two within a second, and its step then waited for whole loads of others. Among equals
-the one that fewest engines can serve, then the one most versions behind, then the one whose version was
-named first. Taken in the order of their names, the last of three models got no load for six seconds while
-the first got three versions, and its trainer's step ran into its time limit.
+Few loads run at full speed beside each other, so several models wait for their turn. The model that fewest
+engines can serve goes first, among equals the one that is most versions behind, then the one whose
+version was named first. Taken in the order of their names, the last of three models got no load for six
+seconds while the first got three versions, and its trainer's step ran into its time limit.
 """
 
 from collections import Counter
@@ -55,28 +53,15 @@
         """Count the engines that serve, or are about to serve, what the trainer allows."""
         return sum(version >= self.wanted - self.lag for version in self.versions.values())
 
-    @property
-    def ready_for_next(self) -> bool:
-        """Tell whether some engine will serve a step also once the next version is named."""
-        return any(version >= self.wanted for version in self.versions.values())
-
     @property
     def behind(self) -> int:
         """Return how many versions the model's newest engine is behind."""
         return self.wanted - max(self.versions.values(), default=0)
 
     @property
-    def urgency(self) -> tuple[bool, bool, int, int, timedelta, str]:
+    def urgency(self) -> tuple[int, int, timedelta, str]:
         """Return what sorts the most urgent need first."""
-        unserved = self.serving == 0
-        return (
-            not unserved,
-            self.ready_for_next,
-            self.serving,
-            -self.behind,
-            self.named_at,
-            self.model,
-        )
+        return (self.serving, -self.behind, self.named_at, self.model)
 
 
 def loads_at_once(engines: int) -> int:
