Log where the time of items, requests and streams goes

Cause: an item's line told its wait, text and scoring as three sums. Whether a long text had waited for a place, read its prompt or lost a run could not be told, nor its group, nor when its result stood or was read. A job's line named neither its trainer nor how many groups that waits for.

Change: item_ended is written when the item's result stands (or nobody wants it any more), with group, size of the group, waits for places, prefill, time lost to broken runs, upstreams, wait for scoring and append. job_accepted tells model, group_count, min_version and how long it took; groups_read names each group once at a node that serves its last result; job_items_cancelled tells the stages of what still ran. request_answered tells when the upstream's turn came, stream_ended its upstream and first event. The text's time of an item that dies in its text no longer counts as scoring.

Ruled out: a line for each append or read (not bounded by groups), and sizes of groups counted for each item (quadratic in a job's items); a job's groups are counted once, at nodes that tell of it.

--- a/cranberryline/entry/repeated.py
+++ b/cranberryline/entry/repeated.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.hedging import HedgeBudget
+from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 
 from .dispatch import Dispatcher
@@ -24,15 +25,18 @@
 
 
 class AttemptSink(CollectingSink):
-    """Collect an answer and note who made it."""
+    """Collect an answer and note who made it, and since when if a clock is given."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
         super().__init__()
         self.upstream = ""
+        self.sent_at: timedelta | None = None
+        self._clock = clock
 
     def dispatched(self, upstream: str) -> None:
         """Note the upstream of the attempt that begins."""
         self.upstream = upstream
+        self.sent_at = None if self._clock is None else self._clock.monotonic()
 
 
 @attrs.define
@@ -50,6 +54,7 @@
     copy_after: timedelta
     max_attempts: int
     failures: int = 0
+    clock: Clock | None = None
     _running: dict[asyncio.Task[Result[str, Refusal]], AttemptSink] = attrs.field(factory=dict)
     _avoid: frozenset[str] = frozenset()
     _may_have_run: int = 0
@@ -93,7 +98,7 @@
 
     def _start(self) -> None:
         self._avoid |= {sink.upstream for sink in self._running.values() if sink.upstream}
-        sink = AttemptSink()
+        sink = AttemptSink(self.clock)
         work = self.dispatcher.async_run(self.make(self._avoid), sink)
         self._running[asyncio.ensure_future(work)] = sink
 
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -71,6 +71,7 @@
         """Start the request's time."""
         self._began = self.context.clock.monotonic()
         self._work: asyncio.Task[Any] | None = None
+        self._first_ms = 0
         self.request_id = ""
 
     def clear(self) -> None:
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -13,6 +13,7 @@
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
+from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.http_server import break_off
 from cranberryline.helpers.logging import get_logger
@@ -122,10 +123,11 @@
                 lambda avoid: self._upstream_request(route, deadline, avoid, 1),
                 hedge_delay(route.goal),
                 max(1, route.max_attempts),
+                clock=ctx.clock,
             )
             outcome = await repeated.async_run()
         else:
-            sink = AttemptSink()
+            sink = AttemptSink(ctx.clock)
             req = self._upstream_request(route, deadline, frozenset(), max(1, route.max_attempts))
             once = await ctx.dispatcher.async_run(req, sink)
             outcome = Ok(sink) if isinstance(once, Ok) else Err(once.unwrap_err())
@@ -159,7 +161,14 @@
             sink = ended.unwrap()
             if run.begun:
                 await self.finish()
-                _LOGGER.info("stream_ended", request_id=self.request_id, ms=self._ms())
+                _LOGGER.info(
+                    "stream_ended",
+                    request_id=self.request_id,
+                    route=route.name,
+                    upstream=sink.upstream,
+                    first_ms=self._first_ms,
+                    ms=self._ms(),
+                )
                 return
             answer = AttemptSink()
             answer.upstream = sink.upstream
@@ -176,6 +185,7 @@
         break_off(self)
 
     async def _async_stream_head(self, status: int, headers: Pairs) -> None:
+        self._first_ms = self._ms()
         self.set_status(status)
         for name, value in headers:
             if name.lower() not in _DROPPED_HEADERS:
@@ -231,6 +241,7 @@
             config=self._config_version(),
             upstream=sink.upstream,
             status=sink.status,
+            place_ms=None if sink.sent_at is None else in_milliseconds(sink.sent_at - self._began),
             ms=self._ms(),
         )
 
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from functools import cached_property
 
 import attrs
 
 from cranberryline.helpers.clock import Clock
 
 from .codec import decode_job
+from .groups import JobGroups
 from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
 
 __all__ = ["JobBook", "JobState"]
@@ -29,6 +31,11 @@
         """Tell whether an item has still to be run."""
         return not self.ended and len(self.done) < len(self.job.items)
 
+    @cached_property
+    def groups(self) -> JobGroups:
+        """Return the job's groups, worked out where they are asked for: not every node tells of a job."""
+        return JobGroups(self.job)
+
     def item(self, item_id: str) -> tuple[int, Item] | None:
         """Return an item and its number by its id."""
         for index, item in enumerate(self.job.items):
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -26,6 +26,7 @@
 from .events import EventReader, ItemText
 from .knowledge import JobKnowledge
 from .model import Item, ItemResult, ItemState, Scorer
+from .phases import ItemPhases
 from .scoring import ScoringPlaces
 
 __all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
@@ -108,6 +109,7 @@
         """Note which upstream works now, and start its time."""
         self.upstream = upstream
         self.moved_at = self._run.tools.clock.monotonic()
+        self._run.phases.dispatched(self.moved_at, upstream, len(self._run.text.events))
 
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status, and the version that the upstream starts with."""
@@ -131,6 +133,8 @@
             events = self._reader.feed(data)
         except ValueError:
             self._leave("bad_event")
+        if events and self.moved_at is not None:
+            self._run.phases.heard(self.moved_at)
         for event in events:
             if event.version is not None:
                 self._version = event.version
@@ -168,6 +172,7 @@
         self.runs = 0
         self.began = tools.clock.monotonic()
         self.text_at = self.began
+        self.phases = ItemPhases(self.began)
         self.known_age: timedelta | None = None
         self._failed_runs = 0
         self._pause = _PAUSE
@@ -247,7 +252,10 @@
             self._avoid = frozenset({sink.upstream})
         if len(self.text.events) > had:
             self._pause = _PAUSE
-        if isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole:
+        whole = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole
+        self.text_at = self.tools.clock.monotonic()
+        self.phases.run_ended(self.text_at, whole)
+        if whole:
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_IMPOSSIBLE:
             return True
@@ -335,7 +343,9 @@
             if route is None:
                 return ItemResult(ItemState.DEAD)
             service = route.choose_service(self.tools.rng)
+            self.phases.scoring_asked(self.tools.clock.monotonic())
             async with self.tools.scoring.place(service):
+                self.phases.scoring_sent(self.tools.clock.monotonic())
                 asked = self._score_request(scorer, route, service)
                 outcome = await asked.async_run()
             failures += asked.failures
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
@@ -18,6 +18,7 @@
 from cranberryline.routes import RouteBook
 
 from .book import JobState
+from .groups import group_of
 from .item import ItemRun, ItemTools, UpstreamVersions
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
@@ -60,6 +61,14 @@
     task: asyncio.Task[None]
 
 
+@attrs.frozen(eq=False)
+class _Untold:
+    """An item that ended at `ended` (monotonic clock) and whose line in the log is not written yet."""
+
+    run: ItemRun
+    ended: timedelta
+
+
 class JobRunner:
     """Start what falls to this node, once; append results until they stand."""
 
@@ -73,6 +82,7 @@
         # until its record comes back from the store: one item in eight ran twice, and was scored twice.
         self._ended: defaultdict[str, set[int]] = defaultdict(set)
         self._finished: dict[int, list[ResultRecord]] = {}
+        self._untold: dict[tuple[str, int], _Untold] = {}
         self._writers: dict[int, asyncio.Task[None]] = {}
         self._rng = random.Random()
         self.stopping = False
@@ -136,6 +146,7 @@
                 request_id=state.job.id,
                 items=len(items),
                 oldest_known_ms=oldest,
+                stages=dict(Counter(item.run.phases.stage for item in items)),
             )
 
     def _start_due(self) -> None:
@@ -192,23 +203,38 @@
     async def _async_item(self, run: ItemRun) -> None:
         result = await run.async_run()
         if result is not None:
-            self._tell(run, result)
+            self._untold[run.state.job.id, run.index] = _Untold(run, self._clock.monotonic())
             self._finish(run.state, run.index, result)
 
-    def _tell(self, run: ItemRun, result: ItemResult) -> None:
-        now = self._clock.monotonic()
+    def _tell(self, record: ResultRecord, listed: bool) -> None:
+        """Log where an item's time went, once its result stands or nobody wants it any more."""
+        untold = self._untold.pop((record.job, record.index), None)
+        if untold is None:
+            return
+        run, ended, result = untold.run, untold.ended, record.result
+        phases, job = run.phases, run.state.job
         _LOGGER.info(
             "item_ended",
             request_id=run.item.id,
-            job=run.state.job.id,
+            job=job.id,
+            group=group_of(run.item),
+            group_size=run.state.groups.sizes[group_of(run.item)],
             outcome=result.state,
+            listed=listed,
             versions=result.versions,
             events=len(run.text.events),
             runs=run.runs,
             known_ms=None if run.known_age is None else in_milliseconds(run.known_age),
             waited_ms=in_milliseconds(run.began - run.state.seen_at),
             text_ms=in_milliseconds(run.text_at - run.began),
-            score_ms=in_milliseconds(now - run.text_at),
+            place_ms=in_milliseconds(phases.place),
+            prefill_ms=in_milliseconds(phases.prefill),
+            broken_ms=in_milliseconds(phases.broken),
+            resumed=phases.resumed,
+            upstreams=phases.upstreams,
+            score_ms=in_milliseconds(ended - run.text_at),
+            score_wait_ms=in_milliseconds(phases.score_wait),
+            append_ms=in_milliseconds(self._clock.monotonic() - ended),
         )
 
     def _finish(self, state: JobState, index: int, result: ItemResult) -> None:
@@ -234,6 +260,8 @@
                 self._finished[part] = [
                     record for record in self._finished[part] if id(record) not in written
                 ]
+                for record in waiting[:_MAX_BATCH]:
+                    self._tell(record, listed=True)
                 continue
             await self._clock.async_sleep(_RECORD_PAUSE * (0.5 + self._rng.random()))
 
@@ -247,6 +275,10 @@
             and not state.ended
             and record.index not in state.done
         ]
+        for record in self._finished.get(part, []):
+            state = jobs.get(record.job)
+            if state is None or state.ended or record.index in state.done:
+                self._tell(record, listed=state is not None and record.index in state.done)
         self._finished[part] = wanted
         return wanted
 
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.come_back import come_back_after
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
@@ -82,6 +82,7 @@
         if job.id in self.book.jobs:
             _LOGGER.info("job_known", request_id=job.id)
             return Ok(None)
+        began = self._clock.monotonic()
         records = encode_records(encode_job(job, uuid.uuid4().hex))
         for batch in _batches(records):
             refused = await self._async_keep(job.id, batch, lambda: job.id in self.book.jobs)
@@ -89,7 +90,16 @@
                 self._metrics.refuse(refused.problem.value)
                 _LOGGER.info("job_not_accepted", request_id=job.id, problem=refused.problem)
                 return Err(refused)
-        _LOGGER.info("job_accepted", request_id=job.id, items=len(job.items), step=job.step)
+        _LOGGER.info(
+            "job_accepted",
+            request_id=job.id,
+            items=len(job.items),
+            step=job.step,
+            model=job.model,
+            group_count=job.group_count,
+            min_version=job.min_version,
+            ms=in_milliseconds(self._clock.monotonic() - began),
+        )
         return Ok(None)
 
     async def async_end(self, job_id: str) -> Result[None, JobRefused]:
@@ -141,7 +151,10 @@
         unsure = len(state.results) <= after and not complete
         if unsure and not await self._tail(job_id).async_sync(READ_TIMEOUT):
             return Err(JobRefused(JobProblem.NOT_SURE))
-        return Ok(_page(state, after))
+        page = _page(state, after)
+        if groups := state.groups.newly_read(state.results, after, page.next):
+            _LOGGER.info("groups_read", request_id=job_id, groups=groups, next=page.next)
+        return Ok(page)
 
     async def async_record(self, job_id: str, records: list[JobRecord]) -> bool:
         """Append records about a job; False when it is not sure that they stand."""
