Add `cranberryline report`: where a step's time goes, from the gateways' logs

Cause: a late step was explained by three greps over the logs of all nodes, which gave sums over items and not what the step itself waited for.

Change: the command reads JSON lines (files or standard input) and tells of the whole run, one trainer, one job or one plain request: its course, its groups and items, and the shares of the critical path, over the item that ended last in the last group that the trainer needed. What can't be read is counted by kind; a missing file or an unknown id is an error. Lines of earlier releases are read, with what they tell.

Ruled out: the group_count-th group alone as a step's end. A trainer also waits for groups that it asks for again, which no line names; one that went on waiting with enough groups ends by the last that it read.

--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -24,6 +24,8 @@
 PROGRAM = "cranberryline"
 
 _FIRE_HELP = ("--", "--help")
+# `fire` would take the argument behind a flag as its value.
+_SWITCHES = {"--json": "--json=True"}
 _HELP_FLAGS = ("-h", "--help")
 
 _ROLES: dict[str, type[EntrySettings] | type[GatewaySettings] | type[SideSettings]] = {
@@ -67,6 +69,17 @@
     return run
 
 
+def _report(as_json: bool) -> Callable[..., int]:
+    """Return the command for reports, imported when it runs: the roles need nothing of it."""
+
+    def run(job: str, model: str, request: str, picture: str, *files: str) -> int:
+        from .reports import run as run_report  # noqa: PLC0415
+
+        return run_report(job, model, request, picture, as_json, files)
+
+    return run
+
+
 class ConfigCommands:
     """Publish and read configuration records."""
 
@@ -177,6 +190,30 @@
         """
         return _command(_check_settings, settings, role)
 
+    def report(
+        self,
+        *files: str,
+        job: str = "",
+        model: str = "",
+        request: str = "",
+        picture: str = "",
+        json: bool = False,
+    ) -> _Command:
+        """Tell from gateways' logs where the time of steps went, or of one plain request.
+
+        Args:
+            files: Logs of all gateways, JSON lines; without any, standard input is read.
+            job: Tell of this job, with its items.
+            model: Tell of this trainer's steps.
+            request: Tell of the plain request with this id.
+            picture: Draw into this PNG file too; needs matplotlib.
+            json: Print JSON; takes no value.
+
+        """
+        if not isinstance(json, bool):
+            return _command(_usage, f"--json takes no value: {json!r}")
+        return _command(_report(json), job, model, request, picture, *files)
+
     def version(self) -> _Command:
         """Print the version."""
         return _command(_version)
@@ -187,6 +224,7 @@
     # The help of `fire` would start a pager as a second process; "-" takes the one built in.
     os.environ["PAGER"] = "-"
     args = [_as_text(arg) for arg in (sys.argv[1:] if argv is None else argv)]
+    args = [_SWITCHES.get(arg, arg) for arg in args]
     if args and args[-1] in _HELP_FLAGS:
         args = [*args[:-1], *_FIRE_HELP]
     try:
