Count text that was thrown away as lost, and tell when an item's node had read its job

Cause: where a text must be of one version and the engine changes it midway, the events so far are dropped; their time still counted as text. The JSON of a step didn't tell when the node that ran an item had its job.

Change: the time of dropped events counts as broken runs; job_seen_at and began_at for each item.

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -153,6 +153,7 @@
             self._leave("stale_version")
         if self._route.single_version and any(known != version for known in run.text.versions):
             run.text.clear()
+            run.phases.thrown_away()
             self._leave("version_changed")
 
     def _leave(self, reason: str) -> None:
--- a/cranberryline/jobs/phases.py
+++ b/cranberryline/jobs/phases.py
@@ -23,6 +23,7 @@
         self.resumed = 0
         self.upstreams: list[str] = []
         self.stage = "place"
+        self._text = timedelta()
         self._mark = began
 
     def dispatched(self, now: timedelta, upstream: str, events: int) -> None:
@@ -36,8 +37,15 @@
         """Note that a run brought events."""
         if self.stage == "prefill":
             self.prefill += now - self._mark
+        else:
+            self._text += now - self._mark
         self.stage, self._mark = "text", now
 
+    def thrown_away(self) -> None:
+        """Note that all events so far are of no use any more: the time that they took is lost too."""
+        self.broken += self._text
+        self._text = timedelta()
+
     def run_ended(self, now: timedelta, whole: bool) -> None:
         """Note the end of a run; one that broke lost what came after its last event."""
         if self.stage == "place":
--- a/cranberryline/reports/plain.py
+++ b/cranberryline/reports/plain.py
@@ -73,6 +73,8 @@
         "group": line.group,
         "node": line.vm_id,
         "outcome": line.outcome,
+        "job_seen_at": _iso(_began(item) - timedelta(milliseconds=line.waited_ms)),
+        "began_at": _iso(_began(item)),
         "listed_at": _iso(item.listed_at),
         "read_at": _iso(path.step.reads.get(line.group)),
         "events": line.events,
--- a/tests/jobs/test_phases.py
+++ b/tests/jobs/test_phases.py
@@ -33,6 +33,23 @@
     assert (phases.upstreams, phases.resumed, phases.stage) == (["e1", "e2"], 1, "scoring")
 
 
+def test_events_that_are_thrown_away_make_their_time_broken() -> None:
+    """An engine changes its version in the middle, where a text must be of one version.
+
+    The events so far are dropped and the item starts anew: their time is no text of the result's.
+    """
+    phases = ItemPhases(_at(0))
+    phases.dispatched(_at(10), "e1", 0)
+    phases.heard(_at(30))
+    phases.heard(_at(500))
+    phases.thrown_away()
+    phases.run_ended(_at(510), False)
+    phases.dispatched(_at(520), "e2", 0)
+    phases.heard(_at(540))
+    phases.run_ended(_at(900), True)
+    assert (phases.place, phases.prefill, phases.broken) == (_at(20), _at(40), _at(480))
+
+
 def test_a_run_without_an_event_is_broken_from_its_dispatch_on() -> None:
     """The first run never gets a place, the second is refused by its upstream.
 
@@ -54,7 +71,7 @@
     assert phases.upstreams == [f"e{n}" for n in range(2 * MAX_UPSTREAMS, 3 * MAX_UPSTREAMS)]
 
 
-@given(st.lists(st.tuples(st.sampled_from(["send", "hear", "break"]), st.integers(0, 900))))
+@given(st.lists(st.tuples(st.sampled_from(["send", "hear", "drop", "break"]), st.integers(0, 900))))
 def test_the_parts_never_exceed_the_time(
     moves: list[tuple[str, int]],
 ) -> None:
@@ -66,6 +83,8 @@
             phases.dispatched(_at(now), f"e{now}", 0)
         elif move == "hear" and phases.stage != "place":
             phases.heard(_at(now))
+        elif move == "drop":
+            phases.thrown_away()
         elif move == "break":
             phases.run_ended(_at(now), False)
     assert phases.place + phases.prefill + phases.broken <= _at(now)
--- a/tests/reports/test_command.py
+++ b/tests/reports/test_command.py
@@ -74,6 +74,8 @@
         12,
     )
     assert sum(cause["share"] for cause in told["causes"].values()) == pytest.approx(1, abs=0.001)
+    for row in told["items"]:
+        assert row["job_seen_at"] <= row["began_at"] <= row["listed_at"] <= row["read_at"]
     assert told["read"]["skipped"] == {"not_json": 0, "bad_fields": 0, "cut_short": 0}
 
 
