--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -1,6 +1,5 @@
 """Run one item of a job: its text over as many runs as it takes, then its score."""
 
-import abc
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
@@ -29,8 +28,9 @@
 from .model import Item, ItemResult, ItemState, Scorer
 from .phases import ItemPhases
 from .scoring import ScoringPlaces
+from .versions import UpstreamVersions
 
-__all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
+__all__ = ["ItemRun", "ItemTools"]
 
 _LOGGER = get_logger(__name__)
 
@@ -45,6 +45,8 @@
 _SILENT = timedelta(milliseconds=1800)
 _STALLED = timedelta(seconds=5)
 _WATCH = timedelta(milliseconds=250)
+# More than all engines of the design size.
+_HEARD_KEPT = 10_000
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
 _SCORE_ATTEMPTS = 2
@@ -53,18 +55,6 @@
 _STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
 
 
-class UpstreamVersions(abc.ABC):
-    """Which weight version an upstream serves, as far as this node knows."""
-
-    @abc.abstractmethod
-    def version(self, upstream: str, model: str) -> int | None:
-        """Return the version, None if unknown."""
-
-    @abc.abstractmethod
-    def learn(self, upstream: str, model: str, version: int) -> None:
-        """Take the version that an answer told."""
-
-
 @attrs.define
 class ItemTools:
     """What running an item takes."""
@@ -111,6 +101,11 @@
         self.upstream = upstream
         self.moved_at = self._run.tools.clock.monotonic()
         self._run.phases.dispatched(self.moved_at, upstream, len(self._run.text.events))
+        heard = self._run.tools.heard
+        if len(heard) > _HEARD_KEPT:
+            # By starts, of which there are more each day: a stall asks about the last seconds only.
+            for key in [key for key, at in heard.items() if self.moved_at - at > _STALLED]:
+                del heard[key]
 
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status, and the version that the upstream starts with."""
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -19,11 +19,12 @@
 
 from .book import JobState
 from .groups import group_of
-from .item import ItemRun, ItemTools, UpstreamVersions
+from .item import ItemRun, ItemTools
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
 from .scoring import ScoringPlaces
 from .service import JobService
+from .versions import UpstreamVersions
 
 __all__ = ["JobRunner", "RunnerParts"]
 
