--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -1,6 +1,5 @@
 """Run one item of a job: its text over as many runs as it takes, then its score."""
 
-import abc
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
@@ -27,9 +26,11 @@
 from .events import EventReader, ItemText
 from .knowledge import JobKnowledge
 from .model import Item, ItemResult, ItemState, Scorer
+from .phases import ItemPhases
 from .scoring import ScoringPlaces
+from .versions import UpstreamVersions
 
-__all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
+__all__ = ["ItemRun", "ItemTools"]
 
 _LOGGER = get_logger(__name__)
 
@@ -54,18 +55,6 @@
 _STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
 
 
-class UpstreamVersions(abc.ABC):
-    """Which weight version an upstream serves, as far as this node knows."""
-
-    @abc.abstractmethod
-    def version(self, upstream: str, model: str) -> int | None:
-        """Return the version, None if unknown."""
-
-    @abc.abstractmethod
-    def learn(self, upstream: str, model: str, version: int) -> None:
-        """Take the version that an answer told."""
-
-
 @attrs.define
 class ItemTools:
     """What running an item takes."""
@@ -111,6 +100,7 @@
         """Note which upstream works now, and start its time."""
         self.upstream = upstream
         self.moved_at = self._run.tools.clock.monotonic()
+        self._run.phases.dispatched(self.moved_at, upstream, len(self._run.text.events))
         heard = self._run.tools.heard
         if len(heard) > _HEARD_KEPT:
             # By starts, of which there are more each day: a stall asks about the last seconds only.
@@ -139,6 +129,8 @@
             events = self._reader.feed(data)
         except ValueError:
             self._leave("bad_event")
+        if events and self.moved_at is not None:
+            self._run.phases.heard(self.moved_at)
         for event in events:
             if event.version is not None:
                 self._version = event.version
@@ -156,6 +148,7 @@
             self._leave("stale_version")
         if self._route.single_version and any(known != version for known in run.text.versions):
             run.text.clear()
+            run.phases.thrown_away()
             self._leave("version_changed")
 
     def _leave(self, reason: str) -> None:
@@ -176,6 +169,7 @@
         self.runs = 0
         self.began = tools.clock.monotonic()
         self.text_at = self.began
+        self.phases = ItemPhases(self.began)
         self.known_age: timedelta | None = None
         self._failed_runs = 0
         self._pause = _PAUSE
@@ -257,7 +251,10 @@
             self._avoid = avoid_next(self._avoid, sink.upstream)
         if len(self.text.events) > had:
             self._pause = _PAUSE
-        if isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole:
+        whole = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole
+        self.text_at = self.tools.clock.monotonic()
+        self.phases.run_ended(self.text_at, whole)
+        if whole:
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_IMPOSSIBLE:
             return True
@@ -346,7 +343,9 @@
             if route is None:
                 return ItemResult(ItemState.DEAD)
             service = route.choose_service(self.tools.rng)
+            self.phases.scoring_asked(self.tools.clock.monotonic())
             async with self.tools.scoring.place(service):
+                self.phases.scoring_sent(self.tools.clock.monotonic())
                 asked = self._score_request(scorer, route, service)
                 outcome = await asked.async_run()
             failures += asked.failures
