--- a/cranberryline/entry/direct.py
+++ b/cranberryline/entry/direct.py
@@ -29,6 +29,9 @@
 
 __all__ = ["DirectUpstream", "DirectUpstreams"]
 
+# Ways that have left are looked through when there are twice as many as the last time: each time that one
+# is made, a list of N upstreams would cost N * N looks.
+_FEW = 4
 # There is one connection, from this entry to itself, and it never breaks.
 _CONNECTION = "direct"
 
@@ -161,7 +164,8 @@
         self._on_room = on_room
         self._connect = connect or (lambda row: HttpPlainService(row.address))
         self._claims: dict[str, ClaimService] = {}
-        self._links: list[DirectUpstream] = []
+        self._links: dict[str, list[DirectUpstream]] = {}
+        self._prune_at = _FEW
 
     def make(self, row: VmEntry) -> DirectUpstream:
         """Return a new way to an upstream."""
@@ -172,27 +176,52 @@
         limit = self._concurrency(row.service)
         runner = Runner(self._clock, execution, self._metrics, book, limit)
         link = DirectUpstream(row, runner, self._incarnation, self._next_id, self._on_room)
-        self._links = [old for old in self._links if not old.draining or old.outstanding]
-        self._links.append(link)
+        self._prune(row.id)
+        if len(self._links) >= self._prune_at:
+            for vm_id in list(self._links):
+                self._prune(vm_id)
+            self._prune_at = max(2 * len(self._links), _FEW)
+        self._links.setdefault(row.id, []).append(link)
         return link
 
     def retire(self, link: DirectUpstream) -> None:
         """Give an upstream that has left no new work; what it has goes on to its end."""
         link.draining = True
 
+    def end(self, vm_id: str) -> None:
+        """Decide at once what is at an upstream of which nothing more will come.
+
+        It has started again, under another id of ours. Its connections may stay open and silent, so
+        its runs would be given up one time limit after the other: a caller waits, a text stands still.
+        What has not been sent was not run; all else may have been.
+        """
+        for link in self._links.pop(vm_id, []):
+            link.draining = True
+            link.runner.end()
+
     def on_revision(self) -> None:
         """Take the concurrency that the configuration in force allows."""
-        for link in self._links:
+        for link in self._all():
             link.runner.set_concurrency(self._concurrency(link.service))
 
     async def async_stop(self) -> None:
         """Refuse what has not begun, finish what runs, and record the outcomes of keyed calls."""
-        for link in self._links:
+        for link in self._all():
             link.draining = True
             link.runner.drain()
-        await asyncio.gather(*(link.runner.async_wait_idle() for link in self._links))
+        await asyncio.gather(*(link.runner.async_wait_idle() for link in self._all()))
         await asyncio.gather(*(claims.async_stop() for claims in self._claims.values()))
 
+    def _all(self) -> list[DirectUpstream]:
+        return [link for links in self._links.values() for link in links]
+
+    def _prune(self, vm_id: str) -> None:
+        """Forget the ways to an upstream that have left and have nothing outstanding."""
+        links = self._links.pop(vm_id, [])
+        left = [link for link in links if not link.draining or link.outstanding]
+        if left:
+            self._links[vm_id] = left
+
     def _claims_of(self, service: str) -> ClaimService:
         claims = self._claims.get(service)
         if claims is None:
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -45,7 +45,7 @@
         self._clock = clock
         self._keep = keep
         self._parts: dict[tuple[str, str], _Parts] = {}
-        self._completed: dict[str, tuple[JobState, Listed]] = {}
+        self._completed: dict[str, tuple[JobState, int, Listed]] = {}
         self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
@@ -80,8 +80,8 @@
         found = self._completed.get(item.id)
         if found is None:
             return None
-        state, listed = found
-        same = state.readable and state.job.items[listed.index] == item
+        state, index, listed = found
+        same = state.readable and state.job.items[index] == item
         return listed.result if same else None
 
     def forget_old(self) -> None:
@@ -130,16 +130,16 @@
         if record.index in state.done or not 0 <= record.index < len(state.head.items):
             return
         if isinstance(record, PackedResult):
-            listed, completed = Listed(record.index, record.data), record.completed
+            listed, completed = Listed(record.data), record.completed
         else:
-            listed = Listed(record.index, record.result)
+            listed = Listed(record.result)
             completed = record.result.state is ItemState.COMPLETED
         state.done.add(record.index)
-        state.listed.append(listed)
+        state.listed.append((record.index, listed))
         item = state.head.items[record.index]
         state.moved_at[item.group] = self._clock.monotonic()
         if completed:
-            self._completed[item.id] = (state, listed)
+            self._completed[item.id] = (state, record.index, listed)
 
     def _notify(self, state: JobState) -> None:
         for listener in self._listeners:
--- a/cranberryline/jobs/codec.py
+++ b/cranberryline/jobs/codec.py
@@ -27,6 +27,7 @@
     "decode_result",
     "encode_job",
     "encode_records",
+    "head_of",
 ]
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/cranberryline/jobs/plan.py
+++ b/cranberryline/jobs/plan.py
@@ -8,6 +8,7 @@
 from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.helpers.tail import PartitionTail
 
+from .groups import group_of
 from .state import JobState
 
 __all__ = ["JobPlan"]
@@ -40,7 +41,7 @@
         self._state = state
         groups: dict[str, _Group | None] = {}
         for index, item in enumerate(state.head.items):
-            name = item.group or item.id
+            name = group_of(item)
             if name not in groups:
                 delay = self.placement.start_delay(name)
                 groups[name] = None if delay is None else _Group(item.group, delay, [])
--- a/cranberryline/jobs/state.py
+++ b/cranberryline/jobs/state.py
@@ -1,12 +1,14 @@
 """A job as a node knows it: packed until an item runs here or a result is read here."""
 
 from datetime import timedelta
+from functools import cached_property
 
 import attrs
 
 from cranberryline.helpers.logging import get_logger
 
-from .codec import decode_items, decode_result
+from .codec import decode_items, decode_result, head_of
+from .groups import JobGroups
 from .model import Item, ItemResult, ItemState, Job, JobHead
 
 __all__ = ["JobState", "Listed"]
@@ -17,10 +19,9 @@
 class Listed:
     """A result at its position, unpacked when it is read for the first time."""
 
-    __slots__ = ("_result", "index")
+    __slots__ = ("_result",)
 
-    def __init__(self, index: int, result: bytes | ItemResult) -> None:
-        self.index = index
+    def __init__(self, result: bytes | ItemResult) -> None:
         self._result = result
 
     @property
@@ -29,7 +30,7 @@
         if isinstance(self._result, bytes):
             found = decode_result(self._result)
             if found is None:
-                _LOGGER.error("result_unreadable", index=self.index)
+                _LOGGER.error("result_unreadable", size=len(self._result))
                 found = ItemResult(ItemState.DEAD)
             self._result = found
         return self._result
@@ -45,12 +46,22 @@
     head: JobHead
     details: bytes | tuple[Item, ...]
     seen_at: timedelta
-    listed: list[Listed] = attrs.field(factory=list)
+    listed: list[tuple[int, Listed]] = attrs.field(factory=list)
     done: set[int] = attrs.field(factory=set)
     ended: bool = False
     moved_at: dict[str, timedelta] = attrs.field(factory=dict)
     _job: Job | None = None
 
+    @classmethod
+    def of(cls, job: Job, seen_at: timedelta) -> "JobState":
+        """Return the state of a job that is at hand unpacked."""
+        return cls(head_of(job), job.items, seen_at)
+
+    @cached_property
+    def groups(self) -> JobGroups:
+        """Return the job's groups, worked out where they are asked for: not every node tells of a job."""
+        return JobGroups(self.head)
+
     @property
     def open(self) -> bool:
         """Tell whether an item has still to be run."""
@@ -63,9 +74,8 @@
             items = decode_items(self.details)
             if items is None or len(items) != len(self.head.items):
                 _LOGGER.error("job_unreadable", request_id=self.head.id)
-                return False
-            self.details = items
-        return True
+            self.details = items or ()
+        return len(self.details) == len(self.head.items)
 
     @property
     def job(self) -> Job:
@@ -90,7 +100,7 @@
     @property
     def results(self) -> list[tuple[int, ItemResult]]:
         """Return what is listed, unpacked."""
-        return [(listed.index, listed.result) for listed in self.listed]
+        return [(index, listed.result) for index, listed in self.listed]
 
     def item(self, item_id: str) -> tuple[int, Item] | None:
         """Return an item and its number by its id."""
--- a/tests/jobs/test_codec.py
+++ b/tests/jobs/test_codec.py
@@ -1,8 +1,10 @@
 """Jobs and results as they stand in the store, of this release and the one before."""
 
 import zlib
+from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,12 +15,13 @@
     Job,
     JobBook,
     JobPart,
+    JobState,
     ResultRecord,
     decode_record,
     encode_job,
     encode_records,
 )
-from cranberryline.jobs.codec import decode_job
+from cranberryline.jobs.codec import decode_job, head_of
 from cranberryline.jobs.model import JobRecord, PackedResult
 
 from .test_book import KEEP, make_job
@@ -127,3 +130,14 @@
     book.apply(ResultRecord("job-1", 0, result))
     assert book.completed(make_job().items[0]) == result
     assert book.completed(make_job(body=b"other").items[0]) is None
+
+
+@pytest.mark.parametrize("details", [b"nonsense", zlib.compress(msgspec.msgpack.encode(()))])
+def test_a_job_whose_items_cannot_be_read_has_none(details: bytes) -> None:
+    """They are whole and of another form: nothing of the job can run here, and nothing else suffers."""
+    state = JobState(head_of(make_job()), details, timedelta())
+    assert not state.readable
+    assert state.item("job-1-i2") is None
+    with pytest.raises(ValueError):
+        _ = state.job
+    assert state.open and state.results == []
