--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -232,3 +232,19 @@
         assert {index for job, index in node.started if job == "job-3"} == set(range(4))
 
     run_virtual(scene())
+
+
+def test_a_job_that_is_read_a_page_before_the_end_starts_with_the_end() -> None:
+    """The runner looks at it while more is to come, and again as soon as the rest is there."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        node = Node(StoreLink(store))
+        await asyncio.sleep(0.3)
+        node.jobs._log.page = 1  # type: ignore[attr-defined]
+        records = [encode_records(encode_job(make_job(f"job-{n}"), "w"))[0] for n in (1, 2)]
+        store.append("jobs", 0, records)
+        await asyncio.sleep(0.03)
+        assert {name for name, _ in node.started} == {"job-1", "job-2"}
+
+    run_virtual(scene())
