Let no record of others end a tail, nor a sign of life reach the relay unchecked

Cause: what a tail's callback raised went through the tail and ended its task for good; the process looked well and heard nothing of the topic any more. Two ways to it stood in the code: records that nest deeply (the decoder raises RecursionError, no error of its own, also for fields that nobody asked for), and signs of life that name no address: the relay raised on them in each call to the store made through that peer.

Change: every way from a tail to its taker leads through one guard, which counts, logs once a burst and goes on. Bytes of others are decoded in one place that never raises. A sign counts only under its own node's key and with an IP number and a port as peer; others are counted, and the node's last one holds. Peers' answers with an unknown problem leave the call without an answer. A position of deleted records that leads nowhere is asked for again after a pause; it was a loop without one.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -92,7 +92,7 @@
         self.stopping = False
         self.metrics = Metrics()
         self.routes = RouteBook()
-        self.health = StoreHealth(clock)
+        self.health = StoreHealth(clock, self.metrics)
         self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
         self.directory = Directory(clock, self.health)
         self.table = PeerTable()
@@ -121,6 +121,7 @@
             clock,
             lambda: self._nodes_tail.current_at,
             self._on_nodes,
+            self.health,
         )
         self.runner = JobRunner(
             RunnerParts(
@@ -252,7 +253,7 @@
         ]
 
     def _tail(self, topic: str, on_key: Any, gather: timedelta = timedelta()) -> KeyedTail:
-        return KeyedTail(self.store, topic, self._clock, self.health, on_key, self.metrics, gather)
+        return KeyedTail(self.store, topic, self._clock, self.health, on_key, gather)
 
     async def _async_follow(self, tail: PartitionTail) -> None:
         """Follow a partition of jobs once plain requests can be served.
@@ -282,8 +283,8 @@
         read = self._platform.read_operator(record)
         if isinstance(read, Err):
             # What was in force stays in force; the operator's next record may be whole again.
-            self.metrics.drop("operator_record_unreadable")
-            _LOGGER.error("operator_record_unreadable", key=record.key, detail=read.unwrap_err())
+            detail = read.unwrap_err()
+            self.health.unsound("operator_record_unreadable", key=record.key, detail=detail)
             return
         change = read.unwrap()
         if isinstance(change, RouteTable):
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -6,10 +6,14 @@
 
 import attrs
 import msgspec
+from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.decode import decode_msgpack
 from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.tail import StoreHealth
 from cranberryline.ports.store import KeyedRecord, SharedLog
+from cranberryline.settings.fields import Address
 
 __all__ = ["NodeBook", "NodeSign"]
 
@@ -32,6 +36,9 @@
     stopping: bool = False
 
 
+_SIGNS = msgspec.msgpack.Decoder(NodeSign)
+
+
 @attrs.frozen
 class _Seen:
     """A node's last sign, when it was heard, and since when the node has been stopping."""
@@ -52,6 +59,7 @@
         clock: Clock,
         current_at: Callable[[], timedelta | None],
         on_change: Callable[[], None],
+        health: StoreHealth,
     ) -> None:
         self.stopping = False
         self._log = log
@@ -60,6 +68,7 @@
         self._clock = clock
         self._current_at = current_at
         self._on_change = on_change
+        self._health = health
         self._seen: dict[str, _Seen] = {}
         self._live: frozenset[str] = frozenset()
 
@@ -95,14 +104,15 @@
         return [seen.sign for seen in self._seen.values()]
 
     def take(self, record: KeyedRecord) -> None:
-        """Take a sign from the store; one that cannot be read is passed over."""
+        """Take a sign from the store; one that is not sound is passed over, and the node's last one holds."""
         if not record.value:
             self._seen.pop(record.key, None)
             return
-        try:
-            sign = msgspec.msgpack.decode(record.value, type=NodeSign)
-        except msgspec.DecodeError:
+        read = _read_sign(record)
+        if isinstance(read, Err):
+            self._health.unsound("node_sign_unreadable", key=record.key, detail=read.unwrap_err())
             return
+        sign = read.unwrap()
         now = self._clock.monotonic()
         known = self._seen.get(record.key)
         stopping = now if sign.stopping else None
@@ -124,3 +134,20 @@
         sign = msgspec.structs.replace(self._sign, stopping=self.stopping)
         record = self._log.pack_keyed(sign.node, msgspec.msgpack.encode(sign))
         return (await self._log.async_append(self._topic, 0, [record], _SIGN_TIMEOUT)).is_ok()
+
+
+def _read_sign(record: KeyedRecord) -> Result[NodeSign, str]:
+    """Read a sign that its own node wrote and whose peer address can be called.
+
+    Peers are called for the store when it does not answer this node. An address that is none would raise
+    in each call to the store just then, when nothing else is left.
+    """
+    read = decode_msgpack(record.value, _SIGNS)
+    if isinstance(read, Err):
+        return read
+    sign = read.unwrap()
+    if sign.node != record.key:
+        return Err("the sign of another node")
+    if sign.peer and Address().parse(sign.peer).is_err():
+        return Err("no address of a peer")
+    return Ok(sign)
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -11,6 +11,7 @@
 from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock, in_milliseconds
+from cranberryline.helpers.decode import decode_msgpack
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.errors import UpstreamCut
@@ -232,7 +233,7 @@
                 self._good_peer = peer
                 self._metrics.relayed.labels("answered").inc()
                 return Ok(make(answer))
-            error = StoreError(StoreProblem(answer.problem), answer.detail, answer.first)
+            error = StoreError(_problem_of(answer), answer.detail, answer.first)
             if error.problem in _ANSWERED:
                 self._good_peer = peer
                 return Err(error)
@@ -256,9 +257,10 @@
             return Err(StoreError(problem, f"peer {peer}: {lost.detail}"))
         try:
             data = await sent.unwrap().async_whole()
-            return Ok(_ANSWERS.decode(data))
-        except (UpstreamCut, msgspec.DecodeError) as exc:
+        except UpstreamCut as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
+        read = decode_msgpack(data, _ANSWERS)
+        return read.map_err(lambda why: StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {why}"))
 
     def _note_direct(self, where: _Where, good: bool, detail: str) -> None:
         if good and where in self._probe_at:
@@ -271,6 +273,12 @@
             self._probe_at[where] = self._clock.monotonic() + _PROBE_INTERVAL
 
 
+def _problem_of(answer: RelayAnswer) -> StoreProblem:
+    """Return the problem that a peer tells; one that is not known here leaves everything open."""
+    known = answer.problem in StoreProblem.__members__.values()
+    return StoreProblem(answer.problem) if known else StoreProblem.UNKNOWN
+
+
 def _where(call: "RelayAppend | RelayRead | RelayNewest") -> _Where:
     return (call.topic, 0 if isinstance(call, RelayNewest) else call.part)
 
@@ -284,11 +292,12 @@
 
     async def post(self) -> None:
         """Make the call and answer with what it brought."""
-        try:
-            call = _CALLS.decode(self.request.body)
-        except msgspec.DecodeError:
-            self.set_status(400)
-            return
+        match decode_msgpack(self.request.body, _CALLS):
+            case Err():
+                self.set_status(400)
+                return
+            case Ok(call):
+                pass
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
         if not self._store.direct_lost(*_where(call)):
             answer = await _async_make(self._store.direct, call)
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -5,18 +5,20 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Any, TypeVarTuple
 
 from result import Err, Result
 
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
 
 from .clock import Clock
-from .logging import get_logger
+from .logging import get_logger, once_per_burst
 from .metrics import Metrics
 
 __all__ = ["KeyedTail", "PartitionTail", "StoreHealth"]
 
 _LOGGER = get_logger(__name__)
+_Args = TypeVarTuple("_Args")
 
 # A connection that went silent for good looks like a poll with nothing to tell. Polls are short, so
 # that a change is seen within `_POLL_WAIT` + `_POLL_SLACK` of such a loss; two polls a second and
@@ -29,13 +31,17 @@
 # A store that is out for some partitions answers and fails by turns; told each time, the log would
 # hold nothing else.
 _REGAINED_AFTER = timedelta(seconds=1)
+# Characters of an error in a log line; the error may quote the record.
+_MAX_ERROR = 200
 
 
 class StoreHealth:
-    """When the store last answered this process and when it last failed to, per process."""
+    """How the store does, as this process meets it: its last failure, and records that are not sound."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, metrics: Metrics | None = None) -> None:
         self._clock = clock
+        self._metrics = metrics
+        self._records = once_per_burst(__name__, clock)
         self._lost = False
         self.last_failure: timedelta | None = None
 
@@ -52,6 +58,12 @@
             self._lost = True
             _LOGGER.warning("store_lost", call=what, problem=error.problem, detail=error.detail)
 
+    def unsound(self, reason: str, **fields: Any) -> None:
+        """Count a record that was passed over, by reason, and log it once a burst."""
+        if self._metrics is not None:
+            self._metrics.drop(reason)
+        self._records.warning(reason, **fields)
+
     def failed_within(self, span: timedelta) -> bool:
         """Tell whether a call failed within the last `span`."""
         if self.last_failure is None:
@@ -145,6 +157,23 @@
         if error.everywhere:
             self.out_at = asked
 
+    def _hand_on(self, take: Callable[[*_Args], None], *args: *_Args) -> None:
+        """Give what was read to whoever takes it; what that raises ends here.
+
+        Raised on, it would end the tail's task for good: the process would look well and hear nothing of
+        the topic any more, neither the ends of jobs nor routes. Here one record is lost, which is counted,
+        and the next ones are taken. Every way to a taker leads through here.
+        """
+        try:
+            take(*args)
+        except Exception as exc:
+            self._health.unsound(
+                "record_not_taken",
+                topic=self.topic,
+                part=self.part,
+                error=repr(exc)[:_MAX_ERROR],
+            )
+
     def _take(self, read: LogRead, as_of: timedelta) -> bool:
         """Take records from where this tail stands; return whether it is at the end now.
 
@@ -154,7 +183,7 @@
         for number, record in enumerate(read.records):
             offset = read.start + number
             if offset == self.offset:
-                self._fold(offset, record)
+                self._hand_on(self._fold, offset, record)
                 self.offset = offset + 1
         self.at_end = self.offset >= read.end
         if not self.at_end:
@@ -179,13 +208,11 @@
         clock: Clock,
         health: StoreHealth,
         on_key: Callable[[KeyedRecord], None],
-        metrics: Metrics,
         gather: timedelta = timedelta(),
     ) -> None:
         super().__init__(log, topic, 0, clock, health)
         self._gather = gather
         self._on_key = on_key
-        self._metrics = metrics
         self._offsets: dict[str, int] = {}
 
     async def _async_step(self) -> StoreError | None:
@@ -196,13 +223,19 @@
             error = read.unwrap_err()
             if error.problem is StoreProblem.GONE:
                 # Records that were deleted before they were read: the newest of each key tells all.
-                return await self._async_load()
+                return await self._async_reload(error)
             return error
         self._take(read.unwrap(), as_of)
         if read.unwrap().records and self._gather:
             await self._clock.async_sleep(self._gather)
         return None
 
+    async def _async_reload(self, gone: StoreError) -> StoreError | None:
+        """Load again; a topic that is no further then is asked again only after a pause."""
+        before = self.offset
+        lost = await self._async_load()
+        return lost or (None if self.offset > before else gone)
+
     async def _async_load(self) -> StoreError | None:
         asked = self._clock.monotonic()
         loaded = await self._log.async_newest(self.topic, _SNAPSHOT_TIMEOUT)
@@ -211,9 +244,11 @@
         snapshot = loaded.unwrap()
         found = {record.key for record in snapshot.records}
         for key in [key for key in self._offsets if key not in found]:
-            self._hand_over(KeyedRecord(key, b"", snapshot.end))
+            self._hand_on(self._hand_over, KeyedRecord(key, b"", snapshot.end))
         for record in snapshot.records:
-            self._hand_over(record)
+            self._hand_on(self._hand_over, record)
+        for _ in range(snapshot.unreadable):
+            self._health.unsound("store_record_unreadable", topic=self.topic)
         self.offset = max(self.offset, snapshot.end)
         self.current_at = asked
         self.loaded.set()
@@ -222,7 +257,7 @@
     def _fold(self, offset: int, record: bytes) -> None:
         keyed = self._log.unpack_keyed(record)
         if keyed is None:
-            self._metrics.drop("store_record_unreadable")
+            self._health.unsound("store_record_unreadable", topic=self.topic, offset=offset)
             return
         self._hand_over(KeyedRecord(keyed.key, keyed.value, offset))
 
@@ -263,15 +298,16 @@
             )
         if isinstance(read, Err):
             error = read.unwrap_err()
-            if error.problem is not StoreProblem.GONE:
+            if error.problem is not StoreProblem.GONE or error.position <= self.offset:
+                # A position that leads nowhere, asked for again at once, would be a loop without a pause.
                 return error
-            self.offset = max(self.offset, error.position)
+            self.offset = error.position
             self.at_end = False
             return None
         if self._take(read.unwrap(), as_of):
             self.loaded.set()
         if read.unwrap().records:
-            self._on_batch()
+            self._hand_on(self._on_batch)
         return None
 
     def _fold(self, offset: int, record: bytes) -> None:
--- a/cranberryline/ports/store.py
+++ b/cranberryline/ports/store.py
@@ -73,10 +73,14 @@
 
 @attrs.frozen
 class KeyedSnapshot:
-    """The newest record of each key of a topic, and an offset from which to follow on."""
+    """The newest record of each key of a topic, and an offset from which to follow on.
+
+    `unreadable` is how many more stand there that could not be read.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    unreadable: int = 0
 
 
 class SharedLog(abc.ABC):
--- a/cranberryline/settings/fields.py
+++ b/cranberryline/settings/fields.py
@@ -24,6 +24,7 @@
     "Url",
 ]
 
+_MAX_PORT_DIGITS = len(str(MAX_PORT))
 _IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
 
@@ -202,7 +203,10 @@
 def _is_ip_and_port(text: str) -> bool:
     """Tell whether the text is an IP number and a port."""
     host, colon, port = text.rpartition(":")
-    if not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    # Longer texts are not made a number: past some thousand digits that raises.
+    if not colon or not port.isascii() or not port.isdigit() or len(port) > _MAX_PORT_DIGITS:
+        return False
+    if not 0 < int(port) <= MAX_PORT:
         return False
     if host.startswith("[") and host.endswith("]"):
         return _is_ip(host[1:-1], version=6)
--- a/tests/gateway/test_nodes.py
+++ b/tests/gateway/test_nodes.py
@@ -10,6 +10,7 @@
 from tests.virtual_time import LoopClock, run_virtual
 
 TOPIC = "keyed.nodes"
+PEERS = {"a": "10.0.0.1:7", "b": "10.0.0.2:7", "c": "10.0.0.3:7"}
 
 
 class Node:
@@ -17,12 +18,13 @@
 
     def __init__(self, store: FakeStore, name: str) -> None:
         clock = LoopClock()
-        self.link, self.health = StoreLink(store), StoreHealth(clock)
-        sign = NodeSign(name, "levis", f"{name}:1")
+        self.metrics = Metrics()
+        self.link, self.health = StoreLink(store), StoreHealth(clock, self.metrics)
+        sign = NodeSign(name, "levis", PEERS[name])
         self.book = NodeBook(
-            self.link, TOPIC, sign, clock, lambda: self.tail.current_at, lambda: None
+            self.link, TOPIC, sign, clock, lambda: self.tail.current_at, lambda: None, self.health
         )
-        self.tail = KeyedTail(self.link, TOPIC, clock, self.health, self.book.take, Metrics())
+        self.tail = KeyedTail(self.link, TOPIC, clock, self.health, self.book.take)
         work = (self.tail.async_run(), self.book.async_run())
         self.tasks = [asyncio.ensure_future(part) for part in work]
 
@@ -95,7 +97,7 @@
         nodes[0].link.put(TOPIC, "x", b"\xc1")
         await asyncio.sleep(0.1)
         assert nodes[0].live() == ["a", "b", "c"]
-        assert {sign.peer for sign in nodes[0].book.signs()} == {"a:1", "b:1", "c:1"}
+        assert {sign.peer for sign in nodes[0].book.signs()} == set(PEERS.values())
 
     run_virtual(scene())
 
