Read the operator's records and the store's lists so that odd ones harm nothing else

Cause: a configuration with a number that nobody can mean raised (spans that overflow) or came into force (negative places and attempts, weights of which nothing can be drawn, versions that none can pass). A version under another model's key moved that model. One row of a list of newest records that could not be read made the whole list unreadable, so that a gateway that starts would never have heard of any upstream.

Change: bounds on all numbers; a configuration outside them is refused whole and what was in force stays. Rows are decoded one by one; odd ones are counted and the rest holds. Pages that lead no further end.

Ruled out: refusing single routes of a configuration. A table in force is one version as a whole, and a route that is missing would be answered 404.

--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -49,7 +49,7 @@
             table = read_config(record.value)
             return Err(table.unwrap_err()) if isinstance(table, Err) else Ok(table.unwrap())
         if record.key.startswith(KEY_VERSION_PREFIX):
-            named = read_version(record.value)
+            named = read_version(record.key.removeprefix(KEY_VERSION_PREFIX), record.value)
             if isinstance(named, Err):
                 return Err(named.unwrap_err())
             return Ok(NamedVersion(*named.unwrap()))
--- a/cranberryline/platform/config.py
+++ b/cranberryline/platform/config.py
@@ -1,10 +1,12 @@
 """What the operator and the trainers write to the store, as the product's types."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
 
+from cranberryline.helpers.decode import decode_json
 from cranberryline.routes import EngineService, Limits, Route, RouteKind, RouteTable, ServiceShare
 
 __all__ = ["read_config", "read_version"]
@@ -17,9 +19,16 @@
 }
 
 
+# Bounds of what a number may be and still be one that somebody meant: three hundred years, and numbers
+# that every writer of JSON keeps exactly. Beyond them spans overflow, and a version that nobody can pass
+# would stand for good.
+_Span = Annotated[float, msgspec.Meta(ge=0, le=1e13)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+
+
 class _Split(msgspec.Struct):
     service: str
-    weight: int = 1
+    weight: _Count = 1
 
 
 class _Route(msgspec.Struct):
@@ -27,15 +36,15 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 30_000
-    goal_ms: float = 1000
+    timeout_ms: _Span = 30_000
+    goal_ms: _Span = 1000
     priority: int = 0
     service: str = ""
     split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     can_resume: bool = False
     single_version: bool = False
-    max_wait_s: float | None = None
+    max_wait_s: Annotated[float, msgspec.Meta(ge=0, le=1e10)] | None = None
 
 
 class _Model(msgspec.Struct):
@@ -43,7 +52,7 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 0
+    slots: _Count = 0
     models: list[_Model] = []
 
 
@@ -53,14 +62,14 @@
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 32 * 1024 * 1024
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15_000
+    header_bytes: _Count = 16 * 1024
+    body_bytes: _Count = 32 * 1024 * 1024
+    header_timeout_ms: _Span = 3000
+    idle_timeout_ms: _Span = 15_000
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -68,15 +77,18 @@
 
 class _Version(msgspec.Struct):
     model: str
-    version: int
+    version: _Count
 
 
 def read_config(value: bytes) -> Result[RouteTable, str]:
     """Read the whole configuration; the error says what is wrong with it."""
-    try:
-        raw = msgspec.json.decode(value, type=_Config)
-    except msgspec.DecodeError as exc:
-        return Err(str(exc))
+    read = decode_json(value, _Config)
+    if isinstance(read, Err):
+        return read
+    raw = read.unwrap()
+    for route in raw.routes:
+        if route.split and not any(share.weight for share in route.split):
+            return Err(f"route {route.name} is shared by services of no weight")
     routes = tuple(_route_of(route) for route in raw.routes if route.kind in _KINDS)
     services = {service.name: _service_of(service) for service in raw.services}
     limits = Limits(
@@ -88,13 +100,16 @@
     return Ok(RouteTable(raw.version, routes, services, limits))
 
 
-def read_version(value: bytes) -> Result[tuple[str, int], str]:
-    """Read a model and the version that its trainer named."""
-    try:
-        raw = msgspec.json.decode(value, type=_Version)
-    except msgspec.DecodeError as exc:
-        return Err(str(exc))
-    return Ok((raw.model, raw.version))
+def read_version(model: str, value: bytes) -> Result[tuple[str, int], str]:
+    """Read the version that a trainer named for the model whose key this is.
+
+    A record that names another model is none: it would move that model past its own trainer's versions.
+    """
+    read = decode_json(value, _Version)
+    if isinstance(read, Err):
+        return read
+    raw = read.unwrap()
+    return Ok((raw.model, raw.version)) if raw.model == model else Err("names another model")
 
 
 def _route_of(raw: _Route) -> Route:
--- a/cranberryline/platform/store.py
+++ b/cranberryline/platform/store.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import in_milliseconds
+from cranberryline.helpers.decode import decode_json
 from cranberryline.ports.errors import PlatformError, UpstreamCut
 from cranberryline.ports.http import HttpOrigin, async_exchange
 from cranberryline.ports.model import UpstreamRequest
@@ -59,7 +60,7 @@
 
 
 class _NewestAnswer(msgspec.Struct):
-    items: list[_NewestItem]
+    items: list[msgspec.Raw]
     end: int
     has_more: bool = False
 
@@ -126,7 +127,7 @@
     ) -> Result[KeyedSnapshot, StoreError]:
         """Read all pages; what changes between pages is told again from the first page's end."""
         records: list[KeyedRecord] = []
-        after, end = "", None
+        after, end, unreadable = "", None, 0
         while True:
             path = f"{PATH_NEWEST}?topic={quote(topic)}&part=0"
             if after:
@@ -140,10 +141,14 @@
             if page is None:
                 return Err(_problem(status))
             end = page.end if end is None else end
-            records += [_keyed_of(item) for item in page.items]
+            rows = [row for row in map(_keyed_of, page.items) if row is not None]
+            records += rows
+            unreadable += len(page.items) - len(rows)
             if not page.has_more or not page.items:
-                return Ok(KeyedSnapshot(tuple(records), end))
-            after = page.items[-1].key
+                return Ok(KeyedSnapshot(tuple(records), end, unreadable))
+            if not rows or rows[-1].key == after:
+                return Err(StoreError(StoreProblem.UNKNOWN, "pages that lead no further"))
+            after = rows[-1].key
 
     def pack_keyed(self, key: str, value: bytes) -> bytes:
         """Put the key's length and the key before the value."""
@@ -176,19 +181,19 @@
         return Ok((answer.head.status, data))
 
 
-def _decode(data: bytes, kind: type[_T]) -> _T | None:
-    try:
-        return msgspec.json.decode(data, type=kind)
-    except msgspec.DecodeError:
-        return None
+def _decode(data: bytes | msgspec.Raw, kind: type[_T]) -> _T | None:
+    return decode_json(data, kind).ok()
 
 
-def _keyed_of(item: _NewestItem) -> KeyedRecord:
+def _keyed_of(row: msgspec.Raw) -> KeyedRecord | None:
+    """Read one row; one that is none of the platform's says nothing of the others."""
+    item = _decode(row, _NewestItem)
+    if item is None:
+        return None
     try:
-        value = base64.b64decode(item.value, validate=True)
+        return KeyedRecord(item.key, base64.b64decode(item.value, validate=True), item.offset)
     except ValueError:
-        value = b""
-    return KeyedRecord(item.key, value, item.offset)
+        return None
 
 
 def _unsent(error: PlatformError) -> StoreError:
