Keep jobs whole whatever else stands in their partition

Parts count by writer and number of parts, and go when their time is over. Records of jobs of other partitions are passed over. All are counted by reason.

Not bounded yet: how much memory a job within the bound takes once decoded; rows of a few bytes become objects of a hundred.

--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -4,10 +4,12 @@
 from datetime import timedelta
 
 import attrs
+from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
 
 from .codec import decode_job
+from .const import MAX_PARTS
 from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
 
 __all__ = ["JobBook", "JobState"]
@@ -39,7 +41,7 @@
 
 @attrs.define(eq=False)
 class _Parts:
-    total: int
+    seen_at: timedelta
     pieces: dict[int, bytes] = attrs.field(factory=dict)
 
 
@@ -55,7 +57,7 @@
         self.jobs: dict[str, JobState] = {}
         self._clock = clock
         self._keep = keep
-        self._parts: dict[tuple[str, str], _Parts] = {}
+        self._parts: dict[tuple[str, str, int], _Parts] = {}
         self._completed: dict[str, tuple[Item, ItemResult]] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
@@ -63,20 +65,24 @@
         """Call back after each change of a job."""
         self._listeners.append(listener)
 
-    def apply(self, record: JobRecord) -> None:
-        """Take the next record."""
+    def apply(self, record: JobRecord) -> Result[None, str]:
+        """Take the next record; the error says why it changes nothing though it should have.
+
+        Results and ends of jobs that are not known here are no errors: they outlive their jobs.
+        """
         state = self.jobs.get(record.job)
         if isinstance(record, JobPart):
-            if state is None:
-                self._take_part(record)
-            return
+            return self._take_part(record) if state is None else Ok(None)
         if state is None:
-            return
+            return Ok(None)
         if isinstance(record, JobEnded):
             state.ended = True
+        elif not 0 <= record.index < len(state.job.items):
+            return Err("a result of no item")
         else:
             self._take_result(state, record)
         self._notify(state)
+        return Ok(None)
 
     def completed(self, item: Item) -> ItemResult | None:
         """Return the result that some job lists of just this item, if it is complete.
@@ -88,28 +94,42 @@
         return found[1] if found is not None and found[0] == item else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more."""
+        """Drop jobs that nobody may ask for any more, and parts whose writer never came to the last."""
         limit = self._clock.monotonic() - self._keep
+        for key in [key for key, parts in self._parts.items() if parts.seen_at < limit]:
+            del self._parts[key]
         for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
             for item in self.jobs.pop(job_id).job.items:
                 self._completed.pop(item.id, None)
 
-    def _take_part(self, part: JobPart) -> None:
-        key = (part.job, part.writer)
-        parts = self._parts.setdefault(key, _Parts(part.total))
+    def _take_part(self, part: JobPart) -> Result[None, str]:
+        """Take a part; only parts of one writer that agree on their number make a job.
+
+        What turns out to be none takes nothing with it: parts of the same job by another writer may have
+        been accepted already, and thrown away with it that job would be lost.
+        """
+        if not 0 <= part.index < part.total <= MAX_PARTS:
+            return Err("a part of no job")
+        key = (part.job, part.writer, part.total)
+        parts = self._parts.setdefault(key, _Parts(self._clock.monotonic()))
         parts.pieces[part.index] = part.data
-        if len(parts.pieces) < parts.total:
-            return
-        job = decode_job(parts.pieces[number] for number in sorted(parts.pieces))
+        if len(parts.pieces) < part.total:
+            return Ok(None)
+        del self._parts[key]
+        read = decode_job(parts.pieces[number] for number in range(part.total))
+        if isinstance(read, Err):
+            return Err(read.unwrap_err())
+        job = read.unwrap()
+        if job.id != part.job:
+            return Err("parts of another job")
         for other in [other for other in self._parts if other[0] == part.job]:
             del self._parts[other]
-        if job is None or job.id != part.job:
-            return
         state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
         self._notify(state)
+        return Ok(None)
 
     def _take_result(self, state: JobState, record: ResultRecord) -> None:
-        if record.index in state.done or not 0 <= record.index < len(state.job.items):
+        if record.index in state.done:
             return
         state.done.add(record.index)
         state.results.append((record.index, record.result))
--- a/cranberryline/jobs/codec.py
+++ b/cranberryline/jobs/codec.py
@@ -1,11 +1,15 @@
 """Jobs and their records as bytes of the store."""
 
+import math
 import zlib
 from collections.abc import Iterable
 
 import msgspec
+from result import Err, Ok, Result
 
-from .const import COMPRESSION_LEVEL, PART_BYTES
+from cranberryline.helpers.decode import decode_msgpack, inflate
+
+from .const import COMPRESSION_LEVEL, MAX_JOB_BYTES, MAX_RECORD_BYTES, PART_BYTES
 from .model import Job, JobPart, JobRecord
 
 __all__ = ["decode_job", "decode_record", "encode_job", "encode_records"]
@@ -19,19 +23,29 @@
 
 
 def encode_job(job: Job, writer: str) -> list[JobPart]:
-    """Return the parts of a job in their order."""
-    data = zlib.compress(_ENCODER.encode(job), COMPRESSION_LEVEL)
+    """Return the parts of a job in their order, none for one that is too long to be read again."""
+    plain = _ENCODER.encode(job)
+    if len(plain) > MAX_JOB_BYTES:
+        return []
+    data = zlib.compress(plain, COMPRESSION_LEVEL)
     pieces = [data[at : at + PART_BYTES] for at in range(0, len(data), PART_BYTES)]
     total = len(pieces)
     return [JobPart(job.id, writer, number, total, piece) for number, piece in enumerate(pieces)]
 
 
-def decode_job(parts: Iterable[bytes]) -> Job | None:
-    """Put a job together again, None if the parts are no job."""
-    try:
-        return _JOBS.decode(zlib.decompress(b"".join(parts)))
-    except (msgspec.DecodeError, zlib.error):
-        return None
+def decode_job(parts: Iterable[bytes]) -> Result[Job, str]:
+    """Put a job together again; the error says why the parts are no job."""
+    read = inflate(b"".join(parts), MAX_JOB_BYTES).and_then(
+        lambda data: decode_msgpack(data, _JOBS)
+    )
+    if isinstance(read, Err):
+        return read
+    job = read.unwrap()
+    if not math.isfinite(job.submitted):
+        return Err("submitted at no time")
+    if len({item.id for item in job.items}) != len(job.items):
+        return Err("an item's id stands twice")
+    return Ok(job)
 
 
 def encode_records(records: Iterable[JobRecord]) -> list[bytes]:
@@ -48,9 +62,9 @@
 
 def decode_record(data: bytes) -> JobRecord | None:
     """Read a record, None if it is not one of ours."""
-    try:
-        if data[:1] == _PACKED:
-            return _RECORDS.decode(zlib.decompress(data[1:]))
-        return _RECORDS.decode(data[1:]) if data[:1] == _PLAIN else None
-    except (msgspec.DecodeError, zlib.error):
+    if data[:1] == _PLAIN:
+        return decode_msgpack(data[1:], _RECORDS).ok()
+    if data[:1] != _PACKED:
         return None
+    read = inflate(data[1:], MAX_RECORD_BYTES).and_then(lambda it: decode_msgpack(it, _RECORDS))
+    return read.ok()
--- a/cranberryline/jobs/const.py
+++ b/cranberryline/jobs/const.py
@@ -9,6 +9,12 @@
 CALL_BYTES = 1800 * 1024
 MAX_RESULT_BYTES = 900 * 1024
 COMPRESSION_LEVEL = 1
+# The longest body that deployments let a caller send; a job takes less of our form than of its body. A
+# longer one is refused, and one that grows beyond it while it is decompressed is none.
+MAX_JOB_BYTES = 32 * 1024 * 1024
+# Some two million tokens, twenty times what an engine's memory holds of all its texts.
+MAX_RECORD_BYTES = 8 * 1024 * 1024
+MAX_PARTS = MAX_JOB_BYTES // PART_BYTES + 1
 
 APPEND_TIMEOUT = timedelta(seconds=2)
 READ_TIMEOUT = timedelta(milliseconds=900)
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -4,6 +4,7 @@
 import uuid
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from functools import partial
 
 import attrs
 from result import Err, Ok, Result
@@ -61,11 +62,18 @@
         self.book = JobBook(clock, keep)
         self._log = log
         self._clock = clock
+        self._health = health
         self._metrics = metrics
         self._changed: dict[str, asyncio.Event] = {}
         self.tails = [
             PartitionTail(
-                log, TOPIC_JOBS, part, clock, health, self._on_record, self.book.forget_old
+                log,
+                TOPIC_JOBS,
+                part,
+                clock,
+                health,
+                partial(self._on_record, part),
+                self.book.forget_old,
             )
             for part in range(parts)
         ]
@@ -83,6 +91,10 @@
             _LOGGER.info("job_known", request_id=job.id)
             return Ok(None)
         records = encode_records(encode_job(job, uuid.uuid4().hex))
+        if not records:
+            _LOGGER.warning("job_too_long", request_id=job.id)
+            self._metrics.refuse(JobProblem.NOT_KEPT.value)
+            return Err(JobRefused(JobProblem.NOT_KEPT))
         for batch in _batches(records):
             refused = await self._async_keep(job.id, batch, lambda: job.id in self.book.jobs)
             if refused is not None:
@@ -189,12 +201,23 @@
     def _tail(self, job_id: str) -> PartitionTail:
         return self.tails[partition_of(job_id, len(self.tails))]
 
-    def _on_record(self, _offset: int, data: bytes) -> None:
+    def _on_record(self, part: int, offset: int, data: bytes) -> None:
+        """Take a record of one partition.
+
+        One about a job of another partition is passed over: nodes read partitions side by side, and two
+        results of an item in two partitions would stand in another order at each node.
+        """
         record = decode_record(data)
         if record is None:
-            self._metrics.drop("job_record_unreadable")
+            self._health.unsound("job_record_unreadable", part=part, offset=offset)
+            return
+        if partition_of(record.job, len(self.tails)) != part:
+            self._health.unsound("job_record_misplaced", part=part, offset=offset)
             return
-        self.book.apply(record)
+        taken = self.book.apply(record)
+        if isinstance(taken, Err):
+            detail = taken.unwrap_err()
+            self._health.unsound("job_record_unsound", part=part, offset=offset, detail=detail)
 
     def _on_change(self, state: JobState) -> None:
         event = self._changed.pop(state.job.id, None)
