Take a lease from those records only that a holder can have written

Cause: bytes that cannot be read counted as the sign of an unknown holder, so whoever writes there ended the lease each time, and no engine was ordered. A renewal with any token was taken as told: under the holder's name an absurd one went into its orders, after which engines would refuse every later holder's.

Change: unreadable records are passed over by every node alike. A renewal's token must lie within the partition before it and be that of the standing acquisition or a later one; the latter is taken because an acquisition may have been deleted unread, and its lease would seem to lapse while it is held.

--- a/cranberryline/leases/keeper.py
+++ b/cranberryline/leases/keeper.py
@@ -5,9 +5,10 @@
 from datetime import timedelta
 
 import msgspec
-from result import Ok
+from result import Err, Ok
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.decode import decode_msgpack
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
 from cranberryline.ports.store import SharedLog
@@ -25,6 +26,7 @@
 __all__ = ["LeaseKeeper"]
 
 _LOGGER = get_logger(__name__)
+_RECORDS = msgspec.msgpack.Decoder(LeaseRecord)
 
 
 class LeaseKeeper:
@@ -44,6 +46,7 @@
         self.tail = PartitionTail(log, TOPIC_LEASES, 0, clock, health, self._on_record)
         self.stopping = False
         self._log = log
+        self._health = health
         self._lease = lease
         self._clock = clock
         self._token = 0
@@ -124,8 +127,9 @@
         return isinstance(taken, Ok) and self._mine()
 
     def _on_record(self, offset: int, data: bytes) -> None:
-        try:
-            record = msgspec.msgpack.decode(data, type=LeaseRecord)
-        except msgspec.DecodeError:
-            record = LeaseRecord("")
-        self.book.apply(offset, record, self._clock.elapsed())
+        """Take a record; foreign ones are passed over by every node alike, and the holder goes on holding."""
+        read = decode_msgpack(data, _RECORDS)
+        if isinstance(read, Err):
+            self._health.unsound("lease_record_unreadable", offset=offset, detail=read.unwrap_err())
+        elif not self.book.apply(offset, read.unwrap(), self._clock.elapsed()):
+            self._health.unsound("lease_record_unsound", offset=offset)
--- a/cranberryline/leases/model.py
+++ b/cranberryline/leases/model.py
@@ -35,7 +35,26 @@
     def __init__(self) -> None:
         self.holding: Holding | None = None
 
-    def apply(self, offset: int, record: LeaseRecord, now: timedelta) -> None:
-        """Take the next record."""
+    def apply(self, offset: int, record: LeaseRecord, now: timedelta) -> bool:
+        """Take the next record; return False for one that no holder wrote, which changes nothing."""
+        if not record.holder or not self._sound(offset, record):
+            return False
         token = record.token or offset + 1
         self.holding = Holding(record.holder, token, now)
+        return True
+
+    def _sound(self, offset: int, record: LeaseRecord) -> bool:
+        """Tell whether a holder can have written the record where it stands.
+
+        A renewal bears the token of an acquisition that stands before it. One with a token above that
+        would be carried into orders, and engines would refuse every later holder's for good. A renewal of
+        a holder whose acquisition was not read, because it was deleted before, is taken: passed over, its
+        lease would seem to lapse while it is held.
+        """
+        if record.token == 0:
+            return True
+        if not 0 < record.token <= offset:
+            return False
+        if self.holding is None or record.token > self.holding.token:
+            return True
+        return (record.holder, record.token) == (self.holding.holder, self.holding.token)
