--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -113,11 +113,10 @@
         self.jobs = JobService(
             self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
         )
-        sign = NodeSign(cfg.vm_id, cfg.data_center, cfg.peer)
         self.nodes = NodeBook(
             self.store,
             platform.topic_nodes,
-            sign,
+            NodeSign(cfg.vm_id, cfg.data_center, cfg.peer),
             clock,
             lambda: self._nodes_tail.current_at,
             self._on_nodes,
@@ -314,7 +313,9 @@
         self._wake()
 
     def _on_registration(self, row: Registration) -> None:
-        self.routes.set_slots(row.service, row.slots)
+        if self.routes.set_slots(row.service, row.slots):
+            # The lane gives turns by the new number; what the ways do not let run would wait unseen in them.
+            self.directs.on_revision()
 
     def _on_members(self) -> None:
         self.links.apply(self.directory.membership)
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import get_logger
 
 from .codec import decode_job
 from .const import MAX_PARTS
@@ -14,6 +15,8 @@
 
 __all__ = ["JobBook", "JobState"]
 
+_LOGGER = get_logger(__name__)
+
 
 @attrs.define(eq=False)
 class JobState:
@@ -59,6 +62,7 @@
         self._keep = keep
         self._parts: dict[tuple[str, str, int], _Parts] = {}
         self._completed: dict[str, tuple[Item, ItemResult]] = {}
+        self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
     def listen(self, listener: Callable[[JobState], None]) -> None:
@@ -74,6 +78,9 @@
         if isinstance(record, JobPart):
             return self._take_part(record) if state is None else Ok(None)
         if state is None:
+            if isinstance(record, JobEnded):
+                # A copy of the job that took effect late may be all that is kept of it besides its end.
+                self._ended_unseen[record.job] = self._clock.monotonic()
             return Ok(None)
         if isinstance(record, JobEnded):
             state.ended = True
@@ -94,13 +101,27 @@
         return found[1] if found is not None and found[0] == item else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more, and parts whose writer never came to the last."""
+        """Drop jobs that nobody may ask for any more, and parts whose writer never came to the last.
+
+        An open job may be asked for until it ends; forgotten while open, its runs would not hear of that.
+        """
         limit = self._clock.monotonic() - self._keep
         for key in [key for key, parts in self._parts.items() if parts.seen_at < limit]:
             del self._parts[key]
-        for job_id in [job_id for job_id, state in self.jobs.items() if state.seen_at < limit]:
-            for item in self.jobs.pop(job_id).job.items:
+        old = [state for state in self.jobs.values() if state.seen_at < limit and not state.open]
+        for state in old:
+            del self.jobs[state.job.id]
+            for item in state.job.items:
                 self._completed.pop(item.id, None)
+        for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
+            del self._ended_unseen[job_id]
+
+    def end_all(self) -> None:
+        """Take every open job as ended: records that may have told so were deleted unread."""
+        for state in [state for state in self.jobs.values() if state.open]:
+            _LOGGER.warning("job_end_unread", request_id=state.job.id)
+            state.ended = True
+            self._notify(state)
 
     def _take_part(self, part: JobPart) -> Result[None, str]:
         """Take a part; only parts of one writer that agree on their number make a job.
@@ -125,6 +146,7 @@
         for other in [other for other in self._parts if other[0] == part.job]:
             del self._parts[other]
         state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
+        state.ended = self._ended_unseen.pop(job.id, None) is not None
         self._notify(state)
         return Ok(None)
 
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -74,10 +74,11 @@
                 health,
                 partial(self._on_record, part),
                 self.book.forget_old,
+                self.book.end_all,
             )
             for part in range(parts)
         ]
-        self.knowledge = JobKnowledge(self.tails)
+        self.knowledge = JobKnowledge(self.tails, clock)
         self.book.listen(self._on_change)
 
     @property
--- a/tests/gateway/test_foreign_records.py
+++ b/tests/gateway/test_foreign_records.py
@@ -104,6 +104,7 @@
         b"\xc1",
         b"\x96\xa0\xa0\x00\x00\x90\x90" + b"\x91" * 50_000,
         msgspec.msgpack.encode(["no such problem"]),
+        msgspec.msgpack.encode(["refused", "", 0, 0, [], [], (1 << 64) - 1]),
         b"\x9f" + b"\x91" * 50_000 + b"\x01",
     ],
 )
