--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -1,6 +1,5 @@
 """Run one item of a job: its text over as many runs as it takes, then its score."""
 
-import abc
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
@@ -9,6 +8,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cranberryline.decisions.elsewhere import avoid_next
 from cranberryline.decisions.hedging import HedgeBudget, scoring_hedge_delay
 from cranberryline.decisions.turned_away import TurnedAway
 from cranberryline.entry.attempt import CallerLeft
@@ -26,9 +26,11 @@
 from .events import EventReader, ItemText
 from .knowledge import JobKnowledge
 from .model import Item, ItemResult, ItemState, Scorer
+from .phases import ItemPhases
 from .scoring import ScoringPlaces
+from .versions import UpstreamVersions
 
-__all__ = ["ItemRun", "ItemTools", "UpstreamVersions"]
+__all__ = ["ItemRun", "ItemTools"]
 
 _LOGGER = get_logger(__name__)
 
@@ -43,6 +45,8 @@
 _SILENT = timedelta(milliseconds=1800)
 _STALLED = timedelta(seconds=5)
 _WATCH = timedelta(milliseconds=250)
+# More than all engines of the design size.
+_HEARD_KEPT = 10_000
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
 _SCORE_ATTEMPTS = 2
@@ -51,18 +55,6 @@
 _STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
 
 
-class UpstreamVersions(abc.ABC):
-    """Which weight version an upstream serves, as far as this node knows."""
-
-    @abc.abstractmethod
-    def version(self, upstream: str, model: str) -> int | None:
-        """Return the version, None if unknown."""
-
-    @abc.abstractmethod
-    def learn(self, upstream: str, model: str, version: int) -> None:
-        """Take the version that an answer told."""
-
-
 @attrs.define
 class ItemTools:
     """What running an item takes."""
@@ -108,6 +100,12 @@
         """Note which upstream works now, and start its time."""
         self.upstream = upstream
         self.moved_at = self._run.tools.clock.monotonic()
+        self._run.phases.dispatched(self.moved_at, upstream, len(self._run.text.events))
+        heard = self._run.tools.heard
+        if len(heard) > _HEARD_KEPT:
+            # By starts, of which there are more each day: a stall asks about the last seconds only.
+            for key in [key for key, at in heard.items() if self.moved_at - at > _STALLED]:
+                del heard[key]
 
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Take the status, and the version that the upstream starts with."""
@@ -131,6 +129,8 @@
             events = self._reader.feed(data)
         except ValueError:
             self._leave("bad_event")
+        if events and self.moved_at is not None:
+            self._run.phases.heard(self.moved_at)
         for event in events:
             if event.version is not None:
                 self._version = event.version
@@ -148,6 +148,7 @@
             self._leave("stale_version")
         if self._route.single_version and any(known != version for known in run.text.versions):
             run.text.clear()
+            run.phases.thrown_away()
             self._leave("version_changed")
 
     def _leave(self, reason: str) -> None:
@@ -168,6 +169,7 @@
         self.runs = 0
         self.began = tools.clock.monotonic()
         self.text_at = self.began
+        self.phases = ItemPhases(self.began)
         self.known_age: timedelta | None = None
         self._failed_runs = 0
         self._pause = _PAUSE
@@ -246,10 +248,13 @@
         had = len(self.text.events)
         outcome = await self._async_dispatch(route, sink)
         if sink.upstream:
-            self._avoid = frozenset({sink.upstream})
+            self._avoid = avoid_next(self._avoid, sink.upstream)
         if len(self.text.events) > had:
             self._pause = _PAUSE
-        if isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole:
+        whole = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.whole
+        self.text_at = self.tools.clock.monotonic()
+        self.phases.run_ended(self.text_at, whole)
+        if whole:
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_IMPOSSIBLE:
             return True
@@ -338,7 +343,9 @@
             if route is None:
                 return ItemResult(ItemState.DEAD)
             service = route.choose_service(self.tools.rng)
+            self.phases.scoring_asked(self.tools.clock.monotonic())
             async with self.tools.scoring.place(service):
+                self.phases.scoring_sent(self.tools.clock.monotonic())
                 asked = self._score_request(scorer, route, service)
                 outcome = await asked.async_run()
             failures += asked.failures
