End only the open jobs of the partition whose records were deleted unread

Cause: a gap in one partition took the open jobs of all partitions as ended. Ruled out: that gaps come to all partitions together: they are trimmed and run over one by one. Change: the book is told among which jobs.

--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -123,9 +123,9 @@
         for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
             del self._ended_unseen[job_id]
 
-    def end_all(self) -> None:
-        """Take every open job as ended: records that may have told so were deleted unread."""
-        for state in [state for state in self.jobs.values() if state.open]:
+    def end_open(self, among: Callable[[str], bool]) -> None:
+        """Take open jobs `among` some as ended: records that may have told so were deleted unread."""
+        for state in [state for state in self.jobs.values() if state.open and among(state.job.id)]:
             _LOGGER.warning("job_end_unread", request_id=state.job.id)
             state.ended = True
             self._notify(state)
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -74,7 +74,7 @@
                 health,
                 partial(self._on_record, part),
                 self.book.forget_old,
-                self.book.end_all,
+                partial(self._on_gap, part),
             )
             for part in range(parts)
         ]
@@ -233,6 +233,9 @@
             detail = taken.unwrap_err()
             self._health.unsound("job_record_unsound", part=part, offset=offset, detail=detail)
 
+    def _on_gap(self, part: int) -> None:
+        self.book.end_open(lambda job_id: partition_of(job_id, len(self.tails)) == part)
+
     def _on_change(self, state: JobState) -> None:
         event = self._changed.pop(state.job.id, None)
         if event is not None:
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -7,8 +7,9 @@
 
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
-from cranberryline.jobs import ItemResult, ItemState, ResultRecord
+from cranberryline.jobs import ItemResult, ItemState, JobEnded, ResultRecord, encode_records
 from cranberryline.jobs.errors import JobProblem
+from cranberryline.jobs.partition import partition_of
 from cranberryline.jobs.service import JobService
 from tests.store_fake import FakeStore, StoreLink
 from tests.virtual_time import LoopClock, run_virtual
@@ -227,3 +228,30 @@
         assert isinstance(await late.jobs.async_find("job-2"), Ok)
 
     run_virtual(scene())
+
+
+def test_a_gap_in_one_partition_ends_no_job_of_another() -> None:
+    """A gateway is cut off while the oldest records of one partition are deleted.
+
+    Jobs there may have ended unread and get no more work; those of the other partition go on.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        (node,) = await _async_nodes(store, 1)
+        jobs = [make_job(f"job-{number}") for number in range(8)]
+        for job in jobs:
+            assert (await node.jobs.async_submit(job)).is_ok()
+        await asyncio.sleep(0.1)
+        gone = partition_of("job-0", PARTS)
+        node.link.silent = True
+        store.append("jobs", gone, encode_records([JobEnded("another"), JobEnded("third")]))
+        store.first[("jobs", gone)] = len(store.records[("jobs", gone)]) - 1
+        await asyncio.sleep(4)
+        node.link.silent = False
+        await asyncio.sleep(4)
+        states = node.jobs.book.jobs.values()
+        assert {state.open for state in states} == {True, False}
+        assert all(state.open != (partition_of(state.job.id, PARTS) == gone) for state in states)
+
+    run_virtual(scene())
