--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,16 @@
     database=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
+# For a run by hand: new seeds each time, thirty times as many examples of twice the steps.
+settings.register_profile(
+    "deep",
+    max_examples=3000,
+    stateful_step_count=100,
+    deadline=None,
+    database=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
 settings.load_profile("fixed")
 
 
