--- a/tests/jobs/test_fold_machine.py
+++ b/tests/jobs/test_fold_machine.py
@@ -24,7 +24,6 @@
 from cranberryline.jobs import (
     ItemResult,
     ItemState,
-    Job,
     JobBook,
     JobEnded,
     JobPart,
@@ -182,7 +181,7 @@
 
     @invariant()
     def all_list_alike(self) -> None:
-        """What was read decides what is listed, wherever the reader began."""
+        """Compare what is listed with what was read, wherever the reader began."""
         for reader in self.readers:
             for job_id in JOBS:
                 self._check(reader, job_id)
