--- a/cranberryline/leases/keeper.py
+++ b/cranberryline/leases/keeper.py
@@ -28,7 +28,13 @@
 
 
 class LeaseKeeper:
-    """Hold the lease if this node is the one; `token` tells whether it may act right now."""
+    """Hold the lease if this node is the one; `token` tells whether it may act right now.
+
+    `node` names the VM: two processes that run at once must not share it, since a new one takes over from
+    its predecessor at once. `lease` is alike for all holders but for a moment. `tail.async_run` and
+    `async_run` have to run for as long as the node may hold; errors of the log raise nothing here, they
+    delay. Setting `stopping` ends renewals and acquisitions.
+    """
 
     def __init__(
         self,
--- a/cranberryline/leases/model.py
+++ b/cranberryline/leases/model.py
@@ -17,7 +17,10 @@
 
 @attrs.frozen
 class Holding:
-    """The standing lease: its token is the offset of the record that acquired it."""
+    """The standing lease: its token is one above the offset of the record that acquired it.
+
+    `seen_at` is when its last sign was read here, by `Clock.elapsed`.
+    """
 
     holder: str
     token: int
--- a/cranberryline/ports/store.py
+++ b/cranberryline/ports/store.py
@@ -96,13 +96,21 @@
         timeout: timedelta,
         at: int | None = None,
     ) -> Result[Appended, StoreError]:
-        """Append records all or nothing; with `at`, only if the partition ends there."""
+        """Append records all or nothing; with `at`, only if the partition ends there.
+
+        Errors: CONFLICT with the end where it does not, REFUSED when nothing was done, UNKNOWN when it may
+        have been, or may be later if its condition still holds.
+        """
 
     @abc.abstractmethod
     async def async_read(
         self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
     ) -> Result[LogRead, StoreError]:
-        """Read records from an offset, waiting up to `wait` for the first one."""
+        """Read records from an offset, waiting up to `wait` for the first one.
+
+        A read brings every record whose append was acknowledged before it was asked, or fewer of them with
+        an `end` that tells so. Errors: GONE with the oldest offset kept, else REFUSED or UNKNOWN.
+        """
 
     @abc.abstractmethod
     async def async_newest(
