Let the machines' checks be tried by fixed steps, not by drawn ones

It is replaced by a walk of 27 successions that draws nothing, must find both faults and must pass with sound parts; the broken folds get 1,000 examples.

--- a/tests/jobs/test_fold_machine.py
+++ b/tests/jobs/test_fold_machine.py
@@ -247,6 +247,7 @@
     A machine that does not tell would prove nothing of the sound fold.
     """
     machine = type("BrokenFoldMachine", (FoldMachine,), {"book_class": broken})
-    found = settings(max_examples=100, phases=[Phase.generate])
+    # Each is found in some tens; what is drawn hangs on which modules are loaded, so there is room.
+    found = settings(max_examples=1000, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         run_state_machine_as_test(machine, settings=found)
--- a/tests/leases/test_lease_machine.py
+++ b/tests/leases/test_lease_machine.py
@@ -7,10 +7,11 @@
 """
 
 import asyncio
+import random
 from datetime import timedelta
 
 import pytest
-from hypothesis import Phase, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -164,17 +165,35 @@
     run_state_machine_as_test(LeaseMachine, settings=half)
 
 
-@pytest.mark.parametrize("broken", ["clock", "condition"])
+def _walk() -> None:
+    """Play successions in which an acquisition is done late, by each span and node, without drawing any."""
+    random.seed(1)
+    machine = LeaseMachine()
+    machine.begin(3)
+    try:
+        for later in range(500, LATEST_MS, 500):
+            for node in range(3):
+                pause = Pause.SUSPENDED if node % 2 else Pause.FROZEN
+                machine.succession(node, Fate.LATE, timedelta(milliseconds=later), pause)
+                machine.calm(LEASE.total_seconds())
+    finally:
+        machine.teardown()
+
+
+@pytest.mark.parametrize("broken", ["nothing", "clock", "condition"])
 def test_the_machine_finds_a_broken_part(broken: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """A clock that does not count suspensions, or a log that ignores the condition, is found.
 
     With such a part two hold at one moment, or a holder wakes and acts: a machine that does not tell would
-    prove nothing of the sound one.
+    prove nothing of the sound one. What is drawn hangs on which modules are loaded, so these steps are
+    fixed; with sound parts they pass.
     """
     if broken == "clock":
         monkeypatch.setattr(NodeClock, "elapsed", NodeClock.monotonic)
-    else:
+    if broken == "condition":
         monkeypatch.setattr(FatedLink, "conditional", False)
-    found = settings(max_examples=100, phases=[Phase.generate])
-    with pytest.raises(AssertionError):
-        run_state_machine_as_test(LeaseMachine, settings=found)
+    if broken == "nothing":
+        _walk()
+        return
+    with pytest.raises(AssertionError, match="front-|before its pause"):
+        _walk()
