--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import itertools
-from random import Random
 from typing import Any
 
 import msgspec
 
 from stand_ins.platform_sampler import EVENTS
 
-from .model import GROUP, PLAIN, Book, SoakPlan, job
+from .model import ALL, PLAIN, Book, SoakPlan, job
 from .world import World
 
 __all__ = ["Callers"]
@@ -24,25 +23,26 @@
 class Callers:
     """All load of a soak, until `stopping` is set."""
 
-    def __init__(self, world: World, plan: SoakPlan, rng: Random, book: Book) -> None:
+    def __init__(self, world: World, plan: SoakPlan, book: Book) -> None:
         self.stopping = False
         self.listed: dict[str, list[dict[str, Any]]] = {}
         self._world = world
         self._plan = plan
-        self._rng = rng
+        self._rng = plan.luck("reads")
         self._book = book
         self._ids = itertools.count()
         self._allowed: dict[str, int] = {}
 
-    async def async_plain(self) -> None:
+    async def async_plain(self, number: int) -> None:
         """Send requests of both kinds and look at every answer."""
+        rng = self._plan.luck(f"caller {number}")
         while not self.stopping:
-            kind = self._rng.choice(("safe", "once"))
+            kind = rng.choice(("safe", "once"))
             name = f"{kind}{next(self._ids)}"
             if kind == "once":
                 self._book.once.add(name)
             answer = await self._world.async_call(
-                self._gateway(), "POST", f"/{kind}/x", name, body={}
+                rng.randrange(self._plan.gateways), "POST", f"/{kind}/x", name, body={}
             )
             status = 0 if answer is None else answer.code
             self._book.counts[f"{kind}_{status}"] += 1
@@ -60,9 +60,10 @@
         while not self.stopping:
             min_version = max(1, self._world.version - 1)
             name = f"job{step}"
+            enough = self._plan.luck(name).choice((ALL, ALL, ALL // 2, 1, 0))
             if await self._async_submit(name, job(step, min_version)):
                 self._allowed[name] = min_version
-                await self._async_read_step(name)
+                await self._async_read_step(name, enough)
                 await self._async_end(name)
             step += 1
             self._world.name_version(self._world.version + 1)
@@ -80,13 +81,13 @@
         self._book.counts["jobs_not_accepted"] += 1
         return False
 
-    async def _async_read_step(self, name: str) -> None:
+    async def _async_read_step(self, name: str, enough: int) -> None:
         give_up = self._now() + _STEP_SECONDS
         rows = self.listed.setdefault(name, [])
         while self._now() < give_up:
             await self.async_read(name, self._gateway())
-            if len(rows) >= 4 * GROUP:
-                self._book.counts["steps_whole"] += 1
+            if len(rows) >= enough:
+                self._book.counts["steps_whole" if enough == ALL else "steps_cut"] += 1
                 return
             await asyncio.sleep(0.1)
         self._book.counts["steps_late"] += 1
@@ -134,13 +135,18 @@
             self._book.break_promise("score", f"{item}: {row['score']}")
 
     async def _async_end(self, name: str) -> None:
-        for _ in range(5):
+        give_up = self._now() + _STEP_SECONDS / 2
+        self._world.ending.set()
+        while self._now() < give_up:
             answer = await self._world.async_call(
                 self._gateway(), "DELETE", f"/api/lots/{name}", name
             )
             if answer is not None and answer.code == _OK:
+                self._world.judge.ended(name)
+                self._book.counts["ends"] += 1
                 return
             await asyncio.sleep(0.3)
+        self._book.counts["ends_without_answer"] += 1
 
     async def async_read_all_again(self) -> None:
         """Read every job from the start at every gateway: all must list the same."""
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,35 +1,53 @@
 """Faults drawn from a seed, each of which ends by itself."""
 
 import asyncio
+import itertools
+import signal
+import subprocess
 from collections.abc import Awaitable, Callable
 from random import Random
 
-from stand_ins.process import Process
+import attrs
 
+from stand_ins.platform_sampler import PlatformSampler
+
+from .entries import bad_entry
 from .model import Book, SoakPlan
 from .world import World
 
-__all__ = ["async_faults"]
+__all__ = ["Drawn", "async_faults", "draw"]
 
 _AFTER_STOP_S = 6.0
 _QUIET_END_S = 6.0
+_WAIT_FOR_END_S = 5.0
+# Of two stops, one beside the other, the second forces the first within this.
+_BETWEEN_SIGNALS_S = 0.8
 
 
 class _Faults:
     """Bring one fault about at a time, or beside another that still lasts."""
 
-    def __init__(self, world: World, rng: Random) -> None:
+    def __init__(self, world: World, book: Book) -> None:
         self._world = world
-        self._rng = rng
-        self.kinds: dict[str, Callable[[], Awaitable[None]]] = {
-            "kill": self._async_kill,
+        self._book = book
+        self._foreign = itertools.count()
+        self.gateway_kinds: dict[str, Callable[[int, Random], Awaitable[None]]] = {
             "freeze": self._async_freeze,
+            "kill": self._async_kill,
+            "reload": self._async_reload,
+            "signals": self._async_signals,
             "stop": self._async_stop,
+        }
+        self.kinds: dict[str, Callable[[Random], Awaitable[None]]] = {
+            "at_end": self._async_at_end,
             "store_down": self._async_store_down,
             "store_lost": self._async_store_lost,
             "store_slow": self._async_store_slow,
+            "bad_entry": self._async_bad_entry,
+            "sampler_again": self._async_again,
             "sampler_cut": self._async_cut,
             "sampler_silent": self._async_silent,
+            "sampler_slow": self._async_slow,
             "sampler_fails": self._async_fails,
             "sampler_full": self._async_full,
             "sampler_wrong": self._async_wrong,
@@ -37,78 +55,157 @@
             "config": self._async_config,
         }
 
-    def _gateway(self) -> Process | None:
-        running = [gateway for gateway in self._world.gateways if gateway.running]
-        return self._rng.choice(running) if len(running) > 1 else None
+    async def async_play(self, kind: str, rng: Random) -> None:
+        """Bring a fault about and end it."""
+        if kind in self.gateway_kinds:
+            await self._async_at_gateway(kind, rng)
+            return
+        await self.kinds[kind](rng)
 
-    async def _async_kill(self) -> None:
-        gateway = self._gateway()
-        if gateway is not None:
-            gateway.kill()
-            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
-            gateway.start()
-
-    async def _async_freeze(self) -> None:
-        gateway = self._gateway()
-        if gateway is not None:
-            gateway.freeze()
-            await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-            gateway.thaw()
-
-    async def _async_stop(self) -> None:
-        gateway = self._gateway()
-        if gateway is not None:
-            gateway.terminate()
+    async def _async_at_gateway(self, kind: str, rng: Random) -> None:
+        number = rng.randrange(len(self._world.gateways))
+        running = [gateway for gateway in self._world.gateways if gateway.running]
+        if len(running) > 1 and self._world.gateways[number] in running:
+            await self.gateway_kinds[kind](number, rng)
+
+    async def _async_at_end(self, rng: Random) -> None:
+        await self._world.async_next_end(_WAIT_FOR_END_S)
+        await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 0.05))))
+        kinds = rng.sample(sorted(self.gateway_kinds), 2)
+        await asyncio.gather(
+            *(self._async_at_gateway(kind, Random(rng.random())) for kind in kinds)
+        )
+
+    async def _async_kill(self, number: int, rng: Random) -> None:
+        self._world.gateways[number].kill()
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
+        self._world.start_gateway(number)
+
+    async def _async_freeze(self, number: int, rng: Random) -> None:
+        self._world.judge.frozen(number)
+        self._world.gateways[number].freeze()
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        self._world.gateways[number].thaw()
+        self._world.judge.calm(number)
+
+    async def _async_reload(self, number: int, _rng: Random) -> None:
+        self._world.gateways[number].signal(signal.SIGHUP)
+
+    async def _async_stop(self, number: int, _rng: Random) -> None:
+        self._world.gateways[number].terminate()
+        await self._async_start_after_stop(number)
+
+    async def _async_signals(self, number: int, rng: Random) -> None:
+        gateway = self._world.gateways[number]
+        for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            gateway.signal(signum)
+            await asyncio.sleep(rng.uniform(0.0, _BETWEEN_SIGNALS_S))
+        await self._async_start_after_stop(number)
+
+    async def _async_start_after_stop(self, number: int) -> None:
+        gateway = self._world.gateways[number]
+        try:
             await asyncio.to_thread(gateway.wait, _AFTER_STOP_S)
-            gateway.start()
+        except subprocess.TimeoutExpired:
+            if not self._world.judge.stood_still(number, _AFTER_STOP_S):
+                self._book.break_promise("not_stopped", f"front-{number}")
+            gateway.kill()
+        self._world.start_gateway(number)
 
-    async def _async_store_down(self) -> None:
+    async def _async_store_down(self, rng: Random) -> None:
+        self._world.judge.store(down=True)
         self._world.store.down = True
-        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
         self._world.store.down = False
+        self._world.judge.store(down=False)
 
-    async def _async_store_lost(self) -> None:
-        self._world.store.lose += self._rng.randint(1, 6)
+    async def _async_store_lost(self, rng: Random) -> None:
+        self._world.store.lose += rng.randint(1, 6)
 
-    async def _async_store_slow(self) -> None:
-        self._world.store.append_s = self._rng.uniform(0.1, 0.6)
-        await asyncio.sleep(self._rng.uniform(1.0, 4.0))
+    async def _async_store_slow(self, rng: Random) -> None:
+        self._world.store.append_s = rng.uniform(0.1, 0.6)
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
         self._world.store.append_s = 0.0
 
-    async def _async_cut(self) -> None:
-        sampler = self._rng.choice(self._world.samplers)
-        sampler.cut_after = self._rng.randint(1, 5)
+    async def _async_bad_entry(self, rng: Random) -> None:
+        sampler = self._sampler(rng)
+        for _ in range(rng.randint(1, 4)):
+            key = rng.choice((sampler.id, f"x-{next(self._foreign)}"))
+            beat = sampler.beat() if key == sampler.id else self._world.trap.beat()
+            self._world.store.append("keyed.servers", 0, [bad_entry(rng, key, beat)])
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+
+    async def _async_again(self, rng: Random) -> None:
+        sampler, elsewhere = self._sampler(rng), rng.random() < 0.5
+        killed, away_s = rng.random() < 0.5, rng.uniform(0.0, 1.5)
+        unregistered_s = rng.choice((0.0, rng.uniform(0.0, 0.5)))
+        if sampler in self._world.dead:
+            return
+        if killed:
+            await self._world.async_kill_sampler(sampler)
+            await asyncio.sleep(away_s)
+        await self._world.async_start_again(sampler, elsewhere, unregistered_s)
+
+    async def _async_cut(self, rng: Random) -> None:
+        sampler = self._sampler(rng)
+        sampler.cut_after = rng.randint(1, 5)
         await asyncio.sleep(2)
         sampler.cut_after = 0
 
-    async def _async_silent(self) -> None:
-        self._rng.choice(self._world.samplers).silent += self._rng.randint(1, 5)
+    async def _async_silent(self, rng: Random) -> None:
+        self._sampler(rng).silent += rng.randint(1, 5)
 
-    async def _async_fails(self) -> None:
-        self._rng.choice(self._world.samplers).fail += 1
+    async def _async_slow(self, rng: Random) -> None:
+        sampler = self._sampler(rng)
+        sampler.delay_s = rng.uniform(0.2, 1.5)
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+        sampler.delay_s = 0.0
 
-    async def _async_full(self) -> None:
-        self._rng.choice(self._world.samplers).shed += self._rng.randint(1, 30)
+    async def _async_fails(self, rng: Random) -> None:
+        self._sampler(rng).fail += 1
 
-    async def _async_wrong(self) -> None:
-        self._rng.choice(self._world.samplers).spoil_id += self._rng.randint(1, 4)
+    async def _async_full(self, rng: Random) -> None:
+        self._sampler(rng).shed += rng.randint(1, 30)
 
-    async def _async_leave(self) -> None:
-        self._world.replace_sampler(self._rng.choice(self._world.samplers))
+    async def _async_wrong(self, rng: Random) -> None:
+        self._sampler(rng).spoil_id += rng.randint(1, 4)
 
-    async def _async_config(self) -> None:
+    async def _async_leave(self, rng: Random) -> None:
+        self._world.replace_sampler(self._sampler(rng))
+
+    async def _async_config(self, _rng: Random) -> None:
         self._world.configure()
 
+    def _sampler(self, rng: Random) -> PlatformSampler:
+        return rng.choice(self._world.samplers)
+
+
+@attrs.frozen
+class Drawn:
+    """A fault, when it begins after the one before, and the luck of its own."""
+
+    pause_s: float
+    kind: str
+    luck: float
+
+
+def draw(plan: SoakPlan) -> list[Drawn]:
+    """Return the faults of a soak; the same for the same plan, however fast the machine is."""
+    rng, drawn, at = plan.luck("faults"), [], 0.0
+    faults = _Faults(None, Book())  # type: ignore[arg-type]
+    kinds = sorted((*faults.kinds, *faults.gateway_kinds))
+    while (at := at + (pause := rng.expovariate(1 / plan.fault_every_s))) < (
+        plan.seconds - _QUIET_END_S
+    ):
+        drawn.append(Drawn(pause, rng.choice(kinds), rng.random()))
+    return drawn
+
 
-async def async_faults(world: World, plan: SoakPlan, rng: Random, book: Book) -> None:
-    """Draw faults until shortly before the end; return when the last one is over."""
-    made = _Faults(world, rng)
-    loop = asyncio.get_running_loop()
-    until = loop.time() + plan.seconds - _QUIET_END_S
-    tasks = []
-    while (pause := rng.expovariate(1 / plan.fault_every_s)) + loop.time() < until:
-        await asyncio.sleep(pause)
-        name = rng.choice(sorted(made.kinds))
-        book.counts[f"fault_{name}"] += 1
-        tasks.append(asyncio.ensure_future(made.kinds[name]()))
+async def async_faults(world: World, plan: SoakPlan, book: Book) -> None:
+    """Bring the drawn faults about; return when the last one is over."""
+    made, tasks = _Faults(world, book), []
+    for fault in draw(plan):
+        await asyncio.sleep(fault.pause_s)
+        book.counts[f"fault_{fault.kind}"] += 1
+        tasks.append(asyncio.ensure_future(made.async_play(fault.kind, Random(fault.luck))))
     await asyncio.gather(*tasks)
--- /dev/null
+++ b/bench/soak/judge.py
@@ -0,0 +1,114 @@
+"""What may not reach a sampler: work of ended jobs, work for a former start, work for no sampler."""
+
+import math
+import re
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from stand_ins.platform_sampler import PlatformSampler
+
+from .model import Book
+
+__all__ = ["BOUND_S", "Judge"]
+
+# The platform's bound on work of an ended job, and the time without trouble after which a gateway is
+# held to it; the bench's days name 3,000 ms for both.
+BOUND_S = 3.0
+_WORK = re.compile(r"s(\d+)[ir]\d+")
+_LOCAL, _INODE = 1, 9
+
+
+class Judge:
+    """Look at each request that reaches a sampler, when it does.
+
+    A gateway that was frozen or cut from the store within the bound is not held to it; which gateway
+    sent a request is found by its connection, in the kernel's table, and only where one is late.
+    """
+
+    def __init__(
+        self,
+        book: Book,
+        pids: Callable[[], dict[int, int]],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._book = book
+        self._pids = pids
+        self._now = now
+        self._ends: dict[str, float] = {}
+        self._newest: dict[str, tuple[int, float]] = {}
+        self._trouble: dict[int, float] = {}
+        self._store_trouble = -math.inf
+
+    def ended(self, job: str) -> None:
+        """Take the first 200 to a job's end."""
+        self._ends.setdefault(job, self._now())
+
+    def registered(self, sampler: PlatformSampler) -> None:
+        """Take a sampler's entry, which names its start."""
+        if self._newest.get(sampler.id, (0, 0.0))[0] < sampler.born:
+            self._newest[sampler.id] = (sampler.born, self._now())
+
+    def frozen(self, gateway: int) -> None:
+        """Take that a gateway stands still, until `calm`."""
+        self._trouble[gateway] = math.inf
+
+    def calm(self, gateway: int) -> None:
+        """Take that a gateway that stood still goes on, or was started anew."""
+        if self._trouble.get(gateway) == math.inf:
+            self._trouble[gateway] = self._now()
+
+    def stood_still(self, gateway: int, seconds: float) -> bool:
+        """Tell whether a gateway stood still within the last seconds."""
+        return self._trouble.get(gateway, -math.inf) > self._now() - seconds
+
+    def store(self, down: bool) -> None:
+        """Take that all gateways are cut from the store, or no longer."""
+        if down:
+            self._store_trouble = math.inf
+        elif self._store_trouble == math.inf:
+            self._store_trouble = self._now()
+
+    def trapped(self, sampler: PlatformSampler, request_id: str, port: int) -> None:
+        """Take a request at an address that only entries of another writer name."""
+        self._book.break_promise("used_a_bad_entry", self._told(sampler, request_id, port))
+
+    def reached(self, sampler: PlatformSampler, request_id: str, port: int) -> None:
+        """Take a request that reached a sampler, run or turned away."""
+        work, now = _WORK.fullmatch(request_id), self._now()
+        ended = self._ends.get(f"job{work[1]}") if work else None
+        if ended is not None and now - ended > BOUND_S:
+            self._late("reached_after_end", now - ended, sampler, request_id, port)
+        born, since = self._newest.get(sampler.id, (0, now))
+        if born > sampler.born and now - since > BOUND_S:
+            self._late("reached_former_start", now - since, sampler, request_id, port)
+        if born < sampler.born:
+            self._book.counts["reached_before_entry"] += 1
+
+    def _late(
+        self, what: str, late: float, sampler: PlatformSampler, request_id: str, port: int
+    ) -> None:
+        gateway = self._gateway(port)
+        trouble = max(self._trouble.get(gateway, -math.inf), self._store_trouble)
+        if self._now() - trouble <= BOUND_S:
+            self._book.counts[f"excused_{what}"] += 1
+            return
+        told = f"{self._told(sampler, request_id, port)}, {late:.2f} s after"
+        self._book.break_promise(what, told)
+
+    def _told(self, sampler: PlatformSampler, request_id: str, port: int) -> str:
+        return f"{request_id} at {sampler.id}@{sampler.born} from front-{self._gateway(port)}"
+
+    def _gateway(self, port: int) -> int:
+        """Return the gateway that has this port of loopback, -1 for one that is gone."""
+        local = f"0100007F:{port:04X}"
+        rows = (line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:])
+        sockets = {f"socket:[{row[_INODE]}]" for row in rows if row[_LOCAL] == local}
+        for pid, number in self._pids().items():
+            try:
+                held = {str(fd.readlink()) for fd in Path(f"/proc/{pid}/fd").iterdir()}
+            except OSError:
+                continue  # it ended just now, or closed one of them while they were read
+            if held & sockets:
+                return number
+        return -1
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -5,37 +5,43 @@
 import json
 import tempfile
 from pathlib import Path
-from random import Random
 
 from tornado.httpclient import AsyncHTTPClient
 
 from .callers import Callers
 from .faults import async_faults
+from .holders import Holders
 from .model import Book, SoakPlan
 from .world import World
 
 __all__ = ["async_soak", "main"]
 
 _TOLD = 5
+# Later than the bound after the last end, so that what comes too late is seen too.
+_AFTER_S = 3.5
 
 
 async def async_soak(plan: SoakPlan, folder: Path) -> Book:
     """Play a soak; its logs lie in the folder afterwards."""
     AsyncHTTPClient.configure(None, max_clients=200)
-    book, world = Book(), World(plan, folder)
-    callers = Callers(world, plan, Random(plan.seed), book)
+    book = Book()
+    world = World(plan, folder, book)
+    callers, holders = Callers(world, plan, book), Holders(world, book)
     try:
         await world.async_start()
         beat = asyncio.ensure_future(world.async_beat())
-        load = [asyncio.ensure_future(callers.async_plain()) for _ in range(plan.callers)]
+        load = [asyncio.ensure_future(callers.async_plain(n)) for n in range(plan.callers)]
         load.append(asyncio.ensure_future(callers.async_train()))
-        faults = asyncio.ensure_future(async_faults(world, plan, Random(plan.seed + 1), book))
+        kept = [asyncio.ensure_future(holders.async_hold(n)) for n in range(2 * plan.gateways)]
+        faults = asyncio.ensure_future(async_faults(world, plan, book))
         await asyncio.sleep(plan.seconds)
         callers.stopping = True
         await asyncio.gather(faults, *load)
+        await asyncio.sleep(_AFTER_S)
         await callers.async_read_all_again()
         callers.check_runs()
-        beat.cancel()
+        for task in (beat, *kept):
+            task.cancel()
     finally:
         world.stop()
     return book
@@ -47,9 +53,10 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--fault-every", type=float, default=2.5, help="mean seconds between two")
     parser.add_argument("--logs", type=Path, help="an empty folder that keeps the gateways' logs")
     args = parser.parse_args(argv)
-    plan = SoakPlan(args.seconds, args.seed, args.gateways)
+    plan = SoakPlan(args.seconds, args.seed, args.gateways, args.fault_every)
     with tempfile.TemporaryDirectory() as folder:
         book = asyncio.run(async_soak(plan, args.logs or Path(folder)))
     line = {
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -2,11 +2,12 @@
 
 import base64
 from collections import Counter
+from random import Random
 from typing import Any
 
 import attrs
 
-__all__ = ["ENGINES", "GROUP", "HOST", "MODEL", "PLAIN", "Book", "SoakPlan", "config", "job"]
+__all__ = ["ALL", "ENGINES", "GROUP", "HOST", "MODEL", "PLAIN", "Book", "SoakPlan", "config", "job"]
 
 HOST = "soak.example"
 MODEL = "m"
@@ -14,6 +15,7 @@
 ENGINES = "engines"
 GROUP = 4
 _GROUPS = 4
+ALL = GROUP * _GROUPS
 
 
 @attrs.frozen
@@ -26,6 +28,10 @@
     fault_every_s: float = 2.5
     callers: int = 4
 
+    def luck(self, of: str) -> Random:
+        """Return one party's own luck, so that what it draws hangs on the seed and not on the others' pace."""
+        return Random(f"{self.seed} {of}")
+
 
 @attrs.define
 class Book:
@@ -79,7 +85,7 @@
                 "body": base64.b64encode(b"how good").decode(),
             },
         }
-        for number in range(GROUP * _GROUPS)
+        for number in range(ALL)
     ]
     return {
         "step": step,
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,6 +1,7 @@
 """The processes and stand-ins of a soak."""
 
 import asyncio
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -12,19 +13,26 @@
 from stand_ins.platform_store import PlatformStore
 from stand_ins.process import Process, free_ports
 
-from .model import ENGINES, HOST, MODEL, PLAIN, SoakPlan, config
+from .judge import Judge
+from .model import ENGINES, HOST, MODEL, PLAIN, Book, SoakPlan, config
 
 __all__ = ["World"]
 
 _SAMPLERS = 3
 _BEAT_S = 1.0
 _READY_S = 20.0
+# Connections of a killed sampler are reset at once; this bounds what a handler of it may hold up.
+_KILL_S = 1.0
 
 
 class World:
     """Gateways in processes of their own before a store and samplers in this one."""
 
-    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+    def __init__(self, plan: SoakPlan, folder: Path, book: Book | None = None) -> None:
+        self.judge = Judge(book or Book(), self._pids)
+        self.ending = asyncio.Event()
+        self.trap = PlatformSampler("trap", watch=self.judge.trapped)
+        self.dead: set[PlatformSampler] = set()
         self.store = PlatformStore()
         self.samplers: list[PlatformSampler] = []
         self.version = 1
@@ -39,6 +47,7 @@
     async def async_start(self) -> None:
         """Start everything and wait until every gateway is ready."""
         self.store.start()
+        self.trap.start()
         self.configure()
         for service, model in ((PLAIN, ""), (ENGINES, MODEL)):
             for _ in range(_SAMPLERS):
@@ -55,7 +64,7 @@
         for gateway in self.gateways:
             gateway.thaw()
             gateway.kill()
-        for sampler in (*self.samplers, *self.left):
+        for sampler in (*self.samplers, *self.left, self.trap):
             sampler.stop()
         self.store.stop()
 
@@ -72,10 +81,59 @@
 
     def add_sampler(self, service: str, model: str) -> None:
         """Start a sampler with the newest version."""
-        sampler = PlatformSampler(service, model, version=self.version)
+        sampler = PlatformSampler(service, model, version=self.version, watch=self.judge.reached)
         sampler.start()
         self.samplers.append(sampler)
+        self.register(sampler)
+
+    def register(self, sampler: PlatformSampler) -> None:
+        """Let a sampler tell of itself in the store."""
         self.store.put("keyed.servers", sampler.id, sampler.beat())
+        self.judge.registered(sampler)
+
+    async def async_kill_sampler(self, sampler: PlatformSampler) -> None:
+        """Kill a sampler: it tells nothing any more, and its connections are reset."""
+        self.dead.add(sampler)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_KILL_S):
+                await sampler.async_kill()
+
+    async def async_start_again(
+        self, sampler: PlatformSampler, elsewhere: bool, unregistered_s: float
+    ) -> None:
+        """Start a sampler again under its id; it tells of itself the given time later.
+
+        One that was not killed before lost its power: its connections stay open.
+        """
+        if sampler not in self.samplers:
+            return
+        try:
+            again = sampler.start_again(elsewhere)
+        except OSError:
+            again = sampler.start_again(elsewhere=True)  # another program took its port
+        self.samplers[self.samplers.index(sampler)] = again
+        self.left.append(sampler)
+        self.dead.add(again)
+        await asyncio.sleep(unregistered_s)
+        self.dead.discard(again)
+        if again in self.samplers:
+            self.register(again)
+
+    async def async_next_end(self, seconds: float) -> None:
+        """Return when a trainer is about to end a job, or after the time given."""
+        self.ending.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self.ending.wait()
+
+    def start_gateway(self, number: int) -> None:
+        """Start a gateway again unless another fault has done so."""
+        if not self.gateways[number].running:
+            self.gateways[number].start()
+            self.judge.calm(number)
+
+    def _pids(self) -> dict[int, int]:
+        return {way.pid: number for number, way in enumerate(self.gateways) if way.running}
 
     def replace_sampler(self, sampler: PlatformSampler) -> None:
         """Let a sampler leave as announced, and another take its part."""
@@ -89,7 +147,8 @@
         while True:
             await asyncio.sleep(_BEAT_S)
             for sampler in self.samplers:
-                self.store.put("keyed.servers", sampler.id, sampler.beat())
+                if sampler not in self.dead:
+                    self.register(sampler)
 
     async def async_call(
         self,
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -30,7 +31,11 @@
 
 @attrs.define(eq=False)
 class PlatformSampler:
-    """One sampler; the fields say how it answers."""
+    """One sampler; the fields say how it answers.
+
+    `watch` is called with the sampler, the request's id and the caller's port, for each request that
+    reaches it, also for those that it turns away.
+    """
 
     service: str
     model: str = ""
@@ -51,6 +56,7 @@
     sequence: int = 0
     fence: int = 0
     address: str = ""
+    watch: "Callable[[PlatformSampler, str, int], None] | None" = None
     _server: HTTPServer | None = None
 
     def start(self) -> None:
@@ -90,7 +96,13 @@
         self.stop()
         address = "" if elsewhere else self.address
         kept = {"model": self.model, "version": self.version, "id": self.id}
-        told = {**kept, "born": self.born + 1_000, "address": address, **fields}
+        told = {
+            **kept,
+            "born": self.born + 1_000,
+            "address": address,
+            "watch": self.watch,
+            **fields,
+        }
         again = PlatformSampler(self.service, **told)
         again.start()
         return again
@@ -152,6 +164,9 @@
     async def serve(self) -> None:
         """Run a request as the fields say."""
         made, headers = self.sampler, self.request.headers
+        if made.watch is not None:
+            caller = self.request.connection.context.address  # type: ignore[union-attr]
+            made.watch(made, headers.get("Attempt-Id", ""), caller[1])
         if headers.get("Target-Instance") not in (None, made.id):
             self.set_status(421)
             self.set_header("Instance-Id", made.id)
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from pathlib import Path
-from random import Random
 
 from bench.soak.callers import Callers
 from bench.soak.main import async_soak
@@ -25,7 +24,7 @@
 def _callers(tmp_path: Path) -> tuple[Callers, World, Book]:
     plan, book = SoakPlan(), Book()
     world = World(plan, tmp_path)
-    return Callers(world, plan, Random(1), book), world, book
+    return Callers(world, plan, book), world, book
 
 
 def test_a_wrong_result_is_seen(tmp_path: Path) -> None:
