--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -77,9 +77,10 @@
         )
 
     async def _async_kill(self, number: int, rng: Random) -> None:
-        self._world.gateways[number].kill()
-        await asyncio.sleep(rng.uniform(0.2, 1.5))
-        self._world.start_gateway(number)
+        with self._world.stopping(number):
+            self._world.gateways[number].kill()
+            await asyncio.sleep(rng.uniform(0.2, 1.5))
+            self._world.start_gateway(number)
 
     async def _async_freeze(self, number: int, rng: Random) -> None:
         self._world.judge.frozen(number)
@@ -92,15 +93,17 @@
         self._world.gateways[number].signal(signal.SIGHUP)
 
     async def _async_stop(self, number: int, _rng: Random) -> None:
-        self._world.gateways[number].terminate()
-        await self._async_start_after_stop(number)
+        with self._world.stopping(number):
+            self._world.gateways[number].terminate()
+            await self._async_start_after_stop(number)
 
     async def _async_signals(self, number: int, rng: Random) -> None:
         gateway = self._world.gateways[number]
-        for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
-            gateway.signal(signum)
-            await asyncio.sleep(rng.uniform(0.0, _BETWEEN_SIGNALS_S))
-        await self._async_start_after_stop(number)
+        with self._world.stopping(number):
+            for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                gateway.signal(signum)
+                await asyncio.sleep(rng.uniform(0.0, _BETWEEN_SIGNALS_S))
+            await self._async_start_after_stop(number)
 
     async def _async_start_after_stop(self, number: int) -> None:
         gateway = self._world.gateways[number]
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -1,9 +1,11 @@
 """What may not reach a sampler: work of ended jobs, work for a former start, work for no sampler."""
 
 import math
+import os
 import re
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 from stand_ins.platform_sampler import PlatformSampler
@@ -105,10 +107,20 @@
         rows = (line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:])
         sockets = {f"socket:[{row[_INODE]}]" for row in rows if row[_LOCAL] == local}
         for pid, number in self._pids().items():
-            try:
-                held = {str(fd.readlink()) for fd in Path(f"/proc/{pid}/fd").iterdir()}
-            except OSError:
-                continue  # it ended just now, or closed one of them while they were read
-            if held & sockets:
+            if sockets & _held(pid):
                 return number
         return -1
+
+
+def _held(pid: int) -> set[str]:
+    """Return what a process holds open; one that ended just now holds nothing."""
+    held: set[str] = set()
+    folder = f"/proc/{pid}/fd"
+    try:
+        names = os.listdir(folder)
+    except OSError:
+        return held
+    for name in names:
+        with suppress(OSError):  # closed since it was listed
+            held.add(os.readlink(f"{folder}/{name}"))
+    return held
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -29,7 +29,10 @@
     callers, holders = Callers(world, plan, book), Holders(world, book)
     try:
         await world.async_start()
-        beat = asyncio.ensure_future(world.async_beat())
+        minded = [
+            asyncio.ensure_future(world.async_beat()),
+            asyncio.ensure_future(world.async_keep()),
+        ]
         load = [asyncio.ensure_future(callers.async_plain(n)) for n in range(plan.callers)]
         load.append(asyncio.ensure_future(callers.async_train()))
         kept = [asyncio.ensure_future(holders.async_hold(n)) for n in range(2 * plan.gateways)]
@@ -40,7 +43,7 @@
         await asyncio.sleep(_AFTER_S)
         await callers.async_read_all_again()
         callers.check_runs()
-        for task in (beat, *kept):
+        for task in (*minded, *kept):
             task.cancel()
     finally:
         world.stop()
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,7 +1,9 @@
 """The processes and stand-ins of a soak."""
 
 import asyncio
-from contextlib import suppress
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -23,13 +25,16 @@
 _READY_S = 20.0
 # Connections of a killed sampler are reset at once; this bounds what a handler of it may hold up.
 _KILL_S = 1.0
+_LOOK_S = 0.3
 
 
 class World:
     """Gateways in processes of their own before a store and samplers in this one."""
 
     def __init__(self, plan: SoakPlan, folder: Path, book: Book | None = None) -> None:
-        self.judge = Judge(book or Book(), self._pids)
+        self._book = book or Book()
+        self.judge = Judge(self._book, self._pids)
+        self.held_down: Counter[int] = Counter()
         self.ending = asyncio.Event()
         self.trap = PlatformSampler("trap", watch=self.judge.trapped)
         self.dead: set[PlatformSampler] = set()
@@ -132,6 +137,25 @@
             self.gateways[number].start()
             self.judge.calm(number)
 
+    @contextmanager
+    def stopping(self, number: int) -> Iterator[None]:
+        """Say that a gateway may be gone for now: a fault ends it and starts it again."""
+        self.held_down[number] += 1
+        try:
+            yield
+        finally:
+            self.held_down[number] -= 1
+
+    async def async_keep(self) -> None:
+        """Start gateways again that ended though nobody killed or stopped them, as a platform does."""
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            for number, gateway in enumerate(self.gateways):
+                if not gateway.running and not self.held_down[number]:
+                    code = gateway.wait(0)
+                    self._book.break_promise("ended_by_itself", f"front-{number}: code {code}")
+                    self.start_gateway(number)
+
     def _pids(self) -> dict[int, int]:
         return {way.pid: number for number, way in enumerate(self.gateways) if way.running}
 
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -1,13 +1,25 @@
 """The fault soak: it holds on a short run, and it would see what is broken."""
 
 import asyncio
+import os
+import socket
 from pathlib import Path
+from random import Random
+
+import attrs
+import pytest
+from result import Err
 
 from bench.soak.callers import Callers
+from bench.soak.entries import bad_entry
+from bench.soak.faults import draw
+from bench.soak.judge import Judge
 from bench.soak.main import async_soak
 from bench.soak.model import Book, SoakPlan
 from bench.soak.world import World
+from cranberryline.platform.samplers import read_registration
 from stand_ins.platform_sampler import EVENTS, PlatformSampler, Run
+from stand_ins.process import Process
 
 
 def test_no_promise_is_broken_in_a_short_soak(tmp_path: Path) -> None:
@@ -21,6 +33,139 @@
     assert sum(count for name, count in book.counts.items() if name.startswith("fault_")) >= 3
 
 
+def test_no_promise_is_broken_in_a_seeded_minute(tmp_path: Path) -> None:
+    """Samplers start again under their ids, others write bad entries, signals overlap, at ends too.
+
+    Three seconds after the 200 to a job's end nothing of it reaches a sampler, nor does anything a
+    former start; entries that name no sampler are not used; each process ends only when told to.
+    """
+    plan = SoakPlan(seconds=40, seed=16, fault_every_s=0.7)
+    book = asyncio.run(async_soak(plan, tmp_path))
+    assert book.broken == []
+    assert book.counts["ends"] >= 5 and book.counts["steps_cut"] >= 3
+    for kind in ("at_end", "bad_entry", "sampler_again", "signals"):
+        assert book.counts[f"fault_{kind}"] >= 1, kind
+    assert book.counts["held_200"] > 50 and book.counts["held_to_the_end"] >= 1
+
+
+def test_a_seed_draws_the_same_faults_again() -> None:
+    """However fast the machine is, and whatever the gateways make of them."""
+    plan = SoakPlan(seed=3, fault_every_s=0.5)
+    assert draw(plan) == draw(plan) and len(draw(plan)) > 50
+    assert draw(plan) != draw(SoakPlan(seed=4, fault_every_s=0.5))
+
+
+def test_no_drawn_entry_names_a_sampler() -> None:
+    """Each is refused when it is read, or names a service that no configuration has."""
+    beat = PlatformSampler("plain", address="127.0.0.1:80").beat()
+    for seed in range(300):
+        record = bad_entry(Random(seed), "x-1", beat)
+        assert record[:4] == b"\x03x-1"
+        read = read_registration("x-1", record[4:])
+        assert isinstance(read, Err) or read.unwrap().service == "nobody", record
+
+
+class _Judged:
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.book = Book()
+        self.judge = Judge(self.book, lambda: {os.getpid(): 0}, lambda: self.now)
+        self.sampler = PlatformSampler("engines", "m")
+        self.judge.registered(self.sampler)
+
+    def broken(self) -> list[str]:
+        """Return what was found since the last time, by promise."""
+        found = [line.partition(":")[0] for line in self.book.broken]
+        self.book.broken.clear()
+        return found
+
+
+@pytest.mark.parametrize("work", ["s1i0", "s1r3"])
+def test_work_of_an_ended_job_is_seen_when_it_reaches_a_sampler_too_late(work: str) -> None:
+    """An item and a scoring request: within the bound, after it, and of a job that is open."""
+    judged = _Judged()
+    judged.judge.ended("job1")
+    judged.now += 2.9
+    judged.judge.ended("job1")
+    judged.judge.reached(judged.sampler, work, 1)
+    assert judged.broken() == []
+    judged.now += 0.2
+    judged.judge.reached(judged.sampler, work.replace("1", "2", 1), 1)
+    assert judged.broken() == []
+    judged.judge.reached(judged.sampler, work, 1)
+    assert judged.broken() == ["reached_after_end"]
+
+
+def test_only_the_gateway_in_trouble_is_excused_and_only_for_the_bound() -> None:
+    """Frozen or cut from the store within three seconds; another gateway's freeze excuses nobody."""
+    judged = _Judged()
+    judged.judge.ended("job1")
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+        judged.now += 10
+        judged.judge.frozen(1)
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        assert judged.broken() == ["reached_after_end"]
+        judged.judge.frozen(0)
+        judged.now += 10
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        judged.judge.calm(0)
+        judged.now += 2.9
+        judged.judge.calm(0)
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        assert judged.broken() == []
+        judged.now += 0.2
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        assert judged.broken() == ["reached_after_end"]
+        judged.judge.store(down=True)
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        judged.judge.store(down=False)
+        judged.now += 3.1
+        assert judged.broken() == []
+        judged.judge.reached(judged.sampler, "s1i0", port)
+        assert judged.broken() == ["reached_after_end"]
+
+
+def test_what_reaches_a_former_start_or_a_bad_entry_s_address_is_seen() -> None:
+    """The new start told of itself more than the bound ago; nobody but another writer told the other."""
+    judged = _Judged()
+    again = attrs.evolve(judged.sampler, born=judged.sampler.born + 5)
+    judged.judge.reached(again, "safe1", 1)
+    assert judged.broken() == [] and judged.book.counts["reached_before_entry"] == 1
+    judged.judge.registered(again)
+    judged.now += 2.9
+    judged.judge.registered(judged.sampler)
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    assert judged.broken() == []
+    judged.now += 0.2
+    judged.judge.reached(again, "safe1", 1)
+    assert judged.broken() == []
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    judged.judge.trapped(judged.sampler, "safe1", 1)
+    assert judged.broken() == ["reached_former_start", "used_a_bad_entry"]
+
+
+def test_a_process_that_ends_by_itself_is_seen_and_started_again(tmp_path: Path) -> None:
+    """One that a fault holds down is left to that fault."""
+
+    async def scene() -> None:
+        book = Book()
+        world = World(SoakPlan(), tmp_path, book)
+        world.gateways.append(Process("front-0", ["this"], tmp_path / "log"))
+        world.gateways[0].start()
+        world.gateways[0].wait(10)
+        keeping = asyncio.ensure_future(world.async_keep())
+        with world.stopping(0):
+            await asyncio.sleep(0.7)
+            assert book.broken == [] and not world.gateways[0].running
+        await asyncio.sleep(0.4)
+        keeping.cancel()
+        assert book.broken[:1] == ["ended_by_itself: front-0: code 0"]
+        world.stop()
+
+    asyncio.run(scene())
+
+
 def _callers(tmp_path: Path) -> tuple[Callers, World, Book]:
     plan, book = SoakPlan(), Book()
     world = World(plan, tmp_path)
