Let no SIGHUP end a gateway that is just starting

Cause: a gateway listens to SIGHUP once it runs; before, while its libraries are read, the signal's default ends it.

Left: the time that the interpreter itself takes before the first line.

Measured: both new tests red before, green after; tests/gateway/test_reload.py, test_cli, test_build green.

--- a/cranberryline/gateway/reload.py
+++ b/cranberryline/gateway/reload.py
@@ -38,13 +38,17 @@
         self._stamp = self._read_stamp()
 
     def install(self) -> None:
-        """Listen for SIGHUP, whose default would end the process and cut every caller."""
+        """Listen for SIGHUP, whose default would end the process and cut every caller.
+
+        The file is read once more: a change since the start read it came with a signal that was not heard.
+        """
         loop = asyncio.get_running_loop()
 
         def on_signal(_signum: int, _frame: FrameType | None) -> None:
             loop.call_soon_threadsafe(self.reload, "signal")
 
         signal.signal(signal.SIGHUP, on_signal)
+        loop.call_soon(self.reload, "start")
 
     async def async_run(self) -> None:
         """Look at the file until cancelled."""
--- a/tests/gateway/test_reload.py
+++ b/tests/gateway/test_reload.py
@@ -10,6 +10,7 @@
 from cranberryline.gateway.reload import SettingsWatch
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.settings import GatewaySettings, load_settings
+from stand_ins.process import Process, free_ports, wait_for
 
 TEXT = """
 vm_id: front-1
@@ -89,3 +90,43 @@
     taken: list[GatewaySettings] = []
     _watch(file, taken).reload("test")
     assert taken == []
+
+
+def test_a_signal_in_the_middle_of_the_start_does_not_end_the_process(tmp_path: Path) -> None:
+    """The settings change while a gateway starts: libraries are being read, nothing listens yet.
+
+    Ended by the signal's default, it would be gone for one more start, and callers with it.
+    """
+    front, ready, peer = free_ports(3)
+    ports = f"listen: 127.0.0.1:{front}\nready: 127.0.0.1:{ready}\npeer: 127.0.0.1:{peer}\n"
+    file = tmp_path / "settings.yaml"
+    file.write_text(f"vm_id: front-1\ndata_center: levis\nstore: 127.0.0.1:9\n{ports}")
+    gateway = Process("front-1", ["cranberryline", "gateway", str(file)], tmp_path / "log")
+    gateway.start()
+    try:
+        maps = Path(f"/proc/{gateway.pid}/maps")
+        wait_for(lambda: not gateway.running or "msgspec" in maps.read_text(), "msgspec is read")
+        gateway.signal(signal.SIGHUP)
+        wait_for(
+            lambda: not gateway.running or "settings_reloaded" in gateway.output(), "it listens"
+        )
+        assert gateway.running
+    finally:
+        gateway.kill()
+
+
+def test_a_change_before_the_signal_is_listened_to_is_taken(file: Path) -> None:
+    """It came with a signal that was not heard, after the settings were read."""
+    taken: list[GatewaySettings] = []
+
+    async def scene() -> None:
+        cfg = load_settings(file, GatewaySettings).unwrap()
+        _write(file, "log_level: debug\n")
+        watch = SettingsWatch(str(file), cfg, taken.append, SystemClock())
+        before = signal.getsignal(signal.SIGHUP)
+        watch.install()
+        await asyncio.sleep(0)
+        signal.signal(signal.SIGHUP, before)
+
+    asyncio.run(scene())
+    assert [cfg.log_level for cfg in taken] == ["debug"]
