Tell work from plain requests where a sampler's new start is not in the store yet

Also end a soak with the cause when one of its own tasks has failed, which would have passed unseen.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -85,7 +85,8 @@
         if born > sampler.born and now - since > BOUND_S:
             self._late("reached_former_start", now - since, sampler, request_id, port)
         if born < sampler.born:
-            self._book.counts["reached_before_entry"] += 1
+            # Sent to the former start, whose id and address it has; nobody could know of this one.
+            self._book.counts[f"{'work' if work else 'plain'}_reached_before_entry"] += 1
 
     def _late(
         self, what: str, late: float, sampler: PlatformSampler, request_id: str, port: int
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -44,6 +44,8 @@
         await callers.async_read_all_again()
         callers.check_runs()
         for task in (*minded, *kept):
+            if task.done():
+                task.result()  # it never ends, so this tells why it has
             task.cancel()
     finally:
         world.stop()
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -131,7 +131,10 @@
     judged = _Judged()
     again = attrs.evolve(judged.sampler, born=judged.sampler.born + 5)
     judged.judge.reached(again, "safe1", 1)
-    assert judged.broken() == [] and judged.book.counts["reached_before_entry"] == 1
+    judged.judge.reached(again, "s1i0", 1)
+    counts = judged.book.counts
+    assert judged.broken() == [] and counts["plain_reached_before_entry"] == 1
+    assert counts["work_reached_before_entry"] == 1
     judged.judge.registered(again)
     judged.now += 2.9
     judged.judge.registered(judged.sampler)
