--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import attrs
 import msgspec
@@ -11,6 +11,7 @@
 from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock, in_milliseconds
+from cranberryline.helpers.decode import decode_msgpack
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.errors import UpstreamCut
@@ -44,6 +45,8 @@
 # A peer that lost power does not answer; one that lives accepts within milliseconds. Waited for like any
 # other server, a dead peer took up the whole time of a caller, who left without an answer.
 _PEER_CONNECT = timedelta(milliseconds=200)
+# A century; a longer time would overflow.
+_MAX_SILENT_MS = 100 * 366 * 86_400_000
 _ANSWERED = (StoreProblem.CONFLICT, StoreProblem.GONE)
 
 
@@ -84,7 +87,7 @@
     records: list[bytes] = []
     keys: list[tuple[str, bytes, int]] = []
     # How long the store has answered this peer nothing at all, in milliseconds; -1 if it never did.
-    silent_ms: int = -1
+    silent_ms: Annotated[int, msgspec.Meta(ge=-1, le=_MAX_SILENT_MS)] = -1
 
 
 _CALLS = msgspec.msgpack.Decoder(RelayAppend | RelayRead | RelayNewest)
@@ -261,7 +264,7 @@
                 self._good_peer = peer
                 self._metrics.relayed.labels("answered").inc()
                 return Ok(make(answer))
-            error = StoreError(StoreProblem(answer.problem), answer.detail, answer.first)
+            error = StoreError(_problem_of(answer), answer.detail, answer.first)
             if error.problem in _ANSWERED:
                 self._good_peer = peer
                 return Err(error)
@@ -298,9 +301,10 @@
             return Err(StoreError(problem, f"peer {peer}: {lost.detail}"))
         try:
             data = await sent.unwrap().async_whole()
-            return Ok(_ANSWERS.decode(data))
-        except (UpstreamCut, msgspec.DecodeError) as exc:
+        except UpstreamCut as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
+        read = decode_msgpack(data, _ANSWERS)
+        return read.map_err(lambda why: StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {why}"))
 
     def _note_direct(self, where: _Where, good: bool, detail: str) -> None:
         if good and where in self._probe_at:
@@ -313,6 +317,12 @@
             self._probe_at[where] = self._clock.monotonic() + _PROBE_INTERVAL
 
 
+def _problem_of(answer: RelayAnswer) -> StoreProblem:
+    """Return the problem that a peer tells; one that is not known here leaves everything open."""
+    known = answer.problem in StoreProblem.__members__.values()
+    return StoreProblem(answer.problem) if known else StoreProblem.UNKNOWN
+
+
 def _where(call: "RelayAppend | RelayRead | RelayNewest") -> _Where:
     return (call.topic, 0 if isinstance(call, RelayNewest) else call.part)
 
@@ -326,11 +336,12 @@
 
     async def post(self) -> None:
         """Make the call and answer with what it brought."""
-        try:
-            call = _CALLS.decode(self.request.body)
-        except msgspec.DecodeError:
-            self.set_status(400)
-            return
+        match decode_msgpack(self.request.body, _CALLS):
+            case Err():
+                self.set_status(400)
+                return
+            case Ok(call):
+                pass
         answer = await self._store.async_serve(call)
         self.set_header("Content-Type", "application/msgpack")
         self.finish(msgspec.msgpack.encode(answer))
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -5,11 +5,13 @@
 from functools import cached_property
 
 import attrs
+from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 
 from .codec import decode_job
+from .const import MAX_PARTS
 from .groups import JobGroups
 from .model import Item, ItemResult, ItemState, Job, JobEnded, JobPart, JobRecord, ResultRecord
 
@@ -49,7 +51,7 @@
 
 @attrs.define(eq=False)
 class _Parts:
-    total: int
+    seen_at: timedelta
     pieces: dict[int, bytes] = attrs.field(factory=dict)
 
 
@@ -65,7 +67,7 @@
         self.jobs: dict[str, JobState] = {}
         self._clock = clock
         self._keep = keep
-        self._parts: dict[tuple[str, str], _Parts] = {}
+        self._parts: dict[tuple[str, str, int], _Parts] = {}
         self._completed: dict[str, tuple[Item, ItemResult]] = {}
         self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
@@ -74,23 +76,27 @@
         """Call back after each change of a job."""
         self._listeners.append(listener)
 
-    def apply(self, record: JobRecord) -> None:
-        """Take the next record."""
+    def apply(self, record: JobRecord) -> Result[None, str]:
+        """Take the next record; the error says why it changes nothing though it should have.
+
+        Results and ends of jobs that are not known here are no errors: they outlive their jobs.
+        """
         state = self.jobs.get(record.job)
         if isinstance(record, JobPart):
-            if state is None:
-                self._take_part(record)
-            return
+            return self._take_part(record) if state is None else Ok(None)
         if state is None:
             if isinstance(record, JobEnded):
                 # A copy of the job that took effect late may be all that is kept of it besides its end.
                 self._ended_unseen[record.job] = self._clock.monotonic()
-            return
+            return Ok(None)
         if isinstance(record, JobEnded):
             state.ended = True
+        elif not 0 <= record.index < len(state.job.items):
+            return Err("a result of no item")
         else:
             self._take_result(state, record)
         self._notify(state)
+        return Ok(None)
 
     def completed(self, item: Item) -> ItemResult | None:
         """Return the result that some job lists of just this item, if it is complete.
@@ -102,11 +108,13 @@
         return found[1] if found is not None and found[0] == item else None
 
     def forget_old(self) -> None:
-        """Drop jobs that nobody may ask for any more; an open one may be asked for until it ends.
+        """Drop jobs that nobody may ask for any more, and parts whose writer never came to the last.
 
-        Forgotten while open, its runs would not hear of its end.
+        An open job may be asked for until it ends; forgotten while open, its runs would not hear of that.
         """
         limit = self._clock.monotonic() - self._keep
+        for key in [key for key, parts in self._parts.items() if parts.seen_at < limit]:
+            del self._parts[key]
         old = [state for state in self.jobs.values() if state.seen_at < limit and not state.open]
         for state in old:
             del self.jobs[state.job.id]
@@ -115,30 +123,42 @@
         for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
             del self._ended_unseen[job_id]
 
-    def end_all(self) -> None:
-        """Take every open job as ended: records that may have told so were deleted unread."""
-        for state in [state for state in self.jobs.values() if state.open]:
+    def end_open(self, among: Callable[[str], bool]) -> None:
+        """Take open jobs `among` some as ended: records that may have told so were deleted unread."""
+        for state in [state for state in self.jobs.values() if state.open and among(state.job.id)]:
             _LOGGER.warning("job_end_unread", request_id=state.job.id)
             state.ended = True
             self._notify(state)
 
-    def _take_part(self, part: JobPart) -> None:
-        key = (part.job, part.writer)
-        parts = self._parts.setdefault(key, _Parts(part.total))
+    def _take_part(self, part: JobPart) -> Result[None, str]:
+        """Take a part; only parts of one writer that agree on their number make a job.
+
+        What turns out to be none takes nothing with it: parts of the same job by another writer may have
+        been accepted already, and thrown away with it that job would be lost.
+        """
+        if not 0 <= part.index < part.total <= MAX_PARTS:
+            return Err("a part of no job")
+        key = (part.job, part.writer, part.total)
+        parts = self._parts.setdefault(key, _Parts(self._clock.monotonic()))
         parts.pieces[part.index] = part.data
-        if len(parts.pieces) < parts.total:
-            return
-        job = decode_job(parts.pieces[number] for number in sorted(parts.pieces))
+        if len(parts.pieces) < part.total:
+            return Ok(None)
+        del self._parts[key]
+        read = decode_job(parts.pieces[number] for number in range(part.total))
+        if isinstance(read, Err):
+            return Err(read.unwrap_err())
+        job = read.unwrap()
+        if job.id != part.job:
+            return Err("parts of another job")
         for other in [other for other in self._parts if other[0] == part.job]:
             del self._parts[other]
-        if job is None or job.id != part.job:
-            return
         state = self.jobs[job.id] = JobState(job, self._clock.monotonic())
         state.ended = self._ended_unseen.pop(job.id, None) is not None
         self._notify(state)
+        return Ok(None)
 
     def _take_result(self, state: JobState, record: ResultRecord) -> None:
-        if record.index in state.done or not 0 <= record.index < len(state.job.items):
+        if record.index in state.done:
             return
         state.done.add(record.index)
         state.results.append((record.index, record.result))
--- a/tests/helpers/test_tail.py
+++ b/tests/helpers/test_tail.py
@@ -8,7 +8,6 @@
 import pytest
 from result import Err, Result
 
-from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
 from cranberryline.ports.store import LogRead, StoreError, StoreProblem
 from tests.store_fake import FakeStore, StoreLink
@@ -36,7 +35,6 @@
             clock,
             StoreHealth(clock),
             lambda record: heard.append(record.key),
-            Metrics(),
             timedelta(milliseconds=300),
         )
         following = asyncio.ensure_future(tail.async_run())
