--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -48,6 +48,13 @@
     assert book.counts["held_200"] > 50 and book.counts["held_to_the_end"] >= 1
 
 
+@pytest.mark.parametrize(("seed", "seconds"), [(12, 16), (101, 18)])
+def test_seeds_that_broke_a_promise_break_none(tmp_path: Path, seed: int, seconds: float) -> None:
+    """In 12 a killed gateway met its port in use; in 101 a SIGHUP ended one that was starting."""
+    plan = SoakPlan(seconds=seconds, seed=seed, fault_every_s=0.5)
+    assert asyncio.run(async_soak(plan, tmp_path)).broken == []
+
+
 def test_a_seed_draws_the_same_faults_again() -> None:
     """However fast the machine is, and whatever the gateways make of them."""
     plan = SoakPlan(seed=3, fault_every_s=0.5)
