Answer 'not sure' for jobs whose results may have been deleted unread

Cause: a node that was cut off until the first results of a job had been deleted folded the later ones and listed them from position 0 on, where every other node lists the first. Ruled out: dropping such jobs, which would be answered 404 while others know them. Change: a gap marks every job of its partition that is not complete; it is answered 503 here.

--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -115,9 +115,16 @@
         for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
             del self._ended_unseen[job_id]
 
-    def end_open(self, among: Callable[[str], bool]) -> None:
-        """Take open jobs `among` some as ended: records that may have told so were deleted unread."""
-        for state in [state for state in self.jobs.values() if state.open and among(state.head.id)]:
+    def miss_records(self, among: Callable[[str], bool]) -> None:
+        """Take it that records were deleted unread, of the jobs `among` some.
+
+        An open job may have ended, so it gets no more work. A job that is not complete may lack results:
+        listed on from here, its positions would hold other results than at every other node.
+        """
+        for state in [state for state in self.jobs.values() if among(state.head.id)]:
+            state.lacking = state.lacking or len(state.done) < len(state.head.items)
+            if not state.open:
+                continue
             _LOGGER.warning("job_end_unread", request_id=state.head.id)
             state.ended = True
             self._notify(state)
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -140,7 +140,7 @@
             state = self.book.jobs.get(job_id)
             if state is None:
                 return Err(JobRefused(JobProblem.UNKNOWN_JOB))
-        if state is None:
+        if state is None or state.lacking:
             return Err(JobRefused(JobProblem.NOT_SURE))
         return Ok(state)
 
@@ -165,6 +165,8 @@
         unsure = len(state.listed) <= after and not complete
         if unsure and not await self._tail(job_id).async_sync(READ_TIMEOUT):
             return Err(JobRefused(JobProblem.NOT_SURE))
+        if state.lacking:
+            return Err(JobRefused(JobProblem.NOT_SURE))
         page = _page(state, after)
         if groups := state.groups.newly_read(state.listed, after, page.next):
             _LOGGER.info("groups_read", request_id=job_id, groups=groups, next=page.next)
@@ -235,7 +237,7 @@
             self._health.unsound("job_record_unsound", part=part, offset=offset, detail=detail)
 
     def _on_gap(self, part: int) -> None:
-        self.book.end_open(lambda job_id: partition_of(job_id, len(self.tails)) == part)
+        self.book.miss_records(lambda job_id: partition_of(job_id, len(self.tails)) == part)
 
     def _on_change(self, state: JobState) -> None:
         event = self._changed.pop(state.head.id, None)
--- a/cranberryline/jobs/state.py
+++ b/cranberryline/jobs/state.py
@@ -50,6 +50,8 @@
     done: set[int] = attrs.field(factory=set)
     ended: bool = False
     moved_at: dict[str, timedelta] = attrs.field(factory=dict)
+    # Whether results of it may have been deleted before they were read here.
+    lacking: bool = False
     _job: Job | None = None
 
     @classmethod
