Close all kept connections of a server in one turn of the loop

Ruled out: answering such a request with a refusal (its connection may be closed before that has left). Change: the server closes every stream before anything else runs.

--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -82,7 +82,7 @@
     app: HTTPServerConnectionDelegate, address: str, limits: InputLimits, metrics: Metrics
 ) -> HTTPServer:
     """Listen on an address, "127.0.0.1:8001", with an application behind the limits."""
-    server = HTTPServer(
+    server = _Server(
         _Guard(app, limits, metrics),
         max_body_size=limits.max_body_bytes + _DROPPED_BYTES,
         max_header_size=limits.max_header_bytes + _HEADER_MARGIN_BYTES,
@@ -95,6 +95,21 @@
     return server
 
 
+class _Server(HTTPServer):
+    """A server that closes all its connections in one turn of the loop."""
+
+    async def close_all_connections(self) -> None:
+        """Close what callers keep, then wait for what still ends.
+
+        Closed one after the other with a wait for each, those that come later are still read from: a
+        request there is run and then cut. A caller that saw nothing in flight closes everything before
+        any other task may read.
+        """
+        for conn in self._connections:
+            conn.stream.close()
+        await super().close_all_connections()
+
+
 class _Guard(HTTPServerConnectionDelegate):
     """Put the limits before each message of an application."""
 
