Give long texts the fast engines, and let them leave one that became slow

Cause: a third of the engines are a third slower at all times and one of six turns 3.6 times slower for seconds; a text went to an engine drawn with what its prompt and longest text would cost, alike for all, and stayed to the end. Texts of 170 to 187 events took 9.4 to 10.8 s where 7.1 were possible, in steps due in 7.5. Ruled out: engines slowed by being full (38 ms an event at any load); a wait for places (3% of the critical path). Change: the length that callers tell is read, and the tokens of an event learned from texts that ended; engines are weighed by the events that their runs bring; long texts of a step start first; a text leaves an engine when what is left would be made sooner elsewhere by more than a move costs.

--- a/cranberryline/entry/dispatch.py
+++ b/cranberryline/entry/dispatch.py
@@ -132,6 +132,10 @@
         """Return how many requests the service's upstreams work on at once."""
         return len(self._peers.usable(service)) * self._book.spec(service).concurrency
 
+    def with_room(self, service: str) -> list[str]:
+        """Return the upstreams of a service that have a free place, as far as this node knows."""
+        return self.lane(service).with_room()
+
     def wake(self) -> None:
         """Let waiting requests look at the upstreams again."""
         for service, lane in self._lanes.items():
--- a/cranberryline/entry/lane.py
+++ b/cranberryline/entry/lane.py
@@ -213,6 +213,9 @@
         if eligible is not None:
             free = [upstream for upstream in free if eligible(upstream.peer.vm_id)]
         views = [upstream.view(spec, now) for upstream in free]
+        pace = waiter.req.pace
+        if pace is not None:
+            views = [attrs.evolve(view, tokens_per_second=pace(view.id)) for view in views]
         excluded = waiter.avoid & {view.id for view in views}
         # Rather the same upstream again than none: the exclusion is a wish, not a rule.
         if len(excluded) >= len(views):
@@ -260,6 +263,10 @@
         if not waiter.fut.done():
             waiter.fut.set_result(result)
 
+    def with_room(self) -> list[str]:
+        """Return the upstreams that have a free place, as far as this node knows."""
+        return [upstream.peer.vm_id for upstream in self._free()]
+
     def _free(self) -> list[Upstream]:
         spec, now = self._spec(), self._clock.monotonic()
         return [up for up in self._peers.usable(self._service) if up.has_room(spec, now)]
--- a/cranberryline/entry/model.py
+++ b/cranberryline/entry/model.py
@@ -26,7 +26,8 @@
     of it an upstream saves that has served the same `prefix_key`; `avoid` names upstreams
     that should not serve it, such as those already making the same sample. `eligible` tells of an
     upstream whether it may serve the request at all, and `max_attempts` how many upstreams may be
-    made to run it; None leaves both to the policies.
+    made to run it; None leaves both to the policies. `pace` tells how many of its tokens an upstream makes
+    a second, 0 where that is not known; None leaves it to what the dispatcher measures.
     """
 
     service: str
@@ -45,6 +46,7 @@
     avoid: frozenset[str] = frozenset()
     eligible: Callable[[str], bool] | None = None
     max_attempts: int | None = None
+    pace: Callable[[str], float] | None = None
 
 
 class AnswerSink(abc.ABC):
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -10,6 +10,8 @@
 
 from cranberryline.decisions.elsewhere import avoid_next
 from cranberryline.decisions.hedging import HedgeBudget, scoring_hedge_delay
+from cranberryline.decisions.lengths import TextLengths
+from cranberryline.decisions.moving import MOST_MOVES, EnginePaces, faster_elsewhere
 from cranberryline.decisions.turned_away import TurnedAway
 from cranberryline.entry.attempt import CallerLeft
 from cranberryline.entry.dispatch import Dispatcher
@@ -52,7 +54,10 @@
 _SCORE_ATTEMPTS = 2
 _PAUSE = timedelta(milliseconds=40)
 _MAX_PAUSE = timedelta(milliseconds=400)
-_STALLED_REFUSAL = Refusal(RefusalReason.UPSTREAM_FAILED)
+_LEFT = Refusal(RefusalReason.UPSTREAM_FAILED)
+# What reading a token of a prompt costs of making one: engines read some 300 while they make one of a text,
+# and share that with their other texts. Counted in full, the home of a prompt drew texts to slow engines.
+READ_COST = 0.02
 
 
 @attrs.define
@@ -72,6 +77,8 @@
     hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
     heard: dict[str, timedelta] = attrs.field(factory=dict)
     turned_away: TurnedAway = attrs.field(factory=TurnedAway)
+    lengths: TextLengths = attrs.field(factory=TextLengths)
+    paces: EnginePaces = attrs.field(factory=EnginePaces)
 
 
 class _TextSink(AnswerSink):
@@ -86,6 +93,7 @@
         self.upstream = ""
         self.unusable = ""
         self.moved_at: timedelta | None = None
+        self._event_at: timedelta | None = None
 
     def _note_moved(self) -> None:
         self.moved_at = self._run.tools.clock.monotonic()
@@ -131,6 +139,7 @@
             self._leave("bad_event")
         if events and self.moved_at is not None:
             self._run.phases.heard(self.moved_at)
+            self._note_pace(len(events), self.moved_at)
         for event in events:
             if event.version is not None:
                 self._version = event.version
@@ -138,6 +147,12 @@
             if self._version is None or not self._run.text.add(event, self._version):
                 self._leave("event_out_of_order")
 
+    def _note_pace(self, events: int, now: timedelta) -> None:
+        """Count events after the first of a run, which may have waited for its place."""
+        if self._event_at is not None:
+            self._run.tools.paces.heard(self.upstream, events, now - self._event_at, now)
+        self._event_at = now
+
     def _check_version(self) -> None:
         run, version = self._run, self._version
         if version is None:
@@ -172,6 +187,7 @@
         self.phases = ItemPhases(self.began)
         self.known_age: timedelta | None = None
         self._failed_runs = 0
+        self._moves = 0
         self._pause = _PAUSE
         self._avoid: frozenset[str] = frozenset()
 
@@ -255,6 +271,7 @@
         self.text_at = self.tools.clock.monotonic()
         self.phases.run_ended(self.text_at, whole)
         if whole:
+            self.tools.lengths.learn(self.item.told_tokens, len(self.text.events))
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_IMPOSSIBLE:
             return True
@@ -301,12 +318,13 @@
             deadline=self.tools.clock.monotonic() + _RUN_TIME,
             caller=job.host,
             caller_class=CallerClass.TRAINER,
-            tokens=max(self.item.tokens, 1),
+            tokens=self._tokens_left() or max(self.item.tokens, 1),
             prefix_key=self.item.prefix,
-            prefix_tokens=self.item.prefix_tokens,
+            prefix_tokens=int(self.item.prefix_tokens * READ_COST),
             avoid=self._avoid,
             eligible=eligible,
             max_attempts=1,
+            pace=self._pace_at,
         )
         task = asyncio.ensure_future(self.tools.dispatcher.async_run(req, sink))
         try:
@@ -316,13 +334,44 @@
                     return task.result()
                 if self._stalled(sink):
                     sink.unusable = "stalled"
-                    task.cancel()
-                    await asyncio.wait((task,))
-                    return Err(_STALLED_REFUSAL)
+                elif self._slower(sink, req):
+                    sink.unusable = "slow"
+                    self._moves += 1
+                else:
+                    continue
+                task.cancel()
+                await asyncio.wait((task,))
+                return Err(_LEFT)
         finally:
             if not task.done():
                 task.cancel()
 
+    def _tokens_left(self) -> int:
+        return self.tools.lengths.tokens_left(self.item.told_tokens, len(self.text.events))
+
+    def _pace_at(self, upstream: str) -> float:
+        """Return the tokens a second that an engine makes of one text, 0 if not known."""
+        tokens = self.tools.lengths.tokens_an_event
+        now = self.tools.clock.monotonic()
+        return 0.0 if tokens is None else tokens * self.tools.paces.events_per_second(upstream, now)
+
+    def _slower(self, sink: _TextSink, req: CallerRequest) -> bool:
+        """Tell whether the text would be whole sooner at another engine that has a place."""
+        if self.phases.stage != "text" or self._moves >= MOST_MOVES:
+            return False
+        now, paces = self.tools.clock.monotonic(), self.tools.paces
+        left = self.tools.lengths.events_left(self.item.told_tokens, len(self.text.events))
+        here = paces.events_per_second(sink.upstream, now)
+        others = [
+            paces.events_per_second(upstream, now)
+            for upstream in self.tools.dispatcher.with_room(req.service)
+            if upstream != sink.upstream and self._may_have(upstream, req)
+        ]
+        return faster_elsewhere(left, here, others)
+
+    def _may_have(self, upstream: str, req: CallerRequest) -> bool:
+        return upstream not in req.avoid and (req.eligible is None or req.eligible(upstream))
+
     def _stalled(self, sink: _TextSink) -> bool:
         if sink.moved_at is None:
             return False
--- a/cranberryline/jobs/model.py
+++ b/cranberryline/jobs/model.py
@@ -35,6 +35,7 @@
     """One request of a job; items of one `group` share their prompt.
 
     `prefix` names the longest part of the prompt that others share, of `prefix_tokens` tokens.
+    `told_tokens` is the length of text that the caller expects, in tokens; 0 if it told none.
     """
 
     id: str
@@ -46,6 +47,7 @@
     scorer: Scorer | None = None
     prefix: str = ""
     prefix_tokens: int = 0
+    told_tokens: int = 0
 
 
 class Job(msgspec.Struct, array_like=True, frozen=True):
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -219,11 +219,14 @@
 
     def _start_job(self, state: JobState, plan: JobPlan, now: timedelta) -> None:
         ended = self._ended.get(state.head.id, ())
-        for index in plan.due(now, self._is_current(plan.tail, now)):
-            if index in ended or (state.head.id, index) in self._running:
-                continue
-            if not state.readable:
-                return
+        due = [
+            index
+            for index in plan.due(now, self._is_current(plan.tail, now))
+            if index not in ended and (state.head.id, index) not in self._running
+        ]
+        if not due or not state.readable:
+            return
+        for index in sorted(due, key=lambda index: -state.job.items[index].told_tokens):
             self._start_item(state, index)
 
     def _tail(self, job_id: str) -> PartitionTail:
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -25,6 +25,7 @@
     EVENT_VERSION_FIELD,
     HEADER_HOST,
     HEADER_LAST_EVENT,
+    HEADER_LENGTH,
     HEADER_PREFIX,
     HEADER_REQUEST_ID,
     HEADER_SIGNATURE,
@@ -176,6 +177,7 @@
         scorer,
         prefix,
         tokens,
+        _number(raw.headers.get(HEADER_LENGTH, "")) or 0,
     )
 
 
