Keep long texts in the store piece by piece, and go on with them after a death

Cause: what a node had made of a text died with it. When all processes are killed each open step begins again from nothing; its longest text alone takes as long as the step may, and the trainer's next steps run late too. Ruled out: a longer wait before other nodes step in (nobody is left to wait for); keeping whole texts only (results are kept already). Change: each second a node appends what its running texts have made, in pieces of one writer that follow each other; an item that starts takes up the longest text that is kept of it, also of an earlier job, if its versions fit. A text is never put together from two writers. The run of an item is split into its sink, its watch and its tools.

--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -21,8 +21,10 @@
     JobRecord,
     PackedResult,
     ResultRecord,
+    TextPiece,
 )
 from .state import JobState, Listed
+from .texts import KeptText, same_request
 
 __all__ = ["JobBook", "JobState"]
 
@@ -49,6 +51,7 @@
         self._keep = keep
         self._parts: dict[tuple[str, str, int], _Parts] = {}
         self._completed: dict[str, tuple[JobState, int, Listed]] = {}
+        self._begun: dict[str, tuple[JobState, int]] = {}
         self._ended_unseen: dict[str, timedelta] = {}
         self._listeners: list[Callable[[JobState], None]] = []
 
@@ -69,6 +72,8 @@
                 # A copy of the job that took effect late may be all that is kept of it besides its end.
                 self._ended_unseen[record.job] = self._clock.monotonic()
             return Ok(None)
+        if isinstance(record, TextPiece):
+            return self._take_piece(state, record)
         if isinstance(record, JobEnded):
             state.ended = True
         elif not 0 <= record.index < len(state.head.items):
@@ -93,6 +98,15 @@
         same = state.readable and state.job.items[index] == item
         return listed.result if same else None
 
+    def begun(self, item: Item) -> KeptText | None:
+        """Return the longest text that some job keeps of just this item."""
+        found = self._begun.get(item.id)
+        if found is None:
+            return None
+        state, index = found
+        same = state.readable and same_request(state.job.items[index], item)
+        return state.texts.best(index) if same else None
+
     def forget_old(self) -> None:
         """Drop jobs that nobody may ask for any more, and parts whose writer never came to the last.
 
@@ -112,6 +126,7 @@
             del self.jobs[state.head.id]
             for item in state.head.items:
                 self._completed.pop(item.id, None)
+                self._forget_begun(item.id, state)
         for job_id in [job_id for job_id, at in self._ended_unseen.items() if at < limit]:
             del self._ended_unseen[job_id]
 
@@ -168,9 +183,31 @@
         state.listed.append((record.index, listed))
         item = state.head.items[record.index]
         state.moved_at[item.group] = self._clock.monotonic()
+        state.texts.forget(record.index)
+        self._forget_begun(item.id, state)
         if completed:
             self._completed[item.id] = (state, record.index, listed)
 
+    def _take_piece(self, state: JobState, piece: TextPiece) -> Result[None, str]:
+        """Keep a piece of a text, and count it as a sign that its group goes on."""
+        if not 0 <= piece.index < len(state.head.items):
+            return Err("a piece of no item")
+        if zlib.crc32(piece.data) != piece.crc:
+            return Err("a piece with changed bytes")
+        if piece.index in state.done:
+            return Ok(None)
+        if not state.texts.take(piece):
+            return Err("a piece that follows none")
+        item = state.head.items[piece.index]
+        state.moved_at[item.group] = self._clock.monotonic()
+        self._begun[item.id] = (state, piece.index)
+        return Ok(None)
+
+    def _forget_begun(self, item_id: str, state: JobState) -> None:
+        found = self._begun.get(item_id)
+        if found is not None and found[0] is state:
+            del self._begun[item_id]
+
     def _notify(self, state: JobState) -> None:
         for listener in self._listeners:
             listener(state)
--- a/cranberryline/jobs/codec.py
+++ b/cranberryline/jobs/codec.py
@@ -22,13 +22,16 @@
     JobRecord,
     PackedResult,
     ResultRecord,
+    TextPiece,
 )
 
 __all__ = [
+    "decode_events",
     "decode_items",
     "decode_job",
     "decode_record",
     "decode_result",
+    "encode_events",
     "encode_job",
     "encode_records",
     "head_of",
@@ -39,6 +42,7 @@
 _JOBS = msgspec.msgpack.Decoder(Job)
 _HEADS = msgspec.msgpack.Decoder(JobHead)
 _ITEMS = msgspec.msgpack.Decoder(tuple[Item, ...])
+_EVENTS = msgspec.msgpack.Decoder(tuple[str, ...])
 _RESULTS = msgspec.msgpack.Decoder(ItemResult)
 _PACKED = b"z"
 _PLAIN = b"p"
@@ -133,7 +137,7 @@
         crc = zlib.crc32(packed)
         record = PackedResult(record.job, record.index, completed, packed, crc)
     data = _ENCODER.encode(record)
-    return _PLAIN + data if isinstance(record, JobPart | PackedResult) else _pack(data)
+    return _PLAIN + data if isinstance(record, JobPart | PackedResult | TextPiece) else _pack(data)
 
 
 def _pack(data: bytes) -> bytes:
@@ -153,6 +157,17 @@
     return _unpack(data).and_then(lambda plain: decode_msgpack(plain, _RECORDS)).ok()
 
 
+def encode_events(events: Iterable[str]) -> tuple[bytes, int]:
+    """Return events packed, and the checksum of that."""
+    data = _pack(_ENCODER.encode(tuple(events)))
+    return data, zlib.crc32(data)
+
+
+def decode_events(data: bytes) -> tuple[str, ...] | None:
+    """Unpack events, None if they cannot be read."""
+    return _unpack(data).and_then(lambda plain: decode_msgpack(plain, _EVENTS)).ok()
+
+
 def decode_result(data: bytes) -> ItemResult | None:
     """Unpack a result, None if it cannot be read."""
     return _unpack(data).and_then(lambda plain: decode_msgpack(plain, _RESULTS)).ok()
--- a/cranberryline/jobs/events.py
+++ b/cranberryline/jobs/events.py
@@ -64,11 +64,16 @@
 
 @attrs.define
 class ItemText:
-    """The events that an item has so far, over all its runs, and the versions that made them."""
+    """The events that an item has so far, over all its runs, and the versions that made them.
+
+    The first `cut` events have been cut off as pieces; `fresh_versions` made those behind them.
+    """
 
     events: list[str] = attrs.field(factory=list)
     versions: list[int] = attrs.field(factory=list)
     last_id: int | None = None
+    cut: int = 0
+    fresh_versions: list[int] = attrs.field(factory=list)
 
     @property
     def text(self) -> str:
@@ -83,10 +88,26 @@
         self.last_id = event.id
         if version not in self.versions:
             self.versions.append(version)
+        if version not in self.fresh_versions:
+            self.fresh_versions.append(version)
         return True
 
+    @property
+    def fresh(self) -> int:
+        """Return how many events have not been cut off yet."""
+        return len(self.events) - self.cut
+
+    def cut_fresh(self) -> tuple[list[str], tuple[int, ...]]:
+        """Cut off what is behind the last piece: its events, and the versions that made them."""
+        events, versions = self.events[self.cut :], tuple(self.fresh_versions)
+        self.cut = len(self.events)
+        self.fresh_versions = []
+        return events, versions
+
     def clear(self) -> None:
         """Forget everything: the item is made anew."""
         self.events.clear()
         self.versions.clear()
         self.last_id = None
+        self.cut = 0
+        self.fresh_versions.clear()
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -1,54 +1,37 @@
 """Run one item of a job: its text over as many runs as it takes, then its score."""
 
 import asyncio
-from collections.abc import Callable
 from datetime import timedelta
-from random import Random
 
-import attrs
 from result import Err, Ok, Result
 
 from cranberryline.decisions.elsewhere import avoid_next
-from cranberryline.decisions.hedging import HedgeBudget, scoring_hedge_delay
-from cranberryline.decisions.lengths import TextLengths
-from cranberryline.decisions.moving import MOST_MOVES, EnginePaces, faster_elsewhere
-from cranberryline.decisions.turned_away import TurnedAway
-from cranberryline.entry.attempt import CallerLeft
-from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.decisions.hedging import scoring_hedge_delay
+from cranberryline.decisions.moving import MOST_MOVES
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerClass, CallerRequest
+from cranberryline.entry.model import CallerClass, CallerRequest
 from cranberryline.entry.repeated import RepeatedRequest
-from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
-from cranberryline.helpers.metrics import Metrics
-from cranberryline.ports.edge import EdgeFormat
-from cranberryline.routes import Route, RouteBook
+from cranberryline.routes import Route
 
-from .events import EventReader, ItemText
-from .knowledge import JobKnowledge
-from .model import Item, ItemResult, ItemState, Scorer
+from .events import ItemText
+from .model import ItemResult, ItemState, Scorer, TextPiece
 from .phases import ItemPhases
-from .scoring import ScoringPlaces
+from .pieces import PieceCutter
+from .sink import STATUS_OK, TextSink
 from .state import JobState
-from .versions import UpstreamVersions
+from .tools import ItemTools
+from .watch import RunWatch
 
-__all__ = ["ItemRun", "ItemTools"]
+__all__ = ["ItemRun"]
 
 _LOGGER = get_logger(__name__)
 
-STATUS_OK = 200
 STATUS_MULTIPLE = 300
 STATUS_IMPOSSIBLE = 422
 STATUS_FAILED = 500
 
-# An upstream that fell silent is left after this long without a byte of any run, and the text gone on
-# with elsewhere: some ten times the pause that a trainer allows between events, so a slow
-# engine keeps its work. While other runs there go on, the item only waits for its place.
-_SILENT = timedelta(milliseconds=1800)
-_STALLED = timedelta(seconds=5)
 _WATCH = timedelta(milliseconds=250)
-# More than all engines of the design size.
-_HEARD_KEPT = 10_000
 _RUN_TIME = timedelta(seconds=10)
 _SCORE_TIME = timedelta(milliseconds=2500)
 _SCORE_ATTEMPTS = 2
@@ -60,118 +43,6 @@
 READ_COST = 0.02
 
 
-@attrs.define
-class ItemTools:
-    """What running an item takes."""
-
-    routes: RouteBook
-    dispatcher: Dispatcher
-    edge: EdgeFormat
-    versions: UpstreamVersions
-    clock: Clock
-    metrics: Metrics
-    rng: Random
-    scoring: ScoringPlaces
-    kept: Callable[[Item], ItemResult | None]
-    knowledge: JobKnowledge
-    hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
-    heard: dict[str, timedelta] = attrs.field(factory=dict)
-    turned_away: TurnedAway = attrs.field(factory=TurnedAway)
-    lengths: TextLengths = attrs.field(factory=TextLengths)
-    paces: EnginePaces = attrs.field(factory=EnginePaces)
-
-
-class _TextSink(AnswerSink):
-    """Take an item's events as they come, and leave an answer that cannot be used."""
-
-    def __init__(self, run: "ItemRun", route: Route) -> None:
-        self._run = run
-        self._route = route
-        self._reader = EventReader(run.tools.edge.version_field)
-        self._version: int | None = None
-        self.status = 0
-        self.upstream = ""
-        self.unusable = ""
-        self.moved_at: timedelta | None = None
-        self._event_at: timedelta | None = None
-
-    def _note_moved(self) -> None:
-        self.moved_at = self._run.tools.clock.monotonic()
-        self._run.tools.heard[self.upstream] = self.moved_at
-
-    @property
-    def whole(self) -> bool:
-        """Tell whether the stream ended behind a whole event."""
-        return self._reader.clean
-
-    def dispatched(self, upstream: str) -> None:
-        """Note which upstream works now, and start its time."""
-        self.upstream = upstream
-        self.moved_at = self._run.tools.clock.monotonic()
-        self._run.phases.dispatched(self.moved_at, upstream, len(self._run.text.events))
-        heard = self._run.tools.heard
-        if len(heard) > _HEARD_KEPT:
-            # By starts, of which there are more each day: a stall asks about the last seconds only.
-            for key in [key for key, at in heard.items() if self.moved_at - at > _STALLED]:
-                del heard[key]
-
-    async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
-        """Take the status, and the version that the upstream starts with."""
-        self.status = status
-        self._note_moved()
-        self._reader = EventReader(self._run.tools.edge.version_field)
-        if status != STATUS_OK:
-            return False
-        self._version = self._run.tools.edge.answer_head(headers).version
-        if self._version is None:
-            self._leave("no_version")
-        self._check_version()
-        return True
-
-    async def async_chunk(self, data: bytes, last: bool = False) -> None:
-        """Take what is whole of the events."""
-        self._note_moved()
-        if self.status != STATUS_OK:
-            return
-        try:
-            events = self._reader.feed(data)
-        except ValueError:
-            self._leave("bad_event")
-        if events and self.moved_at is not None:
-            self._run.phases.heard(self.moved_at)
-            self._note_pace(len(events), self.moved_at)
-        for event in events:
-            if event.version is not None:
-                self._version = event.version
-                self._check_version()
-            if self._version is None or not self._run.text.add(event, self._version):
-                self._leave("event_out_of_order")
-
-    def _note_pace(self, events: int, now: timedelta) -> None:
-        """Count events after the first of a run, which may have waited for its place."""
-        if self._event_at is not None:
-            self._run.tools.paces.heard(self.upstream, events, now - self._event_at, now)
-        self._event_at = now
-
-    def _check_version(self) -> None:
-        run, version = self._run, self._version
-        if version is None:
-            return
-        run.tools.versions.learn(self.upstream, run.state.job.model, version)
-        oldest = run.state.job.min_version
-        if oldest is not None and version < oldest:
-            self._leave("stale_version")
-        if self._route.single_version and any(known != version for known in run.text.versions):
-            run.text.clear()
-            run.phases.thrown_away()
-            self._leave("version_changed")
-
-    def _leave(self, reason: str) -> None:
-        """Stop the run: what comes would not be kept."""
-        self.unusable = reason
-        raise CallerLeft
-
-
 class ItemRun:
     """One item from its first run to its result."""
 
@@ -182,12 +53,14 @@
         self.item = state.job.items[index]
         self.text = ItemText()
         self.runs = 0
+        self.taken_up = 0
         self.began = tools.clock.monotonic()
         self.text_at = self.began
         self.phases = ItemPhases(self.began)
         self.known_age: timedelta | None = None
         self._failed_runs = 0
         self._moves = 0
+        self._pieces = PieceCutter(state.head.id, index)
         self._pause = _PAUSE
         self._avoid: frozenset[str] = frozenset()
 
@@ -196,10 +69,12 @@
         kept = self._kept_result()
         if kept is not None:
             return kept
+        self._take_up()
         while await self._async_wanted():
             route = self._route(self.state.job.host, self.item.path)
             if route is None or self._too_old(route):
                 return ItemResult(ItemState.DEAD)
+            self._pieces.wanted = not route.single_version
             dead = await self._async_text(route)
             if dead is None:
                 await self._async_pause()
@@ -220,6 +95,30 @@
             return None
         return kept
 
+    def _take_up(self) -> None:
+        """Begin with what another run, or an earlier job, keeps of the text, if its versions fit this job."""
+        kept = self.tools.begun(self.item)
+        route = self._route(self.state.job.host, self.item.path)
+        if kept is None or route is None or route.single_version:
+            return
+        oldest = self.state.job.min_version
+        if oldest is not None and min(kept.versions) < oldest:
+            return
+        text = kept.read()
+        if text is None:
+            _LOGGER.error("text_unreadable", request_id=self.item.id, job=self.state.job.id)
+            return
+        self.text = text
+        self.taken_up = len(text.events)
+
+    def piece(self) -> TextPiece | None:
+        """Return the piece of the text that is to be kept next, if there is one."""
+        return self._pieces.next(self.text)
+
+    def piece_stands(self, piece: TextPiece) -> None:
+        """Note that a piece is kept."""
+        self._pieces.stands(piece)
+
     async def _async_wanted(self) -> bool:
         """Tell whether the item is still to be done, once enough is known of its job to tell."""
         job, knowledge = self.state.job.id, self.tools.knowledge
@@ -260,7 +159,7 @@
     async def _async_text(self, route: Route) -> bool | None:
         """Run once; False when the text is whole, True when it never will be, None to go on."""
         self.runs += 1
-        sink = _TextSink(self, route)
+        sink = TextSink(self.tools, self.state, self.text, self.phases, route.single_version)
         had = len(self.text.events)
         outcome = await self._async_dispatch(route, sink)
         if sink.upstream:
@@ -295,7 +194,7 @@
         )
         return None
 
-    async def _async_dispatch(self, route: Route, sink: _TextSink) -> Result[str, Refusal]:
+    async def _async_dispatch(self, route: Route, sink: TextSink) -> Result[str, Refusal]:
         """Send the item, and leave an upstream that has fallen silent."""
         job, model, oldest = self.state.job, self.state.job.model, self.state.job.min_version
 
@@ -326,15 +225,16 @@
             max_attempts=1,
             pace=self._pace_at,
         )
+        watch = RunWatch(self.tools, self.item, self.text, req, sink)
         task = asyncio.ensure_future(self.tools.dispatcher.async_run(req, sink))
         try:
             while True:
                 done, _ = await asyncio.wait((task,), timeout=_WATCH.total_seconds())
                 if done:
                     return task.result()
-                if self._stalled(sink):
+                if watch.stalled():
                     sink.unusable = "stalled"
-                elif self._slower(sink, req):
+                elif self._may_move() and watch.slower():
                     sink.unusable = "slow"
                     self._moves += 1
                 else:
@@ -346,6 +246,9 @@
             if not task.done():
                 task.cancel()
 
+    def _may_move(self) -> bool:
+        return self.phases.stage == "text" and self._moves < MOST_MOVES
+
     def _tokens_left(self) -> int:
         return self.tools.lengths.tokens_left(self.item.told_tokens, len(self.text.events))
 
@@ -355,30 +258,6 @@
         now = self.tools.clock.monotonic()
         return 0.0 if tokens is None else tokens * self.tools.paces.events_per_second(upstream, now)
 
-    def _slower(self, sink: _TextSink, req: CallerRequest) -> bool:
-        """Tell whether the text would be whole sooner at another engine that has a place."""
-        if self.phases.stage != "text" or self._moves >= MOST_MOVES:
-            return False
-        now, paces = self.tools.clock.monotonic(), self.tools.paces
-        left = self.tools.lengths.events_left(self.item.told_tokens, len(self.text.events))
-        here = paces.events_per_second(sink.upstream, now)
-        others = [
-            paces.events_per_second(upstream, now)
-            for upstream in self.tools.dispatcher.with_room(req.service)
-            if upstream != sink.upstream and self._may_have(upstream, req)
-        ]
-        return faster_elsewhere(left, here, others)
-
-    def _may_have(self, upstream: str, req: CallerRequest) -> bool:
-        return upstream not in req.avoid and (req.eligible is None or req.eligible(upstream))
-
-    def _stalled(self, sink: _TextSink) -> bool:
-        if sink.moved_at is None:
-            return False
-        now = self.tools.clock.monotonic()
-        heard = max(self.tools.heard.get(sink.upstream, sink.moved_at), sink.moved_at)
-        return now - heard > _SILENT or now - sink.moved_at > _STALLED
-
     async def _async_score(self) -> ItemResult | None:
         """Send the scoring request until it has an answer, then put the result together."""
         self.text_at = self.tools.clock.monotonic()
--- a/cranberryline/jobs/model.py
+++ b/cranberryline/jobs/model.py
@@ -19,6 +19,7 @@
     "PackedResult",
     "ResultRecord",
     "Scorer",
+    "TextPiece",
 ]
 
 
@@ -136,10 +137,28 @@
     crc: int
 
 
+class TextPiece(msgspec.Struct, array_like=True, frozen=True, gc=False, tag="text"):
+    """Events of an item's text that is not whole yet: the piece with this `number` of one `writer`.
+
+    `data` are `count` packed events, the last of which has the id `last_id`; `versions` made them, in the
+    order of their first event. `crc` is the checksum of `data`.
+    """
+
+    job: str
+    index: int
+    writer: str
+    number: int
+    last_id: int
+    count: int
+    versions: tuple[int, ...]
+    data: bytes
+    crc: int
+
+
 class JobEnded(msgspec.Struct, array_like=True, frozen=True, gc=False, tag="end"):
     """The caller wants no more of the job."""
 
     job: str
 
 
-JobRecord = JobPart | ResultRecord | PackedResult | JobEnded
+JobRecord = JobPart | ResultRecord | PackedResult | TextPiece | JobEnded
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -17,13 +17,15 @@
 from cranberryline.routes import RouteBook
 
 from .groups import group_of
-from .item import ItemRun, ItemTools
+from .item import ItemRun
+from .keeper import TextKeeper
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
 from .plan import JobPlan
 from .scoring import ScoringPlaces
 from .service import JobService
 from .state import JobState
+from .tools import ItemTools
 from .versions import UpstreamVersions
 
 __all__ = ["JobRunner", "RunnerParts"]
@@ -102,6 +104,10 @@
             ScoringPlaces(parts.dispatcher.places),
             parts.jobs.book.completed,
             parts.jobs.knowledge,
+            parts.jobs.book.begun,
+        )
+        self._keeper = TextKeeper(
+            parts.jobs, parts.clock, lambda: (item.run for item in self._running.values())
         )
         self._jobs.book.listen(self._on_change)
 
@@ -116,7 +122,14 @@
         self._wake.set()
 
     async def async_run(self) -> None:
-        """Start what is due until cancelled."""
+        """Start what is due, and keep what runs, until cancelled."""
+        keeping = asyncio.ensure_future(self._keeper.async_run())
+        try:
+            await self._async_start()
+        finally:
+            keeping.cancel()
+
+    async def _async_start(self) -> None:
         while True:
             pause = _LOOK_AGAIN
             if not self.stopping and self._parts.routes.table is not None:
@@ -135,6 +148,7 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self._keeper.async_close()
 
     def _on_change(self, state: JobState) -> None:
         if state.ended:
@@ -241,6 +255,7 @@
         run = ItemRun(self._tools, state, index)
         task = asyncio.ensure_future(self._async_item(run))
         self._running[key] = _Running(run, task)
+        self._keeper.wake()
         task.add_done_callback(lambda _: self._running.pop(key, None))
 
     async def _async_item(self, run: ItemRun) -> None:
@@ -267,6 +282,7 @@
             versions=result.versions,
             events=len(run.text.events),
             runs=run.runs,
+            taken_up=run.taken_up,
             known_ms=None if run.known_age is None else in_milliseconds(run.known_age),
             waited_ms=in_milliseconds(run.began - run.state.seen_at),
             text_ms=in_milliseconds(run.text_at - run.began),
--- a/cranberryline/jobs/state.py
+++ b/cranberryline/jobs/state.py
@@ -10,6 +10,7 @@
 from .codec import decode_items, decode_result, head_of
 from .groups import JobGroups
 from .model import Item, ItemResult, ItemState, Job, JobHead
+from .texts import KeptTexts
 
 __all__ = ["JobState", "Listed"]
 
@@ -50,6 +51,7 @@
     done: set[int] = attrs.field(factory=set)
     ended: bool = False
     moved_at: dict[str, timedelta] = attrs.field(factory=dict)
+    texts: KeptTexts = attrs.field(factory=KeptTexts)
     # Whether results of it may have been deleted before they were read here.
     lacking: bool = False
     _job: Job | None = None
--- /dev/null
+++ b/tests/jobs/engine_scene.py
@@ -0,0 +1,180 @@
+"""A gateway's directory, its ways to engines and the runs of items, in virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from random import Random
+from types import SimpleNamespace
+from typing import Any, cast
+
+import attrs
+from result import Ok, Result
+
+from cranberryline.entry.direct import DirectUpstreams
+from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.entry.upstreams import PeerTable
+from cranberryline.gateway.links import DirectLinks
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.jobs.book import JobState
+from cranberryline.jobs.item import ItemRun
+from cranberryline.jobs.model import Item, ItemResult, ItemState, Job
+from cranberryline.jobs.scoring import ScoringPlaces
+from cranberryline.jobs.tools import ItemTools
+from cranberryline.ports.edge import AnswerHead
+from cranberryline.ports.errors import PlatformError
+from cranberryline.ports.model import (
+    PlainServicePort,
+    UpstreamBody,
+    UpstreamHead,
+    UpstreamRequest,
+    VmEntry,
+)
+from cranberryline.routes import RouteBook
+from cranberryline.upstreams.directory import Directory, Registration
+from tests.virtual_time import LoopClock
+
+MODEL = "m"
+EVENTS = 4
+FIRST = Registration("e-1", "engines", "10.0.0.1:80", "levis", 4, False, {MODEL: 1}, 100)
+
+
+@attrs.define
+class FakeEngine(PlainServicePort):
+    """One start of an engine; it falls silent for `silent_s` behind the event `stop_at`.
+
+    It makes an event each `event_s`, which a test may change while texts run, of `events` in all.
+    """
+
+    version: int = 1
+    stop_at: int = 10_000
+    silent_s: float = 60.0
+    event_s: float = 0.02
+    events: int = EVENTS
+    asked: list[tuple[float, int]] = attrs.field(factory=list)
+    closed: int = 0
+
+    async def async_send(
+        self, req: UpstreamRequest, timeout: timedelta
+    ) -> Result[UpstreamBody, PlatformError]:
+        """Answer with the events behind the one that was asked for."""
+        last = int(dict(req.headers).get("last", "0"))
+        self.asked.append((asyncio.get_running_loop().time(), last))
+        await asyncio.sleep(0.01)
+        return Ok(_Text(self, last))
+
+
+class _Text(UpstreamBody):
+    def __init__(self, engine: FakeEngine, last: int) -> None:
+        self._engine = engine
+        self._last = last
+
+    @property
+    def head(self) -> UpstreamHead:
+        """Return the version that the text begins with."""
+        return UpstreamHead(200, (("version", str(self._engine.version)),))
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the events behind the one that was asked for."""
+        for number in range(self._last + 1, self._engine.events + 1):
+            silent = self._engine.event_s
+            if number == self._engine.stop_at + 1:
+                silent = self._engine.silent_s
+            await asyncio.sleep(silent)
+            yield f"id: {number}\ndata: v{self._engine.version}.{number}\n\n".encode()
+
+    async def async_close(self) -> None:
+        """Count what was let go of."""
+        self._engine.closed += 1
+
+
+class Scene:
+    """A gateway's directory, its ways to engines and an item's run."""
+
+    def __init__(self) -> None:
+        clock, metrics, table = LoopClock(), Metrics(), PeerTable()
+        self.engines: dict[str, FakeEngine] = {}
+        self.directory = Directory(clock, StoreHealth(clock))
+        routes = RouteBook()
+        directs = DirectUpstreams(
+            clock,
+            metrics,
+            cast(Any, None),
+            "life-1",
+            iter(range(1, 10_000)).__next__,
+            lambda _service: None,
+            self._wake,
+            self._connect,
+        )
+        self.dispatcher = Dispatcher(clock, Random(1), table, routes, metrics, "levis")
+        links = DirectLinks(table, directs)
+
+        def on_members() -> None:
+            links.apply(self.directory.membership)
+            self._wake()
+
+        self.directory.membership.listen(on_members)
+        self.directory.listen_over(directs.end)
+        self.directory.listen(lambda row: routes.set_slots(row.service, row.slots))
+        self.tools = ItemTools(
+            cast(Any, _routes()),
+            self.dispatcher,
+            cast(Any, _edge()),
+            self.directory,
+            clock,
+            metrics,
+            Random(1),
+            ScoringPlaces(self.dispatcher.places),
+            lambda _item: None,
+            cast(Any, SimpleNamespace(suffices=lambda _job: True, age=lambda _job: timedelta())),
+        )
+
+    def add(self, row: Registration, **engine: Any) -> FakeEngine:
+        """Let a start of an engine register."""
+        made = self.engines[row.key] = FakeEngine(version=row.versions.get(MODEL, 1), **engine)
+        self.directory.put(row).unwrap()
+        return made
+
+    def _wake(self) -> None:
+        self.dispatcher.wake()
+
+    def _connect(self, row: VmEntry) -> PlainServicePort:
+        return self.engines[row.id]
+
+    async def async_item(
+        self, min_version: int = 1, name: str = "item-1", told_tokens: int = 0
+    ) -> ItemResult:
+        """Run an item to its end."""
+        item = Item(name, "/p/x", (), b"b", 10, "g0", told_tokens=told_tokens)
+        job = Job("j1", "h.example", "/p/1", (item,), 0.0, MODEL, 1, min_version, 1)
+        state = JobState.of(job, timedelta())
+        result = await ItemRun(self.tools, state, 0).async_run()
+        assert result is not None and result.state is ItemState.COMPLETED
+        return result
+
+
+def _routes() -> SimpleNamespace:
+    route = SimpleNamespace(
+        single_version=False,
+        max_wait=None,
+        max_attempts=3,
+        goal=timedelta(seconds=1),
+        choose_service=lambda _rng: "engines",
+    )
+    return SimpleNamespace(table=SimpleNamespace(match=lambda _host, _path: route))
+
+
+def _edge() -> SimpleNamespace:
+    def headers(_job: Job, _item: Item, last: int | None) -> tuple[tuple[str, str], ...]:
+        return () if last is None else (("last", str(last)),)
+
+    return SimpleNamespace(
+        version_field="version",
+        item_headers=headers,
+        answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
+    )
+
+
+def next_start(row: Registration, **change: Any) -> Registration:
+    """Return the registration of an engine's next start."""
+    return attrs.evolve(row, born=row.born + 100, **change)
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -14,8 +14,8 @@
 from cranberryline.gateway.relay import RelayAnswer, RelayedLog
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
-from cranberryline.jobs.codec import encode_job, encode_records
-from cranberryline.jobs.model import Item, Job, JobEnded, Scorer
+from cranberryline.jobs.codec import encode_events, encode_job, encode_records
+from cranberryline.jobs.model import Item, Job, JobEnded, Scorer, TextPiece
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
 from cranberryline.ports.edge import AnswerHead
@@ -42,10 +42,16 @@
         self.whole = whole
         self.reached: list[float] = []
 
+    version = 1
+
     def places(self, _service: str) -> int:
         """Return the places of the service."""
         return 4
 
+    def with_room(self, _service: str) -> list[str]:
+        """Return the engines that have a place."""
+        return ["engine-1"]
+
     async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         """Let the request reach the engine, if it may still go there when its turn comes."""
         await asyncio.sleep(self.queued)
@@ -62,11 +68,11 @@
         return Ok("engine-1")
 
 
-def make_open_job(scored: bool = False) -> Job:
+def make_open_job(scored: bool = False, min_version: int = 1, name: str = "job-1") -> Job:
     """Return a job of one item."""
     scorer = Scorer("score-1", "host.example", "/s/1", b"") if scored else None
     item = Item("item-1", "/p/x", (), b"b", 10, "g0", scorer)
-    return Job("job-1", "host.example", "/p/1", (item,), 0.0, "model", 1, 1, 1)
+    return Job(name, "host.example", "/p/1", (item,), 0.0, "model", 1, min_version, 1)
 
 
 def _routes() -> SimpleNamespace:
@@ -83,7 +89,7 @@
 def _edge() -> SimpleNamespace:
     return SimpleNamespace(
         version_field="version",
-        item_headers=lambda _job, _item, _last: (),
+        item_headers=lambda _job, _item, last: () if last is None else (("last", str(last)),),
         scorer_headers=lambda _scorer: (),
         answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
     )
@@ -159,7 +165,9 @@
         super().__init__(store, peers)
         clock, metrics = LoopClock(), Metrics()
         self.jobs.book._keep = keep
-        versions = SimpleNamespace(version=lambda _up, _model: 1, learn=lambda *_: None)
+        versions = SimpleNamespace(
+            version=lambda _up, _model: engine.version, learn=lambda *_: None
+        )
         parts = RunnerParts(
             self.jobs,
             cast(Any, _routes()),
@@ -197,8 +205,18 @@
         return [moment for moment in engine.reached if moment > self.at + CANCEL_BOUND]
 
 
-def make_store(scored: bool = False) -> FakeStore:
-    """Return a store with that job."""
+def make_store(scored: bool = False, min_version: int = 1, kept: bool = False) -> FakeStore:
+    """Return a store with that job; `kept` puts before it an ended one that kept 40 events of the item."""
     store = FakeStore()
-    store.append("jobs", 0, encode_records(encode_job(make_open_job(scored), "w")))
+    if kept:
+        store.append("jobs", 0, encode_records(encode_job(make_open_job(name="job-0"), "w")))
+        store.append("jobs", 0, encode_records([_make_piece(), JobEnded("job-0")]))
+    job = make_open_job(scored, min_version)
+    store.append("jobs", 0, encode_records(encode_job(job, "w")))
     return store
+
+
+def _make_piece() -> TextPiece:
+    """Return the first 40 events of the item's text, made by version 1."""
+    data, crc = encode_events([str(number) for number in range(1, 41)])
+    return TextPiece("job-0", 0, "w", 0, 40, 40, (1,), data, crc)
