Pass nothing on from a connection that closed before its handler began

Cause: a request that has been read waits a turn of the loop for its handler and is counted nowhere; a stopping gateway that saw nothing in flight closed its connections in that turn, and the handler passed the request on in the next. Change: a handler whose connection has closed ends without work, in gateway and entry.

--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -16,7 +16,7 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
-from cranberryline.helpers.http_server import break_off
+from cranberryline.helpers.http_server import break_off, break_off_if_closed
 from cranberryline.helpers.logging import Logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import ProblemHandler, write_problem
@@ -115,8 +115,9 @@
         self._began = self.context.clock.monotonic()
         self.caller = self._identify()
         self.context.metrics.requests.labels(self.kind).inc()
+        break_off_if_closed(self)
         # Without the configuration every service would look unknown, and a 404 is final.
-        if not self.context.ready():
+        if not self._finished and not self.context.ready():
             self.refuse(Refusal(RefusalReason.NOT_READY, retry_after=_NOT_READY_RETRY))
 
     def clear(self) -> None:
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -14,6 +14,7 @@
 from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.entry.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
+from cranberryline.helpers.http_server import break_off_if_closed
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import problem_body
@@ -73,6 +74,7 @@
         self._work: asyncio.Task[Any] | None = None
         self._first_ms = 0
         self.request_id = ""
+        break_off_if_closed(self)
 
     def clear(self) -> None:
         """Start an answer without headers: all of them are the upstream's or a refusal's."""
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -25,7 +25,7 @@
 from .metrics import Metrics
 from .problem import CONTENT_TYPE_PROBLEM, problem_body
 
-__all__ = ["InputLimits", "break_off", "open_http_server"]
+__all__ = ["InputLimits", "break_off", "break_off_if_closed", "open_http_server"]
 
 REASON_BODY_TOO_LARGE = "body_too_large"
 REASON_HEADERS_TOO_LARGE = "headers_too_large"
@@ -67,6 +67,19 @@
     handler._finished = True  # noqa: SLF001 - tornado would answer otherwise
 
 
+def break_off_if_closed(handler: RequestHandler) -> None:
+    """End a request whose connection closed before its work began; nothing of it is passed on.
+
+    A request that has been read waits a turn of the loop for its handler, counted nowhere. A process that
+    stops, sees nothing in flight and closes its connections in that turn would still pass it on, and its caller
+    sees a connection that closed without an answer while an upstream runs the request.
+    """
+    conn = handler.request.connection
+    stream = getattr(conn, "stream", None)
+    if stream is not None and stream.closed():
+        break_off(handler)
+
+
 @attrs.frozen
 class _Refusal:
     status: HTTPStatus
