Count nodes as dead whose last sign is far older than the newest

Cause: the store keeps a node's last sign for good. After a start everywhere at once a node that was replaced half a minute before counted as live for another 2.2 s, and its groups waited 2.6 s of a step that is due in 7.5. Ruled out: ages by the reader's own clock (in an outage all signs grow old, and a node that starts then would run all). Change: a sign tells when it was written; one ten seconds older than the newest is dead.

--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -25,15 +25,21 @@
 # Two signs and the time that a lost one takes to be written again. This node's own polls lag by up
 # to a second, so a dead node is known after some three.
 _DEAD_AFTER = timedelta(milliseconds=2200)
+# The store keeps the last sign of a node for good. After a start everywhere at once each of them is heard for the
+# first time, and a node that died minutes ago would be given its groups for another `_DEAD_AFTER`: items waited
+# 2.6 s of a step that is due in 7.5. Its sign is that much older than the newest one of all, which is told from an
+# outage, in which all grow old alike. Twice the five seconds by which the clocks of two VMs may differ.
+_STALE_AFTER = timedelta(seconds=10)
 
 
 class NodeSign(msgspec.Struct, array_like=True, frozen=True):
-    """A node's sign of life."""
+    """A node's sign of life; `written` is wall-clock time in seconds, 0 from a node that does not tell."""
 
     node: str
     data_center: str
     peer: str = ""
     stopping: bool = False
+    written: float = 0.0
 
 
 _SIGNS = msgspec.msgpack.Decoder(NodeSign)
@@ -83,16 +89,21 @@
         notice stays with it until it is silent, or other nodes would run all of it a second time.
         """
         sure = self._current_at()
+        oldest = self._newest_written() - _STALE_AFTER.total_seconds()
         there = {
             node: seen
             for node, seen in self._seen.items()
-            if sure is None or sure - seen.heard < _DEAD_AFTER
+            if (sure is None or sure - seen.heard < _DEAD_AFTER)
+            and not 0 < seen.sign.written < oldest
         }
         self._note(frozenset(there))
         return frozenset(
             node for node, seen in there.items() if seen.stopping is None or seen.stopping > since
         )
 
+    def _newest_written(self) -> float:
+        return max((seen.sign.written for seen in self._seen.values()), default=0.0)
+
     def _note(self, live: frozenset[str]) -> None:
         if live != self._live:
             came, went = sorted(live - self._live), sorted(self._live - live)
@@ -131,7 +142,8 @@
 
     async def async_sign(self) -> bool:
         """Write one sign; False when it is not sure that it stands."""
-        sign = msgspec.structs.replace(self._sign, stopping=self.stopping)
+        written = self._clock.now().timestamp()
+        sign = msgspec.structs.replace(self._sign, stopping=self.stopping, written=written)
         record = self._log.pack_keyed(sign.node, msgspec.msgpack.encode(sign))
         return (await self._log.async_append(self._topic, 0, [record], _SIGN_TIMEOUT)).is_ok()
 
--- a/tests/gateway/test_nodes.py
+++ b/tests/gateway/test_nodes.py
@@ -89,6 +89,30 @@
     run_virtual(scene())
 
 
+def test_a_node_that_died_long_ago_is_dead_for_nodes_that_start() -> None:
+    """All are killed a while after one was replaced: its last sign is heard for the first time again.
+
+    Taken for a sign of life it would get groups of every open job, and their items wait until it is silent.
+    """
+
+    async def scene() -> None:
+        store = FakeStore()
+        nodes = await _async_nodes(store)
+        for task in nodes[2].tasks:
+            task.cancel()
+        await asyncio.sleep(12)
+        for task in [*nodes[0].tasks, *nodes[1].tasks]:
+            task.cancel()
+        await asyncio.sleep(0.5)
+        again = Node(store, "b")
+        await asyncio.sleep(0.1)
+        assert again.live() == ["a", "b"]
+        for task in again.tasks:
+            task.cancel()
+
+    run_virtual(scene())
+
+
 def test_a_sign_that_cannot_be_read_is_passed_over() -> None:
     """Foreign bytes under a node's key harm nothing."""
 
