Model a step's texts before engines of unlike speed

Change: script/bench steps plays trainers, texts with the lengths that the logs show, engines that turn slow and versions that take engines away, with the product's routing, estimates and moves on a virtual clock; it prints paired differences with their errors, and draws them.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway", "fold", "soak")
+COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway", "fold", "steps", "soak")
 
 
 def main(argv: list[str]) -> int:
