Test that told lengths are read and that a sender's paces are followed

Measured: what is no number counts as not told; a text of 9,000 tokens goes to the faster of two upstreams, 5 of 5.

--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -323,3 +323,17 @@
         assert not 0 < bench.dispatcher.lane(bench.service).capacity < 100
 
     asyncio.run(async_case())
+
+
+def test_a_sender_that_knows_the_pace_of_upstreams_is_followed(bench: Bench) -> None:
+    """Measured by whole requests both look alike; by the events of running texts the second is faster.
+
+    A long text that starts on the slower one ends its step a third later.
+    """
+    bench.side("up-1")
+    bench.side("up-2")
+    paces = {"up-1": 1000.0, "up-2": 1300.0}
+    for _ in range(5):
+        req = bench.request(tokens=9000, pace=paces.__getitem__)
+        assert asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap() == "up-2"
+    assert sorted(bench.dispatcher.with_room(bench.service)) == ["up-1", "up-2"]
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -133,3 +134,20 @@
     assert resumed == (("A", "b"), ("Last-Event-Id", "9"))
     head = EDGE.answer_head((("response-seal", "s"), ("weight-versions", "3")))
     assert (head.signature, head.version) == ("s", 3)
+
+
+@pytest.mark.parametrize(
+    ("told", "tokens"),
+    [("186", 186), ("0", 0), ("-5", 0), ("12.5", 0), ("many", 0), ("9" * 40, 0), (None, 0)],
+)
+def test_the_length_that_a_caller_tells_is_read_and_passed_on(
+    told: str | None, tokens: int
+) -> None:
+    """What is no number counts as not told; the header goes to the engine as it came."""
+    headers = {} if told is None else {"Length-Hint": told}
+    row = {"id": "i", "path": "/jobs/a", "headers": headers, "body": "", "tokens": 10}
+    body = msgspec.json.encode({"items": [row]})
+    job = EDGE.read_job("j1", "h", "/jobs/1", body, 0.0).unwrap()
+    assert job.items[0].told_tokens == tokens
+    sent = dict(EDGE.item_headers(job, job.items[0], None))
+    assert sent.get("Length-Hint") == told
