--- a/cranberryline/decisions/moving.py
+++ b/cranberryline/decisions/moving.py
@@ -14,6 +14,10 @@
 place: where all engines are slow because all are full there is none, and nothing moves. A text moves
 `MOST_MOVES` times at most, and only to an engine `FASTER` times as fast, which together keep two engines
 from passing a text to and fro.
+
+What it buys, by `script/bench steps` (six engines, two of them a third slower, one turning 3.6 times
+slower for 8 s twice; 12 seeds): with it 99.7% of the groups are in time and the slowest step of a
+hundred takes 8.3 s, without it 98.3% and 10.8 s.
 """
 
 from collections.abc import Iterable
