--- a/bench/steps/main.py
+++ b/bench/steps/main.py
@@ -7,34 +7,20 @@
 from pathlib import Path
 from random import Random
 
-import attrs
-
 from bench.model.simulation import Simulation
 
 from .engines import Engine
-from .model import FIGURES, LOADS, POLICIES, Figures, Policy, StepLoad
+from .model import FIGURES, LOADS, POLICIES, Figures, Policy, Row, StepLoad
 from .nodes import Node
 from .trainer import Trainer
 
-__all__ = ["Row", "main", "play"]
+__all__ = ["main", "play"]
 
 _PROCESSES = 4
 # Steps that were asked for at the end run on this long.
 _REST = 13.0
 
 
-@attrs.frozen
-class Row:
-    """A figure of one policy under one load: its mean, and the paired difference with its error."""
-
-    load: str
-    policy: str
-    figure: str
-    mean: float
-    difference: float
-    error: float
-
-
 def play(load: StepLoad, policy: Policy, seed: int) -> Figures:
     """Play one run; texts, slow spells and steps are the same for all policies of a seed."""
     sim, out = Simulation(), Figures()
--- a/bench/steps/model.py
+++ b/bench/steps/model.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-__all__ = ["FIGURES", "LOADS", "POLICIES", "Figures", "Policy", "StepLoad", "Text"]
+__all__ = ["FIGURES", "LOADS", "POLICIES", "Figures", "Policy", "Row", "StepLoad", "Text"]
 
 TOKENS_AN_EVENT = 52
 # The length that a caller tells is off by this, as the logarithm's deviation.
@@ -102,6 +102,18 @@
         }[name]
 
 
+@attrs.frozen
+class Row:
+    """A figure of one policy under one load: its mean, and the paired difference with its error."""
+
+    load: str
+    policy: str
+    figure: str
+    mean: float
+    difference: float
+    error: float
+
+
 FIGURES = ("in time", "p50 s", "p99 s", "moves", "in vain s")
 _FAST, _SLOWER = 0.038, 0.05
 _UNLIKE = (_FAST, _FAST, _SLOWER)
--- a/bench/steps/plot.py
+++ b/bench/steps/plot.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Sequence
 from pathlib import Path
-from typing import Protocol
 
 import matplotlib
 
@@ -10,6 +9,8 @@
 
 from matplotlib import pyplot  # noqa: E402
 
+from .model import Row  # noqa: E402
+
 __all__ = ["draw"]
 
 # A fixed salt and no date: the same figures give the same file.
@@ -17,16 +18,7 @@
 _FIGURE = "in time"
 
 
-class _Row(Protocol):
-    load: str
-    policy: str
-    figure: str
-    mean: float
-    difference: float
-    error: float
-
-
-def draw(rows: Sequence[_Row], path: Path) -> None:
+def draw(rows: Sequence[Row], path: Path) -> None:
     """Write one panel a load; bars are differences to the first policy, lines two errors."""
     own = [row for row in rows if row.figure == _FIGURE]
     loads = list(dict.fromkeys(row.load for row in own))
