--- a/cranberryline/decisions/lengths.py
+++ b/cranberryline/decisions/lengths.py
@@ -14,8 +14,8 @@
 remain grow with what has been made, by `OUTGROWN` of it (the mean excess where one in three is off by half
 to double). The same holds where nothing was told.
 
-What told lengths buy, by `script/bench steps` (as in `moving`): 99.7% of the groups in time for 98.9%
-without them, and 8.3 s for 9.1 s in the slowest step of a hundred.
+What told lengths buy, by `script/bench steps` (as in `moving`): 99.5% of the groups in time for 98.8%
+without them, and 8.5 s for 9.2 s in the slowest step of a hundred.
 """
 
 from collections import deque
--- a/cranberryline/decisions/moving.py
+++ b/cranberryline/decisions/moving.py
@@ -16,8 +16,8 @@
 from passing a text to and fro.
 
 What it buys, by `script/bench steps` (six engines, two of them a third slower, one turning 3.6 times
-slower for 8 s twice; 12 seeds): with it 99.7% of the groups are in time and the slowest step of a
-hundred takes 8.3 s, without it 98.3% and 10.8 s.
+slower for 8 s twice; 20 seeds): with it 99.5% of the groups are in time and the slowest step of a
+hundred takes 8.5 s, without it 98.2% and 10.8 s.
 """
 
 from collections.abc import Iterable
