Keep texts by sixteen nodes at most

Cause: every node reads every piece of a text, and all of them again after a death of all. Change: no pieces where more than sixteen nodes live. Fleets of sixteen and less do as before.

--- a/cranberryline/jobs/keeper.py
+++ b/cranberryline/jobs/keeper.py
@@ -17,6 +17,10 @@
 # What a killed node costs of a text, at most, besides the time to run again; a second of a text is some
 # thirty events and 8 KB, so a node with twenty long texts brings the store one call a partition and second.
 KEEP_EVERY = timedelta(seconds=1)
+# Every node reads every piece, when it comes and again when it starts. With 9 nodes that is next to nothing; with 31 the
+# store's reads of a day grew from 0.3 to 0.9 GB, and after a death of all nodes jobs could not be read for half a minute.
+# Twice the small deployments' size and half of the one at which it broke.
+MOST_NODES = 16
 # Pieces in one call: of at most `MAX_PIECE_BYTES` each, so that a call takes them.
 _MAX_BATCH = 16
 
@@ -26,15 +30,20 @@
 
     A text of several seconds that was lost with its node began again from nothing: whatever a step had under
     way when all nodes were killed was late, and so was the step after it. Kept each second, it goes on where it
-    was. Short texts end before the first piece, and cost nothing.
+    was. Short texts end before the first piece, and cost nothing. Nothing is kept where more than `MOST_NODES` live.
     """
 
     def __init__(
-        self, jobs: JobService, clock: Clock, running: Callable[[], Iterable[ItemRun]]
+        self,
+        jobs: JobService,
+        clock: Clock,
+        running: Callable[[], Iterable[ItemRun]],
+        nodes: Callable[[], int],
     ) -> None:
         self._jobs = jobs
         self._clock = clock
         self._running = running
+        self._nodes = nodes
         self._wake = asyncio.Event()
         self._writers: dict[int, asyncio.Task[None]] = {}
 
@@ -51,7 +60,8 @@
             runs = list(self._running())
             if runs:
                 self._wake.set()
-            self._keep(runs)
+            if self._nodes() <= MOST_NODES:
+                self._keep(runs)
 
     async def async_close(self) -> None:
         """End every append."""
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -107,7 +107,10 @@
             parts.jobs.book.begun,
         )
         self._keeper = TextKeeper(
-            parts.jobs, parts.clock, lambda: (item.run for item in self._running.values())
+            parts.jobs,
+            parts.clock,
+            lambda: (item.run for item in self._running.values()),
+            lambda: len(parts.live(parts.clock.monotonic())),
         )
         self._jobs.book.listen(self._on_change)
 
--- a/tests/jobs/test_keeper.py
+++ b/tests/jobs/test_keeper.py
@@ -6,17 +6,19 @@
 """
 
 import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 from result import Err, Ok, Result
 
 from cranberryline.entry.errors import Refusal, RefusalReason
 from cranberryline.entry.model import AnswerSink, CallerRequest
-from cranberryline.jobs.keeper import KEEP_EVERY
+from cranberryline.jobs.keeper import KEEP_EVERY, MOST_NODES, TextKeeper
 from cranberryline.jobs.model import ItemState
 from tests.jobs.gateway_fake import Gateway, OneEngine, make_store
 from tests.store_fake import FakeStore
-from tests.virtual_time import run_virtual
+from tests.virtual_time import LoopClock, run_virtual
 
 EVENTS = 200
 EVENT_S = 0.04
@@ -138,6 +140,25 @@
     run_virtual(scene())
 
 
+@pytest.mark.parametrize(("nodes", "kept"), [(MOST_NODES, True), (MOST_NODES + 1, False)])
+def test_nothing_is_kept_where_too_many_nodes_would_read_it(nodes: int, kept: bool) -> None:
+    """Every node reads every piece: with dozens of them they fill the store's reads when all start again."""
+
+    async def scene() -> None:
+        asked: list[str] = []
+        head = SimpleNamespace(head=SimpleNamespace(id="job-1"))
+        run = SimpleNamespace(state=head, piece=lambda: asked.append("piece"))
+        jobs = cast(Any, SimpleNamespace(tails=[None]))
+        keeper = TextKeeper(jobs, LoopClock(), lambda: cast(Any, [run]), lambda: nodes)
+        task = asyncio.ensure_future(keeper.async_run())
+        keeper.wake()
+        await asyncio.sleep(3.5)
+        task.cancel()
+        assert bool(asked) is kept
+
+    run_virtual(scene())
+
+
 def test_a_text_too_old_for_a_job_is_not_taken_up() -> None:
     """A later job asks for the group again and allows nothing below version 2."""
 
