Say in the log what a stopping gateway closes

Change: the server counts its connections at rest and those with a request, from the read of the request's headers to the last byte of its answer; the stop writes both counts when it closes (connections_closed), a request that it cuts is named (stop_cut) and no longer told as caller_left, one that is dropped before its handler works is told with its path (connection_closed_before_work). What is closed, and when, stays as it was.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from result import Err
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from cranberryline.entry.direct import DirectUpstreams
@@ -72,7 +71,6 @@
         self._platform = platform
         self._clock = clock
         self._tasks: list[asyncio.Future[Any]] = []
-        self._servers: list[HTTPServer] = []
         self._ids = iter(range(1, sys.maxsize))
         self.stopping = False
         self.metrics = Metrics()
@@ -167,7 +165,7 @@
             self._cfg.max_body_bytes, self._cfg.max_header_bytes, self._cfg.slow_sender_timeout
         )
         app = Application([(r".*", IngressHandler, {"context": context})], log_function=_no_log)
-        self._servers.append(open_http_server(app, self._cfg.listen, limits, self.metrics))
+        self._callers = open_http_server(app, self._cfg.listen, limits, self.metrics)
         status = Application(
             [
                 (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
@@ -177,7 +175,7 @@
         )
         self._status = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
         relay = Application([(PATH_RELAY, RelayHandler, {"log": self.store})], log_function=_no_log)
-        self._servers.append(open_http_server(relay, self._cfg.peer, limits, self.metrics))
+        self._peers = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         for tail in (self._config, self._servers_tail, self._nodes_tail, self.lease.tail):
             self._spawn(tail.async_run())
         for part in self.jobs.tails:
@@ -204,10 +202,18 @@
         self.nodes.stopping = True
         await self.nodes.async_sign()
         await self._clock.async_sleep(_BALANCER_NOTICE)
-        for server in self._servers:
+        for server in (self._callers, self._peers):
             server.stop()
         await self._async_finish()
-        for server in self._servers:
+        _LOGGER.info(
+            "connections_closed",
+            at_rest=self._callers.at_rest,
+            open_requests=self._callers.open_requests,
+            peers_open=self._peers.open_requests,
+            items_left=self.runner.busy,
+        )
+        self._context.closed = True
+        for server in (self._callers, self._peers):
             await server.close_all_connections()
 
     async def _async_finish(self) -> None:
@@ -281,7 +287,7 @@
     def _on_routes(self, table: RouteTable) -> None:
         self._limits.max_body_bytes = table.limits.body_bytes
         self._limits.max_header_bytes = table.limits.header_bytes
-        for server in self._servers:
+        for server in (self._callers, self._peers):
             # Callers may rest on a connection up to the limit; closed sooner, their next request
             # would be lost.
             server.conn_params.header_timeout = table.limits.idle_timeout.total_seconds()
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -43,6 +43,8 @@
     hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
     in_flight: int = 0
     stopping: bool = False
+    # Set when a stop closes what is left: a request that ends then was cut by us, not left by its caller.
+    closed: bool = False
 
 
 class ReadyHandler(RequestHandler):
@@ -74,7 +76,8 @@
         self._work: asyncio.Task[Any] | None = None
         self._first_ms = 0
         self.request_id = ""
-        break_off_if_closed(self)
+        if break_off_if_closed(self):
+            _LOGGER.info("connection_closed_before_work", path=self.request.path)
 
     def clear(self) -> None:
         """Start an answer without headers: all of them are the upstream's or a refusal's."""
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -51,13 +51,21 @@
         try:
             await self._async_serve()
         except asyncio.CancelledError:
-            self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
-            _LOGGER.info("caller_left", request_id=self.request_id, ms=self._ms())
+            self._tell_cut()
             break_off(self)
         finally:
             self.context.in_flight -= 1
             self._work = None
 
+    def _tell_cut(self) -> None:
+        """Say whether the caller left, or a stop closed the connection under the request."""
+        if self.context.closed:
+            self.context.metrics.fail("stop_cut")
+            _LOGGER.error("stop_cut", request_id=self.request_id, ms=self._ms())
+            return
+        self.context.metrics.fail(RefusalReason.CALLER_LEFT.value)
+        _LOGGER.info("caller_left", request_id=self.request_id, ms=self._ms())
+
     get = head = post = delete = patch = put = options = async_handle
 
     async def _async_serve(self) -> None:
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -1,16 +1,18 @@
-"""An HTTP server that answers bad input, and that closes all its connections at once."""
+"""An HTTP server that answers bad input, and closes without losing sight of a request that it has read."""
 
 from datetime import timedelta
+from typing import Any
 
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.httputil import HTTPConnection, HTTPServerConnectionDelegate
 from tornado.web import RequestHandler
 
-from .input_limits import DROPPED_BYTES, InputLimits, LimitsGuard
+from .input_limits import DROPPED_BYTES, GuardedMessage, InputLimits, LimitsGuard
 from .metrics import Metrics
 
 __all__ = [
+    "GracefulServer",
     "InputLimits",
     "break_off",
     "break_off_if_closed",
@@ -23,8 +25,43 @@
 _SLOW_SENDER_MARGIN = timedelta(seconds=5)
 
 
-class _Server(HTTPServer):
-    """A server that closes all its connections in one turn of the loop."""
+class GracefulServer(HTTPServer):
+    """A server that knows which of its connections have a request, and closes all in one turn of the loop."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Start without connections; tornado builds its servers by this call."""
+        super().initialize(*args, **kwargs)
+        self._newest: dict[HTTP1ServerConnection, GuardedMessage] = {}
+
+    @property
+    def open_requests(self) -> int:
+        """Return how many connections have a request, from its first read to the last byte of its answer."""
+        return sum(not self._at_rest(conn) for conn in self._connections)
+
+    @property
+    def at_rest(self) -> int:
+        """Return how many connections are kept with nothing of a request read."""
+        return len(self._connections) - self.open_requests
+
+    def start_request(self, server_conn: object, request_conn: HTTPConnection) -> GuardedMessage:
+        """Return the receiver of a connection's next request; it is asked for as soon as the last one ended."""
+        message: GuardedMessage = super().start_request(server_conn, request_conn)
+        self._newest[server_conn] = message
+        return message
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has ended."""
+        self._newest.pop(server_conn, None)
+        super().on_close(server_conn)
+
+    def _at_rest(self, conn: HTTP1ServerConnection) -> bool:
+        """Tell whether nothing of a request has been read.
+
+        Once the headers have been read from the socket, their reader still waits some turns of the loop:
+        then no read is pending, and nothing has begun either.
+        """
+        message = self._newest.get(conn)
+        return message is not None and not message.begun and conn.stream.reading()
 
     async def close_all_connections(self) -> None:
         """Close what callers keep, then wait for what still ends.
@@ -53,24 +90,28 @@
     handler._finished = True  # noqa: SLF001 - tornado would answer otherwise
 
 
-def break_off_if_closed(handler: RequestHandler) -> None:
+def break_off_if_closed(handler: RequestHandler) -> bool:
     """End a request whose connection closed before its work began; nothing of it is passed on.
 
+    Return whether it was so.
+
     A request that has been read waits a turn of the loop for its handler, counted nowhere. A process that
     stops, sees nothing in flight and closes its connections in that turn would still pass it on, and its caller
     sees a connection that closed without an answer while an upstream runs the request.
     """
     conn = handler.request.connection
     stream = getattr(conn, "stream", None)
-    if stream is not None and stream.closed():
-        break_off(handler)
+    if stream is None or not stream.closed():
+        return False
+    break_off(handler)
+    return True
 
 
 def open_http_server(
     app: HTTPServerConnectionDelegate, address: str, limits: InputLimits, metrics: Metrics
-) -> HTTPServer:
+) -> GracefulServer:
     """Listen on an address, "127.0.0.1:8001", with an application behind the limits."""
-    server = _Server(
+    server = GracefulServer(
         LimitsGuard(app, limits, metrics),
         max_body_size=limits.max_body_bytes + DROPPED_BYTES,
         max_header_size=limits.max_header_bytes + _HEADER_MARGIN_BYTES,
--- a/cranberryline/helpers/input_limits.py
+++ b/cranberryline/helpers/input_limits.py
@@ -22,7 +22,7 @@
 from .metrics import Metrics
 from .problem import CONTENT_TYPE_PROBLEM, problem_body
 
-__all__ = ["DROPPED_BYTES", "InputLimits", "LimitsGuard"]
+__all__ = ["DROPPED_BYTES", "GuardedMessage", "InputLimits", "LimitsGuard"]
 
 REASON_BODY_TOO_LARGE = "body_too_large"
 REASON_HEADERS_TOO_LARGE = "headers_too_large"
@@ -71,15 +71,15 @@
     ) -> HTTPMessageDelegate:
         """Return the receiver of one request."""
         inner = self._app.start_request(server_conn, request_conn)
-        return _GuardedMessage(inner, request_conn, self._limits, self._metrics)
+        return GuardedMessage(inner, request_conn, self._limits, self._metrics)
 
     def on_close(self, server_conn: object) -> None:
         """Pass on that a connection has ended."""
         self._app.on_close(server_conn)
 
 
-class _GuardedMessage(HTTPMessageDelegate):
-    """Hand one request to the application, or refuse it."""
+class GuardedMessage(HTTPMessageDelegate):
+    """Hand one request to the application, or refuse it; `begun` once its headers have been read."""
 
     def __init__(
         self,
@@ -97,11 +97,13 @@
         self._passed_on = False
         self._received = 0
         self._timer: asyncio.TimerHandle | None = None
+        self.begun = False
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
         """Check what the headers tell, and how long they are."""
+        self.begun = True
         declared = _declared_length(headers)
         if _size_of(start_line, headers) > self._limits.max_header_bytes:
             self._refusal = _HEADERS
--- a/tests/helpers/test_http_server_close.py
+++ b/tests/helpers/test_http_server_close.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import timedelta
 
+import pytest
 from tornado.web import Application, RequestHandler
 
 from cranberryline.helpers.http_server import InputLimits, open_http_server
@@ -62,3 +63,36 @@
         assert len(taken) == sum(answer.endswith(b"done") for answer in answers)
 
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize("turns", range(8))
+def test_a_request_counts_from_the_read_of_its_headers(turns: int) -> None:
+    """A request comes on a kept connection: from the read on, its connection is not at rest.
+
+    Its headers are parsed some turns of the loop after they were read. Counted from the start of its
+    handler, it could be closed in between by a stop that sees no work.
+    """
+
+    async def scene() -> None:
+        taken: list[str] = []
+        app = Application([(r".*", _Slow, {"taken": taken})], log_function=lambda _: None)
+        (port,) = free_ports(1)
+        server = open_http_server(
+            app, f"127.0.0.1:{port}", InputLimits(1000, 1000, timedelta(seconds=1)), Metrics()
+        )
+        reader, writer = await _async_open(port)
+        taken.clear()
+        assert (server.open_requests, server.at_rest) == (0, 1)
+        writer.write(_REQUEST % b"next")
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        (conn,) = server._connections
+        read = not conn.stream.reading() or bool(taken)
+        assert server.open_requests == read
+        await reader.readuntil(b"done")
+        await asyncio.sleep(0.01)
+        assert (server.open_requests, server.at_rest) == (0, 1)
+        writer.close()
+        server.stop()
+
+    asyncio.run(scene())
