Test that a stopping gateway answers a peer's append; red

The same cause as at callers' connections: peers' calls are counted nowhere, and their connections are closed under them. Symptom: the peer, itself without the store, can tell its trainer neither that the job is kept nor that it is not.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -10,6 +10,10 @@
 
 from cranberryline.gateway import app as gateway_app
 from cranberryline.gateway.ingress import IngressHandler
+from cranberryline.gateway.relay import RelayedLog
+from cranberryline.helpers.clock import SystemClock
+from cranberryline.helpers.metrics import Metrics
+from tests.store_fake import FakeStore, StoreLink
 
 from .conftest import HOST, Platform, async_nothing, async_platform, async_until, play
 
@@ -121,6 +125,31 @@
     play(scene())
 
 
+def test_a_peer_s_append_under_way_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A gateway without the store appends through a peer that stops meanwhile.
+
+    Closed without an answer, the append may stand or not: the caller whose job it keeps is told neither.
+    """
+    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", timedelta())
+
+    async def scene() -> None:
+        platform = await async_platform()
+        gateway = platform.gateways[0]
+        gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
+        link = StoreLink(FakeStore())
+        link.refusing = lambda _topic, _part: True
+        stopping = platform.settings[0].peer
+        peer = RelayedLog(link, lambda: [stopping], SystemClock(), Metrics())
+        platform.store.append_s = 0.5
+        append = asyncio.ensure_future(peer.async_append("t", 0, [b"a"], timedelta(seconds=2)))
+        await async_until(lambda: gateway._peers.open_requests)
+        await gateway.async_stop()
+        await gateway.async_close()
+        assert (await append).is_ok()
+
+    play(scene())
+
+
 @pytest.mark.parametrize("turns", range(10))
 def test_a_request_read_just_before_the_close_is_answered(
     monkeypatch: pytest.MonkeyPatch, turns: int
