Let a stopping gateway answer the appends of its peers

A gateway that the store turns away appends through a peer. Where the peer stopped meanwhile, the connection was closed and the append was in doubt: its trainer could be told neither that the job is kept nor that it is not (504).

Cause: the same as at callers' connections; peers' calls were counted nowhere. Change: the stop waits for what peers asked too, but for their reads, which wait for records as long as they like and are asked again elsewhere.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -216,7 +216,7 @@
         _LOGGER.info(
             "connections_closed",
             open_requests=self._callers.open_requests,
-            peers_open=self._peers.open_requests,
+            peers_in_doubt=self._peers_in_doubt,
             items_left=self.runner.busy,
         )
         self._context.closed = True
@@ -227,15 +227,22 @@
         """Wait for the requests that were taken; items are left to other nodes once callers have theirs.
 
         An item whose result the store does not take would hold the stop until it is forced, and
-        with it the answers of callers would be cut.
+        with it the answers of callers would be cut. A peer's append that lost its answer may stand or not, and its
+        caller could be told neither; a peer's read waits for records as long as it likes, and is asked again elsewhere.
         """
         give_up = self._clock.monotonic() + self._cfg.stop_timeout * _FINISH_SHARE
         items_until = self._clock.monotonic() + self._cfg.stop_timeout * _ITEMS_SHARE
         while (now := self._clock.monotonic()) < give_up:
-            if not self._callers.open_requests and (now > items_until or not self.runner.busy):
+            taken = self._callers.open_requests or self._peers_in_doubt
+            if not taken and (now > items_until or not self.runner.busy):
                 return
             await self._clock.async_sleep(_STOP_POLL)
 
+    @property
+    def _peers_in_doubt(self) -> int:
+        """Return how many calls of peers are under way that a close would leave in doubt."""
+        return max(0, self._peers.open_requests - self.store.reads_for_peers)
+
     async def async_close(self) -> None:
         """End the tasks."""
         for task in self._tasks:
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -115,6 +115,7 @@
         self._probe_at: dict[_Where, timedelta] = {}
         self._good_peer = ""
         self._answered_at: timedelta | None = None
+        self.reads_for_peers = 0
 
     def direct_lost(self, topic: str, part: int) -> bool:
         """Tell whether the store does not answer this node itself about a partition.
@@ -186,6 +187,15 @@
 
     async def async_serve(self, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
         """Make a peer's call, directly and once; a failure tells how long the store has been silent here."""
+        if isinstance(call, RelayAppend):
+            return await self._async_serve(call)
+        self.reads_for_peers += 1
+        try:
+            return await self._async_serve(call)
+        finally:
+            self.reads_for_peers -= 1
+
+    async def _async_serve(self, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
         if not self.direct_lost(*_where(call)):
             answer = await _async_make(self.direct, call)
