Let the one-file test interrupt its process also under a shell that ignores SIGINT

Cause: such a shell starts its jobs with SIGINT ignored, and the process inherits that. Shown: with the signal ignored the test fails each time, without it passes. Change: the test sets the signal as it needs it; what it asserts is the same.

--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -106,6 +107,19 @@
     assert done.returncode == 99
 
 
+@pytest.fixture
+def interruptible() -> Iterator[None]:
+    """Let processes that are started here be interrupted.
+
+    A shell starts what it runs in the background with SIGINT ignored, and that is passed on to every process
+    below: the signal would be lost, and the process end by its own time limit.
+    """
+    previous = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, previous)
+
+
+@pytest.mark.usefixtures("interruptible")
 def test_it_is_one_process(binary: Path, environment: dict[str, str]) -> None:
     """While it runs, the process table shows the process that was started and no other."""
     with socket.create_server(("127.0.0.1", 0)) as silent:
