Count a stop's time from the signal, also before a silent store

Callers of a gateway that is told to stop while the store answers nothing lost a second of the time in which their requests may be finished: the last sign of life was waited for first, 0.9 s, then the balancer's 2.3 s and the finish's 4.8 s, 8.05 s in all, past the kill at 8. Change: the sign is written while the balancer notices.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -204,8 +204,8 @@
         self.runner.stopping = True
         self.lease.stopping = True
         self.nodes.stopping = True
-        await self.nodes.async_sign()
-        await self._clock.async_sleep(_BALANCER_NOTICE)
+        # Before a silent store the sign would take a second of the time that the platform's kill leaves.
+        await asyncio.gather(self.nodes.async_sign(), self._clock.async_sleep(_BALANCER_NOTICE))
         for server in self._servers:
             server.stop()
         await self._clock.async_sleep(_ARRIVAL)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -150,6 +150,28 @@
     play(scene())
 
 
+def test_a_silent_store_takes_nothing_of_a_stop_s_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The store answers nothing when a gateway is told to stop.
+
+    Its last sign of life waits for the store until that is given up. Waited for first, the time for the
+    balancer and for what is under way would begin after it, and end past the kill.
+    """
+    notice = timedelta(seconds=0.8)
+    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", notice)
+
+    async def scene() -> None:
+        platform = await async_platform()
+        platform.store.append_s = 30
+        gateway = platform.gateways[0]
+        began = SystemClock().monotonic()
+        await gateway.async_stop()
+        took = SystemClock().monotonic() - began
+        await gateway.async_close()
+        assert took < notice + timedelta(seconds=0.5)
+
+    play(scene())
+
+
 @pytest.mark.parametrize("turns", range(10))
 def test_a_request_read_just_before_the_close_is_answered(
     monkeypatch: pytest.MonkeyPatch, turns: int
