--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -43,19 +43,13 @@
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .reload import SettingsWatch
+from .stop import StopParts, async_stop_gateway
 
 __all__ = ["GatewayProcess", "run"]
 
 _LOGGER = get_logger(__name__)
 
 _TICK = timedelta(milliseconds=200)
-_BALANCER_NOTICE = timedelta(milliseconds=2300)
-# Shares of the time that a stop may take, counted after the balancer's notice.
-_FINISH_SHARE = 0.6
-_ITEMS_SHARE = 0.3
-_STOP_POLL = timedelta(milliseconds=50)
-# In this time the first request of a connection arrives that was made just before the port closed.
-_ARRIVAL = timedelta(milliseconds=50)
 # A tenth of the time within which a draining upstream must get no more work, and a tenth of that in which
 # a dead node is noticed. With eight VMs they save 7 of 36 calls a second and VM to the store, counted there;
 # without them the polls of the two topics that every VM writes to grow with the number of VMs.
@@ -204,44 +198,18 @@
         self.runner.stopping = True
         self.lease.stopping = True
         self.nodes.stopping = True
-        # Before a silent store the sign would take a second of the time that the platform's kill leaves.
-        await asyncio.gather(self.nodes.async_sign(), self._clock.async_sleep(_BALANCER_NOTICE))
-        for server in self._servers:
-            server.stop()
-        await self._clock.async_sleep(_ARRIVAL)
-        _LOGGER.info(
-            "connections_at_rest_closed", count=[srv.close_at_rest() for srv in self._servers]
-        )
-        await self._async_finish()
-        _LOGGER.info(
-            "connections_closed",
-            open_requests=self._callers.open_requests,
-            peers_in_doubt=self._peers_in_doubt,
-            items_left=self.runner.busy,
+        parts = StopParts(
+            self._callers,
+            self._peers,
+            self.nodes,
+            lambda: self.store.reads_for_peers,
+            lambda: self.runner.busy,
+            self._on_close,
         )
-        self._context.closed = True
-        for server in self._servers:
-            await server.close_all_connections()
-
-    async def _async_finish(self) -> None:
-        """Wait for the requests that were taken; items are left to other nodes once callers have theirs.
+        await async_stop_gateway(parts, self._cfg.stop_timeout, self._clock)
 
-        An item whose result the store does not take would hold the stop until it is forced, and
-        with it the answers of callers would be cut. A peer's append that lost its answer may stand or not, and its
-        caller could be told neither; a peer's read waits for records as long as it likes, and is asked again elsewhere.
-        """
-        give_up = self._clock.monotonic() + self._cfg.stop_timeout * _FINISH_SHARE
-        items_until = self._clock.monotonic() + self._cfg.stop_timeout * _ITEMS_SHARE
-        while (now := self._clock.monotonic()) < give_up:
-            taken = self._callers.open_requests or self._peers_in_doubt
-            if not taken and (now > items_until or not self.runner.busy):
-                return
-            await self._clock.async_sleep(_STOP_POLL)
-
-    @property
-    def _peers_in_doubt(self) -> int:
-        """Return how many calls of peers are under way that a close would leave in doubt."""
-        return max(0, self._peers.open_requests - self.store.reads_for_peers)
+    def _on_close(self) -> None:
+        self._context.closed = True
 
     async def async_close(self) -> None:
         """End the tasks."""
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from cranberryline.gateway import app as gateway_app
+from cranberryline.gateway import stop as gateway_stop
 from cranberryline.gateway.ingress import IngressHandler
 from cranberryline.gateway.relay import RelayedLog
 from cranberryline.helpers.clock import SystemClock
@@ -69,7 +69,7 @@
     Some request is always under way, so a stop that waits until there is none goes on taking new ones up to
     its bound, and then cuts the ones that it took last: run by an upstream, without an answer.
     """
-    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", gateway_app._BALANCER_NOTICE / 10)
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", gateway_stop._BALANCER_NOTICE / 10)
 
     async def scene() -> None:
         platform = await async_platform()
@@ -115,7 +115,7 @@
             await async_until(lambda: gateway.dispatcher.in_flight == 1)
             await async_until(lambda: gateway.dispatcher.in_flight == 0)
             stop = asyncio.ensure_future(gateway.async_stop())
-            await asyncio.sleep(gateway_app._BALANCER_NOTICE.total_seconds() + 0.5)
+            await asyncio.sleep(gateway_stop._BALANCER_NOTICE.total_seconds() + 0.5)
             body = await caller.async_answer()
             caller.writer.close()
             await stop
@@ -130,7 +130,7 @@
 
     Closed without an answer, the append may stand or not: the caller whose job it keeps is told neither.
     """
-    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", timedelta())
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
 
     async def scene() -> None:
         platform = await async_platform()
@@ -157,7 +157,7 @@
     balancer and for what is under way would begin after it, and end past the kill.
     """
     notice = timedelta(seconds=0.8)
-    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", notice)
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", notice)
 
     async def scene() -> None:
         platform = await async_platform()
@@ -182,8 +182,8 @@
     handlers at work sees nothing for one to three turns between the read from the socket and the handler, and
     closes. With the code of that time the handler then passed the request on; later it dropped it.
     """
-    monkeypatch.setattr(gateway_app, "_BALANCER_NOTICE", timedelta())
-    monkeypatch.setattr(gateway_app, "_ARRIVAL", timedelta())
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
+    monkeypatch.setattr(gateway_stop, "_ARRIVAL", timedelta())
     handed: list[str] = []
     prepare = IngressHandler.prepare
 
