End peers' reads when a gateway stops, and let no read hide an append

Askers go just when many gateways are killed or stopped together.

Change: the stop answers all reads of peers that wait (they ask elsewhere), then waits for every open request there. Peers' connections are not closed at rest: each is used once, so one at rest is about to ask. A caller's connection is closed behind its answer only if no further request was sent right behind it; that one was read and dropped.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -202,7 +202,7 @@
             self._callers,
             self._peers,
             self.nodes,
-            lambda: self.store.reads_for_peers,
+            self.store.end_reads,
             lambda: self.runner.busy,
             self._on_close,
         )
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -1,5 +1,6 @@
 """Reach the store through another gateway when it does not answer this one."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -92,6 +93,7 @@
 
 _CALLS = msgspec.msgpack.Decoder(RelayAppend | RelayRead | RelayNewest)
 _ANSWERS = msgspec.msgpack.Decoder(RelayAnswer)
+_STOPPING = RelayAnswer(StoreProblem.REFUSED.value, "peer is stopping")
 
 
 class RelayedLog(SharedLog):
@@ -115,7 +117,8 @@
         self._probe_at: dict[_Where, timedelta] = {}
         self._good_peer = ""
         self._answered_at: timedelta | None = None
-        self.reads_for_peers = 0
+        self._reads_for_peers: set[asyncio.Task[RelayAnswer]] = set()
+        self._ending = False
 
     def direct_lost(self, topic: str, part: int) -> bool:
         """Tell whether the store does not answer this node itself about a partition.
@@ -189,11 +192,27 @@
         """Make a peer's call, directly and once; a failure tells how long the store has been silent here."""
         if isinstance(call, RelayAppend):
             return await self._async_serve(call)
-        self.reads_for_peers += 1
+        if self._ending:
+            return _STOPPING
+        work = asyncio.ensure_future(self._async_serve(call))
+        self._reads_for_peers.add(work)
         try:
-            return await self._async_serve(call)
+            return await work
+        except asyncio.CancelledError:
+            if not self._ending:
+                raise
+            return _STOPPING
         finally:
-            self.reads_for_peers -= 1
+            self._reads_for_peers.discard(work)
+
+    def end_reads(self) -> None:
+        """Answer the peers that wait here for records, now and from now on: they ask elsewhere.
+
+        They wait as long as they like, and would hold a stop to its bound; their appends must be waited for.
+        """
+        self._ending = True
+        for work in self._reads_for_peers:
+            work.cancel()
 
     async def _async_serve(self, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
--- a/cranberryline/gateway/stop.py
+++ b/cranberryline/gateway/stop.py
@@ -32,19 +32,10 @@
     callers: GracefulServer
     peers: GracefulServer
     nodes: NodeBook
-    reads_for_peers: Callable[[], int]
+    end_reads: Callable[[], None]
     items_left: Callable[[], bool]
     on_close: Callable[[], None]
 
-    @property
-    def peers_in_doubt(self) -> int:
-        """Return how many calls of peers are under way that a close would leave in doubt.
-
-        A peer's append that lost its answer may stand or not, and its caller could be told neither; a peer's
-        read waits for records as long as it likes, and is asked again elsewhere.
-        """
-        return max(0, self.peers.open_requests - self.reads_for_peers())
-
 
 async def async_stop_gateway(parts: StopParts, timeout: timedelta, clock: Clock) -> None:
     """Let the balancer notice, close the ports, finish what was taken, and close what is left.
@@ -57,13 +48,14 @@
     for server in servers:
         server.stop()
     await clock.async_sleep(_ARRIVAL)
-    at_rest, peers_at_rest = (server.close_at_rest() for server in servers)
-    _LOGGER.info("connections_at_rest_closed", count=at_rest, peers=peers_at_rest)
+    # Not the peers' ones: they use a connection once, so one at rest is about to ask.
+    _LOGGER.info("connections_at_rest_closed", count=parts.callers.close_at_rest())
+    parts.end_reads()
     await _async_finish(parts, timeout, clock)
     _LOGGER.info(
         "connections_closed",
         open_requests=parts.callers.open_requests,
-        peers_in_doubt=parts.peers_in_doubt,
+        peers_open=parts.peers.open_requests,
         items_left=parts.items_left(),
     )
     parts.on_close()
@@ -75,13 +67,14 @@
     """Wait for the requests that were taken; items are left to other nodes once callers have theirs.
 
     An item whose result the store does not take would hold the stop until it is forced, and
-    with it the answers of callers would be cut.
+    with it the answers of callers would be cut. A peer's append is waited for like a caller's request:
+    whether one that lost its answer stands can not be told.
     """
     began = clock.monotonic()
     give_up = began + timeout * _FINISH_SHARE
     items_until = began + timeout * _ITEMS_SHARE
     while (now := clock.monotonic()) < give_up:
-        taken = parts.callers.open_requests or parts.peers_in_doubt
+        taken = parts.callers.open_requests or parts.peers.open_requests
         if not taken and (now > items_until or not parts.items_left()):
             return
         await clock.async_sleep(_POLL)
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -1,5 +1,6 @@
 """An HTTP server that answers bad input, and closes without losing sight of a request that it has read."""
 
+import asyncio
 from datetime import timedelta
 from typing import Any
 
@@ -40,12 +41,12 @@
 
     @property
     def open_requests(self) -> int:
-        """Return how many connections have a request, from its first read to the last byte of its answer."""
+        """Return how many connections have a request, from its whole head to the last byte of its answer."""
         return sum(not self._at_rest(conn) for conn in self._connections)
 
     @property
     def at_rest(self) -> int:
-        """Return how many connections are kept with nothing of a request read."""
+        """Return how many connections have none: nothing was sent on them, or not a whole head yet."""
         return len(self._connections) - self.open_requests
 
     def close_at_rest(self) -> int:
@@ -56,17 +57,21 @@
         here, what was taken last still has all of the time that the stop allows.
         """
         self._ending = True
-        resting = [conn for conn in self._connections if self._at_rest(conn)]
-        for conn in resting:
-            conn.stream.close()
-        return len(resting)
+        return sum(self._close_at_rest(conn) for conn in list(self._connections))
+
+    def _close_at_rest(self, conn: HTTP1ServerConnection) -> bool:
+        if not self._at_rest(conn):
+            return False
+        conn.stream.close()
+        return True
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
     ) -> GuardedMessage:
         """Return the receiver of a connection's next request; it is asked for as soon as the last one ended."""
         if self._ending:
-            server_conn.stream.close()
+            # A turn later: by then a request that was sent right behind the last one shows as read.
+            asyncio.get_running_loop().call_soon(self._close_at_rest, server_conn)
         message: GuardedMessage = super().start_request(server_conn, request_conn)
         self._newest[server_conn] = message
         return message
@@ -77,19 +82,19 @@
         super().on_close(server_conn)
 
     def _at_rest(self, conn: HTTP1ServerConnection) -> bool:
-        """Tell whether nothing of a request has been read.
+        """Tell whether no whole head of a request has been read.
 
-        Once the headers have been read from the socket, their reader still waits some turns of the loop:
-        then no read is pending, and nothing has begun either.
+        Once it has been read from the socket, its parser still waits some turns of the loop: then no
+        read is pending, and nothing has begun either.
         """
         message = self._newest.get(conn)
         return message is not None and not message.begun and conn.stream.reading()
 
     async def close_all_connections(self) -> None:
-        """Close what is left, then wait for what still ends.
+        """Close what is left, all in one turn of the loop, then wait for what still ends.
 
-        Closed one after the other with a wait for each, those that come later are still read from: a
-        request there is run and then cut. So all are closed before any other task may read.
+        Without `close_at_rest` before, a connection whose turn came later would still be read from: a request
+        there would be run and then cut.
         """
         for conn in self._connections:
             conn.stream.close()
@@ -116,9 +121,9 @@
 
     Return whether it was so.
 
-    A request that has been read waits a turn of the loop for its handler, counted nowhere. A process that
-    stops, sees nothing in flight and closes its connections in that turn would still pass it on, and its caller
-    sees a connection that closed without an answer while an upstream runs the request.
+    A request that has been read waits some turns of the loop for its handler. Where its caller leaves, or a stop
+    reaches its bound and closes the connection, in between, the handler is told of nothing: it would pass the
+    request on, and an upstream run it for nobody.
     """
     conn = handler.request.connection
     stream = getattr(conn, "stream", None)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -13,6 +13,7 @@
 from cranberryline.gateway.relay import RelayedLog
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
+from stand_ins import platform_sampler
 from tests.store_fake import FakeStore, StoreLink
 
 from .conftest import HOST, Platform, async_nothing, async_platform, async_until, play
@@ -99,8 +100,8 @@
 def test_an_answer_that_is_still_being_sent_is_sent_to_its_end() -> None:
     """The stop begins while a long answer waits for a caller who reads slowly.
 
-    The handler has ended, so nothing counts the request any more: the connection is closed with what
-    the socket had not taken, and the caller has a part of the answer.
+    Its handler has ended. A stop that counts handlers closes the connection with what the socket had not
+    taken, and the caller has a part of the answer.
     """
 
     async def scene() -> None:
@@ -108,27 +109,38 @@
         for sampler in platform.samplers:
             sampler.length = 16 * 2**20
         gateway = platform.gateways[0]
-        async with _callers(platform, 0) as _:
-            host, _, port = platform.addresses[0].rpartition(":")
-            caller = _Caller(*await asyncio.open_connection(host, int(port), limit=2**10))
-            caller.send("long")
-            await async_until(lambda: gateway.dispatcher.in_flight == 1)
-            await async_until(lambda: gateway.dispatcher.in_flight == 0)
-            stop = asyncio.ensure_future(gateway.async_stop())
-            await asyncio.sleep(gateway_stop._BALANCER_NOTICE.total_seconds() + 0.5)
-            body = await caller.async_answer()
-            caller.writer.close()
-            await stop
-            await gateway.async_close()
+        host, _, port = platform.addresses[0].rpartition(":")
+        caller = _Caller(*await asyncio.open_connection(host, int(port), limit=2**10))
+        caller.send("long")
+        await async_until(lambda: gateway.dispatcher.in_flight == 1)
+        await async_until(lambda: gateway.dispatcher.in_flight == 0)
+        stop = asyncio.ensure_future(gateway.async_stop())
+        await asyncio.sleep(gateway_stop._BALANCER_NOTICE.total_seconds() + 0.5)
+        body = await caller.async_answer()
+        caller.writer.close()
+        await stop
+        await gateway.async_close()
         assert body is not None and len(body) == 16 * 2**20
 
     play(scene())
 
 
-def test_a_peer_s_append_under_way_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+def _peer_of(address: str) -> RelayedLog:
+    """Return the store of a node that reaches it through a peer only."""
+    link = StoreLink(FakeStore())
+    link.refusing = lambda _topic, _part: True
+    return RelayedLog(link, lambda: [address], SystemClock(), Metrics())
+
+
+@pytest.mark.parametrize("readers", [0, 1, 2])
+@pytest.mark.parametrize("stay", [True, False])
+def test_a_peer_s_append_under_way_is_answered(
+    monkeypatch: pytest.MonkeyPatch, readers: int, stay: bool
+) -> None:
     """A gateway without the store appends through a peer that stops meanwhile.
 
     Closed without an answer, the append may stand or not: the caller whose job it keeps is told neither.
+    Others wait there for records, and some of them have gone: neither must hold the stop, nor hide the append.
     """
     monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
 
@@ -136,16 +148,27 @@
         platform = await async_platform()
         gateway = platform.gateways[0]
         gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
-        link = StoreLink(FakeStore())
-        link.refusing = lambda _topic, _part: True
         stopping = platform.settings[0].peer
-        peer = RelayedLog(link, lambda: [stopping], SystemClock(), Metrics())
+        second = timedelta(seconds=1)
+        reads = [
+            asyncio.ensure_future(
+                _peer_of(stopping).async_read("keyed.servers", 0, 10**6, 3 * second, 4 * second)
+            )
+            for _ in range(readers)
+        ]
+        await async_until(lambda: gateway._peers.open_requests == readers)
+        await asyncio.sleep(0.05)
+        for read in () if stay else reads:
+            read.cancel()
+        await async_until(lambda: gateway._peers.open_requests == (readers if stay else 0))
         platform.store.append_s = 0.5
-        append = asyncio.ensure_future(peer.async_append("t", 0, [b"a"], timedelta(seconds=2)))
-        await async_until(lambda: gateway._peers.open_requests)
+        append = asyncio.ensure_future(_peer_of(stopping).async_append("t", 0, [b"a"], 2 * second))
+        await async_until(lambda: gateway._peers.open_requests == 1 + (readers if stay else 0))
+        began = SystemClock().monotonic()
         await gateway.async_stop()
+        took = SystemClock().monotonic() - began
         await gateway.async_close()
-        assert (await append).is_ok()
+        assert (await append).is_ok() and took < 1.5 * second
 
     play(scene())
 
@@ -172,6 +195,104 @@
     play(scene())
 
 
+def test_requests_sent_one_behind_the_other_are_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A caller sends two requests at once on one connection, and the stop begins during the first."""
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
+
+    async def scene() -> None:
+        platform = await async_platform()
+        for sampler in platform.samplers:
+            sampler.delay_s = 0.5
+        gateway = platform.gateways[0]
+        gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
+        async with _callers(platform, 1) as (caller,):
+            caller.send("one")
+            caller.send("two")
+            await async_until(lambda: gateway.dispatcher.in_flight == 1)
+            await gateway.async_stop()
+            answers = [await caller.async_answer() for _ in range(2)]
+            await gateway.async_close()
+        assert answers == [b"answer to one", b"answer to two"]
+
+    play(scene())
+
+
+def test_the_first_request_of_a_connection_made_just_before_the_port_closed_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The balancer hands a connection over in the moment in which the stop closes the port."""
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
+
+    async def scene() -> None:
+        platform = await async_platform()
+        gateway = platform.gateways[0]
+        gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
+        host, _, port = platform.addresses[0].rpartition(":")
+        caller = _Caller(*await asyncio.open_connection(host, int(port)))
+        await async_until(lambda: gateway._callers.at_rest == 1)
+        stop = asyncio.ensure_future(gateway.async_stop())
+        await asyncio.sleep(0.01)
+        caller.send("first")
+        answer = await caller.async_answer()
+        await stop
+        await gateway.async_close()
+        caller.writer.close()
+        assert answer == b"answer to first"
+
+    play(scene())
+
+
+def test_a_body_that_is_still_coming_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A request's headers are there and half of its body: its connection reads on, but is not at rest."""
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
+
+    async def scene() -> None:
+        platform = await async_platform()
+        gateway = platform.gateways[0]
+        gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
+        async with _callers(platform, 1) as (caller,):
+            head = f"POST /files/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: slow\r\nContent-Length: 4\r\n\r\n"
+            caller.writer.write(head.encode() + b"ab")
+            await async_until(lambda: gateway._callers.open_requests == 1)
+            stop = asyncio.ensure_future(gateway.async_stop())
+            await asyncio.sleep(0.3)
+            caller.writer.write(b"cd")
+            answer = await caller.async_answer()
+            await stop
+            await gateway.async_close()
+        assert answer == b"answer to slow"
+
+    play(scene())
+
+
+def test_a_connection_is_closed_behind_a_stream_that_began_before_the_stop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its head could not say that the connection will close, so its caller asks on it again.
+
+    That request must not be taken: it may come as late in the stop as the stream ends.
+    """
+    monkeypatch.setattr(gateway_stop, "_BALANCER_NOTICE", timedelta())
+
+    async def scene() -> None:
+        platform = await async_platform()
+        gateway = platform.gateways[0]
+        gateway.nodes.async_sign = async_nothing  # type: ignore[method-assign]
+        monkeypatch.setattr(platform_sampler, "EVENT_PAUSE", 0.1)
+        async with _callers(platform, 1) as (caller,):
+            caller.send("stream", "/stream/x")
+            assert b"connection: close" not in (await caller.reader.readuntil(b"\r\n\r\n")).lower()
+            stop = asyncio.ensure_future(gateway.async_stop())
+            await caller.reader.readuntil(b"\r\n0\r\n\r\n")
+            caller.send("again")
+            assert await caller.async_answer() is None
+            await stop
+            await gateway.async_close()
+        assert "again" not in _ran(platform)
+
+    play(scene())
+
+
 @pytest.mark.parametrize("turns", range(10))
 def test_a_request_read_just_before_the_close_is_answered(
     monkeypatch: pytest.MonkeyPatch, turns: int
