--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Annotated, TypeVar
+from typing import TypeVar
 
 import attrs
 import msgspec
@@ -28,6 +28,8 @@
     StoreProblem,
 )
 
+from .relay_messages import ANSWERS, CALLS, RelayAnswer, RelayAppend, RelayNewest, RelayRead
+
 __all__ = ["PATH_RELAY", "RelayHandler", "RelayedLog"]
 
 _LOGGER = get_logger(__name__)
@@ -46,53 +48,9 @@
 # A peer that lost power does not answer; one that lives accepts within milliseconds. Waited for like any
 # other server, a dead peer took up the whole time of a caller, who left without an answer.
 _PEER_CONNECT = timedelta(milliseconds=200)
-# A century; a longer time would overflow.
-_MAX_SILENT_MS = 100 * 366 * 86_400_000
 _ANSWERED = (StoreProblem.CONFLICT, StoreProblem.GONE)
 
 
-class RelayAppend(msgspec.Struct, array_like=True, frozen=True, tag="append"):
-    """Ask a peer to append."""
-
-    topic: str
-    part: int
-    records: list[bytes]
-    timeout_ms: int
-    at: int | None = None
-
-
-class RelayRead(msgspec.Struct, array_like=True, frozen=True, tag="read"):
-    """Ask a peer to read."""
-
-    topic: str
-    part: int
-    start: int
-    wait_ms: int
-    timeout_ms: int
-
-
-class RelayNewest(msgspec.Struct, array_like=True, frozen=True, tag="newest"):
-    """Ask a peer for the newest records of a topic."""
-
-    topic: str
-    timeout_ms: int
-
-
-class RelayAnswer(msgspec.Struct, array_like=True, frozen=True):
-    """What a peer got: numbers and records, or the problem."""
-
-    problem: str = ""
-    detail: str = ""
-    first: int = 0
-    second: int = 0
-    records: list[bytes] = []
-    keys: list[tuple[str, bytes, int]] = []
-    # How long the store has answered this peer nothing at all, in milliseconds; -1 if it never did.
-    silent_ms: Annotated[int, msgspec.Meta(ge=-1, le=_MAX_SILENT_MS)] = -1
-
-
-_CALLS = msgspec.msgpack.Decoder(RelayAppend | RelayRead | RelayNewest)
-_ANSWERS = msgspec.msgpack.Decoder(RelayAnswer)
 _STOPPING = RelayAnswer(StoreProblem.REFUSED.value, "peer is stopping")
 
 
@@ -332,7 +290,7 @@
             data = await sent.unwrap().async_whole()
         except UpstreamCut as exc:
             return Err(StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {exc}"))
-        read = decode_msgpack(data, _ANSWERS)
+        read = decode_msgpack(data, ANSWERS)
         return read.map_err(lambda why: StoreError(StoreProblem.UNKNOWN, f"peer {peer}: {why}"))
 
     def _note_direct(self, where: _Where, good: bool, detail: str) -> None:
@@ -365,7 +323,7 @@
 
     async def post(self) -> None:
         """Make the call and answer with what it brought."""
-        match decode_msgpack(self.request.body, _CALLS):
+        match decode_msgpack(self.request.body, CALLS):
             case Err():
                 self.set_status(400)
                 return
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -11,7 +11,8 @@
 
 from cranberryline.entry.errors import Ran, Refusal, RefusalReason
 from cranberryline.entry.model import AnswerSink, CallerRequest
-from cranberryline.gateway.relay import RelayAnswer, RelayedLog
+from cranberryline.gateway.relay import RelayedLog
+from cranberryline.gateway.relay_messages import RelayAnswer
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs.codec import encode_events, encode_job, encode_records
