Give a kept connection back only when its answer's reader can not close it any more

An upstream's request was cut though its caller waited: it went out on a connection that a slow reader of the answer before closed when he left. Cause: the connection went back to the pool while the answer's end still waited for room in the reader's queue; the same class as at stops, a thing taken for free by one count while another still holds it. Change: it goes back in the step in which the end is queued. Test: cut before, answered after.

--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -239,14 +239,17 @@
         # An answer without a length ends with its connection; one that was reset is not whole.
         if stream.error is not None:
             receiver.whole = False
-        if pool is not None and reusable and receiver.whole and not stream.closed():
-            pool.put(conn.detach(), receiver.headers)
-        else:
+        keep = pool is not None and reusable and receiver.whole
+        if not keep:
             conn.close()
         if not receiver.head.done():
             receiver.head.set_exception(UpstreamCut("no answer before the connection ended"))
             receiver.head.exception()
     await receiver.queue.put(None)
+    # Given away before, while the end waits for room, the connection could be closed under another request
+    # by a reader who leaves this answer.
+    if pool is not None and keep and not stream.closed():
+        pool.put(conn.detach(), receiver.headers)
 
 
 async def _async_connect(origin: HttpOrigin, timeout: float) -> Result[IOStream, PlatformError]:
--- a/tests/ports/test_kept.py
+++ b/tests/ports/test_kept.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from cranberryline.ports.http import HttpOrigin, KeptStreams, async_exchange
+from cranberryline.ports.http import MAX_QUEUED_CHUNKS, HttpOrigin, KeptStreams, async_exchange
 from cranberryline.ports.model import UpstreamRequest
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -95,3 +95,48 @@
         assert len(counts) == 2
 
     asyncio.run(scene())
+
+
+def test_leaving_an_answer_does_not_cut_the_next_request() -> None:
+    """A caller reads slowly, and leaves when all of its answer has come but the end of it.
+
+    The connection had been given back with the answer's end, so another request was on it already:
+    closed by who left, that one was cut at its upstream, which ran it for nobody.
+    """
+
+    async def scene() -> None:
+        cut: list[str] = []
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            path = ""
+            try:
+                while True:
+                    path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+                    if path == "/long":
+                        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                        for _ in range(MAX_QUEUED_CHUNKS):
+                            writer.write(b"2\r\nab\r\n")
+                            await asyncio.sleep(0.02)
+                        writer.write(b"0\r\n\r\n")
+                        continue
+                    await asyncio.sleep(0.3)
+                    writer.write(ANSWER)
+                    await writer.drain()
+                    path = ""
+            except (asyncio.IncompleteReadError, ConnectionError):
+                cut.append(path)
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        origin = HttpOrigin(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        pool = KeptStreams()
+        long = await async_exchange(origin, UpstreamRequest("GET", "/long"), TIMEOUT, pool)
+        await asyncio.sleep(0.2)
+        following = asyncio.ensure_future(_async_get(origin, pool))
+        await asyncio.sleep(0.1)
+        await long.unwrap().async_close()
+        assert await following == b"ok"
+        assert "/x" not in cut
+        server.close()
+
+    asyncio.run(scene())
