Tell a stop that cut a request as timed out, not as graceful

A stop that reached its bound and cut what was left ended with 0 and was counted graceful: whoever looks for the next incident by the outcome would have passed over it. The gateway's stop returns its outcome.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -20,7 +20,7 @@
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.logging import Level, get_logger, set_level
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
-from cranberryline.helpers.shutdown import Shutdown
+from cranberryline.helpers.shutdown import Shutdown, StopOutcome
 from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
 from cranberryline.jobs import JobState
 from cranberryline.jobs.runner import JobRunner, RunnerParts
@@ -191,7 +191,7 @@
         self.lease.set_length(cfg.lease)
         self._cfg = cfg
 
-    async def async_stop(self) -> None:
+    async def async_stop(self) -> StopOutcome:
         """Fail the ready check, hand work over, wait for the balancer, finish what is in flight."""
         self.stopping = True
         self._context.stopping = True
@@ -206,7 +206,7 @@
             lambda: self.runner.busy,
             self._on_close,
         )
-        await async_stop_gateway(parts, self._cfg.stop_timeout, self._clock)
+        return await async_stop_gateway(parts, self._cfg.stop_timeout, self._clock)
 
     def _on_close(self) -> None:
         self._context.closed = True
--- a/cranberryline/gateway/stop.py
+++ b/cranberryline/gateway/stop.py
@@ -9,6 +9,7 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_server import GracefulServer
 from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.shutdown import StopOutcome
 
 from .nodes import NodeBook
 
@@ -37,10 +38,10 @@
     on_close: Callable[[], None]
 
 
-async def async_stop_gateway(parts: StopParts, timeout: timedelta, clock: Clock) -> None:
+async def async_stop_gateway(parts: StopParts, timeout: timedelta, clock: Clock) -> StopOutcome:
     """Let the balancer notice, close the ports, finish what was taken, and close what is left.
 
-    Returns some nine tenths of `timeout` after the call at the latest.
+    Return how it ended, some nine tenths of `timeout` after the call at the latest.
     """
     # Before a silent store the sign would take a second of the time that the platform's kill leaves.
     await asyncio.gather(parts.nodes.async_sign(), clock.async_sleep(_BALANCER_NOTICE))
@@ -52,15 +53,17 @@
     _LOGGER.info("connections_at_rest_closed", count=parts.callers.close_at_rest())
     parts.end_reads()
     await _async_finish(parts, timeout, clock)
+    cut, peers_cut = (server.open_requests for server in servers)
     _LOGGER.info(
         "connections_closed",
-        open_requests=parts.callers.open_requests,
-        peers_open=parts.peers.open_requests,
+        open_requests=cut,
+        peers_open=peers_cut,
         items_left=parts.items_left(),
     )
     parts.on_close()
     for server in servers:
         await server.close_all_connections()
+    return StopOutcome.TIMED_OUT if cut or peers_cut else StopOutcome.GRACEFUL
 
 
 async def _async_finish(parts: StopParts, timeout: timedelta, clock: Clock) -> None:
--- a/cranberryline/helpers/shutdown.py
+++ b/cranberryline/helpers/shutdown.py
@@ -38,6 +38,8 @@
 class Shutdown:
     """Run the graceful stop of a process once, within a bound.
 
+    The stop returns how it ended where it has a bound of its own, else None for a stop that cut nothing off.
+
     A stop that waits for a stuck upstream would never end and the platform would kill the process
     untold; the bound ends it, counted and logged. A second signal must work even if the event loop
     hangs, so a timer thread ends the process then.
@@ -45,7 +47,7 @@
 
     def __init__(
         self,
-        stop: Callable[[], Awaitable[None]],
+        stop: Callable[[], Awaitable[StopOutcome | None]],
         timeout: timedelta,
         metrics: Metrics,
         forced_timeout: timedelta = _DEFAULT_FORCED,
@@ -125,12 +127,12 @@
             self._loop.call_soon_threadsafe(self.request)
 
 
-def _outcome(stop: "asyncio.Future[None]") -> StopOutcome:
+def _outcome(stop: "asyncio.Future[StopOutcome | None]") -> StopOutcome:
     """Return how a finished stop ended."""
     if stop.cancelled():
         return StopOutcome.FAILED
     exc = stop.exception()
     if exc is None:
-        return StopOutcome.GRACEFUL
+        return stop.result() or StopOutcome.GRACEFUL
     _LOGGER.error("stop_failed", error=repr(exc))
     return StopOutcome.FAILED
--- a/tests/helpers/test_shutdown.py
+++ b/tests/helpers/test_shutdown.py
@@ -43,9 +43,15 @@
     """Stop at once."""
 
 
+async def _async_cut() -> StopOutcome:
+    """Reach a bound of its own before the process's."""
+    return StopOutcome.TIMED_OUT
+
+
 @pytest.mark.parametrize(
     ("stop", "timeout", "requests", "outcome"),
     [
+        (_async_cut, _LONG, 1, StopOutcome.TIMED_OUT),
         (_async_done, _LONG, 1, StopOutcome.GRACEFUL),
         (_async_hang, _SHORT, 1, StopOutcome.TIMED_OUT),
         (_async_hang, _LONG, 2, StopOutcome.FORCED),
@@ -54,7 +60,10 @@
     ],
 )
 def test_a_stop_ends_once_within_its_bound(
-    stop: Callable[[], Awaitable[None]], timeout: timedelta, requests: int, outcome: StopOutcome
+    stop: Callable[[], Awaitable[StopOutcome | None]],
+    timeout: timedelta,
+    requests: int,
+    outcome: StopOutcome,
 ) -> None:
     """Whatever the stop does, it ends, and the outcome is counted."""
     metrics = Metrics()
