Cut a caller's stream that an error of ours ends

An error behind a stream's head let the server's framework end the body in good order: a part looked whole. The entry's handlers were guarded against that, the gateway's were not; they now share the guard, and answer other errors with a problem that says that the request may have run.

--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -17,7 +17,7 @@
 from cranberryline.helpers.http_server import break_off_if_closed
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.problem import problem_body
+from cranberryline.helpers.problem import ProblemHandler, problem_body
 from cranberryline.jobs.service import JobService
 from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
@@ -60,7 +60,7 @@
         self.finish({"ready": good})
 
 
-class CallerHandler(RequestHandler):
+class CallerHandler(ProblemHandler):
     """One call of a caller."""
 
     SUPPORTED_METHODS = ("GET", "HEAD", "POST", "DELETE", "PATCH", "PUT", "OPTIONS")
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -4,7 +4,9 @@
 from collections import Counter
 
 import msgspec
+import pytest
 
+from cranberryline.gateway.ingress import IngressHandler
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.ports.http import HttpOrigin
 from cranberryline.ports.short_call import ShortCalls
@@ -392,3 +394,32 @@
         assert (await platform.async_call("GET", "/api/lots/j1")).code == 404
 
     play(scene())
+
+
+def test_a_stream_that_an_error_of_ours_ends_does_not_look_whole(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A defect shows in the middle of a stream, when its head has left.
+
+    The server's framework ends the body of a handler that raises in good order: the caller would take the
+    part that came for all of it.
+    """
+
+    async def fail(_handler: IngressHandler, _data: bytes) -> None:
+        raise ValueError("a defect")
+
+    monkeypatch.setattr(IngressHandler, "_async_stream_events", fail)
+
+    async def scene() -> None:
+        platform = await async_platform()
+        host, _, port = platform.addresses[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"GET /stream/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: s1\r\nConnection: close\r\n\r\n"
+        )
+        writer.write(head.encode())
+        answer = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 200") and not answer.endswith(b"0\r\n\r\n")
+
+    play(scene())
