Move what entry, gateway and jobs share into packages below them

Cause: jobs/ and gateway/ imported dispatcher, attempts, refusals and direct upstreams from entry/, so a domain imported a process; and entry/direct.py imported the side process's runner, so one process imported another.

No name on the wire, in logs or metrics changes; none of the modules moved has a logger.

--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -12,9 +12,9 @@
 from result import Ok
 
 from cranberryline.configs.model import ServiceSpec, ServiceType
-from cranberryline.entry.lane import ServiceLane
-from cranberryline.entry.model import CallerRequest
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.lane import ServiceLane
+from cranberryline.dispatch.model import CallerRequest
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.ports.model import VmList
 from cranberryline.transport import Dialer, DialerEvents, Exchange
--- a/bench/capacity/registrations.py
+++ b/bench/capacity/registrations.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from cranberryline.entry.direct import DirectUpstreams
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.direct import DirectUpstreams
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.gateway.registrations import Registrations
 from cranberryline.helpers.clock import SystemClock
--- a/cranberryline/entry/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -6,14 +6,14 @@
 
 from cranberryline.configs import ServiceSpec
 from cranberryline.configs.const import DEFAULT_CONCURRENCY
+from cranberryline.execution.claims import ClaimService
+from cranberryline.execution.execution import Execution
+from cranberryline.execution.runner import Runner
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.clients import HttpPlainService
 from cranberryline.ports.model import LogPort, PlainServicePort, VmEntry
 from cranberryline.requests import RequestKey, SideBook, WithdrawOutcome
-from cranberryline.side.claims import ClaimService
-from cranberryline.side.execution import Execution
-from cranberryline.side.runner import Runner
 from cranberryline.transport import Exchange, UpstreamLink
 from cranberryline.transport.model import (
     Cancel,
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -18,6 +18,9 @@
 from cranberryline.configs.checkpoint import CheckpointPolicy
 from cranberryline.configs.publish import ConfigPublisher
 from cranberryline.configs.relay import RelayPort
+from cranberryline.dispatch.direct import DirectUpstreams
+from cranberryline.dispatch.dispatch import Dispatcher, ServiceBook
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger, once_per_burst
@@ -44,8 +47,6 @@
 )
 
 from .config_sync import EntryConfigSync
-from .direct import DirectUpstreams
-from .dispatch import Dispatcher, ServiceBook
 from .http import Route, async_close_http, listen_http
 from .links import SideLinks
 from .membership import MembershipWatch
@@ -55,7 +56,6 @@
 from .proxy import ProxyContext
 from .rollouts import DispatcherSamples, FoldRollouts, MeshOwners, NoScores
 from .trainers import TrainerService, trainer_routes
-from .upstreams import PeerTable
 
 __all__ = ["EntryProcess", "run"]
 
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -7,6 +7,8 @@
 import zmq
 
 from cranberryline.decisions import SubsetChooser
+from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.model import VmEntry, VmRole
@@ -14,9 +16,6 @@
 from cranberryline.transport.model import Hello, Message
 from cranberryline.upstreams import Membership, MemberState
 
-from .direct import DirectUpstream, DirectUpstreams
-from .upstreams import PeerTable
-
 __all__ = ["SideLinks"]
 
 # A connection to an upstream that has left the list is kept while answers still come over it.
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -14,6 +14,10 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from cranberryline.dispatch.attempt import CallerLeft
+from cranberryline.dispatch.dispatch import Dispatcher, ServiceBook
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import AnswerSink, CallerClass, CallerRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.http_server import break_off, break_off_if_closed
@@ -23,11 +27,6 @@
 from cranberryline.helpers.tokens import TokenTable
 from cranberryline.requests import scoped_key
 
-from .attempt import CallerLeft
-from .dispatch import Dispatcher, ServiceBook
-from .errors import Ran, Refusal, RefusalReason
-from .model import AnswerSink, CallerClass, CallerRequest
-
 __all__ = ["CompletionHandler", "ProxyContext", "ServiceHandler"]
 
 HEADER_PRIORITY = "X-Priority"
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -9,6 +9,9 @@
 
 from cranberryline.configs import ConfigFold
 from cranberryline.decisions import rendezvous
+from cranberryline.dispatch.dispatch import Dispatcher, ServiceBook
+from cranberryline.dispatch.errors import Refusal
+from cranberryline.dispatch.model import AnswerSink, CallerClass, CallerRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.ports.errors import PlatformError
 from cranberryline.ports.model import ScorePort
@@ -23,10 +26,7 @@
     SampleRequest,
 )
 
-from .dispatch import Dispatcher, ServiceBook
-from .errors import Refusal
 from .mesh import EntryMesh
-from .model import AnswerSink, CallerClass, CallerRequest
 from .proxy import CHARS_PER_TOKEN, HEADER_REQUEST_ID, PREFIX_CHARS
 from .trainers import OwnerPort
 
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -12,9 +12,9 @@
 from result import Err
 from tornado.web import Application
 
-from cranberryline.entry.direct import DirectUpstreams
-from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.direct import DirectUpstreams
+from cranberryline.dispatch.dispatch import Dispatcher
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -12,7 +12,7 @@
 from tornado.web import RequestHandler
 
 from cranberryline.decisions.hedging import HedgeBudget
-from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.http_server import break_off_if_closed
 from cranberryline.helpers.logging import get_logger
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -9,10 +9,10 @@
 from tornado.iostream import StreamClosedError
 
 from cranberryline.decisions.hedging import hedge_delay
-from cranberryline.entry.attempt import CallerLeft
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import CallerClass, CallerRequest
-from cranberryline.entry.repeated import AttemptSink, RepeatedRequest
+from cranberryline.dispatch.attempt import CallerLeft
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import CallerClass, CallerRequest
+from cranberryline.dispatch.repeated import AttemptSink, RepeatedRequest
 from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.http_server import break_off
--- a/cranberryline/gateway/links.py
+++ b/cranberryline/gateway/links.py
@@ -1,7 +1,7 @@
 """The gateway's ways to upstreams, each reached without a side process."""
 
-from cranberryline.entry.direct import DirectUpstream, DirectUpstreams
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.ports.model import VmEntry
 from cranberryline.upstreams import Membership
 
--- a/cranberryline/gateway/streams.py
+++ b/cranberryline/gateway/streams.py
@@ -5,10 +5,10 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.entry.attempt import CallerLeft
-from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.dispatch.attempt import CallerLeft
+from cranberryline.dispatch.dispatch import Dispatcher
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import AnswerSink, CallerRequest
 from cranberryline.jobs.events import EventReader
 from cranberryline.ports.edge import Pairs
 
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -8,9 +8,9 @@
 from cranberryline.decisions.elsewhere import avoid_next
 from cranberryline.decisions.hedging import scoring_hedge_delay
 from cranberryline.decisions.moving import MOST_MOVES
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import CallerClass, CallerRequest
-from cranberryline.entry.repeated import RepeatedRequest
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import CallerClass, CallerRequest
+from cranberryline.dispatch.repeated import RepeatedRequest
 from cranberryline.helpers.logging import get_logger
 from cranberryline.routes import Route
 
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
--- a/cranberryline/jobs/sink.py
+++ b/cranberryline/jobs/sink.py
@@ -2,8 +2,8 @@
 
 from datetime import timedelta
 
-from cranberryline.entry.attempt import CallerLeft
-from cranberryline.entry.model import AnswerSink
+from cranberryline.dispatch.attempt import CallerLeft
+from cranberryline.dispatch.model import AnswerSink
 
 from .events import EventReader, ItemText
 from .phases import ItemPhases
--- a/cranberryline/jobs/tools.py
+++ b/cranberryline/jobs/tools.py
@@ -10,7 +10,7 @@
 from cranberryline.decisions.lengths import TextLengths
 from cranberryline.decisions.moving import EnginePaces
 from cranberryline.decisions.turned_away import TurnedAway
-from cranberryline.entry.dispatch import Dispatcher
+from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.edge import EdgeFormat
--- a/cranberryline/jobs/watch.py
+++ b/cranberryline/jobs/watch.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from cranberryline.decisions.moving import faster_elsewhere
-from cranberryline.entry.model import CallerRequest
+from cranberryline.dispatch.model import CallerRequest
 
 from .events import ItemText
 from .model import Item
--- a/cranberryline/routes/book.py
+++ b/cranberryline/routes/book.py
@@ -17,7 +17,7 @@
 class RouteBook:
     """Hold the newest route table; an older one never takes its place.
 
-    It answers what `entry.dispatch.ServiceBook` asks of a configuration, so that the lanes work on
+    It answers what `dispatch.ServiceBook` asks of a configuration, so that the lanes work on
     either.
     """
 
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -12,6 +12,9 @@
 
 from cranberryline.configs import Revision
 from cranberryline.configs.relay import RelayPort
+from cranberryline.execution.claims import ClaimService
+from cranberryline.execution.execution import Execution
+from cranberryline.execution.runner import Runner
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.logging import get_logger
@@ -31,10 +34,7 @@
     Welcome,
 )
 
-from .claims import ClaimService
 from .config_sync import SideConfigSync
-from .execution import Execution
-from .runner import Runner
 from .server import PeerServer, ServerEvents
 from .weights import ShiftSlots, WeightsController
 
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -5,6 +5,7 @@
 
 import zmq
 
+from cranberryline.execution.runner import Runner
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.requests import RequestKey
@@ -24,8 +25,6 @@
     Withdrawn,
 )
 
-from .runner import Runner
-
 __all__ = ["PeerServer", "ServerEvents"]
 
 
--- a/tests/entry/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -9,9 +9,9 @@
 import pytest
 
 from cranberryline.configs import ConfigFold, Kind
-from cranberryline.entry.dispatch import Dispatcher, ServiceBook
-from cranberryline.entry.model import CallerClass, CallerRequest
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.dispatch import Dispatcher, ServiceBook
+from cranberryline.dispatch.model import CallerClass, CallerRequest
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.model import LogRecord
--- a/tests/entry/test_direct.py
+++ b/tests/dispatch/test_direct.py
@@ -11,10 +11,10 @@
 import zmq
 from result import Err
 
-from cranberryline.entry.direct import DirectUpstream, DirectUpstreams
-from cranberryline.entry.errors import RefusalReason
+from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
+from cranberryline.dispatch.errors import RefusalReason
+from cranberryline.dispatch.model import CollectingSink
 from cranberryline.entry.links import SideLinks
-from cranberryline.entry.model import CollectingSink
 from cranberryline.helpers.clock import FakeClock, SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.errors import PlatformError, PlatformReason
@@ -23,8 +23,8 @@
 from cranberryline.transport import Dialer, DialerEvents
 from cranberryline.transport.model import Hello
 from cranberryline.upstreams import Membership
+from tests.execution.conftest import FakeUpstream
 from tests.requests.scripted_log import ScriptedLog
-from tests.side.conftest import FakeUpstream
 
 from .conftest import Bench
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -6,8 +6,8 @@
 import pytest
 
 from cranberryline.configs import Kind
-from cranberryline.entry.errors import RefusalReason
-from cranberryline.entry.model import CollectingSink
+from cranberryline.dispatch.errors import RefusalReason
+from cranberryline.dispatch.model import CollectingSink
 from cranberryline.requests import Ran
 from cranberryline.transport import Exchange, Lost
 from cranberryline.transport.model import Chunk, End, Failed, Head, NotRun, Submit
--- a/tests/entry/test_lane_room.py
+++ b/tests/dispatch/test_lane_room.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from cranberryline.entry.model import CollectingSink
+from cranberryline.dispatch.model import CollectingSink
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.transport.model import Load
 
--- a/tests/entry/test_last_check.py
+++ b/tests/dispatch/test_last_check.py
@@ -5,13 +5,13 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from cranberryline.entry.direct import DirectUpstreams
+from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.gateway.app import GatewayProcess
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.routes import RouteBook
 from cranberryline.upstreams.directory import Registration
-from tests.side.conftest import FakeUpstream
+from tests.execution.conftest import FakeUpstream
 
 from .conftest import Bench
 from .test_direct import Direct, direct_row, play
--- a/tests/entry/test_proxy.py
+++ b/tests/entry/test_proxy.py
@@ -18,8 +18,7 @@
 from cranberryline.helpers.tokens import Identity, Role, TokenTable
 from cranberryline.transport import Exchange
 from cranberryline.transport.model import Chunk, Failed, Head, Submit
-
-from .conftest import Bench, FakeSide
+from tests.dispatch.conftest import Bench, FakeSide
 
 TOKEN = "a-token-of-sixteen-characters"
 
--- a/tests/side/conftest.py
+++ b/tests/execution/conftest.py
@@ -8,6 +8,9 @@
 import pytest
 from result import Err, Ok, Result
 
+from cranberryline.execution.claims import Granted
+from cranberryline.execution.execution import Execution
+from cranberryline.execution.runner import Runner
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
@@ -20,9 +23,6 @@
 from cranberryline.requests import RequestKey, SideBook
 from cranberryline.requests.errors import ClaimReason, ClaimRefused
 from cranberryline.requests.model import ClaimOutcome
-from cranberryline.side.claims import Granted
-from cranberryline.side.execution import Execution
-from cranberryline.side.runner import Runner
 from cranberryline.transport.model import Message, Submit
 
 LIFE = "life-1"
--- a/tests/side/test_runner.py
+++ b/tests/execution/test_runner.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from cranberryline.execution.stream import INITIAL_WINDOW
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.requests.errors import ClaimReason, ClaimRefused
 from cranberryline.requests.model import ClaimOutcome
-from cranberryline.side.stream import INITIAL_WINDOW
 from cranberryline.transport.model import Chunk, End, Failed, Head, NotRun
 
 from .conftest import CONNECTION, Desk
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from cranberryline.entry.direct import DirectUpstreams
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.direct import DirectUpstreams
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.helpers.metrics import Metrics
--- a/tests/jobs/engine_scene.py
+++ b/tests/jobs/engine_scene.py
@@ -10,9 +10,9 @@
 import attrs
 from result import Ok, Result
 
-from cranberryline.entry.direct import DirectUpstreams
-from cranberryline.entry.dispatch import Dispatcher
-from cranberryline.entry.upstreams import PeerTable
+from cranberryline.dispatch.direct import DirectUpstreams
+from cranberryline.dispatch.dispatch import Dispatcher
+from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -9,8 +9,8 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import AnswerSink, CallerRequest
 from cranberryline.gateway.relay import RelayedLog
 from cranberryline.gateway.relay_messages import RelayAnswer
 from cranberryline.helpers.metrics import Metrics
--- a/tests/jobs/test_elsewhere.py
+++ b/tests/jobs/test_elsewhere.py
@@ -7,8 +7,8 @@
 
 from result import Err, Ok, Result
 
-from cranberryline.entry.errors import Ran, Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
+from cranberryline.dispatch.model import AnswerSink, CallerRequest
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs.codec import encode_job, encode_records
--- a/tests/jobs/test_keeper.py
+++ b/tests/jobs/test_keeper.py
@@ -12,8 +12,8 @@
 import pytest
 from result import Err, Ok, Result
 
-from cranberryline.entry.errors import Refusal, RefusalReason
-from cranberryline.entry.model import AnswerSink, CallerRequest
+from cranberryline.dispatch.errors import Refusal, RefusalReason
+from cranberryline.dispatch.model import AnswerSink, CallerRequest
 from cranberryline.jobs.keeper import KEEP_EVERY, MOST_NODES, TextKeeper
 from cranberryline.jobs.model import ItemState
 from tests.jobs.gateway_fake import Gateway, OneEngine, make_store
--- a/tests/requests/test_claim_service.py
+++ b/tests/requests/test_claim_service.py
@@ -6,9 +6,9 @@
 import pytest
 from result import Ok, Result
 
+from cranberryline.execution.claims import ClaimService, Granted
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.requests import ClaimFold, ClaimOutcome, ClaimReason, ClaimRefused
-from cranberryline.side.claims import ClaimService, Granted
 
 from .scripted_log import BUDGET, TURNS, WINDOW, ScriptedLog
 
--- a/tests/requests/test_claim_states.py
+++ b/tests/requests/test_claim_states.py
@@ -15,9 +15,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from result import Ok, Result
 
+from cranberryline.execution.claims import ClaimService, Granted
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.requests import ClaimFold, ClaimOutcome, ClaimReason, ClaimRefused
-from cranberryline.side.claims import ClaimService, Granted
 
 from .scripted_log import BUDGET, LOST, REFUSED, TURNS, WINDOW, Append, ScriptedLog
 
