Move ports that speak of a domain out of ports/

Cause: ports/ is below all domains, but its edge and its platform port imported jobs, routes and upstreams; and upstreams/directory.py imported jobs for an abstract base class about upstreams.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -27,7 +27,7 @@
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
 from cranberryline.platform.adapter import UsersPlatform
-from cranberryline.ports.platform import NamedVersion, PlatformPort
+from cranberryline.platform.ports import NamedVersion, PlatformPort
 from cranberryline.ports.store import KeyedRecord
 from cranberryline.routes import RouteBook, RouteTable
 from cranberryline.settings import GatewaySettings
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -18,8 +18,8 @@
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import ProblemHandler, problem_body
+from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.jobs.service import JobService
-from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
 
 __all__ = ["RETRY_AFTER", "CallerHandler", "GatewayContext", "ReadyHandler"]
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -17,7 +17,7 @@
 from cranberryline.helpers.http_headers import HOP_BY_HOP_HEADERS
 from cranberryline.helpers.http_server import break_off
 from cranberryline.helpers.logging import get_logger
-from cranberryline.ports.edge import (
+from cranberryline.jobs.ports import (
     ItemBodyRead,
     JobEnd,
     JobRead,
--- a/cranberryline/gateway/job_calls.py
+++ b/cranberryline/gateway/job_calls.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from cranberryline.jobs.errors import JobProblem, JobRefused
-from cranberryline.ports.edge import ItemBodyRead, JobEnd, JobRead, PlainCall
+from cranberryline.jobs.ports import ItemBodyRead, JobEnd, JobRead, PlainCall
 
 from .handler import RETRY_AFTER, CallerHandler
 
--- a/cranberryline/gateway/registrations.py
+++ b/cranberryline/gateway/registrations.py
@@ -3,7 +3,7 @@
 from result import Err
 
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.ports.platform import PlatformPort
+from cranberryline.platform.ports import PlatformPort
 from cranberryline.ports.store import KeyedRecord
 from cranberryline.routes import RouteBook, RouteTable
 from cranberryline.upstreams.directory import Directory, Registration
--- a/cranberryline/gateway/streams.py
+++ b/cranberryline/gateway/streams.py
@@ -10,7 +10,7 @@
 from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
 from cranberryline.dispatch.model import AnswerSink, CallerRequest
 from cranberryline.jobs.events import EventReader
-from cranberryline.ports.edge import Pairs
+from cranberryline.jobs.ports import Pairs
 
 __all__ = ["StreamAnswer", "StreamRun"]
 
--- a/cranberryline/ports/edge.py
+++ b/cranberryline/jobs/ports.py
@@ -7,8 +7,8 @@
 import attrs
 from result import Result
 
-from cranberryline.jobs.model import Item, Job, Scorer
-from cranberryline.jobs.service import JobPage
+from .model import Item, Job, Scorer
+from .service import JobPage
 
 __all__ = [
     "AnswerHead",
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -13,8 +13,8 @@
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import PartitionTail
-from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
+from cranberryline.upstreams.versions import UpstreamVersions
 
 from .groups import group_of
 from .item import ItemRun
@@ -22,11 +22,11 @@
 from .model import ItemResult, JobRecord, ResultRecord
 from .partition import partition_of
 from .plan import JobPlan
+from .ports import EdgeFormat
 from .scoring import ScoringPlaces
 from .service import JobService
 from .state import JobState
 from .tools import ItemTools
-from .versions import UpstreamVersions
 
 __all__ = ["JobRunner", "RunnerParts"]
 
--- a/cranberryline/jobs/tools.py
+++ b/cranberryline/jobs/tools.py
@@ -13,14 +13,14 @@
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.ports.edge import EdgeFormat
 from cranberryline.routes import RouteBook
+from cranberryline.upstreams.versions import UpstreamVersions
 
 from .knowledge import JobKnowledge
 from .model import Item, ItemResult
+from .ports import EdgeFormat
 from .scoring import ScoringPlaces
 from .texts import KeptText
-from .versions import UpstreamVersions
 
 __all__ = ["ItemTools"]
 
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -4,10 +4,9 @@
 
 from result import Err, Ok, Result
 
-from cranberryline.ports.edge import EdgeFormat
+from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.ports.model import PlainServicePort, VmEntry
 from cranberryline.ports.orders import OrderPort
-from cranberryline.ports.platform import NamedVersion, OperatorChange, PlatformPort
 from cranberryline.ports.store import KeyedRecord, SharedLog
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
@@ -15,6 +14,7 @@
 from .config import read_config, read_version
 from .const import KEY_CONFIG, KEY_VERSION_PREFIX, TOPIC_NODES, TOPIC_OPERATOR, TOPIC_SERVERS
 from .edge import PlatformEdge
+from .ports import NamedVersion, OperatorChange, PlatformPort
 from .samplers import SamplerClient, SamplerOrders, read_registration
 from .store import HttpStore
 
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -9,8 +9,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.jobs.model import Item, Job, Scorer
-from cranberryline.jobs.service import JobPage
-from cranberryline.ports.edge import (
+from cranberryline.jobs.ports import (
     AnswerHead,
     CallerCall,
     EdgeFormat,
@@ -20,6 +19,7 @@
     Pairs,
     PlainCall,
 )
+from cranberryline.jobs.service import JobPage
 
 from .const import (
     EVENT_VERSION_FIELD,
--- a/cranberryline/ports/platform.py
+++ b/cranberryline/platform/ports.py
@@ -6,15 +6,14 @@
 import attrs
 from result import Result
 
+from cranberryline.jobs.ports import EdgeFormat
+from cranberryline.ports.model import PlainServicePort, VmEntry
+from cranberryline.ports.orders import OrderPort
+from cranberryline.ports.store import KeyedRecord, SharedLog
 from cranberryline.routes import RouteTable
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
 
-from .edge import EdgeFormat
-from .model import PlainServicePort, VmEntry
-from .orders import OrderPort
-from .store import KeyedRecord, SharedLog
-
 __all__ = ["NamedVersion", "OperatorChange", "PlatformPort"]
 
 
--- a/cranberryline/upstreams/directory.py
+++ b/cranberryline/upstreams/directory.py
@@ -10,12 +10,12 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.tail import StoreHealth
-from cranberryline.jobs.versions import UpstreamVersions
 from cranberryline.ports.model import VmEntry, VmList, VmRole, VmState
 
 from .const import LEFT_IDS_KEPT
 from .errors import RegistrationProblem
 from .membership import Membership
+from .versions import UpstreamVersions
 
 __all__ = ["Directory", "Registration"]
 
--- a/tests/jobs/engine_scene.py
+++ b/tests/jobs/engine_scene.py
@@ -19,9 +19,9 @@
 from cranberryline.jobs.book import JobState
 from cranberryline.jobs.item import ItemRun
 from cranberryline.jobs.model import Item, ItemResult, ItemState, Job
+from cranberryline.jobs.ports import AnswerHead
 from cranberryline.jobs.scoring import ScoringPlaces
 from cranberryline.jobs.tools import ItemTools
-from cranberryline.ports.edge import AnswerHead
 from cranberryline.ports.errors import PlatformError
 from cranberryline.ports.model import (
     PlainServicePort,
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -17,9 +17,9 @@
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs.codec import encode_events, encode_job, encode_records
 from cranberryline.jobs.model import Item, Job, JobEnded, Scorer, TextPiece
+from cranberryline.jobs.ports import AnswerHead
 from cranberryline.jobs.runner import JobRunner, RunnerParts
 from cranberryline.jobs.service import JobService
-from cranberryline.ports.edge import AnswerHead
 from cranberryline.ports.store import LogRead, StoreError, StoreProblem
 from tests.store_fake import FakeStore, StoreLink
 from tests.virtual_time import LoopClock
--- a/tests/platform/test_foreign_records.py
+++ b/tests/platform/test_foreign_records.py
@@ -16,8 +16,8 @@
 from cranberryline.helpers.http_server import InputLimits
 from cranberryline.platform import store as store_module
 from cranberryline.platform.adapter import UsersPlatform
+from cranberryline.platform.ports import NamedVersion
 from cranberryline.platform.store import HttpStore
-from cranberryline.ports.platform import NamedVersion
 from cranberryline.ports.store import KeyedRecord, LogRead, StoreProblem
 from cranberryline.routes import RouteTable
 from cranberryline.settings import GatewaySettings
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -10,11 +10,11 @@
 from result import Err, Ok
 
 from cranberryline.jobs.model import Item, ItemResult, ItemState, Job
+from cranberryline.jobs.ports import ItemBodyRead, JobEnd, JobRead, PlainCall
 from cranberryline.jobs.service import JobPage
 from cranberryline.platform.adapter import UsersPlatform
 from cranberryline.platform.edge import PlatformEdge
-from cranberryline.ports.edge import ItemBodyRead, JobEnd, JobRead, PlainCall
-from cranberryline.ports.platform import NamedVersion
+from cranberryline.platform.ports import NamedVersion
 from cranberryline.ports.store import KeyedRecord
 from cranberryline.routes import RouteKind, RouteTable
 
