Let entry's two ways of dialing be one piece of code

Both now have a `Dialers` (entry/dialing.py) and are given a `Dialing`, the five things that were passed one by one; app.py makes it once. What differs stays where it was: links lets a connection end when it is idle, mesh at once.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -47,6 +47,7 @@
 )
 
 from .config_sync import EntryConfigSync
+from .dialing import Dialing
 from .http import Route, async_close_http, listen_http
 from .links import SideLinks
 from .membership import MembershipWatch
@@ -109,18 +110,9 @@
         self.notices = MemberNotices(self.members)
         self.log = HttpLog(cfg.log_url)
         self.directs = self._make_directs()
-        self.links = SideLinks(
-            self._ctx,
-            clock,
-            cfg.vm_id,
-            self.hello,
-            self.next_id,
-            self,
-            self.table,
-            self.metrics,
-            self.directs,
-        )
-        self.mesh = EntryMesh(self._ctx, clock, cfg.vm_id, self.hello, self.next_id, self)
+        dialing = Dialing(self._ctx, clock, cfg.vm_id, self.hello, self.next_id)
+        self.links = SideLinks(dialing, self, self.table, self.metrics, self.directs)
+        self.mesh = EntryMesh(dialing, self)
         self.sync = EntryConfigSync(
             cfg.vm_id,
             self.log,
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -1,21 +1,19 @@
 """An entry's ways to upstreams: which to take, over what, and when to let go."""
 
 import asyncio
-from collections.abc import Callable
 from datetime import timedelta
 
-import zmq
-
 from cranberryline.decisions import SubsetChooser
 from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
 from cranberryline.dispatch.upstreams import PeerTable
-from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.model import VmEntry, VmRole
-from cranberryline.transport import Dialer, DialerEvents, UpstreamLink
-from cranberryline.transport.model import Hello, Message
+from cranberryline.transport import DialerEvents, UpstreamLink
+from cranberryline.transport.model import Message
 from cranberryline.upstreams import Membership, MemberState
 
+from .dialing import Dialers, Dialing
+
 __all__ = ["SideLinks"]
 
 # A connection to an upstream that has left the list is kept while answers still come over it.
@@ -31,33 +29,25 @@
 
     def __init__(
         self,
-        ctx: zmq.Context,
-        clock: Clock,
-        vm_id: str,
-        hello: Callable[[], Hello],
-        next_id: Callable[[], int],
+        dialing: Dialing,
         events: DialerEvents,
         table: PeerTable,
         metrics: Metrics,
         directs: DirectUpstreams,
     ) -> None:
-        self._ctx = ctx
-        self._clock = clock
-        self._vm_id = vm_id
-        self._hello = hello
-        self._next_id = next_id
-        self._events = events
+        self._clock = dialing.clock
+        self._vm_id = dialing.vm_id
+        self._dialers = Dialers(dialing, events)
         self._table = table
         self._metrics = metrics
         self._directs = directs
         self._links: dict[str, UpstreamLink] = {}
-        self._tasks: dict[str, asyncio.Task[None]] = {}
         self._closing: set[asyncio.Task[None]] = set()
         self._choosers: dict[str, SubsetChooser] = {}
 
     def connected(self) -> list[str]:
         """Return the side processes that can be reached now."""
-        return [vm_id for vm_id, link in self._links.items() if link.welcome is not None]
+        return self._dialers.connected()
 
     def get(self, vm_id: str) -> UpstreamLink | None:
         """Return the way to an upstream."""
@@ -81,14 +71,14 @@
             self._retire(vm_id)
         for vm_id in sorted(wanted - self._links.keys()):
             self._add(rows[vm_id])
-        self._metrics.peers.set(len(self._tasks))
+        self._metrics.peers.set(len(self._dialers))
 
     async def async_close(self) -> None:
         """End every connection."""
-        tasks = [*self._tasks.values(), *self._closing]
-        for task in tasks:
+        closing = list(self._closing)
+        for task in closing:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(self._dialers.async_close(), *closing, return_exceptions=True)
 
     def _subset(self, members: Membership, rows: dict[str, VmEntry]) -> set[str]:
         entries = sorted({vm.id for vm in members.entries()} | {self._vm_id})
@@ -112,24 +102,18 @@
         return link is not None and bool(row.peer)
 
     def _add(self, row: VmEntry) -> None:
-        link = self._dial(row) if row.peer else self._directs.make(row)
+        link = self._dialers.dial(row) if row.peer else self._directs.make(row)
         self._links[row.id] = link
         self._table.add(row.service, link, row.data_center)
 
-    def _dial(self, row: VmEntry) -> Dialer:
-        dialer = Dialer(
-            self._ctx, self._clock, row.id, row.peer, self._hello, self._events, self._next_id
-        )
-        self._tasks[row.id] = asyncio.ensure_future(dialer.async_run())
-        return dialer
-
     def _retire(self, vm_id: str) -> None:
         self._table.remove(vm_id)
         link = self._links.pop(vm_id)
         if isinstance(link, DirectUpstream):
             self._directs.retire(link)
             return
-        closing = asyncio.ensure_future(self._async_close_when_idle(link, self._tasks.pop(vm_id)))
+        task = self._dialers.release(vm_id)
+        closing = asyncio.ensure_future(self._async_close_when_idle(link, task))
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -1,15 +1,12 @@
 """Connections between entries: configuration is relayed and trainers' calls are passed over them."""
 
 import asyncio
-from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
-import zmq
 from result import Err, Ok, Result
 
 from cranberryline.configs.push import TailerRanking
-from cranberryline.helpers.clock import Clock
 from cranberryline.ports.model import VmEntry
 from cranberryline.transport import (
     BadFrame,
@@ -23,13 +20,14 @@
 from cranberryline.transport.model import (
     ConfigDelta,
     ConfigRequest,
-    Hello,
     Message,
     PeerAnswer,
     PeerRequest,
     Welcome,
 )
 
+from .dialing import Dialers, Dialing
+
 __all__ = ["EntryMesh", "MeshEvents", "PeerReply"]
 
 # Up to this many entries every one dials every other; beyond, only those that tail the log, and
@@ -74,46 +72,34 @@
 class EntryMesh(ListenerEvents, DialerEvents):
     """Listen for other entries, dial those that matter, and talk over whichever is up."""
 
-    def __init__(
-        self,
-        ctx: zmq.Context,
-        clock: Clock,
-        vm_id: str,
-        hello: Callable[[], Hello],
-        next_id: Callable[[], int],
-        events: MeshEvents,
-    ) -> None:
-        self._ctx = ctx
-        self._clock = clock
-        self._vm_id = vm_id
-        self._hello = hello
-        self._next_id = next_id
+    def __init__(self, dialing: Dialing, events: MeshEvents) -> None:
+        self._dialing = dialing
+        self._clock = dialing.clock
+        self._vm_id = dialing.vm_id
         self._events = events
         self._listener: Listener | None = None
         self._rows: dict[str, VmEntry] = {}
-        self._dialers: dict[str, Dialer] = {}
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._dialers = Dialers(dialing, self)
         self._serving: set[asyncio.Task[None]] = set()
 
     def listen(self, address: str) -> None:
         """Open the peer port."""
-        self._listener = Listener(self._ctx, address, self._clock, self._welcome, self)
+        self._listener = Listener(self._dialing.ctx, address, self._clock, self._welcome, self)
 
     def connected(self) -> list[str]:
         """Return the entries that can be reached now."""
         inbound = [] if self._listener is None else self._listener.connections
-        up = {vm_id for vm_id, dialer in self._dialers.items() if dialer.welcome is not None}
-        return sorted(up | {conn.vm_id for conn in inbound})
+        return sorted({*self._dialers.connected(), *(conn.vm_id for conn in inbound)})
 
     def apply_members(self, entries: list[VmEntry]) -> None:
         """Dial the entries that matter, and let go of those that have left."""
         self._rows = {vm.id: vm for vm in entries if vm.id != self._vm_id}
         wanted = self._wanted()
-        for vm_id in [vm_id for vm_id in self._tasks if vm_id not in self._rows]:
-            self._tasks.pop(vm_id).cancel()
-            del self._dialers[vm_id]
+        for vm_id in self._dialers.ids():
+            if vm_id not in self._rows:
+                self._dialers.release(vm_id).cancel()
         for vm_id in wanted:
-            self._dial(vm_id)
+            self._dialers.dial(self._rows[vm_id])
 
     def send(self, vm_id: str, msg: Message) -> bool:
         """Send a message to an entry; False when it cannot be reached."""
@@ -152,10 +138,10 @@
 
     async def async_close(self) -> None:
         """Close every connection."""
-        tasks = [*self._tasks.values(), *self._serving]
-        for task in tasks:
+        serving = list(self._serving)
+        for task in serving:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(self._dialers.async_close(), *serving, return_exceptions=True)
         if self._listener is not None:
             self._listener.close()
 
@@ -212,8 +198,7 @@
     async def _async_reach(self, vm_id: str) -> Dialer | None:
         if vm_id not in self._rows:
             return None
-        self._dial(vm_id)
-        dialer = self._dialers[vm_id]
+        dialer = self._dialers.dial(self._rows[vm_id])
         # From when the connection went, and not from now: with an owner that is down, every call
         # of its trainers would wait this long before it is served here.
         give_up_at = dialer.down_since + _DIAL_TIMEOUT
@@ -221,14 +206,6 @@
             await self._clock.async_sleep(timedelta(milliseconds=20))
         return dialer if dialer.welcome is not None else None
 
-    def _dial(self, vm_id: str) -> None:
-        if vm_id in self._tasks:
-            return
-        row = self._rows[vm_id]
-        dialer = Dialer(self._ctx, self._clock, vm_id, row.peer, self._hello, self, self._next_id)
-        self._dialers[vm_id] = dialer
-        self._tasks[vm_id] = asyncio.ensure_future(dialer.async_run())
-
     def _wanted(self) -> list[str]:
         if len(self._rows) <= MAX_FULL_MESH:
             return list(self._rows)
@@ -240,7 +217,7 @@
             self._events.on_entry_lost(vm_id)
 
     def _welcome(self) -> Welcome:
-        hello = self._hello()
+        hello = self._dialing.hello()
         return Welcome(
             vm_id=hello.vm_id,
             incarnation=hello.incarnation,
--- a/tests/dispatch/test_direct.py
+++ b/tests/dispatch/test_direct.py
@@ -14,6 +14,7 @@
 from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
 from cranberryline.dispatch.errors import RefusalReason
 from cranberryline.dispatch.model import CollectingSink
+from cranberryline.entry.dialing import Dialing
 from cranberryline.entry.links import SideLinks
 from cranberryline.helpers.clock import FakeClock, SystemClock
 from cranberryline.helpers.metrics import Metrics
@@ -282,11 +283,13 @@
     async def async_main() -> None:
         ctx = zmq.Context()
         links = SideLinks(
-            ctx,
-            SystemClock(),
-            "entry-1",
-            lambda: Hello("entry-1", "life-1", "entry", "levis", 0),
-            itertools.count(1).__next__,
+            Dialing(
+                ctx,
+                SystemClock(),
+                "entry-1",
+                lambda: Hello("entry-1", "life-1", "entry", "levis", 0),
+                itertools.count(1).__next__,
+            ),
             DialerEvents(),
             bench.table,
             Metrics(),
