Say in one place what a failed call tells of its effect at the store

gateway/relay.py and platform/store.py each had the rule that only a call of which nothing was sent is surely not done. It is `ports.store.problem_of_call` now.

--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -26,6 +26,7 @@
     SharedLog,
     StoreError,
     StoreProblem,
+    problem_of_call,
 )
 
 from .relay_messages import ANSWERS, CALLS, RelayAnswer, RelayAppend, RelayNewest, RelayRead
@@ -284,8 +285,7 @@
         )
         if isinstance(sent, Err):
             lost = sent.unwrap_err()
-            problem = StoreProblem.UNKNOWN if lost.may_have_run else StoreProblem.REFUSED
-            return Err(StoreError(problem, f"peer {peer}: {lost.detail}"))
+            return Err(StoreError(problem_of_call(lost), f"peer {peer}: {lost.detail}"))
         try:
             data = await sent.unwrap().async_whole()
         except UpstreamCut as exc:
--- a/cranberryline/platform/store.py
+++ b/cranberryline/platform/store.py
@@ -22,6 +22,7 @@
     SharedLog,
     StoreError,
     StoreProblem,
+    problem_of_call,
 )
 
 from .const import (
@@ -190,8 +191,7 @@
 
 
 def _unsent(error: PlatformError) -> StoreError:
-    problem = StoreProblem.UNKNOWN if error.may_have_run else StoreProblem.REFUSED
-    return StoreError(problem, error.detail or error.reason.value)
+    return StoreError(problem_of_call(error), error.detail or error.reason.value)
 
 
 def _problem(status: int) -> StoreError:
--- a/cranberryline/ports/store.py
+++ b/cranberryline/ports/store.py
@@ -7,6 +7,8 @@
 import attrs
 from result import Result
 
+from .errors import PlatformError
+
 __all__ = [
     "Appended",
     "KeyedRecord",
@@ -15,6 +17,7 @@
     "SharedLog",
     "StoreError",
     "StoreProblem",
+    "problem_of_call",
 ]
 
 
@@ -41,6 +44,11 @@
     out_since: timedelta | None = None
 
 
+def problem_of_call(error: PlatformError) -> StoreProblem:
+    """Tell what a failed call says of its effect: nothing was done for sure only if nothing was sent."""
+    return StoreProblem.UNKNOWN if error.may_have_run else StoreProblem.REFUSED
+
+
 @attrs.frozen
 class Appended:
     """Where records now stand: the offset of the first one, and the partition's end."""
