Read the store in turns when a node starts

Cause: after a stop of all nodes each of them reads the 16 partitions of the jobs from the oldest record at once. All reads share the store's bandwidth, so what is asked for takes longer than the readers wait; it is sent in vain and asked for again, directly and through peers, without end.

The stand-in's store keeps to max_kb.

--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -10,11 +10,13 @@
 import attrs
 from result import Err, Result
 
+from cranberryline.decisions.first_reads import AT_ONCE, TURN
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
 
 from .clock import Clock
 from .logging import get_logger, once_per_burst
 from .metrics import Metrics
+from .turns import Turns
 
 __all__ = ["KeyedTail", "PartitionTail", "StoreHealth"]
 
@@ -313,7 +315,10 @@
 
 
 class PartitionTail(_Tail):
-    """Follow every record of a partition, from the oldest that is kept."""
+    """Follow every record of a partition, from the oldest that is kept.
+
+    Tails of one node share `first_reads`, the turns in which they read up to the end for the first time.
+    """
 
     def __init__(
         self,
@@ -325,8 +330,10 @@
         on_record: Callable[[int, bytes], None],
         on_batch: Callable[[], None] = lambda: None,
         on_gap: Callable[[], None] = lambda: None,
+        first_reads: Turns | None = None,
     ) -> None:
         super().__init__(log, topic, part, clock, health)
+        self._first_reads = first_reads or Turns(AT_ONCE, TURN)
         self._on_record = on_record
         self._on_batch = on_batch
         self._on_gap = on_gap
@@ -336,8 +343,10 @@
         if self.loaded.is_set():
             read, as_of = await self._async_poll()
         else:
-            read = await self._log.async_read(
-                self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
+            read = await self._first_reads.async_run(
+                self._log.async_read(
+                    self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
+                )
             )
         if isinstance(read, Err):
             error = read.unwrap_err()
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -10,10 +10,12 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.come_back import come_back_after
+from cranberryline.decisions.first_reads import AT_ONCE, TURN
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
+from cranberryline.helpers.turns import Turns
 from cranberryline.ports.store import SharedLog, StoreProblem
 
 from .book import JobBook
@@ -66,6 +68,7 @@
         self._health = health
         self._metrics = metrics
         self._changed: dict[str, asyncio.Event] = {}
+        first_reads = Turns(AT_ONCE, TURN)
         self.tails = [
             PartitionTail(
                 log,
@@ -76,6 +79,7 @@
                 partial(self._on_record, part),
                 self.book.forget_old,
                 partial(self._on_gap, part),
+                first_reads,
             )
             for part in range(parts)
         ]
--- a/cranberryline/platform/store.py
+++ b/cranberryline/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from cranberryline.decisions.first_reads import PAGE_KB
 from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.helpers.decode import decode_json
 from cranberryline.ports.errors import PlatformError
@@ -109,6 +110,7 @@
     ) -> Result[LogRead, StoreError]:
         """Read records from an offset."""
         path = f"{PATH_READ}?topic={quote(topic)}&part={part}&from={start}"
+        path += f"&max_kb={PAGE_KB}"
         if wait:
             path += f"&wait_ms={in_milliseconds(wait)}"
         poll = f"{topic}/{part}" if wait else ""
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -134,9 +134,19 @@
         while len(self.store.records[self.where]) <= start and loop.time() < give_up:
             await self.store.async_grown(give_up - loop.time())
         kept = self.store.records[self.where]
-        parts = [_POSITIONS.pack(len(kept), self.store.first[self.where])]
-        parts += [_LENGTH.pack(len(record)) + record for record in kept[start:]]
-        self.finish(b"".join(parts))
+        head = _POSITIONS.pack(len(kept), self.store.first[self.where])
+        self.finish(head + self._page(kept[start:]))
+
+    def _page(self, records: list[bytes]) -> bytes:
+        """Return the first records, as many as were asked for at most but one at least."""
+        most = 1024 * int(self.get_query_argument("max_kb", "1024"))
+        page = b""
+        for record in records:
+            packed = _LENGTH.pack(len(record)) + record
+            if page and len(page) + len(packed) > most:
+                break
+            page += packed
+        return page
 
 
 class _Newest(_Call):
