--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -10,7 +10,6 @@
 import attrs
 from result import Err, Result
 
-from cranberryline.decisions.first_reads import AT_ONCE, TURN
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
 
 from .clock import Clock
@@ -317,7 +316,7 @@
 class PartitionTail(_Tail):
     """Follow every record of a partition, from the oldest that is kept.
 
-    Tails of one node share `first_reads`, the turns in which they read up to the end for the first time.
+    Tails of one node may share `first_reads`, the turns in which they read up to the end for the first time.
     """
 
     def __init__(
@@ -333,7 +332,7 @@
         first_reads: Turns | None = None,
     ) -> None:
         super().__init__(log, topic, part, clock, health)
-        self._first_reads = first_reads or Turns(AT_ONCE, TURN)
+        self._first_reads = first_reads
         self._on_record = on_record
         self._on_batch = on_batch
         self._on_gap = on_gap
@@ -343,11 +342,11 @@
         if self.loaded.is_set():
             read, as_of = await self._async_poll()
         else:
-            read = await self._first_reads.async_run(
-                self._log.async_read(
-                    self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
-                )
+            first = self._log.async_read(
+                self.topic, self.part, self.offset, timedelta(), _SNAPSHOT_TIMEOUT
             )
+            turns = self._first_reads
+            read = await (first if turns is None else turns.async_run(first))
         if isinstance(read, Err):
             error = read.unwrap_err()
             if error.problem is not StoreProblem.GONE or error.position <= self.offset:
