Begin no trainer's step at an entry that stops

A trainer declares a step, by way of another entry whose VM list still shows the owner, while the owner stops and has a caller's request to finish. Seen: the stop waits for the samples of the new step, up to its bound.

Cause: a stop closed the steps that were there, and the table took new ones as ever. Ruled out: the trainer's own connections (the declaration came over the mesh). Change: a closed table takes no step and answers no pull; it says `stopping` (503). The entry that passed the call on takes that like an owner out of reach, and serves it itself.

--- a/cranberryline/entry/trainers.py
+++ b/cranberryline/entry/trainers.py
@@ -51,6 +51,7 @@
 FORWARD_MARGIN = timedelta(seconds=2)
 DECLARE_BUDGET = timedelta(seconds=5)
 RETRY_AFTER_FULL = timedelta(seconds=5)
+RETRY_AFTER_STOPPING = timedelta(seconds=1)
 
 _ALLOWED_CURSOR = "the text of the last next_cursor, or an empty text"
 _CURSOR_STATUS = {CursorReason.OTHER_STEP: 409}
@@ -187,6 +188,8 @@
         return TrainerAnswer(200, {"trainer": trainer, "step": step, "samples": declaration.size})
 
     async def _async_pull_here(self, trainer: str, pull: "PullCall", owner: bool) -> TrainerAnswer:
+        if self._table.closed:
+            return _refused_step(StepRefusal.STOPPING)
         runner = self._table.find(trainer, pull.step, owner)
         if runner is None:
             return TrainerAnswer(
@@ -203,10 +206,14 @@
     async def _async_forward(
         self, owner: str, method: str, path: str, body: bytes, budget: timedelta
     ) -> TrainerAnswer | None:
+        """Return an owner's answer; None when it gave none, or takes no more steps since it stops."""
         result = await self._owners.async_forward(owner, method, path, body, budget)
         if isinstance(result, Err):
             return None
-        return _answer_from(*result.unwrap())
+        answer = _answer_from(*result.unwrap())
+        if answer is None or answer.reason == StepRefusal.STOPPING.value:
+            return None
+        return answer
 
 
 @attrs.frozen
@@ -293,6 +300,11 @@
 def _refused_step(refusal: StepRefusal | CursorError) -> TrainerAnswer:
     if isinstance(refusal, CursorError):
         return _refused_cursor(refusal)
+    if refusal is StepRefusal.STOPPING:
+        title = "This entry stops"
+        return TrainerAnswer(
+            503, reason=refusal.value, title=title, retry_after=RETRY_AFTER_STOPPING
+        )
     if refusal is StepRefusal.TOO_MANY_STEPS:
         title = "This entry works on too many steps"
         return TrainerAnswer(503, reason=refusal.value, title=title, retry_after=RETRY_AFTER_FULL)
--- a/cranberryline/samples/errors.py
+++ b/cranberryline/samples/errors.py
@@ -63,3 +63,4 @@
 
     STEP_DIFFERS = "step_differs"
     TOO_MANY_STEPS = "too_many_steps"
+    STOPPING = "stopping"
--- a/cranberryline/samples/table.py
+++ b/cranberryline/samples/table.py
@@ -31,6 +31,7 @@
         self._quiet_after = quiet_after
         self._runners: dict[tuple[str, int], StepRunner] = {}
         self._paces: dict[str, TrainerPace] = {}
+        self.closed = False
 
     def declare(
         self, declaration: StepDeclaration, owner: bool, cursor: str = CURSOR_START
@@ -40,6 +41,8 @@
         A step that another entry worked on before begins at the trainer's cursor: without it, all
         that the trainer has already would be made once more before its next pull tells.
         """
+        if self.closed:
+            return Err(StepRefusal.STOPPING)
         self._forget_closed()
         key = (declaration.trainer, declaration.step)
         runner = self._runners.get(key)
@@ -71,7 +74,12 @@
             runner.wake()
 
     async def async_close(self) -> None:
-        """Stop all steps."""
+        """Stop all steps, and begin none any more.
+
+        Trainers go on calling, by way of entries whose VM list still shows this one. A step that began anew
+        would make samples to the end of the stop, and the requests of callers would be cut with them.
+        """
+        self.closed = True
         runners = list(self._runners.values())
         self._runners.clear()
         await asyncio.gather(*(runner.async_close() for runner in runners))
