--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -56,7 +56,8 @@
 from .operators import OperatorContext, PeerStatus, operator_routes
 from .proxy import ProxyContext
 from .rollouts import DispatcherSamples, FoldRollouts, MeshOwners, NoScores
-from .trainers import TrainerService, trainer_routes
+from .trainer_handlers import trainer_routes
+from .trainers import TrainerService
 
 __all__ = ["EntryProcess", "run"]
 
--- a/tests/client/test_trainer_client.py
+++ b/tests/client/test_trainer_client.py
@@ -17,7 +17,8 @@
 
 from cranberryline.client import ClientReason, Group, PulledBatch, ReceivedSample, TrainerClient
 from cranberryline.client.model import read_batch
-from cranberryline.entry.trainers import OwnerPort, TrainerService, trainer_routes
+from cranberryline.entry.trainer_handlers import trainer_routes
+from cranberryline.entry.trainers import OwnerPort, TrainerService
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
