Answer a pull that waits at its owner when this entry stops

A trainer's pull is passed on to the step's owner and waits there; the entry that took it stops. Seen: its connection is closed without an answer.

Cause: a stop woke the pulls that wait for samples of its own steps, and knew nothing of those that wait for an owner's answer. Change: the trainers' service knows them, and a stop gives up waiting: the trainer is told `stopping` (503) and asks elsewhere with the same cursor. The stop doesn't wait for the owner, which could take half a minute.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -239,7 +239,7 @@
         if self._http is None:
             return
         self._http.stop()
-        await self.steps.async_close()
+        await self.trainers.async_close()
         while self.dispatcher.in_flight:
             await self._clock.async_sleep(_STOP_POLL)
         # A call that must not be stopped runs on after its caller has left.
--- a/cranberryline/entry/trainers.py
+++ b/cranberryline/entry/trainers.py
@@ -1,7 +1,9 @@
 """Trainers' calls: declare a step, pull its samples, here or at the step's owner."""
 
 import abc
+import asyncio
 import json
+from collections.abc import Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -116,6 +118,17 @@
         self._table = table
         self._config = config
         self._owners = owners
+        self._waiting: set[asyncio.Future[TrainerAnswer | None]] = set()
+
+    async def async_close(self) -> None:
+        """Stop all steps, and answer the pulls that wait: for samples here, or for their owner's answer.
+
+        Waited for, a pull at another owner would hold a stop as long as it may wait, and closed without an
+        answer this entry looks broken. The trainer asks again with the same cursor, so it loses nothing.
+        """
+        await self._table.async_close()
+        for call in list(self._waiting):
+            call.cancel()
 
     async def async_declare(self, trainer: str, step: int, body: bytes) -> TrainerAnswer:
         """Declare a step at its owner, or here when the owner can't be reached."""
@@ -133,10 +146,11 @@
         if isinstance(pull, TrainerAnswer):
             return pull
         owner = self._owners.owner_of(trainer)
-        if owner is not None:
+        if owner is not None and not self._table.closed:
             path = f"/trainers/{trainer}/pull"
             budget = pull.pull.wait + FORWARD_MARGIN
-            answer = await self._async_forward(owner, "POST", path, body, budget)
+            call = self._async_forward(owner, "POST", path, body, budget)
+            answer = await self._async_until_closed(call)
             if answer is not None:
                 return answer
         return await self._async_pull_here(trainer, pull, owner is None)
@@ -196,6 +210,19 @@
             return _refused_cursor(result.unwrap_err())
         return TrainerAnswer(200, _batch_payload(runner.declaration, result.unwrap()))
 
+    async def _async_until_closed(
+        self, work: Coroutine[Any, Any, TrainerAnswer | None]
+    ) -> TrainerAnswer | None:
+        """Wait for an owner's answer; None if this entry stops first."""
+        call = asyncio.ensure_future(work)
+        self._waiting.add(call)
+        try:
+            await asyncio.wait((call,))
+        finally:
+            call.cancel()
+            self._waiting.discard(call)
+        return None if call.cancelled() else call.result()
+
     async def _async_forward(
         self, owner: str, method: str, path: str, body: bytes, budget: timedelta
     ) -> TrainerAnswer | None:
