Wait at an entry's stop for each request that was read, up to the last byte of its answer

Seen, each by a red test: a long answer cut, a request read and not answered, requests taken at the end of a stop run and cut, a record in force whose publisher is told nothing.

Cause: the stop waited for the dispatcher, which counts a request from its handler to the hand-over of the last part of its answer, and counts no operator's call at all; and kept connections brought new requests until it had none. Ruled out: the balancer's notice (left out in the tests). Change, as at the gateway: the stop closes the connections at rest and each other one behind its answer, then waits until the server has no request open. A request cut by a stop that is forced or out of time is logged (stop_cut).

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -11,7 +11,6 @@
 
 import zmq
 from result import Err, Ok
-from tornado.httpserver import HTTPServer
 from tornado.web import RequestHandler
 
 from cranberryline.configs import Revision, ServiceSpec
@@ -23,6 +22,7 @@
 from cranberryline.dispatch.upstreams import PeerTable
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
+from cranberryline.helpers.http_server import GracefulServer
 from cranberryline.helpers.logging import get_logger, once_per_burst
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.problem import write_problem
@@ -48,7 +48,7 @@
 
 from .config_sync import EntryConfigSync
 from .dialing import Dialing
-from .http import Route, async_close_http, listen_http
+from .http import Route, listen_http
 from .links import SideLinks
 from .membership import MembershipWatch
 from .mesh import EntryMesh, MeshEvents, PeerReply
@@ -68,6 +68,8 @@
 _PEER_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
 _STOP_POLL = timedelta(milliseconds=50)
+# In this time the first request of a connection arrives that was made just before the port closed.
+_ARRIVAL = timedelta(milliseconds=50)
 
 
 class _Relay(RelayPort):
@@ -100,7 +102,7 @@
         self._clock = clock
         self._ctx = zmq.Context()
         self._ids = itertools.count(1)
-        self._http: HTTPServer | None = None
+        self._http: GracefulServer | None = None
         self._tasks: set[asyncio.Future[Any]] = set()
         self.incarnation = uuid.uuid4().hex
         self.stopping = False
@@ -233,21 +235,30 @@
         _LOGGER.info("entry_started", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
 
     async def async_stop(self) -> None:
-        """Fail the health check, wait for the balancer, close the port, finish what is in flight."""
+        """Fail the health check, wait for the balancer, close the port, finish what is in flight.
+
+        The server itself says what is in flight, from the read of a request to the last byte of its answer. By
+        the dispatcher's count alone connections would be closed under answers that still leave, under operators'
+        calls, and under a request that has been read and waits for its handler.
+        """
         self.stopping = True
         await self._clock.async_sleep(_BALANCER_NOTICE)
         if self._http is None:
             return
         self._http.stop()
+        await self._clock.async_sleep(_ARRIVAL)
+        _LOGGER.info("connections_at_rest_closed", count=self._http.close_at_rest())
         await self.trainers.async_close()
-        while self.dispatcher.in_flight:
+        while self._http.open_requests or self.dispatcher.in_flight:
             await self._clock.async_sleep(_STOP_POLL)
         # A call that must not be stopped runs on after its caller has left.
         await self.directs.async_stop()
-        await async_close_http(self._http)
+        await self._http.close_all_connections()
 
     async def async_close(self) -> None:
         """End the tasks and close the sockets."""
+        if self._http is not None and self._http.open_requests:
+            _LOGGER.error("stop_cut", open_requests=self._http.open_requests)
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/cranberryline/entry/http.py
+++ b/cranberryline/entry/http.py
@@ -3,17 +3,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from cranberryline.helpers.http_server import InputLimits, open_http_server
+from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.settings import EntrySettings
 
 from .proxy import CompletionHandler, ProxyContext, ServiceHandler
 
-__all__ = ["Route", "async_close_http", "listen_http"]
+__all__ = ["Route", "listen_http"]
 
 Route = tuple[str, type[RequestHandler], dict[str, Any]]
 
@@ -51,7 +50,7 @@
     alive: Callable[[], bool],
     ready: Callable[[], bool],
     more: list[Route],
-) -> HTTPServer:
+) -> GracefulServer:
     """Open the HTTP port."""
     app = Application(
         [
@@ -67,8 +66,3 @@
     )
     limits = InputLimits(cfg.max_body_bytes, cfg.max_header_bytes, cfg.slow_sender_timeout)
     return open_http_server(app, cfg.listen, limits, metrics)
-
-
-async def async_close_http(server: HTTPServer) -> None:
-    """Close what is left of the connections once nothing is in flight."""
-    await server.close_all_connections()
--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -8,6 +8,7 @@
 import pytest
 
 from cranberryline.decisions import rendezvous
+from cranberryline.entry import app as entry_app
 from cranberryline.entry.proxy import ServiceHandler
 from cranberryline.helpers.shutdown import Shutdown, StopOutcome
 
@@ -85,6 +86,7 @@
     Between the read from the socket and the dispatcher a request is counted nowhere: the stop sees no
     work and closes. The caller cannot tell whether the request was run.
     """
+    monkeypatch.setattr(entry_app, "_ARRIVAL", timedelta())
     taken: list[str] = []
     prepare = ServiceHandler.prepare
 
