Test that no call leaves for a side process whose drain was read; red

A turn is given some turns of the loop before its call is opened. If the drain is read in between, the call leaves all the same, and may meet a process that has ended: told as possibly run though nobody read it.

--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -24,6 +24,7 @@
 )
 from cranberryline.transport.model import (
     Cancel,
+    Drain,
     End,
     Hello,
     Message,
@@ -235,3 +236,25 @@
         door.listener.close()
 
     asyncio.run(async_case())
+
+
+def test_nothing_is_sent_to_a_peer_that_drains(ctx: zmq.Context, address: str) -> None:
+    """A call had its turn, and the peer says that it drains before the call leaves.
+
+    Sent all the same it may reach a process that has ended: its caller is told that it may have run.
+    Not opened, it goes elsewhere.
+    """
+
+    async def async_case() -> None:
+        door = _Door(ctx, address, "life-1")
+        peer = _dialer(ctx, address)
+        task = asyncio.ensure_future(peer.async_run())
+        await _async_until(lambda: peer.usable)
+        door.listener.broadcast(Drain("life-1", 1000))
+        await _async_until(lambda: not peer.usable)
+        assert peer.open(lambda rid, _: Withdraw(rid), 0) is None
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        door.listener.close()
+
+    asyncio.run(async_case())
