Let a side process end only when its entries have read that it drains

Seen by two red tests: an entry whose loop was busy for half a second sends a call to a side process that has nothing to do and is gone by then; and a call whose turn was given before leaves after the drain was read. Both are told as possibly run, though nobody read them.

Cause: the drain was announced and not acknowledged; the process stayed for 100 ms after its last run, whatever its entries knew. Ruled out: calls that were read (the book refuses each one from the drain on, in the turn in which it is read). Change: an entry acknowledges the drain and opens no call behind that; the side process waits for all acknowledgements, but for entries silent for three seconds, after which they count the connection as lost themselves.

Result: both pass; so does a test of a frozen entry (the stop took 3.2 s). Known limit: an entry of an earlier release acknowledges nothing and is waited for three seconds.

--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -45,6 +45,7 @@
 # Three times the longest heartbeat interval of an entry.
 _ENTRY_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
+_STOP_POLL = timedelta(milliseconds=20)
 # The last answers leave with the loop's next turns.
 _LAST_FLUSH = timedelta(milliseconds=100)
 
@@ -171,12 +172,25 @@
     async def async_stop(self) -> None:
         """Refuse what has not begun, tell the entries, and finish what runs."""
         self.runner.drain()
-        if self.server is not None:
-            self.server.announce_drain(self.incarnation, self._cfg.stop_timeout)
+        await self._async_announce_drain()
         await self.runner.async_wait_idle()
         await self.claims.async_stop()
         await self._clock.async_sleep(_LAST_FLUSH)
 
+    async def _async_announce_drain(self) -> None:
+        """Tell the entries that this process stops, and wait until they have read so.
+
+        What an entry sends before it reads that would reach a socket that has closed. Its caller is told that the
+        request may have run, though it was never read; read here, it is vouched for and runs elsewhere. An entry
+        that is silent for longer has given the connection up itself.
+        """
+        if self.server is None:
+            return
+        told_at = self._clock.monotonic()
+        self.server.announce_drain(self.incarnation, self._cfg.stop_timeout)
+        while self.server.drain_unread(told_at):
+            await self._clock.async_sleep(_STOP_POLL)
+
     async def async_close(self) -> None:
         """End the tasks and close the ports."""
         tasks = list(self._tasks)
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -10,12 +10,14 @@
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.requests import RequestKey
 from cranberryline.transport import BadFrame, Connection, Listener, ListenerEvents
+from cranberryline.transport.const import SILENT_AFTER
 from cranberryline.transport.model import (
     Cancel,
     ConfigDelta,
     ConfigRequest,
     Credit,
     Drain,
+    DrainAck,
     Load,
     Members,
     Message,
@@ -68,6 +70,7 @@
         welcome: Callable[[], Welcome],
         events: ServerEvents,
     ) -> None:
+        self._clock = clock
         self._runner = runner
         self._metrics = metrics
         self._events = events
@@ -75,8 +78,18 @@
 
     def announce_drain(self, incarnation: str, deadline: timedelta) -> None:
         """Tell every entry that this process stops."""
+        for conn in self.listener.connections:
+            conn.unread_drains += 1
         self.listener.broadcast(Drain(incarnation, int(deadline / timedelta(milliseconds=1))))
 
+    def drain_unread(self, told_at: timedelta) -> bool:
+        """Tell whether an entry has still to read what it was told; one that has gone silent is left out."""
+        now = self._clock.monotonic()
+        return any(
+            conn.unread_drains and now - max(conn.heard_at, told_at) < SILENT_AFTER
+            for conn in self.listener.connections
+        )
+
     def report_load(self) -> None:
         """Send the present load to every entry."""
         load = self._events.load()
@@ -124,6 +137,8 @@
             self._events.on_config(conn, msg)
         elif isinstance(msg, Members):
             self._events.on_members(msg)
+        elif isinstance(msg, DrainAck):
+            conn.unread_drains -= 1
 
     def _send_load(self, conn: Connection) -> None:
         load = self._events.load()
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -20,6 +20,7 @@
     ConfigDelta,
     ConfigRequest,
     Drain,
+    DrainAck,
     End,
     Failed,
     Head,
@@ -126,8 +127,12 @@
         tokens: int,
         may_go: Callable[[], bool] | None = None,
     ) -> Exchange | None:
-        """Send a request; None when there is no connection, so that nothing was sent."""
-        if self.welcome is None or self._sock is None:
+        """Send a request; None when nothing was sent: there is no connection, or its peer drains.
+
+        The peer ends once the drain is acknowledged. A request whose turn was given before and that leaves after
+        it would be told as possibly run, though nobody reads it.
+        """
+        if self.welcome is None or self._sock is None or self.draining:
             return None
         exchange = Exchange(self, self._next_id(), tokens)
         try:
@@ -229,6 +234,7 @@
             self._events.on_load(self, msg)
         elif isinstance(msg, Drain):
             self.draining = True
+            self.send(DrainAck(msg.incarnation))
             self._events.on_drain(self, msg)
         elif isinstance(msg, HeartbeatAck):
             self._note_offset(msg.config_offset)
--- a/cranberryline/transport/listener.py
+++ b/cranberryline/transport/listener.py
@@ -21,7 +21,7 @@
     """One connection from a peer.
 
     `peer` is the socket's name for it, `name` one that is never used again, `incarnation` the
-    life of the process that dialled.
+    life of the process that dialled, `unread_drains` the announcements that it has not acknowledged.
     """
 
     peer: bytes
@@ -30,6 +30,7 @@
     vm_id: str
     heard_at: timedelta
     config_offset: int = 0
+    unread_drains: int = 0
 
 
 class ListenerEvents:
--- a/cranberryline/transport/model.py
+++ b/cranberryline/transport/model.py
@@ -16,6 +16,7 @@
     "ConfigRequest",
     "Credit",
     "Drain",
+    "DrainAck",
     "End",
     "Failed",
     "Head",
@@ -191,6 +192,13 @@
     deadline_ms: int
 
 
+@attrs.frozen
+class DrainAck(Message):
+    """Say that the announcement was read: no new work comes behind this over the connection."""
+
+    incarnation: str
+
+
 @attrs.frozen
 class ConfigRequest(Message):
     """Ask for the records from an offset on."""
--- a/tests/side/test_stop.py
+++ b/tests/side/test_stop.py
@@ -209,7 +209,7 @@
 
 
 def test_answers_that_wait_for_a_slow_link_still_leave(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The runs have ended, and their answers wait in the queue of a link that is slow for a second.
+    """The runs end late in the stop, and their answers wait in the queue of a link that is slow for a second.
 
     Closed a moment after the last answer was queued, the socket drops what has not left: the calls ran, and
     their callers see an answer that breaks off.
@@ -223,17 +223,21 @@
     async def scene() -> None:
         async with _async_side(monkeypatch) as side:
             side.upstream.parts = [bytes(size)]
+            side.upstream.gate.clear()
             side.process.runner.set_concurrency(calls)
             link = _Narrow(side.peer)
             with _entry(link.address) as entry:
                 await entry.async_reach()
-                link.open.clear()
                 answers = entry.start(async_ask(entry))
                 async with asyncio.timeout(5):
                     while len(side.upstream.runs) < calls:  # noqa: ASYNC110 - a plain list
                         await asyncio.sleep(0.01)
+                stop = asyncio.ensure_future(side.process.async_stop())
+                await asyncio.sleep(0.3)
+                link.open.clear()
+                side.upstream.gate.set()
                 threading.Timer(1.0, link.open.set).start()
-                await side.process.async_stop()
+                await stop
                 await side.process.async_close()
                 got = await asyncio.wrap_future(answers)
             link.close()
@@ -241,3 +245,24 @@
             assert whole.count(True) == calls
 
     asyncio.run(scene())
+
+
+def test_an_entry_that_says_nothing_holds_no_stop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An entry is frozen, or was killed a moment ago, when the side process stops.
+
+    Its word that it has read the drain never comes. Waited for without a bound it would hold the stop until
+    it is forced; a connection that is silent for three seconds counts as lost at both ends.
+    """
+
+    async def scene() -> None:
+        async with _async_side(monkeypatch) as side:
+            with _entry(side.peer) as entry:
+                await entry.async_reach()
+                thaw = threading.Event()
+                entry.loop.call_soon_threadsafe(thaw.wait)
+                async with asyncio.timeout(8):
+                    await side.process.async_stop()
+                    await side.process.async_close()
+                thaw.set()
+
+    asyncio.run(scene())
