Let a side process stay until its entries have read its last answers

Seen by a red test: 64 answers of 200 KiB, queued while the link stands still for a second; none arrives whole, though all ran.

Cause: the socket was closed 100 ms after the last answer was queued, and what has not left then is dropped (LINGER 0). Not taken, without a run: LINGER with the time that is left (it says nothing of what the entry has read, waits for a frozen entry to the end, and blocks the loop). Change: the drain is announced once more behind the last answer; its acknowledgement says that all before it was read. An entry that has gone silent is waited for once, not at each announcement.

--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -46,8 +46,6 @@
 _ENTRY_SILENT_AFTER = timedelta(seconds=15)
 _SWEEP_INTERVAL = timedelta(seconds=5)
 _STOP_POLL = timedelta(milliseconds=20)
-# The last answers leave with the loop's next turns.
-_LAST_FLUSH = timedelta(milliseconds=100)
 
 
 class _Relay(RelayPort):
@@ -170,12 +168,17 @@
         _LOGGER.info("side_started", vm_id=self._cfg.vm_id, incarnation=self.incarnation)
 
     async def async_stop(self) -> None:
-        """Refuse what has not begun, tell the entries, and finish what runs."""
+        """Refuse what has not begun, tell the entries, and finish what runs.
+
+        The entries are told again behind the last answer: once they have read that, they have the answers before
+        it. Closed without, the socket would drop what a slow link has not taken; the calls ran, and callers
+        would see their answers break off.
+        """
         self.runner.drain()
         await self._async_announce_drain()
         await self.runner.async_wait_idle()
         await self.claims.async_stop()
-        await self._clock.async_sleep(_LAST_FLUSH)
+        await self._async_announce_drain()
 
     async def _async_announce_drain(self) -> None:
         """Tell the entries that this process stops, and wait until they have read so.
@@ -186,9 +189,8 @@
         """
         if self.server is None:
             return
-        told_at = self._clock.monotonic()
         self.server.announce_drain(self.incarnation, self._cfg.stop_timeout)
-        while self.server.drain_unread(told_at):
+        while self.server.drain_unread:
             await self._clock.async_sleep(_STOP_POLL)
 
     async def async_close(self) -> None:
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -79,14 +79,17 @@
     def announce_drain(self, incarnation: str, deadline: timedelta) -> None:
         """Tell every entry that this process stops."""
         for conn in self.listener.connections:
+            if not conn.unread_drains:
+                conn.told_at = self._clock.monotonic()
             conn.unread_drains += 1
         self.listener.broadcast(Drain(incarnation, int(deadline / timedelta(milliseconds=1))))
 
-    def drain_unread(self, told_at: timedelta) -> bool:
+    @property
+    def drain_unread(self) -> bool:
         """Tell whether an entry has still to read what it was told; one that has gone silent is left out."""
         now = self._clock.monotonic()
         return any(
-            conn.unread_drains and now - max(conn.heard_at, told_at) < SILENT_AFTER
+            conn.unread_drains and now - max(conn.heard_at, conn.told_at) < SILENT_AFTER
             for conn in self.listener.connections
         )
 
--- a/cranberryline/transport/listener.py
+++ b/cranberryline/transport/listener.py
@@ -21,7 +21,8 @@
     """One connection from a peer.
 
     `peer` is the socket's name for it, `name` one that is never used again, `incarnation` the
-    life of the process that dialled, `unread_drains` the announcements that it has not acknowledged.
+    life of the process that dialled, `unread_drains` the announcements of a stop that it has not
+    acknowledged, the first of them told at `told_at`.
     """
 
     peer: bytes
@@ -31,6 +32,7 @@
     heard_at: timedelta
     config_offset: int = 0
     unread_drains: int = 0
+    told_at: timedelta = timedelta()
 
 
 class ListenerEvents:
--- a/tests/side/test_stop.py
+++ b/tests/side/test_stop.py
@@ -260,9 +260,11 @@
                 await entry.async_reach()
                 thaw = threading.Event()
                 entry.loop.call_soon_threadsafe(thaw.wait)
-                async with asyncio.timeout(8):
-                    await side.process.async_stop()
-                    await side.process.async_close()
-                thaw.set()
+                try:
+                    async with asyncio.timeout(5):
+                        await side.process.async_stop()
+                        await side.process.async_close()
+                finally:
+                    thaw.set()
 
     asyncio.run(scene())
