--- a/tests/entry/test_stop.py
+++ b/tests/entry/test_stop.py
@@ -232,3 +232,30 @@
             await async_until(lambda: other.process.dispatcher.in_flight)
 
     asyncio.run(scene())
+
+
+def test_a_pull_passed_on_to_an_owner_that_stops_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A trainer's pull waits at the step's owner, by way of another entry, when the owner stops.
+
+    The owner answers it with what there is; were the answer lost with the connection, the other entry would
+    know no such step (409), and the trainer declares it again.
+    """
+
+    async def scene() -> None:
+        async with async_stage(monkeypatch, entries=2) as stage:
+            stage.upstreams[ENGINES].delay_s = _NEVER_S
+            owner, other = _owner_and_other(stage)
+            trainer = await Caller.async_dial(other)
+            declared = await _async_declare(trainer)
+            assert declared is not None and declared[0] == 200
+            trainer.send(_PULL, method="POST", token=TRAINER_TOKEN, body=_pull_body(20.0))
+            await asyncio.sleep(0.3)
+            async with asyncio.timeout(3):
+                await owner.process.async_stop()
+                await owner.async_end()
+                answer = await trainer.async_answer()
+            assert answer is not None and answer[0] == 200
+
+    asyncio.run(scene())
