Let a stopping entry stay until the others have read its answers to trainers' calls

Seen by a red test, in one of five runs: 409 for a pull that was passed on to an owner that stops.

Cause: as at the side process; the answer was queued and the socket closed.

--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -253,6 +253,7 @@
             await self._clock.async_sleep(_STOP_POLL)
         # A call that must not be stopped runs on after its caller has left.
         await self.directs.async_stop()
+        await self.mesh.async_stop()
         await self._http.close_all_connections()
 
     async def async_close(self) -> None:
--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -17,6 +17,7 @@
     ListenerEvents,
     Lost,
 )
+from cranberryline.transport.const import SILENT_AFTER
 from cranberryline.transport.model import (
     ConfigDelta,
     ConfigRequest,
@@ -35,6 +36,7 @@
 MAX_FULL_MESH = 8
 TAILERS_DIALLED = 3
 _DIAL_TIMEOUT = timedelta(seconds=1)
+_STOP_POLL = timedelta(milliseconds=20)
 
 
 @attrs.frozen
@@ -136,6 +138,20 @@
         if self._listener is not None:
             self._listener.drop_silent(silent_after)
 
+    async def async_stop(self) -> None:
+        """Stay until the other entries have read the answers to the calls that they passed on.
+
+        Closed before, the socket would drop them: the other entry knows no such step, and its trainer declares it
+        once more for samples that were at hand. An entry that has gone silent is not waited for.
+        """
+        if self._listener is None:
+            return
+        while self._serving:
+            await self._clock.async_sleep(_STOP_POLL)
+        self._listener.announce_drain(self._hello().incarnation, SILENT_AFTER)
+        while self._listener.drain_unread:
+            await self._clock.async_sleep(_STOP_POLL)
+
     async def async_close(self) -> None:
         """Close every connection."""
         serving = list(self._serving)
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -189,8 +189,8 @@
         """
         if self.server is None:
             return
-        self.server.announce_drain(self.incarnation, self._cfg.stop_timeout)
-        while self.server.drain_unread:
+        self.server.listener.announce_drain(self.incarnation, self._cfg.stop_timeout)
+        while self.server.listener.drain_unread:
             await self._clock.async_sleep(_STOP_POLL)
 
     async def async_close(self) -> None:
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -1,7 +1,6 @@
 """The side process's door: what each connected entry may ask."""
 
 from collections.abc import Callable
-from datetime import timedelta
 
 import zmq
 
@@ -10,14 +9,11 @@
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.requests import RequestKey
 from cranberryline.transport import BadFrame, Connection, Listener, ListenerEvents
-from cranberryline.transport.const import SILENT_AFTER
 from cranberryline.transport.model import (
     Cancel,
     ConfigDelta,
     ConfigRequest,
     Credit,
-    Drain,
-    DrainAck,
     Load,
     Members,
     Message,
@@ -70,29 +66,11 @@
         welcome: Callable[[], Welcome],
         events: ServerEvents,
     ) -> None:
-        self._clock = clock
         self._runner = runner
         self._metrics = metrics
         self._events = events
         self.listener = Listener(ctx, address, clock, welcome, self)
 
-    def announce_drain(self, incarnation: str, deadline: timedelta) -> None:
-        """Tell every entry that this process stops."""
-        for conn in self.listener.connections:
-            if not conn.unread_drains:
-                conn.told_at = self._clock.monotonic()
-            conn.unread_drains += 1
-        self.listener.broadcast(Drain(incarnation, int(deadline / timedelta(milliseconds=1))))
-
-    @property
-    def drain_unread(self) -> bool:
-        """Tell whether an entry has still to read what it was told; one that has gone silent is left out."""
-        now = self._clock.monotonic()
-        return any(
-            conn.unread_drains and now - max(conn.heard_at, conn.told_at) < SILENT_AFTER
-            for conn in self.listener.connections
-        )
-
     def report_load(self) -> None:
         """Send the present load to every entry."""
         load = self._events.load()
@@ -140,8 +118,6 @@
             self._events.on_config(conn, msg)
         elif isinstance(msg, Members):
             self._events.on_members(msg)
-        elif isinstance(msg, DrainAck):
-            conn.unread_drains -= 1
 
     def _send_load(self, conn: Connection) -> None:
         load = self._events.load()
--- a/cranberryline/transport/listener.py
+++ b/cranberryline/transport/listener.py
@@ -9,8 +9,9 @@
 
 from cranberryline.helpers.clock import Clock
 
+from .const import SILENT_AFTER
 from .errors import BadFrame, BadFrameReason
-from .model import Heartbeat, HeartbeatAck, Hello, Message, Welcome
+from .model import Drain, DrainAck, Heartbeat, HeartbeatAck, Hello, Message, Welcome
 from .sockets import RouterSocket
 
 __all__ = ["Connection", "Listener", "ListenerEvents"]
@@ -99,6 +100,23 @@
         for conn in self._by_vm.values():
             self._sock.send(conn.peer, msg)
 
+    def announce_drain(self, incarnation: str, deadline: timedelta) -> None:
+        """Tell every peer that this process stops."""
+        for conn in self.connections:
+            if not conn.unread_drains:
+                conn.told_at = self._clock.monotonic()
+            conn.unread_drains += 1
+        self.broadcast(Drain(incarnation, int(deadline / timedelta(milliseconds=1))))
+
+    @property
+    def drain_unread(self) -> bool:
+        """Tell whether a peer has still to read what it was told; one that has gone silent is left out."""
+        now = self._clock.monotonic()
+        return any(
+            conn.unread_drains and now - max(conn.heard_at, conn.told_at) < SILENT_AFTER
+            for conn in self.connections
+        )
+
     def drop_silent(self, silent_after: timedelta) -> None:
         """Let go of peers that have said nothing for too long."""
         now = self._clock.monotonic()
@@ -132,6 +150,9 @@
             self._sock.send(peer, HeartbeatAck(msg.seq, self._events.config_offset()))
             self._events.on_heartbeat(conn)
             return
+        if isinstance(msg, DrainAck):
+            conn.unread_drains -= 1
+            return
         self._events.on_message(conn, msg)
 
     def _greet(self, peer: bytes, msg: Hello) -> None:
