--- a/cranberryline/entry/mesh.py
+++ b/cranberryline/entry/mesh.py
@@ -148,7 +148,7 @@
             return
         while self._serving:
             await self._clock.async_sleep(_STOP_POLL)
-        self._listener.announce_drain(self._hello().incarnation, SILENT_AFTER)
+        self._listener.announce_drain(self._dialing.hello().incarnation, SILENT_AFTER)
         while self._listener.drain_unread:
             await self._clock.async_sleep(_STOP_POLL)
 
--- a/tests/entry/entry_process.py
+++ b/tests/entry/entry_process.py
@@ -11,8 +11,8 @@
 import pytest
 from result import Ok, Result
 
+from cranberryline.dispatch import direct
 from cranberryline.entry import app as entry_app
-from cranberryline.entry import direct
 from cranberryline.entry.app import EntryProcess
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.tokens import Identity, Role, TokenTable
@@ -29,7 +29,7 @@
 from cranberryline.settings import EntrySettings
 from stand_ins.process import free_ports
 from tests.configs.config_fakes import FakeLog
-from tests.side.conftest import FakeUpstream
+from tests.execution.conftest import FakeUpstream
 
 SERVICE = "dossiers"
 ENGINES = "redacteurs"
--- a/tests/side/test_stop.py
+++ b/tests/side/test_stop.py
@@ -26,8 +26,7 @@
 from cranberryline.transport.model import Chunk, End, Head, Hello, Message, NotRun, Submit
 from stand_ins.process import free_ports
 from tests.configs.config_fakes import FakeLog
-
-from .conftest import FakeUpstream
+from tests.execution.conftest import FakeUpstream
 
 _SERVICE = "dossiers"
 _SECOND = timedelta(seconds=1)
