Log each attempt that its upstream failed, with request, path and upstream

Nothing told which upstreams an attempt had been sent to, nor which requests ran at an upstream when it crashed: request_refused names neither.

attempt_failed names the request, its path, the upstream and the reason; with upstream_gone of the same upstream, crashes lead to the requests that ran there.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -9,7 +9,8 @@
 from cranberryline.configs import CallerSpec, ConfigFold, ServiceSpec
 from cranberryline.decisions import AttemptOutcome as Verdict
 from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
+from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.requests import (
     AttemptBroken,
@@ -28,6 +29,8 @@
 
 __all__ = ["Dispatcher", "ServiceBook"]
 
+_LOGGER = get_logger(__name__)
+
 _RETRY_AFTER = timedelta(seconds=1)
 _NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 # What says something of the upstream itself, and not of its queue or of the caller.
@@ -189,7 +192,9 @@
                 turn.upstream.succeeded()
                 lane.budget.earn()
             elif _reason_text(outcome) in _UPSTREAM_FAULTS:
-                turn.upstream.failed(turn.given, self._clock.monotonic())
+                now = self._clock.monotonic()
+                turn.upstream.failed(turn.given, now)
+                _tell_failed(req, turn, outcome, now)
             return outcome
         finally:
             lane.finish(turn, tokens)
@@ -218,6 +223,21 @@
         return decision.after
 
 
+def _tell_failed(req: CallerRequest, turn: Turn, outcome: AttemptOutcome, now: timedelta) -> None:
+    """Log an attempt that its upstream failed, so that a crash can be traced to the requests that ran there."""
+    _LOGGER.info(
+        "attempt_failed",
+        request_id=req.request_id,
+        host=req.caller,
+        path=req.path.partition("?")[0],
+        service=req.service,
+        upstream=turn.upstream.peer.vm_id,
+        reason=_reason_text(outcome),
+        not_run=isinstance(outcome, AttemptNotRun),
+        ms=in_milliseconds(now - turn.given),
+    )
+
+
 def _with_earlier(refusal: Refusal, earlier: list[AttemptOutcome]) -> Refusal:
     """Let a refusal speak for the whole request, and not for its last attempt alone.
 
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -27,7 +27,8 @@
     that should not serve it, such as those already making the same sample. `eligible` tells of an
     upstream whether it may serve the request at all, and `max_attempts` how many upstreams may be
     made to run it; None leaves both to the policies. `pace` tells how many of its tokens an upstream makes
-    a second, 0 where that is not known; None leaves it to what the dispatcher measures.
+    a second, 0 where that is not known; None leaves it to what the dispatcher measures. `request_id` is
+    the caller's own name for this attempt of it, for the logs.
     """
 
     service: str
@@ -47,6 +48,7 @@
     eligible: Callable[[str], bool] | None = None
     max_attempts: int | None = None
     pace: Callable[[str], float] | None = None
+    request_id: str = ""
 
 
 class AnswerSink(abc.ABC):
--- a/cranberryline/entry/proxy.py
+++ b/cranberryline/entry/proxy.py
@@ -255,6 +255,7 @@
                 # sees the second one without asking the log.
                 prefix_key=prefix or key,
                 prefix_tokens=len(prefix) // CHARS_PER_TOKEN if prefix else int(bool(key)),
+                request_id=self.request_id,
             )
         )
 
--- a/cranberryline/entry/rollouts.py
+++ b/cranberryline/entry/rollouts.py
@@ -116,6 +116,7 @@
             prefix_key=req.prompt[:PREFIX_CHARS],
             prefix_tokens=len(req.prompt) // CHARS_PER_TOKEN,
             avoid=req.avoid,
+            request_id=req.sample_id,
         )
 
 
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -229,6 +229,7 @@
             idempotent=route.repeatable,
             avoid=avoid,
             max_attempts=attempts,
+            request_id=self.request_id,
         )
 
     def _write_answer(self, sink: AttemptSink, route: Route) -> None:
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -224,6 +224,7 @@
             eligible=eligible,
             max_attempts=1,
             pace=self._pace_at,
+            request_id=self.item.id,
         )
         watch = RunWatch(self.tools, self.item, self.text, req, sink)
         task = asyncio.ensure_future(self.tools.dispatcher.async_run(req, sink))
@@ -303,6 +304,7 @@
                 avoid=avoid,
                 eligible=lambda _upstream: self._may_go_out(),
                 max_attempts=1,
+                request_id=scorer.id,
             )
 
         attempts = min(route.max_attempts, _SCORE_ATTEMPTS)
