--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -34,7 +34,8 @@
     """One sampler; the fields say how it answers.
 
     `watch` is called with the sampler, the request's id and the caller's port, for each request that
-    reaches it, also for those that it turns away.
+    reaches it, also for those that it turns away. A run whose path or body holds `crash_on` ends the
+    process `crash_after_s` after it began; `crashed` is called then.
     """
 
     service: str
@@ -59,6 +60,10 @@
     fence: int = 0
     address: str = ""
     watch: "Callable[[PlatformSampler, str, int], None] | None" = None
+    crash_on: bytes = b""
+    crash_after_s: float = 0.03
+    crashed: "Callable[[PlatformSampler], None] | None" = None
+    ending: "asyncio.Future[None] | None" = None
     _server: HTTPServer | None = None
 
     def start(self) -> None:
@@ -101,6 +106,9 @@
         told = {
             **kept,
             "born": self.born + 1_000,
+            "crash_on": self.crash_on,
+            "crash_after_s": self.crash_after_s,
+            "crashed": self.crashed,
             "address": address,
             "watch": self.watch,
             **fields,
@@ -181,6 +189,9 @@
         name = headers["Attempt-Id"]
         run = Run(name, self.request.uri or "", self.request.body, dict(headers.get_all()))
         made.runs.append(run)
+        if made.crash_on and made.crash_on in run.path.encode() + b" " + run.body:
+            await self._async_crash()
+            return
         if made.silent:
             made.silent -= 1
             await asyncio.sleep(60)
@@ -200,6 +211,17 @@
             return
         self.finish((b"answer to " + name.encode()).ljust(made.length, b"."))
 
+    async def _async_crash(self) -> None:
+        """End the process: its port is closed, and every connection breaks off."""
+        made = self.sampler
+        await asyncio.sleep(made.crash_after_s)
+        made.stop()
+        self.request.connection.detach().close()  # type: ignore[union-attr]
+        self._finished = True
+        made.ending = asyncio.ensure_future(made.async_kill())
+        if made.crashed is not None:
+            made.crashed(made)
+
     async def _async_events(self, name: str) -> None:
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Weight-Versions", str(self.sampler.version))
