Hold requests that crash the upstreams that run them, at every gateway

Callers of a service got 503 for seconds: no upstream was left. One request crashed each upstream that began to run it; its caller's retries and our own copies took two more along each time, at whichever gateway they arrived.

Cause: an attempt was judged alone. That an upstream's connection broke was a mark against the upstream; nothing was kept about the request, and no other gateway heard of it. The class: work that is repeated elsewhere after a failure, without asking whether it is the work that fails.

Ruled out: attempts that are counted wrongly (two upstreams an attempt, as the route allows), upstreams that crash by themselves (each crash has the same path).

Change: a run that breaks off makes the gateway look whether its upstream still listens; a refused connection is a crash, a reset or a silent machine is none, and one that drains or has left ends as planned. Crashes go by a fingerprint of caller, method, path and body into a keyed topic that all gateways follow, one key for request and upstream, so that writers do not overwrite each other. Three crashes hold a request (decisions/blame.py): it is refused at once with 503, not run, and the time of its next trial, which one gateway takes by a conditional append. A suspected request gets no copies. An answer, also one within the minute before, clears it everywhere. A crash that a held request explains is not counted against those beside it. Items, scoring requests, streams and requests that run once at most go the same way, since all pass the dispatcher. Operators see and release holds at /holds of the ready address.

A stream that was refused after a run that may have run was told as not run; it is told as unknown.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -12,6 +12,7 @@
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.quarantine import BrokenRun, Held, NoGuard, RequestGuard
 from cranberryline.requests import (
     AttemptBroken,
     AttemptDone,
@@ -32,6 +33,11 @@
 _LOGGER = get_logger(__name__)
 
 _RETRY_AFTER = timedelta(seconds=1)
+_STATUS_SERVER_ERROR = 500
+# Characters of a path that are told to other gateways and operators.
+_MAX_PATH = 200
+# A run that has answered for longer than this was not ended by how it began.
+_BLAMED_WITHIN = timedelta(seconds=2)
 _NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 # What says something of the upstream itself, and not of its queue or of the caller.
 _UPSTREAM_FAULTS = frozenset(
@@ -46,6 +52,10 @@
 )
 
 
+# An upstream that crashes cuts its runs before their answer, or in the middle of it.
+_BROKEN_OFF = frozenset({"upstream_cut", "upstream_error"})
+
+
 class ServiceBook:
     """What the configuration in force says of services and callers."""
 
@@ -103,7 +113,9 @@
         book: ServiceBook,
         metrics: Metrics,
         data_center: str = "",
+        guard: RequestGuard | None = None,
     ) -> None:
+        self._guard = guard or NoGuard()
         self._clock = clock
         self._rng = rng
         self._peers = peers
@@ -145,6 +157,10 @@
             if self._book.knows(service):
                 lane.pump()
 
+    def suspects(self, req: CallerRequest) -> bool:
+        """Tell whether an upstream has crashed under a request: no copy of it is sent then."""
+        return self._guard.suspecting and self._guard.suspects(req.fingerprint)
+
     async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         """Run a request to its end; return the upstream's id, or a refusal that is final."""
         self.in_flight += 1
@@ -154,6 +170,10 @@
             self.in_flight -= 1
 
     async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
+        held = self._held(req)
+        trial = held is not None and await self._guard.async_try(req.fingerprint)
+        if held is not None and not trial:
+            return Err(_held_refusal(held))
         lane = self.lane(req.service)
         admitted = lane.admit(req)
         if isinstance(admitted, Err):
@@ -169,10 +189,19 @@
                 # The loop may have been busy for any time since the turn was given.
                 lane.give_back(turn)
                 return Err(_with_earlier(_NO_LONGER_ELIGIBLE, earlier))
+            held = None if trial else self._held(req)
+            if held is not None:
+                lane.give_back(turn)
+                return Err(_with_earlier(_held_refusal(held), earlier))
+            trial = False
             sink.dispatched(turn.upstream.peer.vm_id)
             outcome = await self._async_attempt(lane, turn, req, sink)
             if isinstance(outcome, AttemptDone):
+                if outcome.status < _STATUS_SERVER_ERROR:
+                    self._guard.answered(req.fingerprint)
                 return Ok(turn.upstream.peer.vm_id)
+            if _may_be_crash(outcome, self._clock.monotonic() - turn.given):
+                await self._guard.async_broke(_broken_run(req, turn.upstream.peer.vm_id))
             earlier.append(outcome)
             decision = self._decide_retry(lane, req, outcome, len(earlier))
             if isinstance(decision, Refusal):
@@ -181,6 +210,9 @@
             await self._clock.async_sleep(decision)
             avoid = avoid | {turn.upstream.peer.vm_id}
 
+    def _held(self, req: CallerRequest) -> Held | None:
+        return self._guard.held(req.fingerprint) if self._guard.suspecting else None
+
     async def _async_attempt(
         self, lane: ServiceLane, turn: Turn, req: CallerRequest, sink: AnswerSink
     ) -> AttemptOutcome:
@@ -223,6 +255,26 @@
         return decision.after
 
 
+def _may_be_crash(outcome: AttemptOutcome, took: timedelta) -> bool:
+    """Tell whether an attempt may have broken off because it crashed its upstream."""
+    if isinstance(outcome, AttemptNotRun) or _reason_text(outcome) not in _BROKEN_OFF:
+        return False
+    began = isinstance(outcome, AttemptBroken) or (
+        isinstance(outcome, AttemptUnknown) and outcome.ran is Ran.YES
+    )
+    return not began or took <= _BLAMED_WITHIN
+
+
+def _broken_run(req: CallerRequest, upstream: str) -> BrokenRun:
+    path = req.path.partition("?")[0][:_MAX_PATH]
+    return BrokenRun(req.fingerprint, req.request_id, req.caller, path, req.service, upstream)
+
+
+def _held_refusal(held: Held) -> Refusal:
+    detail = f"{held.crashes} upstreams crashed while they ran it"
+    return Refusal(RefusalReason.HELD, Ran.NO, held.retry_after, detail)
+
+
 def _tell_failed(req: CallerRequest, turn: Turn, outcome: AttemptOutcome, now: timedelta) -> None:
     """Log an attempt that its upstream failed, so that a crash can be traced to the requests that ran there."""
     _LOGGER.info(
--- a/cranberryline/dispatch/errors.py
+++ b/cranberryline/dispatch/errors.py
@@ -22,6 +22,7 @@
     DEADLINE = "deadline"
     STOPPING = "stopping"
     NOT_READY = "not_ready"
+    HELD = "held"
     RETRIES_SPENT = "retries_spent"
     UPSTREAM_FAILED = "upstream_failed"
     CONNECTION_LOST = "connection_lost"
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from cranberryline.quarantine import fingerprint
+
 __all__ = ["AnswerSink", "CallerClass", "CallerRequest", "CollectingSink"]
 
 
@@ -28,7 +30,8 @@
     upstream whether it may serve the request at all, and `max_attempts` how many upstreams may be
     made to run it; None leaves both to the policies. `pace` tells how many of its tokens an upstream makes
     a second, 0 where that is not known; None leaves it to what the dispatcher measures. `request_id` is
-    the caller's own name for this attempt of it, for the logs.
+    the caller's own name for this attempt of it, for the logs; `credential` is what tells callers of one
+    `caller` apart.
     """
 
     service: str
@@ -49,6 +52,12 @@
     max_attempts: int | None = None
     pace: Callable[[str], float] | None = None
     request_id: str = ""
+    credential: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what repetitions of this request share at every entry."""
+        return fingerprint(self.caller, self.credential, self.method, self.path, self.body)
 
 
 class AnswerSink(abc.ABC):
--- a/cranberryline/dispatch/repeated.py
+++ b/cranberryline/dispatch/repeated.py
@@ -80,7 +80,7 @@
             )
             if not done:
                 hedged = True
-                if self._may_start() and self.budget.spend():
+                if self._may_start() and self._may_copy() and self.budget.spend():
                     self.metrics.retry("hedge")
                     self._start()
                 continue
@@ -106,6 +106,10 @@
         under_way = len(self._running)
         return self._may_have_run + under_way < self.max_attempts
 
+    def _may_copy(self) -> bool:
+        """Tell whether a copy may go out: beside a run that crashes its upstream it takes another one along."""
+        return not self.dispatcher.suspects(self.make(frozenset()))
+
     def _worth_another(self) -> bool:
         """Tell whether another upstream could do better than what came last."""
         if self._refusal is None:
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -5,7 +5,7 @@
 import random
 import sys
 import uuid
-from collections.abc import Callable, Coroutine
+from collections.abc import Collection, Coroutine
 from datetime import timedelta
 from typing import Any
 
@@ -37,6 +37,7 @@
 from cranberryline.weights.shift import VersionShifter
 
 from .handler import GatewayContext, ReadyHandler
+from .holds import PATH_HOLDS, HoldsHandler, QuarantineParts, make_quarantine
 from .ingress import IngressHandler
 from .links import DirectLinks
 from .no_log import NoLog
@@ -45,6 +46,7 @@
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .reload import SettingsWatch
 from .stop import StopParts, async_stop_gateway
+from .tasks import leave_log_to_handlers, run_soon, tell_failure
 
 __all__ = ["GatewayProcess", "run"]
 
@@ -75,7 +77,7 @@
         self.routes = RouteBook()
         self.health = StoreHealth(clock, self.metrics)
         self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
-        self.directory = Directory(clock, self.health, _soon)
+        self.directory = Directory(clock, self.health, run_soon)
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.table = PeerTable()
         self.directs = DirectUpstreams(
@@ -89,8 +91,26 @@
             platform.connect,
         )
         self.links = DirectLinks(self.table, self.directs)
+        self.quarantine, self._holds_tail = make_quarantine(
+            QuarantineParts(
+                cfg.vm_id,
+                platform,
+                self.store,
+                self.directory,
+                clock,
+                self.health,
+                self.metrics,
+                self._live_now,
+            )
+        )
         self.dispatcher = Dispatcher(
-            clock, random.Random(), self.table, self.routes, self.metrics, cfg.data_center
+            clock,
+            random.Random(),
+            self.table,
+            self.routes,
+            self.metrics,
+            cfg.data_center,
+            self.quarantine,
         )
         self.jobs = JobService(
             self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
@@ -111,7 +131,7 @@
             clock,
             self.health,
             cfg.vm_id,
-            lambda: self.nodes.live(clock.monotonic()),
+            self._live_now,
         )
         self.runner = JobRunner(
             RunnerParts(
@@ -153,7 +173,8 @@
     @property
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        loaded = self._config.loaded.is_set() and self._servers_tail.loaded.is_set()
+        first = (self._config, self._servers_tail, self._holds_tail)
+        loaded = all(tail.loaded.is_set() for tail in first)
         return not self.stopping and loaded and self.routes.table is not None and self.jobs.loaded
 
     def start(self) -> None:
@@ -166,26 +187,33 @@
             self.dispatcher,
             self.jobs,
             random.Random(),
+            holds_known=self._holds_tail.loaded.is_set,
         )
         self._context = context
         limits = self._limits = InputLimits(
             self._cfg.max_body_bytes, self._cfg.max_header_bytes, self._cfg.slow_sender_timeout
         )
-        app = Application([(r".*", IngressHandler, {"context": context})], log_function=_no_log)
+        app = Application(
+            [(r".*", IngressHandler, {"context": context})], log_function=leave_log_to_handlers
+        )
         self._callers = open_http_server(app, self._cfg.listen, limits, self.metrics)
         status = Application(
             [
                 (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
+                (PATH_HOLDS, HoldsHandler, {"quarantine": self.quarantine}),
                 (r".*", ReadyHandler, {"ready": lambda: self.ready}),
             ],
-            log_function=_no_log,
+            log_function=leave_log_to_handlers,
         )
         self._status = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
-        relay = Application([(PATH_RELAY, RelayHandler, {"log": self.store})], log_function=_no_log)
+        relay = Application(
+            [(PATH_RELAY, RelayHandler, {"log": self.store})], log_function=leave_log_to_handlers
+        )
         self._peers = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._servers += (self._callers, self._peers)
-        for tail in (self._config, self._servers_tail, self._nodes_tail, self.lease.tail):
+        for tail in (*self._first_tails(), self.lease.tail):
             self._spawn(tail.async_run())
+        self._spawn(self.quarantine.async_run())
         for part in self.jobs.tails:
             self._spawn(self._async_follow(part))
         self._spawn(self.marks.async_run())
@@ -229,8 +257,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.runner.async_close()
         await self.jobs.async_close()
+        await self.quarantine.async_close()
         await self.shifter.async_close()
 
+    def _first_tails(self) -> tuple[KeyedTail, ...]:
+        """Return what is read before plain requests and jobs can be served as they should."""
+        return (self._config, self._servers_tail, self._nodes_tail, self._holds_tail)
+
+    def _live_now(self) -> Collection[str]:
+        return self.nodes.live(self._clock.monotonic())
+
     def _relay_peers(self) -> list[str]:
         return [
             sign.peer
@@ -247,7 +283,7 @@
         After a start everywhere at once, callers wait for routes and upstreams, some milliseconds of
         reading; decoding the jobs of the last minutes before them takes ten times that.
         """
-        for first in (self._config, self._servers_tail, self._nodes_tail):
+        for first in self._first_tails():
             try:
                 async with asyncio.timeout(_PLAIN_FIRST.total_seconds()):
                     await first.loaded.wait()
@@ -258,7 +294,7 @@
 
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.ensure_future(work)
-        task.add_done_callback(_tell_failure)
+        task.add_done_callback(tell_failure)
         self._tasks.append(task)
 
     async def _async_tick(self) -> None:
@@ -331,21 +367,6 @@
         )
 
 
-def _soon(work: Callable[[], None]) -> None:
-    """Do work once what is being read now has been taken in."""
-    asyncio.get_running_loop().call_soon(work)
-
-
-def _no_log(_handler: object) -> None:
-    """Leave the log lines of requests to the handlers."""
-
-
-def _tell_failure(task: "asyncio.Future[Any]") -> None:
-    """Say that a task ended that should not have."""
-    if not task.cancelled() and task.exception() is not None:
-        _LOGGER.error("task_failed", error=repr(task.exception()))
-
-
 async def _async_run(cfg: GatewaySettings, path: str) -> int:
     gateway = GatewayProcess(cfg, UsersPlatform(cfg.store), SystemClock())
     shutdown = Shutdown(gateway.async_stop, cfg.stop_timeout, gateway.metrics)
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -41,6 +41,7 @@
     jobs: JobService
     rng: random.Random
     hedges: HedgeBudget = attrs.field(factory=HedgeBudget)
+    holds_known: Callable[[], bool] = lambda: True
     stopping: bool = False
     # Set when a stop closes what is left: a request that ends then was cut by us, not left by its caller.
     closed: bool = False
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -105,15 +105,18 @@
         await self._async_pass_on(call, route)
 
     async def _async_table(self) -> RouteTable | None:
-        """Return the routes in force; right after a start, wait shortly for the first ones.
+        """Return the routes in force; right after a start, wait shortly for them and for requests that are held.
 
         All nodes may have been started at once. Refused, the caller comes back after what is several
         times the moment in which the routes are read.
         """
         give_up = self._began + _START_PATIENCE
-        while self.context.routes.table is None and self.context.clock.monotonic() < give_up:
-            await self.context.clock.async_sleep(_START_LOOK)
-        return self.context.routes.table
+        ctx = self.context
+        while ctx.routes.table is None or not ctx.holds_known():
+            if ctx.clock.monotonic() >= give_up:
+                break
+            await ctx.clock.async_sleep(_START_LOOK)
+        return ctx.routes.table
 
     async def _async_pass_on(self, call: PlainCall, route: Route) -> None:
         """Send the request until an upstream answers it whole, and pass that answer on."""
@@ -230,6 +233,7 @@
             avoid=avoid,
             max_attempts=attempts,
             request_id=self.request_id,
+            credential=self.context.edge.credential(req.headers),
         )
 
     def _write_answer(self, sink: AttemptSink, route: Route) -> None:
@@ -267,5 +271,12 @@
             refusal.reason.value,
             ran=refusal.ran.value,
             detail=f"{route.name} {refusal.detail}",
-            retry_after=RETRY_AFTER if refusal.ran is Ran.NO else None,
+            retry_after=_retry_after(refusal),
         )
+
+
+def _retry_after(refusal: Refusal) -> timedelta | None:
+    """Return when to come back; a request that is held would be refused until its next trial."""
+    if refusal.ran is not Ran.NO:
+        return None
+    return refusal.retry_after if refusal.reason is RefusalReason.HELD else RETRY_AFTER
--- a/cranberryline/gateway/streams.py
+++ b/cranberryline/gateway/streams.py
@@ -16,6 +16,7 @@
 
 STATUS_OK = 200
 _MAX_TURNED_AWAY = 3
+_FINAL = (RefusalReason.OVERLOADED, RefusalReason.HELD)
 
 
 @attrs.define
@@ -106,7 +107,9 @@
             avoid |= {sink.upstream}
             may_go_on = self.resumable or (refusal.ran is Ran.NO and not sink.status)
             spent = runs >= self.max_attempts or turned_away > _MAX_TURNED_AWAY
-            if not may_go_on or spent or refusal.reason is RefusalReason.OVERLOADED:
+            if not may_go_on or spent or refusal.reason in _FINAL:
+                if runs and refusal.ran is Ran.NO:
+                    refusal = attrs.evolve(refusal, ran=Ran.UNKNOWN)
                 return Err(attrs.evolve(refusal, begun=self.begun))
 
     def _refusal(self, outcome: Result[str, Refusal]) -> Refusal:
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -53,6 +53,13 @@
         )
         self.samples = self._counter("samples", "Samples handed to trainers.", "trainer")
         self.orders = self._counter("weight_orders", "Orders to load weights.", "outcome")
+        self.crashes = self._counter(
+            "broken_runs", "Runs that broke off, by what a look at their upstream told.", "outcome"
+        )
+        self.holds = self._counter(
+            "request_holds", "Changes of requests held for crashing upstreams.", "change"
+        )
+        self.held = self._gauge("requests_held", "Requests held for crashing upstreams.")
         self.relayed = self._counter(
             "store_calls_relayed", "Calls to the store made through a peer.", "outcome"
         )
@@ -94,6 +101,14 @@
         """Count something dropped."""
         self.drops.labels(reason).inc()
 
+    def crash(self, outcome: str) -> None:
+        """Count a look at an upstream whose run broke off, or a request blamed for what was found."""
+        self.crashes.labels(outcome).inc()
+
+    def hold(self, change: str) -> None:
+        """Count a change of a held request."""
+        self.holds.labels(change).inc()
+
     def discard(self, reason: str) -> None:
         """Count a sample discarded."""
         self.discards.labels(reason).inc()
--- a/cranberryline/jobs/ports.py
+++ b/cranberryline/jobs/ports.py
@@ -79,6 +79,10 @@
     ) -> Result[CallerCall, str]:
         """Tell what a caller asks; the error says what is wrong with it."""
 
+    @abc.abstractmethod
+    def credential(self, headers: Mapping[str, str]) -> str:
+        """Return what tells callers of one host apart, an empty text where nothing does."""
+
     @abc.abstractmethod
     def read_job(
         self, request_id: str, host: str, path: str, body: bytes, now: float
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -18,6 +18,7 @@
     TOPIC_MARKS,
     TOPIC_NODES,
     TOPIC_OPERATOR,
+    TOPIC_QUARANTINE,
     TOPIC_SERVERS,
 )
 from .edge import PlatformEdge
@@ -35,6 +36,7 @@
     topic_upstreams = TOPIC_SERVERS
     topic_nodes = TOPIC_NODES
     topic_marks = TOPIC_MARKS
+    topic_quarantine = TOPIC_QUARANTINE
 
     def __init__(self, store: str) -> None:
         self._log = HttpStore(store)
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -24,6 +24,7 @@
 from .const import (
     EVENT_VERSION_FIELD,
     HEADER_HOST,
+    HEADER_KEY,
     HEADER_LAST_EVENT,
     HEADER_LENGTH,
     HEADER_PREFIX,
@@ -96,6 +97,10 @@
         last = _number(headers.get(HEADER_LAST_EVENT, ""))
         return Ok(PlainCall(headers.get(HEADER_REQUEST_ID, ""), time_left, last))
 
+    def credential(self, headers: Mapping[str, str]) -> str:
+        """Return the caller's key."""
+        return headers.get(HEADER_KEY, "")
+
     def read_job(
         self, request_id: str, host: str, path: str, body: bytes, now: float
     ) -> Result[Job, str]:
--- a/cranberryline/platform/ports.py
+++ b/cranberryline/platform/ports.py
@@ -35,6 +35,7 @@
     topic_upstreams: str
     topic_nodes: str
     topic_marks: str
+    topic_quarantine: str
 
     @property
     @abc.abstractmethod
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,7 @@
     ("helpers",),
     ("client", "config_client", "decisions", "leases", "requests", "transport"),
     ("configs", "weights"),
-    ("execution", "routes", "samples", "upstreams"),
+    ("execution", "quarantine", "routes", "samples", "upstreams"),
     ("dispatch",),
     ("jobs",),
     ("platform", "reports"),
