Show held requests to operators, and prove who is served beside them

cranberryline holds list and holds release speak to a gateway's ready address; an unknown request is told as 404, a release that the store has not heard of as 503.

--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -132,6 +132,29 @@
         return _command(_operator("history"), kind, name, entry, token_file)
 
 
+class HoldCommands:
+    """See and release requests that are held because upstreams crashed while they ran them."""
+
+    def list(self, gateway: str) -> _Command:
+        """Print the requests that a gateway suspects or holds, as YAML.
+
+        Args:
+            gateway: Base URL of a gateway's ready address.
+
+        """
+        return _command(_operator("list_holds"), gateway)
+
+    def release(self, fingerprint: str, gateway: str) -> _Command:
+        """Release a held request at every gateway; until upstreams crash under it again, it is run.
+
+        Args:
+            fingerprint: The request, as `holds list` and the logs name it.
+            gateway: Base URL of a gateway's ready address.
+
+        """
+        return _command(_operator("release_hold"), fingerprint, gateway)
+
+
 class Commands:
     """Rollout service for reinforcement learning on shared engines.
 
@@ -141,6 +164,7 @@
 
     def __init__(self) -> None:
         self.config = ConfigCommands()
+        self.holds = HoldCommands()
 
     def entry(self, settings: str) -> _Command:
         """Run an entry process until SIGTERM or SIGINT; a second signal stops it at once.
--- a/cranberryline/config_client.py
+++ b/cranberryline/config_client.py
@@ -37,6 +37,7 @@
 )
 _PATH_RECORDS = "/config/records"
 _PATH_STATUS = "/status"
+_PATH_HOLDS = "/holds"
 
 
 class ApiReason(enum.StrEnum):
@@ -109,6 +110,14 @@
         """Return the entry's view of the system."""
         return await self._async_call("GET", _PATH_STATUS)
 
+    async def async_holds(self) -> Result[list[dict[str, Any]], ApiError]:
+        """Return the requests that a gateway suspects, those that it holds among them."""
+        return _list_in(await self._async_call("GET", _PATH_HOLDS), "requests")
+
+    async def async_release(self, fingerprint: str) -> Result[dict[str, Any], ApiError]:
+        """Release a request that gateways hold."""
+        return await self._async_call("DELETE", f"{_PATH_HOLDS}/{quote(fingerprint, safe='')}")
+
     async def _async_call(
         self, method: str, path: str, body: dict[str, Any] | None = None
     ) -> Result[dict[str, Any], ApiError]:
@@ -141,10 +150,13 @@
         """Return the error of a call that got no answer."""
         if method == "GET":
             return ApiError(ApiReason.UNAVAILABLE, f"no answer from {self._base_url}: {exc}")
-        message = (
-            f"no answer from {self._base_url}: {exc}. The record may be in force: look with "
-            "`cranberryline config history` before publishing it again"
+        hint = (
+            "The request may be released: look with `cranberryline holds list`"
+            if method == "DELETE"
+            else "The record may be in force: look with `cranberryline config history` before "
+            "publishing it again"
         )
+        message = f"no answer from {self._base_url}: {exc}. {hint}"
         return ApiError(ApiReason.UNKNOWN, message)
 
 
@@ -223,14 +235,16 @@
     return Ok(data)
 
 
-def _list_in(answer: Result[dict[str, Any], ApiError]) -> Result[list[dict[str, Any]], ApiError]:
-    """Return the `records` of an answer."""
+def _list_in(
+    answer: Result[dict[str, Any], ApiError], name: str = "records"
+) -> Result[list[dict[str, Any]], ApiError]:
+    """Return the list of that name in an answer."""
     if isinstance(answer, Err):
         return answer
-    records = answer.unwrap().get("records")
-    if not isinstance(records, list):
-        return Err(ApiError(ApiReason.REFUSED, "the answer holds no records; is it an entry?"))
-    return Ok(records)
+    rows = answer.unwrap().get(name)
+    if not isinstance(rows, list):
+        return Err(ApiError(ApiReason.REFUSED, f"the answer holds no {name}; who listens there?"))
+    return Ok(rows)
 
 
 def _refusal(status: int, data: Any) -> ApiError:
--- a/cranberryline/gateway/holds.py
+++ b/cranberryline/gateway/holds.py
@@ -5,10 +5,10 @@
 from http import HTTPStatus
 
 import attrs
-from tornado.web import RequestHandler
 
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.problem import ProblemHandler, write_problem
 from cranberryline.helpers.tail import KeyedTail, StoreHealth
 from cranberryline.platform.ports import PlatformPort
 from cranberryline.ports.probe import async_refuses
@@ -65,7 +65,7 @@
     return quarantine, tail
 
 
-class HoldsHandler(RequestHandler):
+class HoldsHandler(ProblemHandler):
     """Tell which requests are suspected and held, and release one."""
 
     def initialize(self, quarantine: Quarantine) -> None:
@@ -76,20 +76,25 @@
         """Answer with all, or with one."""
         rows = [row for row in self._quarantine.suspected() if request in (None, row.fingerprint)]
         if request is not None and not rows:
-            self.set_status(HTTPStatus.NOT_FOUND)
+            self._unknown()
+            return
         self.finish({"requests": [_row(row) for row in rows]})
 
     async def delete(self, request: str | None) -> None:
         """Release a request at every gateway; 503 while the store does not have it."""
-        if request is None:
-            self.set_status(HTTPStatus.METHOD_NOT_ALLOWED)
-            return
-        released = await self._quarantine.async_release(request)
+        released = None if request is None else await self._quarantine.async_release(request)
         if released is None:
-            self.set_status(HTTPStatus.NOT_FOUND)
+            self._unknown()
         elif not released:
-            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
-        self.finish({"released": bool(released)})
+            title = "released at this gateway; the others hear of it when the store is back"
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            write_problem(self, status, "store_unavailable", title, ran="unknown")
+        else:
+            self.finish({"released": True})
+
+    def _unknown(self) -> None:
+        title = "no upstream is known to have crashed under this request"
+        write_problem(self, HTTPStatus.NOT_FOUND, "unknown_request", title)
 
 
 def _row(row: HeldRequest) -> dict[str, object]:
--- a/cranberryline/operator_commands.py
+++ b/cranberryline/operator_commands.py
@@ -16,7 +16,15 @@
 from .exit_code import ExitCode
 from .settings.fields import Url
 
-__all__ = ["get", "history", "list_records", "publish", "status"]
+__all__ = [
+    "get",
+    "history",
+    "list_holds",
+    "list_records",
+    "publish",
+    "release_hold",
+    "status",
+]
 
 ATTR_KIND = "kind"
 ATTR_NAME = "name"
@@ -94,6 +102,24 @@
     return _call(entry, token_file, lambda client: client.async_status(), _print_yaml)
 
 
+def list_holds(gateway: str) -> int:
+    """Print the requests that a gateway suspects or holds, as YAML."""
+    if not gateway:
+        return _complain("gateway: the base URL of a gateway's ready address", ExitCode.USAGE)
+    return _call(gateway, "", lambda client: client.async_holds(), _print_yaml)
+
+
+def release_hold(fingerprint: str, gateway: str) -> int:
+    """Release a held request at every gateway."""
+    if not gateway:
+        return _complain("gateway: the base URL of a gateway's ready address", ExitCode.USAGE)
+
+    def show(_answer: dict[str, Any]) -> None:
+        print(f"{fingerprint}: released")
+
+    return _call(gateway, "", lambda client: client.async_release(fingerprint), show)
+
+
 async def _async_publish(client: ApiClient, drafts: list[RecordDraft]) -> Result[None, ApiError]:
     """Publish drafts, those without `amends` against the revisions that the entry tells."""
     revisions: dict[tuple[str, str], int] = {}
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -35,7 +35,8 @@
 
     `watch` is called with the sampler, the request's id and the caller's port, for each request that
     reaches it, also for those that it turns away. A run whose path or body holds `crash_on` ends the
-    process `crash_after_s` after it began; `crashed` is called then.
+    process `crash_after_s` after it began; `crashed` is called then. One that holds `reset_on` only loses
+    its connection.
     """
 
     service: str
@@ -62,6 +63,7 @@
     watch: "Callable[[PlatformSampler, str, int], None] | None" = None
     crash_on: bytes = b""
     crash_after_s: float = 0.03
+    reset_on: bytes = b""
     crashed: "Callable[[PlatformSampler], None] | None" = None
     ending: "asyncio.Future[None] | None" = None
     _server: HTTPServer | None = None
@@ -189,9 +191,13 @@
         name = headers["Attempt-Id"]
         run = Run(name, self.request.uri or "", self.request.body, dict(headers.get_all()))
         made.runs.append(run)
-        if made.crash_on and made.crash_on in run.path.encode() + b" " + run.body:
+        asked = run.path.encode() + b" " + run.body
+        if made.crash_on and made.crash_on in asked:
             await self._async_crash()
             return
+        if made.reset_on and made.reset_on in asked:
+            self._reset()
+            return
         if made.silent:
             made.silent -= 1
             await asyncio.sleep(60)
@@ -211,13 +217,16 @@
             return
         self.finish((b"answer to " + name.encode()).ljust(made.length, b"."))
 
+    def _reset(self) -> None:
+        self.request.connection.detach().close()  # type: ignore[union-attr]
+        self._finished = True
+
     async def _async_crash(self) -> None:
         """End the process: its port is closed, and every connection breaks off."""
         made = self.sampler
         await asyncio.sleep(made.crash_after_s)
         made.stop()
-        self.request.connection.detach().close()  # type: ignore[union-attr]
-        self._finished = True
+        self._reset()
         made.ending = asyncio.ensure_future(made.async_kill())
         if made.crashed is not None:
             made.crashed(made)
@@ -233,8 +242,7 @@
             if first == 1 and 0 < self.sampler.cut_after < number:
                 self.write(event[:7])
                 await self.flush()
-                self.request.connection.detach().close()  # type: ignore[union-attr]
-                self._finished = True
+                self._reset()
                 return
             if 0 < self.sampler.hang_after < number:
                 await asyncio.sleep(60)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -59,6 +59,13 @@
             return
         self.finish({"offset": 9, "records": self._fake.records, "role": "entry"})
 
+    def delete(self) -> None:
+        """Release a request, or answer as told."""
+        if self._fake.answers:
+            self._answer()
+            return
+        self.finish({"released": True})
+
     def post(self) -> None:
         """Take a record."""
         record = json.loads(self.request.body)
@@ -379,3 +386,38 @@
     path = tmp_path / "bad.yaml"
     path.write_text("vm_id: 3")
     assert main([role, "--settings", str(path)]) == ExitCode.USAGE
+
+
+_HELD = "0123456789abcdef" * 2
+
+
+def test_holds_are_listed_and_released(fake: FakeEntry, capsys: pytest.CaptureFixture[str]) -> None:
+    """An operator sees what a gateway holds, names it and is told that it is released."""
+    row = {"fingerprint": _HELD, "held": True, "path": "/files/x", "upstreams": ["a", "b", "c"]}
+    fake.answers.append((200, {"requests": [row]}))
+    assert main(["holds", "list", "--gateway", fake.url]) == ExitCode.OK
+    assert yaml.safe_load(capsys.readouterr().out) == [row]
+    assert main(["holds", "release", _HELD, "--gateway", fake.url]) == ExitCode.OK
+    assert "released" in capsys.readouterr().out
+    assert fake.paths == ["/holds", f"/holds/{_HELD}"]
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "code"),
+    [
+        (404, {"reason": "unknown_request", "title": "no upstream"}, ExitCode.FAILURE),
+        (503, {"reason": "store_unavailable", "ran": "unknown"}, ExitCode.UNKNOWN),
+    ],
+)
+def test_a_release_that_is_not_done_is_told(
+    fake: FakeEntry, status: int, body: dict[str, str], code: ExitCode
+) -> None:
+    """A request that nobody holds, and a store that has not heard of the release."""
+    fake.answers.append((status, body))
+    assert main(["holds", "release", _HELD, "--gateway", fake.url]) == code
+
+
+@pytest.mark.parametrize("line", [["list"], ["release", _HELD], ["list", "--gateway", ""]])
+def test_holds_need_a_gateway(line: list[str]) -> None:
+    """There is no address that would be right by default."""
+    assert main(["holds", *line]) == ExitCode.USAGE
