Let the soak send a request that crashes the samplers that run it

Until now each fault of the soak came from outside; none came in with a request. A caller now sends, for as long as the soak lasts, a request under which every sampler ends, and samplers return by themselves.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -10,13 +10,16 @@
 
 from stand_ins.platform_sampler import PlatformSampler
 
-from .model import Book
+from .model import POISON, Book
 
 __all__ = ["BOUND_S", "Judge"]
 
 # The platform's bound on work of an ended job, and the time without trouble after which a gateway is
 # held to it; the bench's days name 3,000 ms for both.
 BOUND_S = 3.0
+# Under this many crashes of samplers a request is to be known, and this many runs may follow.
+_KNOWN_AFTER = 3
+_MAY_FOLLOW = 3
 _WORK = re.compile(r"s(\d+)[ir]\d+")
 _LOCAL, _INODE = 1, 9
 
@@ -41,6 +44,16 @@
         self._newest: dict[str, tuple[int, float]] = {}
         self._trouble: dict[int, float] = {}
         self._store_trouble = -math.inf
+        self._crashes = 0
+        self._third_crash = math.inf
+        self._followed = 0
+
+    def crashed(self) -> None:
+        """Take that a sampler crashed under the poison."""
+        self._book.counts["poison_crashes"] += 1
+        self._crashes += 1
+        if self._crashes == _KNOWN_AFTER:
+            self._third_crash = self._now()
 
     def ended(self, job: str) -> None:
         """Take the first 200 to a job's end."""
@@ -78,6 +91,8 @@
     def reached(self, sampler: PlatformSampler, request_id: str, port: int) -> None:
         """Take a request that reached a sampler, run or turned away."""
         work, now = _WORK.fullmatch(request_id), self._now()
+        if request_id.startswith(POISON) and now - self._third_crash > BOUND_S:
+            self._late_poison(now - self._third_crash, sampler, request_id, port)
         ended = self._ends.get(f"job{work[1]}") if work else None
         if ended is not None and now - ended > BOUND_S:
             self._late("reached_after_end", now - ended, sampler, request_id, port)
@@ -88,12 +103,26 @@
             # Sent to the former start, whose id and address it has; nobody could know of this one.
             self._book.counts[f"{'work' if work else 'plain'}_reached_before_entry"] += 1
 
+    def _late_poison(
+        self, late: float, sampler: PlatformSampler, request_id: str, port: int
+    ) -> None:
+        if self._excused(port):
+            self._book.counts["excused_poison"] += 1
+            return
+        self._followed += 1
+        self._book.counts["poison_followed"] += 1
+        if self._followed > _MAY_FOLLOW:
+            told = f"{self._told(sampler, request_id, port)}, {late:.2f} s after the third crash"
+            self._book.break_promise("poison_ran_on", told)
+
+    def _excused(self, port: int) -> bool:
+        trouble = max(self._trouble.get(self._gateway(port), -math.inf), self._store_trouble)
+        return self._now() - trouble <= BOUND_S
+
     def _late(
         self, what: str, late: float, sampler: PlatformSampler, request_id: str, port: int
     ) -> None:
-        gateway = self._gateway(port)
-        trouble = max(self._trouble.get(gateway, -math.inf), self._store_trouble)
-        if self._now() - trouble <= BOUND_S:
+        if self._excused(port):
             self._book.counts[f"excused_{what}"] += 1
             return
         told = f"{self._told(sampler, request_id, port)}, {late:.2f} s after"
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -12,6 +12,7 @@
 from .faults import async_faults
 from .holders import Holders
 from .model import Book, SoakPlan
+from .poison import Poisoner
 from .world import World
 
 __all__ = ["async_soak", "main"]
@@ -27,6 +28,7 @@
     book = Book()
     world = World(plan, folder, book)
     callers, holders = Callers(world, plan, book), Holders(world, book)
+    poisoner = Poisoner(world, plan, book)
     try:
         await world.async_start()
         minded = [
@@ -35,13 +37,15 @@
         ]
         load = [asyncio.ensure_future(callers.async_plain(n)) for n in range(plan.callers)]
         load.append(asyncio.ensure_future(callers.async_train()))
+        load.append(asyncio.ensure_future(poisoner.async_send()))
         kept = [asyncio.ensure_future(holders.async_hold(n)) for n in range(2 * plan.gateways)]
         faults = asyncio.ensure_future(async_faults(world, plan, book))
         await asyncio.sleep(plan.seconds)
-        callers.stopping = True
+        callers.stopping = poisoner.stopping = True
         await asyncio.gather(faults, *load)
         await asyncio.sleep(_AFTER_S)
         await callers.async_read_all_again()
+        await poisoner.async_check()
         callers.check_runs()
         for task in (*minded, *kept):
             if task.done():
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -7,12 +7,25 @@
 
 import attrs
 
-__all__ = ["ALL", "ENGINES", "GROUP", "HOST", "MODEL", "PLAIN", "Book", "SoakPlan", "config", "job"]
+__all__ = [
+    "ALL",
+    "ENGINES",
+    "GROUP",
+    "HOST",
+    "MODEL",
+    "PLAIN",
+    "POISON",
+    "Book",
+    "SoakPlan",
+    "config",
+    "job",
+]
 
 HOST = "soak.example"
 MODEL = "m"
 PLAIN = "plain"
 ENGINES = "engines"
+POISON = "poison"
 GROUP = 4
 _GROUPS = 4
 ALL = GROUP * _GROUPS
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,7 @@
 from stand_ins.process import Process, free_ports
 
 from .judge import Judge
-from .model import ENGINES, HOST, MODEL, PLAIN, Book, SoakPlan, config
+from .model import ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
 
 __all__ = ["World"]
 
@@ -26,6 +26,7 @@
 # Connections of a killed sampler are reset at once; this bounds what a handler of it may hold up.
 _KILL_S = 1.0
 _LOOK_S = 0.3
+_CRASHED_FOR_S = (0.5, 2.0)
 
 
 class World:
@@ -44,7 +45,9 @@
         self.fronts: list[int] = []
         self.gateways: list[Process] = []
         self.left: list[PlatformSampler] = []
-        self._ready: list[int] = []
+        self.ready: list[int] = []
+        self._luck = plan.luck("crashes")
+        self._returns: set[asyncio.Future[None]] = set()
         self._config = 0
         self._plan = plan
         self._folder = folder
@@ -60,7 +63,7 @@
         for number in range(self._plan.gateways):
             self._make_gateway(number)
         async with asyncio.timeout(_READY_S):
-            for port in self._ready:
+            for port in self.ready:
                 while not await self._async_is_ready(port):  # noqa: ASYNC110 - another process
                     await asyncio.sleep(0.05)
 
@@ -86,7 +89,14 @@
 
     def add_sampler(self, service: str, model: str) -> None:
         """Start a sampler with the newest version."""
-        sampler = PlatformSampler(service, model, version=self.version, watch=self.judge.reached)
+        sampler = PlatformSampler(
+            service,
+            model,
+            version=self.version,
+            watch=self.judge.reached,
+            crash_on=POISON.encode(),
+            crashed=self._on_crash,
+        )
         sampler.start()
         self.samplers.append(sampler)
         self.register(sampler)
@@ -96,6 +106,20 @@
         self.store.put("keyed.servers", sampler.id, sampler.beat())
         self.judge.registered(sampler)
 
+    def _on_crash(self, sampler: PlatformSampler) -> None:
+        """Let a sampler that the poison crashed come back under its id, some time later."""
+        self.judge.crashed()
+        self.dead.add(sampler)
+        back = asyncio.ensure_future(
+            self._async_return(sampler, self._luck.uniform(*_CRASHED_FOR_S))
+        )
+        self._returns.add(back)
+        back.add_done_callback(self._returns.discard)
+
+    async def _async_return(self, sampler: PlatformSampler, away_s: float) -> None:
+        await asyncio.sleep(away_s)
+        await self.async_start_again(sampler, elsewhere=False, unregistered_s=0.0)
+
     async def async_kill_sampler(self, sampler: PlatformSampler) -> None:
         """Kill a sampler: it tells nothing any more, and its connections are reset."""
         self.dead.add(sampler)
@@ -223,7 +247,7 @@
         gateway.start()
         self.gateways.append(gateway)
         self.fronts.append(front)
-        self._ready.append(ready)
+        self.ready.append(ready)
 
     async def _async_is_ready(self, port: int) -> bool:
         try:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -15,7 +15,7 @@
 from bench.soak.faults import draw
 from bench.soak.judge import Judge
 from bench.soak.main import async_soak
-from bench.soak.model import Book, SoakPlan
+from bench.soak.model import POISON, Book, SoakPlan
 from bench.soak.world import World
 from cranberryline.platform.samplers import read_registration
 from stand_ins.platform_sampler import EVENTS, PlatformSampler, Run
@@ -46,6 +46,7 @@
     for kind in ("at_end", "bad_entry", "sampler_again", "signals"):
         assert book.counts[f"fault_{kind}"] >= 1, kind
     assert book.counts["held_200"] > 50 and book.counts["held_to_the_end"] >= 1
+    assert book.counts["poison_crashes"] >= 3 and book.counts["poison_503"] > 20
 
 
 @pytest.mark.parametrize(("seed", "seconds"), [(12, 16), (101, 18)])
@@ -133,6 +134,22 @@
         assert judged.broken() == ["reached_after_end"]
 
 
+def test_a_request_that_goes_on_crashing_samplers_is_seen() -> None:
+    """Three runs may follow later than the bound after the third crash, others' runs are none of them."""
+    judged = _Judged()
+    for _ in range(3):
+        judged.judge.crashed()
+    judged.now += 2.9
+    for number in range(9):
+        judged.judge.reached(judged.sampler, f"{POISON}{number}", 1)
+    judged.now += 0.2
+    for name in (f"{POISON}10", "safe1", f"{POISON}11", f"{POISON}12"):
+        judged.judge.reached(judged.sampler, name, 1)
+    assert judged.broken() == []
+    judged.judge.reached(judged.sampler, f"{POISON}13", 1)
+    assert judged.broken() == ["poison_ran_on"]
+
+
 def test_what_reaches_a_former_start_or_a_bad_entry_s_address_is_seen() -> None:
     """The new start told of itself more than the bound ago; nobody but another writer told the other."""
     judged = _Judged()
