Blame a run only for how it began, and try early what may have crashed by chance

An answer that has gone on for half a second was not ended by how it began, and is not blamed; the time counts from the answer's beginning, no longer from the sending. Where other upstreams crashed at about the same time without the request, its first trial comes after one second.

--- a/cranberryline/decisions/blame.py
+++ b/cranberryline/decisions/blame.py
@@ -7,8 +7,9 @@
 A request is held once `HELD_AFTER` upstreams have crashed under it. Beside it run others, which must be
 served: a crash is not counted against a request while another one that was there is held and is blamed for
 more crashes, and one answer clears a request of everything. A request that is held cannot be answered, so
-it gets a trial of one run, first after `FIRST_TRIAL` and then ever more seldom; one that may have been held in
-place of another, which was at all the same upstreams, gets its first one after `EARLY_TRIAL`.
+it gets a trial of one run, first after `FIRST_TRIAL` and then ever more seldom. Where the crashes may have
+another cause the first trial comes after `EARLY_TRIAL`: another request was at all the same upstreams, or
+another upstream crashed at about the same time, without this request.
 
 What is known ends by itself: crashes under a request that was never held after `SUSPECTED_FOR`, those of a
 held one after `HELD_FOR`. More than `MAX_REQUESTS` are not remembered; the least blamed and oldest go first.
@@ -25,6 +26,7 @@
 
 HELD_AFTER = 3
 EARLY_TRIAL = timedelta(seconds=1)
+TOGETHER = timedelta(milliseconds=500)
 FIRST_TRIAL = timedelta(seconds=20)
 TRIAL_GROWTH = 20
 MAX_GROWTHS = 5
@@ -60,6 +62,7 @@
     def __init__(self) -> None:
         self._suspects: OrderedDict[str, _Suspect] = OrderedDict()
         self._at: dict[str, set[str]] = {}
+        self._when: dict[str, timedelta] = {}
 
     def __len__(self) -> int:
         """Count the requests under which an upstream has crashed."""
@@ -85,6 +88,7 @@
         suspect.crashes[upstream] = now - age
         suspect.newest = now
         self._at.setdefault(upstream, set()).add(request)
+        self._when.setdefault(upstream, now - age)
         return True
 
     def tried(self, request: str, trials: int, now: timedelta) -> None:
@@ -150,17 +154,28 @@
         return most > max(blamed, HELD_AFTER - 1)
 
     def _early(self, request: str, suspect: _Suspect) -> bool:
-        """Tell whether the next trial is the early one: another request was at all the same upstreams."""
+        """Tell whether the next trial is the first one, and something else may have caused the crashes."""
         if suspect.trials or not suspect.crashes:
             return False
         shared = set.intersection(*(self._at[upstream] for upstream in suspect.crashes))
-        return bool(shared - {request})
+        if shared - {request}:
+            return True
+        return any(self._others_near(upstream, suspect) for upstream in suspect.crashes)
+
+    def _others_near(self, upstream: str, suspect: _Suspect) -> bool:
+        """Tell whether an upstream crashed together with another at which the suspect was not."""
+        when = self._when[upstream]
+        return any(
+            abs(at - when) <= TOGETHER and other not in suspect.crashes
+            for other, at in self._when.items()
+        )
 
     def _leave(self, request: str, upstream: str) -> None:
         there = self._at[upstream]
         there.discard(request)
         if not there:
             del self._at[upstream]
+            del self._when[upstream]
 
     def _make_room(self) -> None:
         if len(self._suspects) < MAX_REQUESTS:
--- a/cranberryline/dispatch/attempt.py
+++ b/cranberryline/dispatch/attempt.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from functools import partial
 
+import attrs
+
 from cranberryline.helpers.clock import Clock
 from cranberryline.requests import (
     AttemptBroken,
@@ -30,7 +32,7 @@
 
 from .model import AnswerSink, CallerRequest
 
-__all__ = ["CallerLeft", "async_attempt"]
+__all__ = ["AttemptTrace", "CallerLeft", "async_attempt"]
 
 # A busy side process answers a withdrawal within one turn of its loop; past this its silence is
 # what the caller is told, as `unknown`.
@@ -43,8 +45,19 @@
     """Raise when the caller closed its connection."""
 
 
+@attrs.define
+class AttemptTrace:
+    """What is noted of an attempt besides its outcome: when its answer began, on the monotonic clock."""
+
+    answered_at: timedelta | None = None
+
+
 async def async_attempt(
-    peer: UpstreamLink, req: CallerRequest, sink: AnswerSink, clock: Clock
+    peer: UpstreamLink,
+    req: CallerRequest,
+    sink: AnswerSink,
+    clock: Clock,
+    trace: AttemptTrace | None = None,
 ) -> AttemptOutcome:
     """Run a request at one upstream and hand its answer to the sink."""
     eligible = req.eligible
@@ -52,7 +65,7 @@
     exchange = peer.open(lambda rid, life: _make_submit(rid, life, req, clock), req.tokens, may_go)
     if exchange is None:
         return AttemptNotRun(_NOT_CONNECTED)
-    runner = _AttemptRunner(exchange, req, sink, clock)
+    runner = _AttemptRunner(exchange, req, sink, clock, trace or AttemptTrace())
     try:
         return await runner.async_follow()
     except CallerLeft:
@@ -88,8 +101,14 @@
     """Feed an attempt's aggregate from its exchange, and the sink from both."""
 
     def __init__(
-        self, exchange: Exchange, req: CallerRequest, sink: AnswerSink, clock: Clock
+        self,
+        exchange: Exchange,
+        req: CallerRequest,
+        sink: AnswerSink,
+        clock: Clock,
+        trace: AttemptTrace,
     ) -> None:
+        self._trace = trace
         self._exchange = exchange
         self._req = req
         self._sink = sink
@@ -156,6 +175,7 @@
     async def _async_take_head(self, msg: Head) -> None:
         if not self._attempt.on_head(msg.status):
             return
+        self._trace.answered_at = self._clock.monotonic()
         if await self._sink.async_head(msg.status, msg.headers):
             self._attempt.mark_forwarded()
 
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -22,7 +22,7 @@
     Ran,
 )
 
-from .attempt import async_attempt
+from .attempt import AttemptTrace, async_attempt
 from .errors import Refusal, RefusalReason
 from .lane import ServiceLane, Turn
 from .model import AnswerSink, CallerRequest
@@ -37,7 +37,7 @@
 # Characters of a path that are told to other gateways and operators.
 _MAX_PATH = 200
 # A run that has answered for longer than this was not ended by how it began.
-_BLAMED_WITHIN = timedelta(seconds=2)
+_BLAMED_WITHIN = timedelta(milliseconds=500)
 _NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 # What says something of the upstream itself, and not of its queue or of the caller.
 _UPSTREAM_FAULTS = frozenset(
@@ -195,12 +195,13 @@
                 return Err(_with_earlier(_held_refusal(held), earlier))
             trial = False
             sink.dispatched(turn.upstream.peer.vm_id)
-            outcome = await self._async_attempt(lane, turn, req, sink)
+            trace = AttemptTrace()
+            outcome = await self._async_attempt(lane, turn, req, sink, trace)
             if isinstance(outcome, AttemptDone):
                 if outcome.status < _STATUS_SERVER_ERROR:
                     self._guard.answered(req.fingerprint)
                 return Ok(turn.upstream.peer.vm_id)
-            if _may_be_crash(outcome, self._clock.monotonic() - turn.given):
+            if _may_be_crash(outcome, trace, self._clock.monotonic()):
                 await self._guard.async_broke(_broken_run(req, turn.upstream.peer.vm_id))
             earlier.append(outcome)
             decision = self._decide_retry(lane, req, outcome, len(earlier))
@@ -214,11 +215,16 @@
         return self._guard.held(req.fingerprint) if self._guard.suspecting else None
 
     async def _async_attempt(
-        self, lane: ServiceLane, turn: Turn, req: CallerRequest, sink: AnswerSink
+        self,
+        lane: ServiceLane,
+        turn: Turn,
+        req: CallerRequest,
+        sink: AnswerSink,
+        trace: AttemptTrace,
     ) -> AttemptOutcome:
         tokens = 0
         try:
-            outcome = await async_attempt(turn.upstream.peer, req, sink, self._clock)
+            outcome = await async_attempt(turn.upstream.peer, req, sink, self._clock, trace)
             if isinstance(outcome, AttemptDone):
                 tokens = turn.item.tokens
                 turn.upstream.succeeded()
@@ -255,14 +261,11 @@
         return decision.after
 
 
-def _may_be_crash(outcome: AttemptOutcome, took: timedelta) -> bool:
+def _may_be_crash(outcome: AttemptOutcome, trace: AttemptTrace, now: timedelta) -> bool:
     """Tell whether an attempt may have broken off because it crashed its upstream."""
     if isinstance(outcome, AttemptNotRun) or _reason_text(outcome) not in _BROKEN_OFF:
         return False
-    began = isinstance(outcome, AttemptBroken) or (
-        isinstance(outcome, AttemptUnknown) and outcome.ran is Ran.YES
-    )
-    return not began or took <= _BLAMED_WITHIN
+    return trace.answered_at is None or now - trace.answered_at <= _BLAMED_WITHIN
 
 
 def _broken_run(req: CallerRequest, upstream: str) -> BrokenRun:
--- a/tests/decisions/test_blame.py
+++ b/tests/decisions/test_blame.py
@@ -16,6 +16,7 @@
     MAX_CRASHES,
     MAX_REQUESTS,
     SUSPECTED_FOR,
+    TOGETHER,
     CrashBlame,
 )
 from cranberryline.decisions.recent import ANSWERED_FOR, MAX_ANSWERED, RecentAnswers
@@ -76,6 +77,20 @@
     assert hold is not None and hold.trial_at == NOW + FIRST_TRIAL
 
 
+def test_crashes_beside_others_get_an_early_trial() -> None:
+    """Upstreams crash in numbers by a cause of their own, and a request moves from one to the next."""
+    blame = CrashBlame()
+    for number, upstream in enumerate("abc"):
+        at = NOW + timedelta(seconds=number)
+        blame.crashed("r", upstream, at)
+        blame.crashed(f"other-{number}", f"{upstream}2", at + TOGETHER)
+    hold = blame.hold("r")
+    assert hold is not None and hold.trial_at == NOW + timedelta(seconds=2) + EARLY_TRIAL
+    blame.tried("r", 1, hold.trial_at)
+    later = blame.hold("r")
+    assert later is not None and later.trial_at == hold.trial_at + FIRST_TRIAL
+
+
 @pytest.mark.parametrize("beside", [False, True])
 def test_trials_that_crash_grow_seldom(beside: bool) -> None:
     """In the two minutes after a hold a request that goes on crashing gets two trials at the most."""
