Send no more than one request to an entry whose address another process has

Callers got 503 retries_spent beside sound upstreams: an upstream that crashes comes back at its address under a new id, and its former entry stays for some seconds. What answers there says at once that it is not the one named, ran nothing, and was asked by the next request again: it looked like the quickest of all, its connection waited always, and a refusal that is no failure left no mark. Few such entries used up the attempts of a request.

Change: such an answer (421) is told apart from that of a full queue. The entry rests for three seconds, one where nothing listens for one, a full one for the quarter of a second that items know already; where all rest they are asked all the same. An entry that is out of date costs no attempt, no retry budget and no pause while another upstream is left, 16 at the most. attempt_failed names it.

--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -28,7 +28,8 @@
 connection waits is always among the drawn and counts as faster by `CONNECTED_SAVING`, while it has a free slot; one that
 is slower than others by more than that loses its requests.
 
-An upstream that drains, is excluded, or serves too old weights is not chosen. One that is drawn
+An upstream that drains, is excluded, or serves too old weights is not chosen, one that turned work away just now
+(`turned_away`) only where all others did, too. One that is drawn
 down by `health` counts as slower by its weight; a due probe goes first, as one request.
 """
 
@@ -77,6 +78,7 @@
     health: HealthView = HealthView()
     draining: bool = False
     connected: bool = False
+    resting: bool = False
 
 
 @attrs.frozen
@@ -110,6 +112,7 @@
     ) -> str | None:
         """Return the id of the upstream to send to, or None when none may be chosen."""
         usable = [upstream for upstream in upstreams if _is_usable(upstream, req)]
+        usable = [upstream for upstream in usable if not upstream.resting] or usable
         if req.may_probe:
             probes = [upstream.id for upstream in usable if upstream.health.probe_due]
             if probes:
--- a/cranberryline/decisions/turned_away.py
+++ b/cranberryline/decisions/turned_away.py
@@ -8,13 +8,19 @@
 `REST` is a quarter of what a load of weights takes. A node then asks a loading engine four times and
 not once an item, and an engine that was merely full for a moment is back before a run of usual
 length ends.
+
+An upstream that nothing listens for any more, or at whose address another process answers, turns work away as
+quickly, and its connection seems to wait always. Nothing comes of asking it before its entry changes: it
+rests longer. Where all upstreams rest, they are asked all the same.
 """
 
 from datetime import timedelta
 
-__all__ = ["REST", "TurnedAway"]
+__all__ = ["REPLACED_REST", "REST", "UNREACHABLE_REST", "TurnedAway"]
 
 REST = timedelta(milliseconds=250)
+UNREACHABLE_REST = timedelta(seconds=1)
+REPLACED_REST = timedelta(seconds=3)
 
 
 class TurnedAway:
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -9,6 +9,7 @@
 from cranberryline.configs import CallerSpec, ConfigFold, ServiceSpec
 from cranberryline.decisions import AttemptOutcome as Verdict
 from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
+from cranberryline.decisions.turned_away import REPLACED_REST, REST, UNREACHABLE_REST
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
@@ -56,6 +57,17 @@
 _BROKEN_OFF = frozenset({"upstream_cut", "upstream_error"})
 
 
+# For how long an upstream that turned a request away gets no other one, by what it said.
+_RESTS = {
+    "upstream_refused": REST,
+    "upstream_unreachable": UNREACHABLE_REST,
+    "upstream_replaced": REPLACED_REST,
+}
+# What says that an entry is out of date: another upstream is asked at once, and no attempt is spent on it.
+_OUT_OF_DATE = frozenset({"upstream_unreachable", "upstream_replaced"})
+_MAX_OUT_OF_DATE = 16
+
+
 class ServiceBook:
     """What the configuration in force says of services and callers."""
 
@@ -204,12 +216,12 @@
             if _may_be_crash(outcome, trace, self._clock.monotonic()):
                 await self._guard.async_broke(_broken_run(req, turn.upstream.peer.vm_id))
             earlier.append(outcome)
-            decision = self._decide_retry(lane, req, outcome, len(earlier))
+            avoid = avoid | {turn.upstream.peer.vm_id}
+            decision = self._decide_retry(lane, req, earlier, avoid)
             if isinstance(decision, Refusal):
                 return Err(_with_earlier(decision, earlier))
             self._metrics.retry(_reason_text(outcome))
             await self._clock.async_sleep(decision)
-            avoid = avoid | {turn.upstream.peer.vm_id}
 
     def _held(self, req: CallerRequest) -> Held | None:
         return self._guard.held(req.fingerprint) if self._guard.suspecting else None
@@ -230,24 +242,41 @@
                 turn.upstream.succeeded()
                 lane.budget.earn()
             elif _reason_text(outcome) in _UPSTREAM_FAULTS:
-                now = self._clock.monotonic()
-                turn.upstream.failed(turn.given, now)
-                _tell_failed(req, turn, outcome, now)
+                turn.upstream.failed(turn.given, self._clock.monotonic())
+            self._note_not_served(req, turn, outcome)
             return outcome
         finally:
             lane.finish(turn, tokens)
 
+    def _note_not_served(self, req: CallerRequest, turn: Turn, outcome: AttemptOutcome) -> None:
+        """Let an upstream rest that turned the request away, and tell of one that failed it."""
+        reason, now = _reason_text(outcome), self._clock.monotonic()
+        if isinstance(outcome, AttemptNotRun) and reason in _RESTS:
+            turn.upstream.turned_away(_RESTS[reason], now)
+        if reason in _UPSTREAM_FAULTS or reason in _OUT_OF_DATE:
+            _tell_failed(req, turn, outcome, now)
+
     def _decide_retry(
-        self, lane: ServiceLane, req: CallerRequest, outcome: AttemptOutcome, attempts: int
+        self,
+        lane: ServiceLane,
+        req: CallerRequest,
+        earlier: list[AttemptOutcome],
+        avoid: frozenset[str],
     ) -> timedelta | Refusal:
         """Return how long to wait before the next attempt, or the final refusal."""
+        outcome = earlier[-1]
         if isinstance(outcome, AttemptBroken | AttemptDone):
             return _refusal_of(outcome, None)
+        out_of_date = sum(_reason_text(each) in _OUT_OF_DATE for each in earlier)
+        entry_is_old = _reason_text(outcome) in _OUT_OF_DATE and out_of_date <= _MAX_OUT_OF_DATE
+        in_time = req.deadline > self._clock.monotonic()
+        if entry_is_old and in_time and self._has_other(req, avoid):
+            return timedelta()
         not_run = isinstance(outcome, AttemptNotRun)
         asked = RetryRequest(
             outcome=Verdict.NOT_RUN if not_run else Verdict.UNKNOWN,
             idempotent=req.idempotent,
-            attempts=attempts,
+            attempts=max(1, len(earlier) - out_of_date),
             remaining=req.deadline - self._clock.monotonic(),
         )
         policy = self._retry
@@ -260,6 +289,12 @@
         lane.budget.spend()
         return decision.after
 
+    def _has_other(self, req: CallerRequest, avoid: frozenset[str]) -> bool:
+        """Tell whether an upstream is left that this request was not sent to."""
+        ids = (upstream.peer.vm_id for upstream in self._peers.usable(req.service))
+        eligible = req.eligible or (lambda _upstream: True)
+        return any(each not in avoid and eligible(each) for each in ids)
+
 
 def _may_be_crash(outcome: AttemptOutcome, trace: AttemptTrace, now: timedelta) -> bool:
     """Tell whether an attempt may have broken off because it crashed its upstream."""
--- a/cranberryline/dispatch/upstreams.py
+++ b/cranberryline/dispatch/upstreams.py
@@ -26,6 +26,7 @@
     pace: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
     _turns: int = 0
+    _rests_until: timedelta = timedelta()
 
     def has_room(self, spec: ServiceSpec, now: timedelta) -> bool:
         """Tell whether one more request would find a free place, as far as this entry knows.
@@ -62,6 +63,10 @@
         """Note a failure of the upstream itself, and when the work had been sent there."""
         self.health = _HEALTH.failed(self.health, now, sent)
 
+    def turned_away(self, rest: timedelta, now: timedelta) -> None:
+        """Note that it did not run what was sent there: it gets nothing else for a while if others can."""
+        self._rests_until = max(self._rests_until, now + rest)
+
     def view(self, spec: ServiceSpec, now: timedelta) -> UpstreamView:
         """Return what routing needs to know."""
         load = self.peer.load
@@ -79,6 +84,7 @@
             health=_HEALTH.view(self.health, now),
             draining=self.peer.draining,
             connected=self.peer.connected,
+            resting=now < self._rests_until,
         )
 
     def _own_requests(self) -> int:
--- a/cranberryline/execution/errors.py
+++ b/cranberryline/execution/errors.py
@@ -11,6 +11,7 @@
     DRAINING = "draining"
     DEADLINE = "deadline"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_REPLACED = "upstream_replaced"  # another process answered at its address
     UPSTREAM_REFUSED = "upstream_refused"  # it answered that it did not run the request
     LOG_UNAVAILABLE = "log_unavailable"
     KEY_REUSED = "key_reused"
--- a/cranberryline/execution/execution.py
+++ b/cranberryline/execution/execution.py
@@ -28,6 +28,10 @@
 
 HEADER_REPLAYED = ("Idempotency-Replayed", "true")
 
+_NOT_SENT = {
+    PlatformReason.REFUSED: RunnerReason.UPSTREAM_REFUSED,
+    PlatformReason.START_OVER: RunnerReason.UPSTREAM_REPLACED,
+}
 _NOT_RUN_BY_CLAIM = {
     ClaimReason.LOG_UNAVAILABLE: RunnerReason.LOG_UNAVAILABLE,
     ClaimReason.KEY_REUSED_WITH_OTHER_BODY: RunnerReason.KEY_REUSED,
@@ -113,8 +117,7 @@
         if not error.may_have_run:
             if grant is not None:
                 await self.claims.async_abandon(grant)
-            refused = error.reason is PlatformReason.REFUSED
-            reason = RunnerReason.UPSTREAM_REFUSED if refused else RunnerReason.UPSTREAM_UNREACHABLE
+            reason = _NOT_SENT.get(error.reason, RunnerReason.UPSTREAM_UNREACHABLE)
             tell_not_run(held.msg.id, reason.value, held.reply, self.metrics)
             return
         timed_out = error.reason is PlatformReason.TIMEOUT
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -277,7 +277,11 @@
 def _check(body: UpstreamBody, request_id: str | None) -> PlatformError | None:
     """Tell what is wrong with an answer's head, if anything."""
     head = body.head
-    if _find(head.headers, HEADER_NOT_RUN) is not None or head.status == STATUS_MISDIRECTED:
+    if head.status == STATUS_MISDIRECTED:
+        return PlatformError(
+            PlatformReason.START_OVER, "another process", head.status, may_have_run=False
+        )
+    if _find(head.headers, HEADER_NOT_RUN) is not None:
         return PlatformError(PlatformReason.REFUSED, "not run", head.status, may_have_run=False)
     echoed = _find(head.headers, HEADER_REQUEST_ID)
     if request_id is not None and echoed != request_id:
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -25,6 +25,10 @@
     exchange.push(NotRun(msg.id, "draining", 0))
 
 
+def _replaced(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
+    exchange.push(NotRun(msg.id, "upstream_replaced", 0))
+
+
 def _lose(side: FakeSide, exchange: Exchange, msg: Submit) -> None:
     exchange.push(Lost())
 
@@ -337,3 +341,24 @@
         req = bench.request(tokens=9000, pace=paces.__getitem__)
         assert asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap() == "up-2"
     assert sorted(bench.dispatcher.with_room(bench.service)) == ["up-1", "up-2"]
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_entries_that_are_out_of_date_cost_no_attempt(bench: Bench, idempotent: bool) -> None:
+    """Nine of ten upstreams are gone and others answer at their addresses; one attempt is allowed."""
+    for number in range(9):
+        bench.side(f"old-{number}", _replaced)
+    sound = bench.side("sound")
+    for _ in range(5):
+        req = bench.request(idempotent=idempotent, max_attempts=1)
+        assert asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap() == "sound"
+    assert len(sound.submits) == 5
+
+
+def test_a_service_of_entries_that_are_all_out_of_date_is_refused_at_once(bench: Bench) -> None:
+    """Each is asked once, without a pause, and the caller is told that nothing ran."""
+    sides = [bench.side(f"old-{number}", _replaced) for number in range(4)]
+    req = bench.request(max_attempts=1)
+    refusal = asyncio.run(bench.dispatcher.async_run(req, CollectingSink())).unwrap_err()
+    assert (refusal.reason, refusal.ran) == (RefusalReason.RETRIES_SPENT, Ran.NO)
+    assert [len(side.submits) for side in sides] == [1, 1, 1, 1]
