Take what outcomes say out of the dispatcher, and forget what is told of evicted requests

dispatch/outcomes.py has what an attempt's outcome says of its upstream, of the next attempt and to the caller; the dispatcher keeps the way of a request.

The quarantine kept the record of a request for operators beyond its eviction from what is counted: 1,200 suspected requests left 1,200 records where 1,000 are counted. Both are bounded now, with a test.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -9,63 +9,41 @@
 from cranberryline.configs import CallerSpec, ConfigFold, ServiceSpec
 from cranberryline.decisions import AttemptOutcome as Verdict
 from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
-from cranberryline.decisions.turned_away import REPLACED_REST, REST, UNREACHABLE_REST
-from cranberryline.helpers.clock import Clock, in_milliseconds
-from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.quarantine import BrokenRun, Held, NoGuard, RequestGuard
+from cranberryline.quarantine import Held, NoGuard, RequestGuard
 from cranberryline.requests import (
     AttemptBroken,
     AttemptDone,
     AttemptNotRun,
     AttemptOutcome,
-    AttemptUnknown,
-    Ran,
 )
 
 from .attempt import AttemptTrace, async_attempt
 from .errors import Refusal, RefusalReason
 from .lane import ServiceLane, Turn
 from .model import AnswerSink, CallerRequest
+from .outcomes import (
+    broken_run,
+    held_refusal,
+    is_final,
+    is_out_of_date,
+    is_upstream_fault,
+    may_be_crash,
+    reason_text,
+    refusal_of,
+    rest_after,
+    tell_failed,
+    with_earlier,
+)
 from .upstreams import PeerTable
 
 __all__ = ["Dispatcher", "ServiceBook"]
 
-_LOGGER = get_logger(__name__)
-
-_RETRY_AFTER = timedelta(seconds=1)
 _STATUS_SERVER_ERROR = 500
-# Characters of a path that are told to other gateways and operators.
-_MAX_PATH = 200
-# A run that has answered for longer than this was not ended by how it began.
-_BLAMED_WITHIN = timedelta(milliseconds=500)
-_NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
-# What says something of the upstream itself, and not of its queue or of the caller.
-_UPSTREAM_FAULTS = frozenset(
-    {
-        "upstream_unreachable",
-        "upstream_cut",
-        "upstream_timeout",
-        "upstream_error",
-        "connection_lost",
-        "not_connected",
-    }
-)
-
-
-# An upstream that crashes cuts its runs before their answer, or in the middle of it.
-_BROKEN_OFF = frozenset({"upstream_cut", "upstream_error"})
-
-
-# For how long an upstream that turned a request away gets no other one, by what it said.
-_RESTS = {
-    "upstream_refused": REST,
-    "upstream_unreachable": UNREACHABLE_REST,
-    "upstream_replaced": REPLACED_REST,
-}
-# What says that an entry is out of date: another upstream is asked at once, and no attempt is spent on it.
-_OUT_OF_DATE = frozenset({"upstream_unreachable", "upstream_replaced"})
+# Entries that are out of date, asked one after the other for one request.
 _MAX_OUT_OF_DATE = 16
+_NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 
 
 class ServiceBook:
@@ -185,7 +163,7 @@
         held = self._held(req)
         trial = held is not None and await self._guard.async_try(req.fingerprint)
         if held is not None and not trial:
-            return Err(_held_refusal(held))
+            return Err(held_refusal(held))
         lane = self.lane(req.service)
         admitted = lane.admit(req)
         if isinstance(admitted, Err):
@@ -195,16 +173,16 @@
         while True:
             taken = await lane.async_take_turn(req, admitted.unwrap(), avoid)
             if isinstance(taken, Err):
-                return Err(_with_earlier(taken.unwrap_err(), earlier))
+                return Err(with_earlier(taken.unwrap_err(), earlier))
             turn = taken.unwrap()
             if req.eligible is not None and not req.eligible(turn.upstream.peer.vm_id):
                 # The loop may have been busy for any time since the turn was given.
                 lane.give_back(turn)
-                return Err(_with_earlier(_NO_LONGER_ELIGIBLE, earlier))
+                return Err(with_earlier(_NO_LONGER_ELIGIBLE, earlier))
             held = None if trial else self._held(req)
             if held is not None:
                 lane.give_back(turn)
-                return Err(_with_earlier(_held_refusal(held), earlier))
+                return Err(with_earlier(held_refusal(held), earlier))
             trial = False
             sink.dispatched(turn.upstream.peer.vm_id)
             trace = AttemptTrace()
@@ -213,14 +191,14 @@
                 if outcome.status < _STATUS_SERVER_ERROR:
                     self._guard.answered(req.fingerprint)
                 return Ok(turn.upstream.peer.vm_id)
-            if _may_be_crash(outcome, trace, self._clock.monotonic()):
-                await self._guard.async_broke(_broken_run(req, turn.upstream.peer.vm_id))
+            if may_be_crash(outcome, trace, self._clock.monotonic()):
+                await self._guard.async_broke(broken_run(req, turn.upstream.peer.vm_id))
             earlier.append(outcome)
             avoid = avoid | {turn.upstream.peer.vm_id}
             decision = self._decide_retry(lane, req, earlier, avoid)
             if isinstance(decision, Refusal):
-                return Err(_with_earlier(decision, earlier))
-            self._metrics.retry(_reason_text(outcome))
+                return Err(with_earlier(decision, earlier))
+            self._metrics.retry(reason_text(outcome))
             await self._clock.async_sleep(decision)
 
     def _held(self, req: CallerRequest) -> Held | None:
@@ -241,7 +219,7 @@
                 tokens = turn.item.tokens
                 turn.upstream.succeeded()
                 lane.budget.earn()
-            elif _reason_text(outcome) in _UPSTREAM_FAULTS:
+            elif is_upstream_fault(outcome):
                 turn.upstream.failed(turn.given, self._clock.monotonic())
             self._note_not_served(req, turn, outcome)
             return outcome
@@ -250,11 +228,11 @@
 
     def _note_not_served(self, req: CallerRequest, turn: Turn, outcome: AttemptOutcome) -> None:
         """Let an upstream rest that turned the request away, and tell of one that failed it."""
-        reason, now = _reason_text(outcome), self._clock.monotonic()
-        if isinstance(outcome, AttemptNotRun) and reason in _RESTS:
-            turn.upstream.turned_away(_RESTS[reason], now)
-        if reason in _UPSTREAM_FAULTS or reason in _OUT_OF_DATE:
-            _tell_failed(req, turn, outcome, now)
+        rest, now = rest_after(outcome), self._clock.monotonic()
+        if rest is not None:
+            turn.upstream.turned_away(rest, now)
+        if is_upstream_fault(outcome) or is_out_of_date(outcome):
+            tell_failed(req, turn, outcome, now)
 
     def _decide_retry(
         self,
@@ -266,9 +244,9 @@
         """Return how long to wait before the next attempt, or the final refusal."""
         outcome = earlier[-1]
         if isinstance(outcome, AttemptBroken | AttemptDone):
-            return _refusal_of(outcome, None)
-        out_of_date = sum(_reason_text(each) in _OUT_OF_DATE for each in earlier)
-        entry_is_old = _reason_text(outcome) in _OUT_OF_DATE and out_of_date <= _MAX_OUT_OF_DATE
+            return refusal_of(outcome, None)
+        out_of_date = sum(map(is_out_of_date, earlier))
+        entry_is_old = is_out_of_date(outcome) and out_of_date <= _MAX_OUT_OF_DATE
         in_time = req.deadline > self._clock.monotonic()
         if entry_is_old and in_time and self._has_other(req, avoid):
             return timedelta()
@@ -283,9 +261,9 @@
         if req.max_attempts is not None:
             policy = attrs.evolve(policy, max_attempts=req.max_attempts)
         decision = policy.decide(asked, lane.budget, self._rng)
-        if isinstance(decision, GiveUp) or _is_final(outcome):
+        if isinstance(decision, GiveUp) or is_final(outcome):
             hint = decision.retry_after if isinstance(decision, GiveUp) else None
-            return _refusal_of(outcome, hint)
+            return refusal_of(outcome, hint)
         lane.budget.spend()
         return decision.after
 
@@ -294,86 +272,3 @@
         ids = (upstream.peer.vm_id for upstream in self._peers.usable(req.service))
         eligible = req.eligible or (lambda _upstream: True)
         return any(each not in avoid and eligible(each) for each in ids)
-
-
-def _may_be_crash(outcome: AttemptOutcome, trace: AttemptTrace, now: timedelta) -> bool:
-    """Tell whether an attempt may have broken off because it crashed its upstream."""
-    if isinstance(outcome, AttemptNotRun) or _reason_text(outcome) not in _BROKEN_OFF:
-        return False
-    return trace.answered_at is None or now - trace.answered_at <= _BLAMED_WITHIN
-
-
-def _broken_run(req: CallerRequest, upstream: str) -> BrokenRun:
-    path = req.path.partition("?")[0][:_MAX_PATH]
-    return BrokenRun(req.fingerprint, req.request_id, req.caller, path, req.service, upstream)
-
-
-def _held_refusal(held: Held) -> Refusal:
-    detail = f"{held.crashes} upstreams crashed while they ran it"
-    return Refusal(RefusalReason.HELD, Ran.NO, held.retry_after, detail)
-
-
-def _tell_failed(req: CallerRequest, turn: Turn, outcome: AttemptOutcome, now: timedelta) -> None:
-    """Log an attempt that its upstream failed, so that a crash can be traced to the requests that ran there."""
-    _LOGGER.info(
-        "attempt_failed",
-        request_id=req.request_id,
-        host=req.caller,
-        path=req.path.partition("?")[0],
-        service=req.service,
-        upstream=turn.upstream.peer.vm_id,
-        reason=_reason_text(outcome),
-        not_run=isinstance(outcome, AttemptNotRun),
-        ms=in_milliseconds(now - turn.given),
-    )
-
-
-def _with_earlier(refusal: Refusal, earlier: list[AttemptOutcome]) -> Refusal:
-    """Let a refusal speak for the whole request, and not for its last attempt alone.
-
-    A repetition that was refused is truly not run; the attempt before it may have been. Told `no`
-    for the last one only, the caller would take as not run what stands in the upstream's books.
-    """
-    if refusal.ran is not Ran.NO:
-        return refusal
-    told = [outcome.ran for outcome in earlier if isinstance(outcome, AttemptUnknown)]
-    if not told:
-        return refusal
-    return attrs.evolve(refusal, ran=Ran.YES if Ran.YES in told else Ran.UNKNOWN)
-
-
-def _is_final(outcome: AttemptOutcome) -> bool:
-    """Tell whether another upstream could not do better."""
-    return _reason_text(outcome).upper() in _FINAL_REASONS
-
-
-_FINAL_REASONS = frozenset(
-    reason.name
-    for reason in (
-        RefusalReason.DEADLINE,
-        RefusalReason.CALLER_LEFT,
-        RefusalReason.CLAIM_IN_PROGRESS,
-        RefusalReason.CLAIM_UNKNOWN,
-        RefusalReason.KEY_REUSED,
-        RefusalReason.LOG_UNAVAILABLE,
-    )
-)
-
-
-def _reason_text(outcome: AttemptOutcome) -> str:
-    return "" if isinstance(outcome, AttemptDone) else outcome.reason
-
-
-def _refusal_of(outcome: AttemptOutcome, hint: timedelta | None) -> Refusal:
-    if isinstance(outcome, AttemptNotRun):
-        reason = _reason(outcome.reason, RefusalReason.RETRIES_SPENT)
-        return Refusal(reason, Ran.NO, hint or outcome.retry_after or _RETRY_AFTER, outcome.reason)
-    if isinstance(outcome, AttemptUnknown):
-        reason = _reason(outcome.reason, RefusalReason.UPSTREAM_FAILED)
-        return Refusal(reason, outcome.ran, hint, outcome.reason)
-    return Refusal(RefusalReason.UPSTREAM_FAILED, Ran.YES, detail=_reason_text(outcome), begun=True)
-
-
-def _reason(text: str, default: RefusalReason) -> RefusalReason:
-    known = RefusalReason.__members__.get(text.upper())
-    return default if known is None else known
--- a/cranberryline/quarantine/keeper.py
+++ b/cranberryline/quarantine/keeper.py
@@ -227,6 +227,8 @@
         if not self._blame.crashed(request, upstream, now, age):
             return False
         self._records[request] = record
+        if len(self._records) > len(self._blame):
+            self._forget_evicted()
         if self._recent.has(request, now):
             self._clear(request, "answered_before")
             return True
@@ -249,6 +251,10 @@
             self._records.pop(request, None)
             self._told.discard(request)
 
+    def _forget_evicted(self) -> None:
+        self._records = {key: kept for key, kept in self._records.items() if key in self._blame}
+        self._told &= self._records.keys()
+
     def _note(self, change: str, request: str, upstreams: tuple[str, ...], **more: int) -> None:
         record = self._records.get(request)
         self._metrics.hold(change)
--- a/tests/quarantine/test_keeper.py
+++ b/tests/quarantine/test_keeper.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from cranberryline.decisions.blame import FIRST_TRIAL, HELD_FOR, SUSPECTED_FOR
+from cranberryline.decisions.blame import FIRST_TRIAL, HELD_FOR, MAX_REQUESTS, SUSPECTED_FOR
 from cranberryline.quarantine import CrashRecord, fingerprint
 from tests.store_fake import StoreLink
 
@@ -288,6 +288,22 @@
     play(scene, gateways=1)
 
 
+def test_a_storm_of_crashes_leaves_a_bounded_record() -> None:
+    """Thousands of requests run at upstreams that crash: what is told of them goes with what is counted."""
+
+    async def scene(fleet: Fleet) -> None:
+        (node,) = fleet.nodes
+        for number in range(MAX_REQUESTS + 200):
+            record = CrashRecord("n9", node.clock.now().timestamp())
+            value = msgspec.msgpack.encode(record)
+            StoreLink(fleet.store).put(TOPIC, f"{number:032x}/u{number}", value)
+        await async_pause(1)
+        assert len(node.quarantine.suspected()) == MAX_REQUESTS
+        assert len(node.quarantine._records) == MAX_REQUESTS
+
+    play(scene, gateways=1)
+
+
 def test_counters_tell_what_is_held_and_why() -> None:
     """Looks, holds and their changes are counted; the gauge follows."""
 
