Play upstreams that crash and come back under another id as a test

The scene in which services were refused beside sound upstreams: ten plain upstreams crash one after the other under work and are back 0.4 s later at their address under a new id, while their former entries stay.

--- a/tests/platform/test_outdated_entries.py
+++ b/tests/platform/test_outdated_entries.py
@@ -64,3 +64,36 @@
         assert sum(arrivals.values()) <= 40 + 2 * 2 * outdated
 
     play(scene())
+
+
+def test_upstreams_that_crash_and_come_back_under_another_id_are_served_from_at_once() -> None:
+    """They crash one after the other under work, by a cause of their own; their former entries stay in the store."""
+
+    async def scene() -> None:
+        platform = await async_platform(2)
+        for sampler in platform.samplers:
+            platform.store.put("keyed.servers", sampler.id, None)
+        platform.samplers.clear()
+        for number in range(_UPSTREAMS):
+            platform.add_sampler("files", id=f"old-{number}", delay_s=0.2)
+        for gateway in platform.gateways:
+            await async_until(lambda g=gateway: len(g.table.usable("files")) == _UPSTREAMS)
+        under_way = []
+        for number, former in enumerate(list(platform.samplers)):
+            call = platform.async_call(
+                "GET", f"/files/{number}", number % 2, Attempt_Id=f"c{number}"
+            )
+            under_way.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.1)
+            ending = asyncio.ensure_future(former.async_kill())
+            await asyncio.sleep(0.4)
+            platform.add_sampler("files", id=f"new-{number}", address=former.address, delay_s=0.2)
+            former.ending = ending
+        await asyncio.gather(*under_way)
+        calls = (
+            platform.async_call("GET", f"/files/again{number}", number % 2, Attempt_Id=f"r{number}")
+            for number in range(10)
+        )
+        assert [answer.code for answer in await asyncio.gather(*calls)] == [200] * 10
+
+    play(scene())
