Keep a trial whose record is read early, and know of trials after a start

A gateway that took the trial of a held request gave it away when its own reader brought the trial's record before the append was answered: the request waited for the next one, 400 s instead of 20. And a gateway that started read a trial before the crashes that it belongs to, since the store lists records by key, and forgot it: it would have tried again after 20 s.

Both tests failed on the code before. The fake store lists by key now, as the platform's does.

--- a/cranberryline/quarantine/keeper.py
+++ b/cranberryline/quarantine/keeper.py
@@ -9,7 +9,7 @@
 from result import Err
 
 from cranberryline.decisions import rendezvous
-from cranberryline.decisions.blame import CrashBlame, Hold
+from cranberryline.decisions.blame import MAX_REQUESTS, CrashBlame, Hold
 from cranberryline.decisions.recent import RecentAnswers
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
@@ -79,6 +79,8 @@
         self._recent = RecentAnswers()
         self._records: dict[str, CrashRecord] = {}
         self._told: set[str] = set()
+        # A start reads records by key, so that a trial may come before the crashes that it belongs to.
+        self._trials: dict[str, int] = {}
         self._looks: dict[str, asyncio.Task[bool]] = {}
         self._blaming: set[asyncio.Task[None]] = set()
         self._writer = RecordWriter(log, topic, clock, metrics)
@@ -103,7 +105,8 @@
     async def async_try(self, request: str) -> bool:
         """Take a trial that is due by an append that only one gateway can make.
 
-        Its record stands before the run, so that a gateway that ends in between leaves a trial that counts.
+        Its record stands before the run, so that a gateway that ends in between leaves a trial that counts. This
+        gateway may read it before the append is answered.
         """
         hold, end = self._blame.hold(request), self._end()
         if hold is None or end is None or self._clock.monotonic() < hold.trial_at:
@@ -111,7 +114,7 @@
         number = hold.trials + 1
         record = self._pack(trial_key(request), TrialRecord(self._node, self._now(), number))
         taken = await self._log.async_append(self._topic, 0, [record], _TRIAL_TIMEOUT, at=end)
-        if taken.is_err() or self._blame.hold(request) != hold:
+        if taken.is_err():
             return False
         self._blame.tried(request, number, self._clock.monotonic())
         self._note("trial", request, hold.upstreams, number=number)
@@ -140,8 +143,7 @@
             return
         request, upstream = named
         if not record.value:
-            self._blame.forget(request, upstream)
-            self._forget_cleared(request)
+            self._drop(request, upstream)
             return
         read = read_record(upstream, record.value)
         if isinstance(read, Err):
@@ -149,6 +151,8 @@
             return
         told = read.unwrap()
         if isinstance(told, TrialRecord):
+            if request in self._blame or len(self._trials) < MAX_REQUESTS:
+                self._trials[request] = told.number
             self._blame.tried(request, told.number, self._clock.monotonic())
             return
         self._add(request, upstream, told)
@@ -227,8 +231,9 @@
         if not self._blame.crashed(request, upstream, now, age):
             return False
         self._records[request] = record
-        if len(self._records) > len(self._blame):
+        if len(self._records) > len(self._blame) or len(self._trials) > len(self._blame):
             self._forget_evicted()
+        self._blame.tried(request, self._trials.get(request, 0), now)
         if self._recent.has(request, now):
             self._clear(request, "answered_before")
             return True
@@ -245,15 +250,24 @@
         self._note(why, request, upstreams)
         self._forget_cleared(request)
 
+    def _drop(self, request: str, upstream: str) -> None:
+        """Take that a record is gone from the store."""
+        if not upstream:
+            self._trials.pop(request, None)
+        self._blame.forget(request, upstream)
+        self._forget_cleared(request)
+
     def _forget_cleared(self, request: str) -> None:
         """Forget what is told of a request that is suspected no more."""
         if request not in self._blame:
             self._records.pop(request, None)
             self._told.discard(request)
+            self._trials.pop(request, None)
 
     def _forget_evicted(self) -> None:
         self._records = {key: kept for key, kept in self._records.items() if key in self._blame}
         self._told &= self._records.keys()
+        self._trials = {key: kept for key, kept in self._trials.items() if key in self._blame}
 
     def _note(self, change: str, request: str, upstreams: tuple[str, ...], **more: int) -> None:
         record = self._records.get(request)
--- a/tests/quarantine/test_keeper.py
+++ b/tests/quarantine/test_keeper.py
@@ -1,6 +1,7 @@
 """What gateways know together of requests that crash upstreams: told, lost, late, cleared, released."""
 
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 import pytest
@@ -178,6 +179,42 @@
     play(scene, gateways=4)
 
 
+def test_a_trial_is_taken_though_its_record_is_read_before_its_append_is_answered() -> None:
+    """The store wakes this gateway's own reader first; the trial is not given away for that."""
+
+    async def scene(fleet: Fleet) -> None:
+        (node,) = fleet.nodes
+        await node.async_crash("a", "b", "c")
+        await async_pause(FIRST_TRIAL.total_seconds() + 1)
+        append = node.link.async_append
+
+        async def async_slowly_answered(*args: Any, **more: Any) -> Any:
+            taken = await append(*args, **more)
+            await async_pause(0.1)
+            return taken
+
+        node.link.async_append = async_slowly_answered  # type: ignore[method-assign]
+        assert await node.quarantine.async_try(POISON)
+        assert not await node.quarantine.async_try(POISON)
+
+    play(scene, gateways=1)
+
+
+def test_a_gateway_that_starts_later_knows_of_trials() -> None:
+    """What stands in the store is read by key, a trial before the crashes that it belongs to."""
+
+    async def scene(fleet: Fleet) -> None:
+        first = fleet.nodes[0]
+        await first.async_crash("a", "b", "c")
+        await async_pause(FIRST_TRIAL.total_seconds() + 1)
+        assert await first.quarantine.async_try(POISON)
+        await async_pause(_SOON)
+        late = (await fleet.async_add()).quarantine.held(POISON)
+        assert late is not None and late.retry_after > 2 * FIRST_TRIAL
+
+    play(scene)
+
+
 def test_without_the_store_there_is_no_trial() -> None:
     """Each gateway that is cut off would run the request once."""
 
--- a/tests/store_fake.py
+++ b/tests/store_fake.py
@@ -123,7 +123,7 @@
             keyed = self.unpack_keyed(record)
             assert keyed is not None
             newest[keyed.key] = KeyedRecord(keyed.key, keyed.value, offset)
-        rows = tuple(row for row in newest.values() if row.value)
+        rows = tuple(newest[key] for key in sorted(newest) if newest[key].value)
         return Ok(KeyedSnapshot(rows, len(kept)))
 
     async def async_trim(
