Serve callers of a start that cannot read what is held

A gateway that started while the store was out for the topic of held requests alone was never ready, and held each request back for 0.4 s. It waits two seconds for them now, then serves: the others hold, and so does it as soon as it has read.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -60,6 +60,9 @@
 _GATHER_SIGNS = timedelta(milliseconds=300)
 # How long jobs wait for routes and upstreams after a start, each; both are there within 20 ms of a sound store.
 _PLAIN_FIRST = timedelta(milliseconds=300)
+# How long a start waits for what the other gateways hold; a store that is out for that topic alone must not keep
+# callers from sound upstreams.
+_HOLDS_PATIENCE = timedelta(seconds=2)
 
 
 class GatewayProcess:
@@ -103,14 +106,9 @@
                 self._live_now,
             )
         )
+        rng = random.Random()
         self.dispatcher = Dispatcher(
-            clock,
-            random.Random(),
-            self.table,
-            self.routes,
-            self.metrics,
-            cfg.data_center,
-            self.quarantine,
+            clock, rng, self.table, self.routes, self.metrics, cfg.data_center, self.quarantine
         )
         self.jobs = JobService(
             self.store, cfg.partitions, clock, self.health, self.metrics, cfg.keep_jobs
@@ -173,12 +171,13 @@
     @property
     def ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        first = (self._config, self._servers_tail, self._holds_tail)
-        loaded = all(tail.loaded.is_set() for tail in first)
+        loaded = self._config.loaded.is_set() and self._servers_tail.loaded.is_set()
+        loaded = loaded and self._holds_known()
         return not self.stopping and loaded and self.routes.table is not None and self.jobs.loaded
 
     def start(self) -> None:
         """Open the ports and start the tasks."""
+        self._started_at = self._clock.monotonic()
         context = GatewayContext(
             self._clock,
             self.metrics,
@@ -187,7 +186,7 @@
             self.dispatcher,
             self.jobs,
             random.Random(),
-            holds_known=self._holds_tail.loaded.is_set,
+            holds_known=self._holds_known,
         )
         self._context = context
         limits = self._limits = InputLimits(
@@ -264,6 +263,11 @@
         """Return what is read before plain requests and jobs can be served as they should."""
         return (self._config, self._servers_tail, self._nodes_tail, self._holds_tail)
 
+    def _holds_known(self) -> bool:
+        """Tell whether held requests are known, or could not be read for so long that others must be served."""
+        now = self._clock.monotonic()
+        return self._holds_tail.loaded.is_set() or now - self._started_at >= _HOLDS_PATIENCE
+
     def _live_now(self) -> Collection[str]:
         return self.nodes.live(self._clock.monotonic())
 
--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -20,6 +20,8 @@
 class PlatformStore:
     """Topics in memory; `down` answers 503, `lose` loses answers, `append_s` is what an append takes.
 
+    Calls about the topics that are `out` are answered 503.
+
     `page` is how many of the newest records go into one answer.
     """
 
@@ -27,6 +29,7 @@
         self.records: dict[tuple[str, int], list[bytes]] = defaultdict(list)
         self.first: dict[tuple[str, int], int] = defaultdict(int)
         self.down = False
+        self.out: set[str] = set()
         self.lose = 0
         self.append_s = 0.0
         self.page = 2
@@ -89,7 +92,7 @@
     def prepare(self) -> None:
         """Count the call, and answer 503 while the store is down."""
         self.store.calls[type(self).__name__.lstrip("_").lower()] += 1
-        if self.store.down:
+        if self.store.down or self.where[0] in self.store.out:
             self.set_status(503)
             self.finish()
 
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -160,6 +160,22 @@
     play(scene())
 
 
+def test_a_gateway_that_cannot_read_what_is_held_serves_all_the_same() -> None:
+    """The store is out for that topic alone: callers wait for two seconds after a start, and not for each request."""
+
+    async def scene() -> None:
+        made = await async_scene()
+        made.platform.store.out.add("keyed.quarantine")
+        began = time.monotonic()
+        await made.platform.async_add_gateway()
+        assert time.monotonic() - began < 4
+        began = time.monotonic()
+        answer = await made.platform.async_call("POST", "/files/x", 2, b"", Attempt_Id="x")
+        assert answer.code == 200 and time.monotonic() - began < 0.3
+
+    play(scene())
+
+
 def test_an_operator_sees_and_releases_what_is_held() -> None:
     """The upstreams were mended: released at one gateway, the request is served at all."""
 
