--- a/stand_ins/platform_store.py
+++ b/stand_ins/platform_store.py
@@ -154,11 +154,16 @@
 
 
 class _Trim(_Call):
+    @property
+    def where(self) -> tuple[str, int]:
+        """Return the topic and partition, which stand in the body of this call."""
+        asked = msgspec.json.decode(self.request.body)
+        return asked["topic"], asked["part"]
+
     def post(self) -> None:
         """Delete the records before an offset."""
-        asked = msgspec.json.decode(self.request.body)
-        where = asked["topic"], asked["part"]
-        self.store.first[where] = max(self.store.first[where], asked["before"])
+        before = msgspec.json.decode(self.request.body)["before"]
+        self.store.first[self.where] = max(self.store.first[self.where], before)
         self.finish({})
 
 
