Fingerprint a request once, and say in one place what a refusal behind runs is

Each check of a suspected request hashed its body again, and an entry, which holds nothing, hashed every answered one: the fingerprint is kept with the request, and a dispatcher without a guard asks none; NoGuard is gone. Streams and repeated requests told 'may have run' by two pieces of the same code: Refusal.behind_runs serves both. The quarantine's rows for operators need no list of their own, and the tests of entries out of date share their set-up.

No behaviour, bound or assertion is changed.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -11,7 +11,7 @@
 from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.quarantine import Held, NoGuard, RequestGuard
+from cranberryline.quarantine import Held, RequestGuard
 from cranberryline.requests import (
     AttemptBroken,
     AttemptDone,
@@ -105,7 +105,7 @@
         data_center: str = "",
         guard: RequestGuard | None = None,
     ) -> None:
-        self._guard = guard or NoGuard()
+        self._guard = guard
         self._clock = clock
         self._rng = rng
         self._peers = peers
@@ -149,7 +149,8 @@
 
     def suspects(self, req: CallerRequest) -> bool:
         """Tell whether an upstream has crashed under a request: no copy of it is sent then."""
-        return self._guard.suspecting and self._guard.suspects(req.fingerprint)
+        guard = self._guard
+        return guard is not None and guard.suspecting and guard.suspects(req.fingerprint)
 
     async def async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         """Run a request to its end; return the upstream's id, or a refusal that is final."""
@@ -161,7 +162,7 @@
 
     async def _async_run(self, req: CallerRequest, sink: AnswerSink) -> Result[str, Refusal]:
         held = self._held(req)
-        trial = held is not None and await self._guard.async_try(req.fingerprint)
+        trial = held is not None and await self._async_try(req)
         if held is not None and not trial:
             return Err(held_refusal(held))
         lane = self.lane(req.service)
@@ -188,10 +189,10 @@
             trace = AttemptTrace()
             outcome = await self._async_attempt(lane, turn, req, sink, trace)
             if isinstance(outcome, AttemptDone):
-                if outcome.status < _STATUS_SERVER_ERROR:
+                if self._guard is not None and outcome.status < _STATUS_SERVER_ERROR:
                     self._guard.answered(req.fingerprint)
                 return Ok(turn.upstream.peer.vm_id)
-            if may_be_crash(outcome, trace, self._clock.monotonic()):
+            if self._guard is not None and may_be_crash(outcome, trace, self._clock.monotonic()):
                 await self._guard.async_broke(broken_run(req, turn.upstream.peer.vm_id))
             earlier.append(outcome)
             avoid = avoid | {turn.upstream.peer.vm_id}
@@ -202,7 +203,13 @@
             await self._clock.async_sleep(decision)
 
     def _held(self, req: CallerRequest) -> Held | None:
-        return self._guard.held(req.fingerprint) if self._guard.suspecting else None
+        guard = self._guard
+        if guard is None or not guard.suspecting:
+            return None
+        return guard.held(req.fingerprint)
+
+    async def _async_try(self, req: CallerRequest) -> bool:
+        return self._guard is not None and await self._guard.async_try(req.fingerprint)
 
     async def _async_attempt(
         self,
--- a/cranberryline/dispatch/errors.py
+++ b/cranberryline/dispatch/errors.py
@@ -65,6 +65,12 @@
     detail: str = ""
     begun: bool = False
 
+    def behind_runs(self, may_have_run: bool) -> "Refusal":
+        """Return the refusal for all of a request: what one attempt may have run is not told as not run by another."""
+        if may_have_run and self.ran is Ran.NO:
+            return attrs.evolve(self, ran=Ran.UNKNOWN)
+        return self
+
     @property
     def status(self) -> int:
         """Return the HTTP status that fits the reason."""
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -2,6 +2,7 @@
 
 import abc
 import enum
+import functools
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -54,7 +55,7 @@
     request_id: str = ""
     credential: str = ""
 
-    @property
+    @functools.cached_property
     def fingerprint(self) -> str:
         """Return what repetitions of this request share at every entry."""
         return fingerprint(self.caller, self.credential, self.method, self.path, self.body)
--- a/cranberryline/dispatch/repeated.py
+++ b/cranberryline/dispatch/repeated.py
@@ -139,8 +139,6 @@
         return None
 
     def _final_refusal(self) -> Refusal:
-        """Return the refusal; what one attempt may have run is not told as not run by another."""
+        """Return the refusal for all attempts."""
         refusal = self._refusal or Refusal(RefusalReason.NO_UPSTREAM)
-        if self._may_have_run and refusal.ran is Ran.NO:
-            refusal = attrs.evolve(refusal, ran=Ran.UNKNOWN)
-        return refusal
+        return refusal.behind_runs(self._may_have_run > 0)
--- a/cranberryline/gateway/streams.py
+++ b/cranberryline/gateway/streams.py
@@ -108,9 +108,7 @@
             may_go_on = self.resumable or (refusal.ran is Ran.NO and not sink.status)
             spent = runs >= self.max_attempts or turned_away > _MAX_TURNED_AWAY
             if not may_go_on or spent or refusal.reason in _FINAL:
-                if runs and refusal.ran is Ran.NO:
-                    refusal = attrs.evolve(refusal, ran=Ran.UNKNOWN)
-                return Err(attrs.evolve(refusal, begun=self.begun))
+                return Err(attrs.evolve(refusal.behind_runs(runs > 0), begun=self.begun))
 
     def _refusal(self, outcome: Result[str, Refusal]) -> Refusal:
         if isinstance(outcome, Err):
--- a/cranberryline/quarantine/__init__.py
+++ b/cranberryline/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Quarantine: requests that crash upstreams are held at every gateway until an answer clears them."""
 
-from .guard import BrokenRun, Held, NoGuard, RequestGuard, fingerprint
+from .guard import BrokenRun, Held, RequestGuard, fingerprint
 from .keeper import HeldRequest, Quarantine
 from .records import CrashRecord, TrialRecord
 
@@ -9,7 +9,6 @@
     "CrashRecord",
     "Held",
     "HeldRequest",
-    "NoGuard",
     "Quarantine",
     "RequestGuard",
     "TrialRecord",
--- a/cranberryline/quarantine/guard.py
+++ b/cranberryline/quarantine/guard.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["BrokenRun", "Held", "NoGuard", "RequestGuard", "fingerprint"]
+__all__ = ["BrokenRun", "Held", "RequestGuard", "fingerprint"]
 
 _FINGERPRINT_BYTES = 16
 
@@ -72,27 +72,3 @@
     @abc.abstractmethod
     def answered(self, request: str) -> None:
         """Take that an upstream ran a request to a sound answer."""
-
-
-class NoGuard(RequestGuard):
-    """Hold nothing."""
-
-    suspecting = False
-
-    def suspects(self, request: str) -> bool:
-        """Suspect no request."""
-        return False
-
-    def held(self, request: str) -> Held | None:
-        """Hold no request."""
-        return None
-
-    async def async_try(self, request: str) -> bool:
-        """Have no trial to give."""
-        return False
-
-    async def async_broke(self, run: BrokenRun) -> None:
-        """Remember no crash."""
-
-    def answered(self, request: str) -> None:
-        """Remember no answer."""
--- a/cranberryline/quarantine/keeper.py
+++ b/cranberryline/quarantine/keeper.py
@@ -159,17 +159,7 @@
 
     def suspected(self) -> list[HeldRequest]:
         """Return every suspected request, those that are held among them."""
-        now = self._clock.monotonic()
-        return [
-            HeldRequest(
-                request,
-                record,
-                self._blame.crashes(request),
-                0 if hold is None else hold.trials,
-                None if hold is None else max(hold.trial_at - now, timedelta()),
-            )
-            for request, record, hold in self._rows()
-        ]
+        return [self._seen(request, record) for request, record in self._records.items()]
 
     async def async_release(self, request: str) -> bool | None:
         """Clear a request for an operator; None if it is not known, False if the store has it not yet."""
@@ -282,9 +272,12 @@
             **more,
         )
 
-    def _rows(self) -> list[tuple[str, CrashRecord, Hold | None]]:
-        rows = list(self._records.items())
-        return [(request, record, self._blame.hold(request)) for request, record in rows]
+    def _seen(self, request: str, record: CrashRecord) -> HeldRequest:
+        hold, upstreams = self._blame.hold(request), self._blame.crashes(request)
+        if hold is None:
+            return HeldRequest(request, record, upstreams, 0, None)
+        trial_in = max(hold.trial_at - self._clock.monotonic(), timedelta())
+        return HeldRequest(request, record, upstreams, hold.trials, trial_in)
 
     def _trial_in(self, hold: Hold) -> int:
         return in_milliseconds(hold.trial_at - self._clock.monotonic())
--- a/tests/dispatch/test_guard.py
+++ b/tests/dispatch/test_guard.py
@@ -9,7 +9,7 @@
 from cranberryline.dispatch.errors import RefusalReason
 from cranberryline.dispatch.model import CollectingSink
 from cranberryline.helpers.clock import FakeClock
-from cranberryline.quarantine import BrokenRun, Held, NoGuard
+from cranberryline.quarantine import BrokenRun, Held, RequestGuard
 from cranberryline.requests import Ran
 from cranberryline.transport import Exchange
 from cranberryline.transport.model import Chunk, End, Failed, Head, NotRun, Submit
@@ -18,7 +18,7 @@
 
 
 @attrs.define
-class _Guard(NoGuard):
+class _Guard(RequestGuard):
     """Hold after so many broken runs, and note what is told."""
 
     suspecting = True
@@ -27,6 +27,10 @@
     broken: list[BrokenRun] = attrs.field(factory=list)
     answers: list[str] = attrs.field(factory=list)
 
+    def suspects(self, request: str) -> bool:
+        """Suspect every request."""
+        return True
+
     def held(self, request: str) -> Held | None:
         """Hold every request alike."""
         if len(self.broken) < self.holds_after:
--- a/tests/platform/test_outdated_entries.py
+++ b/tests/platform/test_outdated_entries.py
@@ -12,20 +12,26 @@
 _UPSTREAMS = 10
 
 
-async def _async_outdated(outdated: int) -> tuple[Platform, Counter[str]]:
-    """Return two gateways before ten upstreams; so many have a second entry that names a former process.
-
-    A connection of each gateway waits at each of them, as after a request that was turned away there.
-    """
+async def _async_ten(delay_s: float) -> Platform:
+    """Return two gateways that know ten plain upstreams."""
     platform = await async_platform(2)
-    arrivals: Counter[str] = Counter()
     for sampler in platform.samplers:
         platform.store.put("keyed.servers", sampler.id, None)
     platform.samplers.clear()
     for number in range(_UPSTREAMS):
-        platform.add_sampler("files", id=f"old-{number}", delay_s=0.05)
+        platform.add_sampler("files", id=f"old-{number}", delay_s=delay_s)
     for gateway in platform.gateways:
         await async_until(lambda g=gateway: len(g.table.usable("files")) == _UPSTREAMS)
+    return platform
+
+
+async def _async_outdated(outdated: int) -> tuple[Platform, Counter[str]]:
+    """Return two gateways before ten upstreams; so many have a second entry that names a former process.
+
+    A connection of each gateway waits at each of them, as after a request that was turned away there.
+    """
+    platform = await _async_ten(0.05)
+    arrivals: Counter[str] = Counter()
     for number in range(2):
         calls = (
             platform.async_call("GET", "/files/x", number, Attempt_Id=f"w{each}")
@@ -70,14 +76,7 @@
     """They crash one after the other under work, by a cause of their own; their former entries stay in the store."""
 
     async def scene() -> None:
-        platform = await async_platform(2)
-        for sampler in platform.samplers:
-            platform.store.put("keyed.servers", sampler.id, None)
-        platform.samplers.clear()
-        for number in range(_UPSTREAMS):
-            platform.add_sampler("files", id=f"old-{number}", delay_s=0.2)
-        for gateway in platform.gateways:
-            await async_until(lambda g=gateway: len(g.table.usable("files")) == _UPSTREAMS)
+        platform = await _async_ten(0.2)
         under_way = []
         for number, former in enumerate(list(platform.samplers)):
             call = platform.async_call(
