Bound the rate by which an expected time is divided

Ruled out: rates below 0.01 from RateMeter; it has a floor. The health weight alone cannot be 0 there, as such upstreams are filtered before. Change: a floor under the product; one test with the example that was found.

--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -37,6 +37,9 @@
 CONNECTION_REUSE_DISCOUNT = 0.25
 # Rate of a single request, where no upstream has a recent measurement.
 FALLBACK_TOKENS_PER_SECOND = 50.0
+# Lower bound of a rate after it has been multiplied by a health weight; the product of two tiny
+# numbers is 0, and dividing by it would end the request with an exception.
+MIN_TOKENS_PER_SECOND = 1e-6
 
 
 @attrs.frozen
@@ -138,7 +141,9 @@
         tokens outstanding there at that rate on all slots. `rate` is used for an upstream without a
         measurement. The health weight of a failing upstream lowers its rate.
         """
-        rate_there = (upstream.tokens_per_second or rate) * upstream.health.weight
+        rate_there = max(
+            (upstream.tokens_per_second or rate) * upstream.health.weight, MIN_TOKENS_PER_SECOND
+        )
         ahead = self._outstanding_tokens(upstream) / max(upstream.slots, 1)
         if self._has_slot(upstream, req):
             ahead *= BATCH_SHARING_WEIGHT
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -174,6 +174,12 @@
     assert (choice in eligible) if eligible else choice is None
 
 
+def test_a_rate_that_underflows_to_zero_is_not_divided_by() -> None:
+    """The product of a tiny rate and a tiny health weight is 0; the request still gets a choice."""
+    view = UpstreamView("a", tokens_per_second=3e-303, health=HealthView(weight=3e-254))
+    assert RoutingPolicy().choose([view], RouteRequest(tokens=50), Random(1)) == "a"
+
+
 @pytest.mark.parametrize("members", [1, 7, 40])
 def test_ranking_reassigns_only_the_keys_of_a_member_that_left(members: int) -> None:
     """When a member leaves, keys that ranked another one first keep that one."""
