Serve workspaces by their keys

Ruled out: keys compared as text (a dump of memory or a repr would show them); raw configurations in the relay between gateways (they contain keys; a peer now sends digests in their place, at the same offsets).

--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -68,6 +68,7 @@
     tokens: int
     remaining: timedelta | None = None
     service_time: timedelta = ZERO
+    rank: int = 0
 
 
 @attrs.frozen
@@ -166,12 +167,13 @@
         return timedelta(seconds=seconds)
 
     def _tokens_ahead_in_class(self, queued: Outstanding, req: AdmissionRequest) -> float:
-        """Return the tokens of the same class that fair queueing serves before the request.
+        """Return the tokens of the same class that the queue serves before the request.
 
-        Each other caller is served at most in proportion to its weight, so a caller with a large
+        More urgent ranks are served first. Within the rank, each other caller is served at most in proportion to its weight, so a caller with a large
         backlog waits for its own work and does not delay the others.
         """
-        tokens_by_caller = queued.caller_tokens(req.priority)
+        more_urgent = queued.tokens_before_rank(req.priority, req.rank)
+        tokens_by_caller = queued.rank_tokens(req.priority, req.rank)
         own_queued = tokens_by_caller.get(req.caller, 0)
         own_virtual_time = (own_queued + req.tokens) / self._weight(req.caller)
         others = sum(
@@ -179,7 +181,7 @@
             for caller, tokens in tokens_by_caller.items()
             if caller != req.caller
         )
-        return own_queued + others
+        return more_urgent + own_queued + others
 
     def _limit_reached(self, view: AdmissionView, req: AdmissionRequest) -> RefusalReason | None:
         outstanding = len(view.queued) + len(view.running)
--- a/cranberryline/decisions/model.py
+++ b/cranberryline/decisions/model.py
@@ -41,7 +41,10 @@
 
 @attrs.frozen
 class WorkItem:
-    """A request that is queued or running; `start_by` is the latest useful start time."""
+    """A request that is queued or running; `start_by` is the latest useful start time.
+
+    Within a class, items of a lower `rank` are served first.
+    """
 
     id: int | str
     caller: str
@@ -49,3 +52,4 @@
     tokens: int
     arrived: timedelta
     start_by: timedelta
+    rank: int = 0
--- a/cranberryline/decisions/outstanding.py
+++ b/cranberryline/decisions/outstanding.py
@@ -23,6 +23,9 @@
         self._caller_tokens: dict[Priority, dict[str, int]] = {
             priority: {} for priority in Priority
         }
+        self._rank_tokens: dict[Priority, dict[int, dict[str, int]]] = {
+            priority: {} for priority in Priority
+        }
         self._caller_requests: dict[str, int] = defaultdict(int)
         self._class_tokens: dict[Priority, int] = dict.fromkeys(Priority, 0)
 
@@ -48,6 +51,18 @@
         """Return the remaining tokens of one class by caller; callers without items are absent."""
         return MappingProxyType(self._caller_tokens[priority])
 
+    def rank_tokens(self, priority: Priority, rank: int) -> Mapping[str, int]:
+        """Return the remaining tokens of one rank of a class by caller."""
+        return MappingProxyType(self._rank_tokens[priority].get(rank, {}))
+
+    def tokens_before_rank(self, priority: Priority, rank: int) -> int:
+        """Return the remaining tokens of the more urgent ranks of a class."""
+        return sum(
+            sum(tokens_by_caller.values())
+            for other, tokens_by_caller in self._rank_tokens[priority].items()
+            if other < rank
+        )
+
     def caller_requests(self, caller: str) -> int:
         """Return the number of items of a caller."""
         return self._caller_requests.get(caller, 0)
@@ -81,9 +96,19 @@
             del self._caller_requests[item.caller]
             for tokens_by_caller in self._caller_tokens.values():
                 tokens_by_caller.pop(item.caller, None)
+            self._forget_ranks(item.caller)
         return item
 
+    def _forget_ranks(self, caller: str) -> None:
+        for tokens_by_rank in self._rank_tokens.values():
+            for rank in [rank for rank, tokens in tokens_by_rank.items() if caller in tokens]:
+                del tokens_by_rank[rank][caller]
+                if not tokens_by_rank[rank]:
+                    del tokens_by_rank[rank]
+
     def _add_tokens(self, item: WorkItem, tokens: int) -> None:
         tokens_by_caller = self._caller_tokens[item.priority]
         tokens_by_caller[item.caller] = tokens_by_caller.get(item.caller, 0) + tokens
+        tokens_of_rank = self._rank_tokens[item.priority].setdefault(item.rank, {})
+        tokens_of_rank[item.caller] = tokens_of_rank.get(item.caller, 0) + tokens
         self._class_tokens[item.priority] += tokens
--- a/cranberryline/decisions/queueing.py
+++ b/cranberryline/decisions/queueing.py
@@ -1,7 +1,7 @@
 """Priority and fair queueing of work items that wait for a slot of an upstream."""
 
 import heapq
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -72,14 +72,14 @@
 
 @attrs.define
 class _ClassQueue:
-    """Queues of one class by caller.
+    """Queues of one class by rank and caller, with the virtual time of each rank.
 
     `credit` is the number of tokens that the class may dispatch before more urgent classes. It
     grows by the minimum share of the class with every token that is dispatched.
     """
 
-    callers: dict[str, _CallerQueue] = attrs.field(factory=dict)
-    virtual_time: float = 0.0
+    callers: dict[tuple[int, str], _CallerQueue] = attrs.field(factory=dict)
+    virtual_times: defaultdict[int, float] = attrs.field(factory=lambda: defaultdict(float))
     credit: float = 0.0
 
 
@@ -97,8 +97,8 @@
     First-in-first-out order would let the burst of one caller delay all others, application calls
     wait behind the samples of a training step, and long generations occupy all slots, so that short
     calls wait for minutes. Instead the most urgent class is served first, but a class whose credit
-    covers its next item precedes it, so that no class starves. Within a class, callers share the
-    upstream by start-time fair queueing in tokens.
+    covers its next item precedes it, so that no class starves. Within a class, the most urgent rank
+    is served first, and callers of one rank share the upstream by start-time fair queueing in tokens.
 
     The wait is bounded: `pop` never returns an item past its `start_by`, and `expire` returns such
     items to be rejected. They have not run, so the rejection is safe to retry.
@@ -201,28 +201,28 @@
 
     def _enqueue(self, item: WorkItem) -> None:
         class_queue = self._classes[item.priority]
-        caller_queue = class_queue.callers.get(item.caller)
+        virtual_time = class_queue.virtual_times[item.rank]
+        key = (item.rank, item.caller)
+        caller_queue = class_queue.callers.get(key)
         if caller_queue is None:
             weight = self._settings.caller_weights.get(item.caller, DEFAULT_CALLER_WEIGHT)
-            caller_queue = class_queue.callers[item.caller] = _CallerQueue(
-                weight, class_queue.virtual_time
-            )
+            caller_queue = class_queue.callers[key] = _CallerQueue(weight, virtual_time)
         if not caller_queue.short and not caller_queue.long:
-            caller_queue.virtual_time = max(caller_queue.virtual_time, class_queue.virtual_time)
+            caller_queue.virtual_time = max(caller_queue.virtual_time, virtual_time)
         items = caller_queue.long if self._is_long(item) else caller_queue.short
         items.append(item)
 
     def _remove_stale_items(self, now: timedelta) -> None:
         for class_queue in self._classes.values():
-            for caller, caller_queue in list(class_queue.callers.items()):
+            for key, caller_queue in list(class_queue.callers.items()):
                 for items in (caller_queue.short, caller_queue.long):
                     while items and not self._may_start(items[0], now):
                         items.popleft()
                 idle = not caller_queue.short and not caller_queue.long
-                # A caller never restarts below the virtual time of its class, so an idle caller
+                # A caller never restarts below the virtual time of its rank, so an idle caller
                 # that is behind it needs no state.
-                if idle and caller_queue.virtual_time <= class_queue.virtual_time:
-                    del class_queue.callers[caller]
+                if idle and caller_queue.virtual_time <= class_queue.virtual_times[key[0]]:
+                    del class_queue.callers[key]
 
     def _may_start(self, item: WorkItem, now: timedelta) -> bool:
         return item.id in self.queued and item.start_by >= now
@@ -232,15 +232,17 @@
             return None
         long_allowed = self._long_slot_free(now)
         best: _Candidate | None = None
+        best_order: tuple[int, float] | None = None
         only_fair_reserve_left = self.slots - len(self.running) <= self._fair_reserve()
-        for caller, caller_queue in self._classes[priority].callers.items():
-            if best is not None and best.caller_queue.virtual_time <= caller_queue.virtual_time:
+        for (rank, caller), caller_queue in self._classes[priority].callers.items():
+            order = (rank, caller_queue.virtual_time)
+            if best_order is not None and best_order <= order:
                 continue
             if only_fair_reserve_left and self._exceeds_fair_share(caller, now):
                 continue
             items = caller_queue.next_items(long_allowed)
             if items is not None:
-                best = _Candidate(caller_queue, items)
+                best, best_order = _Candidate(caller_queue, items), order
         return best
 
     def _fair_reserve(self) -> int:
@@ -273,8 +275,8 @@
         item = candidate.items.popleft()
         self.queued.remove(item.id)
         self.running.add(item)
-        class_queue.virtual_time = max(
-            class_queue.virtual_time, candidate.caller_queue.virtual_time
+        class_queue.virtual_times[item.rank] = max(
+            class_queue.virtual_times[item.rank], candidate.caller_queue.virtual_time
         )
         candidate.caller_queue.virtual_time += item.tokens / candidate.caller_queue.weight
         self._running_long += self._is_long(item)
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -37,6 +37,8 @@
     is not known; None means the rate measured by the dispatcher.
     `request_id` is the caller's id for this attempt, for the logs.
     `credential` distinguishes callers that share one `caller` name.
+    `workspace` is the workspace that the request belongs to, empty if there is none.
+    `rank` orders requests of one caller class; requests of a lower rank are started first.
     """
 
     service: str
@@ -57,7 +59,14 @@
     max_attempts: int | None = None
     token_rate: Callable[[str], float] | None = None
     request_id: str = ""
-    credential: str = ""
+    credential: str = attrs.field(default="", repr=False)
+    workspace: str = ""
+    rank: int = 0
+
+    @property
+    def queue_key(self) -> str:
+        """Return whose requests share a fair part of a service."""
+        return self.workspace or self.caller
 
     @functools.cached_property
     def fingerprint(self) -> str:
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -113,8 +113,9 @@
             tokens_per_second=self._capacity.tokens_per_second(now),
         )
         request = AdmissionRequest(
-            caller=req.caller,
+            caller=req.queue_key,
             priority=Priority(req.caller_class),
+            rank=req.rank,
             tokens=max(req.tokens, 1),
             remaining=req.deadline - now,
         )
@@ -136,8 +137,9 @@
         now = self._clock.monotonic()
         item = WorkItem(
             id=next(self._ids),
-            caller=req.caller,
+            caller=req.queue_key,
             priority=Priority(req.caller_class),
+            rank=req.rank,
             tokens=max(req.tokens, 1),
             arrived=now,
             start_by=start_by,
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -35,6 +35,7 @@
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.lags import TrainerLags
 from cranberryline.weights.shift import VersionScheduler
+from cranberryline.workspaces import KeyCheck
 
 from .handler import GatewayContext, ReadyHandler
 from .holds import PATH_HOLDS, HoldsHandler, QuarantineParts, make_quarantine
@@ -44,6 +45,7 @@
 from .refusing_log import RefusingLog
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
+from .relay_calls import Redaction
 from .reload import SettingsWatch
 from .stop import StopParts, async_stop_gateway
 from .tasks import leave_log_to_handlers, log_task_failure, run_soon
@@ -79,7 +81,13 @@
         self.metrics = Metrics()
         self.routes = ActiveRoutes()
         self.health = StoreHealth(clock, self.metrics)
-        self.store = RelayedLog(platform.log, self._relay_peers, clock, self.metrics)
+        self.store = RelayedLog(
+            platform.log,
+            self._relay_peers,
+            clock,
+            self.metrics,
+            Redaction(platform.topic_operator, platform.without_secrets),
+        )
         self.directory = Directory(clock, self.health, run_soon)
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.upstreams = UpstreamTable()
@@ -164,6 +172,7 @@
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
         )
         self._trainer_lags = TrainerLags()
+        self.key_check = KeyCheck(self._config_tail.unconfirmed_for, cfg.key_max_age)
         self.jobs.book.listen(self._on_job)
         self.routes.listen(self._on_routes)
         self.directory.listen(self._on_registration)
@@ -188,6 +197,7 @@
             self.dispatcher,
             self.jobs,
             random.Random(),
+            self.key_check,
             quarantine_ready=self._is_quarantine_ready,
         )
         self._context = context
@@ -229,6 +239,7 @@
         """Apply changed settings; changed addresses take effect at the next start."""
         set_level(Level[cfg.log_level.upper()])
         self.lease.set_length(cfg.lease)
+        self.key_check.max_age = cfg.key_max_age
         self._cfg = cfg
 
     async def async_stop(self) -> StopOutcome:
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -21,6 +21,7 @@
 from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.jobs.service import JobService
 from cranberryline.routes import ActiveRoutes
+from cranberryline.workspaces import KeyCheck
 
 __all__ = ["RETRY_AFTER", "CallerHandler", "GatewayContext", "ReadyHandler"]
 
@@ -40,6 +41,7 @@
     dispatcher: Dispatcher
     jobs: JobService
     rng: random.Random
+    key_check: KeyCheck
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     quarantine_ready: Callable[[], bool] = lambda: True
     stopping: bool = False
@@ -76,6 +78,8 @@
         self._started_at = self.context.clock.monotonic()
         self._task: asyncio.Task[Any] | None = None
         self._response_head_ms = 0
+        # None while it is unknown, and where callers need no key.
+        self.workspace: str | None = None
         self.request_id = ""
         if break_off_if_closed(self):
             _LOGGER.info("connection_closed_before_work", path=self.request.path)
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -24,7 +24,7 @@
     JobRead,
     PlainCall,
 )
-from cranberryline.routes import Route, RouteKind, RouteTable
+from cranberryline.routes import Route, RouteKind
 
 from .handler import RETRY_AFTER
 from .job_handler import JobHandler
@@ -35,8 +35,6 @@
 _LOGGER = get_logger(__name__)
 
 _DEFAULT_TIMEOUT = timedelta(seconds=30)
-_STARTUP_TIMEOUT = timedelta(milliseconds=400)
-_STARTUP_POLL_INTERVAL = timedelta(milliseconds=10)
 # Besides hop-by-hop headers, those that the HTTP server of each process sets itself.
 _DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {"date", "server"}
 
@@ -98,6 +96,8 @@
         if route is None:
             self._refuse(HTTPStatus.NOT_FOUND, "no_route", detail=f"version {table.version}")
             return
+        if not route.public and not self._identify(table):
+            return
         self.context.metrics.requests.labels(route.kind.value).inc()
         if route.kind is RouteKind.JOB:
             await self._async_submit_job(call, host)
@@ -107,21 +107,6 @@
             return
         await self._async_forward(call, route)
 
-    async def _async_wait_for_routes(self) -> RouteTable | None:
-        """Return the active routes, or None if they are not loaded in time.
-
-        Shortly after startup, waits for the routes and the quarantine. All gateways may have been
-        started at once, and a refused caller retries only after several times the time that
-        loading the routes takes.
-        """
-        give_up_at = self._started_at + _STARTUP_TIMEOUT
-        ctx = self.context
-        while ctx.routes.table is None or not ctx.quarantine_ready():
-            if ctx.clock.monotonic() >= give_up_at:
-                break
-            await ctx.clock.async_sleep(_STARTUP_POLL_INTERVAL)
-        return ctx.routes.table
-
     async def _async_forward(self, call: PlainCall, route: Route) -> None:
         """Send the request until an upstream returns a complete response, and forward it."""
         ctx = self.context
@@ -222,17 +207,18 @@
     def _upstream_request(
         self, route: Route, deadline: timedelta, avoid: frozenset[str], attempts: int
     ) -> CallerRequest:
-        req = self.request
-        headers = [
+        req, edge, table = self.request, self.context.edge, self.context.routes.table
+        headers = tuple(
             (name, value)
             for name, value in req.headers.get_all()
             if name.lower() not in _DROPPED_HEADERS
-        ]
+        )
+        workspace = self.workspace or ""
         return CallerRequest(
             service=route.choose_service(self.context.rng),
             method=req.method or "GET",
             path=req.uri or "/",
-            headers=tuple(headers),
+            headers=edge.caller_headers(headers, workspace),
             body=req.body,
             deadline=deadline,
             caller=route.host,
@@ -241,7 +227,9 @@
             avoid=avoid,
             max_attempts=attempts,
             request_id=self.request_id,
-            credential=self.context.edge.credential(req.headers),
+            credential=workspace or edge.credential(req.headers),
+            workspace=workspace,
+            rank=route.priority if table is None else table.rank(route, workspace),
         )
 
     def _write_response(self, sink: AttemptSink, route: Route) -> None:
--- a/cranberryline/gateway/job_handler.py
+++ b/cranberryline/gateway/job_handler.py
@@ -4,19 +4,25 @@
 from datetime import timedelta
 from http import HTTPStatus
 
-from result import Err
+from result import Err, Ok
 
+from cranberryline.dispatch.errors import RefusalReason
 from cranberryline.jobs.errors import JobProblem, JobRefused
 from cranberryline.jobs.ports import ItemBodyRead, JobEnd, JobRead, PlainCall
+from cranberryline.routes import RouteTable
+from cranberryline.workspaces import KeyProblem
 
 from .handler import RETRY_AFTER, CallerHandler
 
 __all__ = ["JobHandler"]
 
 _MAX_WAIT = timedelta(seconds=1)
+_STARTUP_TIMEOUT = timedelta(milliseconds=400)
+_STARTUP_POLL_INTERVAL = timedelta(milliseconds=10)
 _JOB_STATUS = {
     JobProblem.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
     JobProblem.UNKNOWN_ITEM: HTTPStatus.NOT_FOUND,
+    JobProblem.OTHER_OWNER: HTTPStatus.CONFLICT,
     JobProblem.UNCERTAIN: HTTPStatus.SERVICE_UNAVAILABLE,
     JobProblem.NOT_STORED: HTTPStatus.SERVICE_UNAVAILABLE,
     JobProblem.MAY_BE_STORED: HTTPStatus.GATEWAY_TIMEOUT,
@@ -32,7 +38,10 @@
             self._refuse(HTTPStatus.BAD_REQUEST, "bad_request", detail="a job is submitted by POST")
             return
         now = ctx.clock.now().timestamp()
-        job = ctx.edge.read_job(call.request_id, host, self.request.path, self.request.body, now)
+        workspace = self.workspace or ""
+        job = ctx.edge.read_job(
+            call.request_id, host, self.request.path, self.request.body, now, workspace
+        )
         if isinstance(job, Err):
             self._refuse(HTTPStatus.BAD_REQUEST, "bad_job", detail=job.unwrap_err())
             return
@@ -45,7 +54,10 @@
 
     async def _async_read_job(self, call: JobRead) -> None:
         self.request_id = call.job
-        page = await self.context.jobs.async_read(call.job, call.after, min(call.wait, _MAX_WAIT))
+        if not await self._async_identify_for_job(call.job):
+            return
+        wait = min(call.wait, _MAX_WAIT)
+        page = await self.context.jobs.async_read(call.job, call.after, wait, self.workspace)
         if isinstance(page, Err):
             self._refuse_job_call(page.unwrap_err())
             return
@@ -53,7 +65,9 @@
 
     async def _async_read_item_body(self, call: ItemBodyRead) -> None:
         self.request_id = call.job
-        found = await self.context.jobs.async_find(call.job)
+        if not await self._async_identify_for_job(call.job):
+            return
+        found = await self.context.jobs.async_find(call.job, self.workspace)
         if isinstance(found, Err):
             self._refuse_job_call(found.unwrap_err())
             return
@@ -66,12 +80,60 @@
 
     async def _async_end_job(self, call: JobEnd) -> None:
         self.request_id = call.job
-        ended = await asyncio.shield(self.context.jobs.async_end(call.job))
+        if not await self._async_identify_for_job(call.job):
+            return
+        ended = await asyncio.shield(self.context.jobs.async_end(call.job, self.workspace))
         if isinstance(ended, Err):
             self._refuse_job_call(ended.unwrap_err())
             return
         self._write_json(HTTPStatus.OK, b"{}")
 
+    async def _async_wait_for_routes(self) -> RouteTable | None:
+        """Return the active routes, or None if they are not loaded in time.
+
+        Shortly after startup, waits for the routes and the quarantine. All gateways may have been
+        started at once, and a refused caller retries only after several times the time that
+        loading the routes takes.
+        """
+        give_up_at = self._started_at + _STARTUP_TIMEOUT
+        ctx = self.context
+        while ctx.routes.table is None or not ctx.quarantine_ready():
+            if ctx.clock.monotonic() >= give_up_at:
+                break
+            await ctx.clock.async_sleep(_STARTUP_POLL_INTERVAL)
+        return ctx.routes.table
+
+    async def _async_identify_for_job(self, job_id: str) -> bool:
+        """Set the workspace of a call about a job, or refuse the call and return False.
+
+        A job of a public route needs no key. Whether the job exists is only looked up in this
+        gateway's copy, so that callers without a key cause no calls to the store.
+        """
+        table = await self._async_wait_for_routes()
+        if table is None:
+            self._refuse_with_retry(RefusalReason.NOT_READY.value)
+            return False
+        state = self.context.jobs.book.jobs.get(job_id)
+        route = None if state is None else table.match(state.head.host, state.head.path)
+        return (route is not None and route.public) or self._identify(table)
+
+    def _identify(self, table: RouteTable) -> bool:
+        """Set the workspace that the caller's key belongs to, or refuse and return False."""
+        if table.workspaces is None:
+            return True
+        ctx = self.context
+        found = ctx.key_check.check(table.workspaces, ctx.edge.credential(self.request.headers))
+        if isinstance(found, Ok):
+            self.workspace = found.unwrap().name
+            return True
+        problem = found.unwrap_err()
+        if problem is KeyProblem.UNCONFIRMED:
+            self._refuse_with_retry(problem.value)
+            return False
+        ctx.metrics.refuse(problem.value)
+        self._refuse(HTTPStatus.UNAUTHORIZED, problem.value)
+        return False
+
     def _refuse_job_call(self, refusal: JobRefused) -> None:
         problem = refusal.problem
         status = _JOB_STATUS[problem]
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -29,6 +29,7 @@
     problem_of_call,
 )
 
+from .relay_calls import Redaction, async_execute
 from .relay_messages import ANSWERS, CALLS, RelayAnswer, RelayAppend, RelayNewest, RelayRead
 
 __all__ = ["PATH_RELAY", "RelayHandler", "RelayedLog"]
@@ -72,8 +73,10 @@
         peers: Callable[[], list[str]],
         clock: Clock,
         metrics: Metrics,
+        redaction: Redaction | None = None,
     ) -> None:
         self.direct = direct
+        self._redaction = redaction
         self._peers = peers
         self._clock = clock
         self._metrics = metrics
@@ -207,7 +210,7 @@
     async def _async_answer(self, call: RelayAppend | RelayRead | RelayNewest) -> RelayAnswer:
         answer = RelayAnswer(StoreProblem.REFUSED.value, "peer has no store either")
         if not self.direct_unavailable(*_partition_of(call)):
-            answer = await _async_execute(self.direct, call)
+            answer = await async_execute(self.direct, call, self._redaction)
         if not answer.problem or StoreProblem(answer.problem) in _FINAL_PROBLEMS:
             self._last_answer_at = self._clock.elapsed()
             return answer
@@ -370,31 +373,3 @@
         answer = await self._store.async_serve(call)
         self.set_header("Content-Type", "application/msgpack")
         self.finish(msgspec.msgpack.encode(answer))
-
-
-async def _async_execute(
-    log: SharedLog, call: RelayAppend | RelayRead | RelayNewest
-) -> RelayAnswer:
-    timeout = timedelta(milliseconds=call.timeout_ms)
-    if isinstance(call, RelayAppend):
-        appended = await log.async_append(call.topic, call.part, call.records, timeout, call.at)
-        if isinstance(appended, Ok):
-            return RelayAnswer("", "", appended.unwrap().offset, appended.unwrap().end)
-        return _error_answer(appended.unwrap_err())
-    if isinstance(call, RelayRead):
-        wait = timedelta(milliseconds=call.wait_ms)
-        read = await log.async_read(call.topic, call.part, call.start, wait, timeout)
-        if isinstance(read, Ok):
-            found = read.unwrap()
-            return RelayAnswer("", "", found.start, found.end, list(found.records))
-        return _error_answer(read.unwrap_err())
-    newest = await log.async_newest(call.topic, timeout)
-    if isinstance(newest, Ok):
-        snapshot = newest.unwrap()
-        keys = [(row.key, row.value, row.offset) for row in snapshot.records]
-        return RelayAnswer("", "", 0, snapshot.end, [], keys)
-    return _error_answer(newest.unwrap_err())
-
-
-def _error_answer(error: StoreError) -> RelayAnswer:
-    return RelayAnswer(error.problem.value, error.detail, error.position)
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
-from typing import Any, TypeVarTuple
+from typing import TypeVarTuple
 
 import attrs
 from result import Err, Ok, Result
@@ -13,12 +13,10 @@
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
 
 from .clock import Clock
-from .logging import get_logger, once_per_burst
-from .metrics import Metrics
+from .store_health import StoreHealth
 
 __all__ = ["KeyedTail", "PartitionTail", "ReadTurns", "StoreHealth", "TimedRead"]
 
-_LOGGER = get_logger(__name__)
 _Args = TypeVarTuple("_Args")
 
 # A connection that went silent for good looks like a poll with nothing to tell. Polls are short, so
@@ -29,9 +27,6 @@
 _SNAPSHOT_TIMEOUT = timedelta(seconds=3)
 _FIRST_BACKOFF = timedelta(milliseconds=100)
 _MAX_BACKOFF = timedelta(milliseconds=400)
-# A store that is out for some partitions answers and fails by turns; told each time, the log would
-# hold nothing else.
-_REGAINED_AFTER = timedelta(seconds=1)
 # How long a page is folded in one go. A megabyte of records takes a slow VM a tenth of a second, in which
 # callers and the balancer's questions would wait.
 _FOLD_TURN = timedelta(milliseconds=5)
@@ -39,42 +34,6 @@
 _MAX_ERROR = 200
 
 
-class StoreHealth:
-    """How the store does, as this process meets it: its last failure, and records that are not sound."""
-
-    def __init__(self, clock: Clock, metrics: Metrics | None = None) -> None:
-        self._clock = clock
-        self._metrics = metrics
-        self._records = once_per_burst(__name__, clock)
-        self._lost = False
-        self.last_failure: timedelta | None = None
-
-    def succeeded(self) -> None:
-        """Note an answer."""
-        if self._lost and not self.failed_within(_REGAINED_AFTER):
-            self._lost = False
-            _LOGGER.info("store_regained")
-
-    def failed(self, error: StoreError, what: str) -> None:
-        """Note a call without one."""
-        self.last_failure = self._clock.monotonic()
-        if not self._lost:
-            self._lost = True
-            _LOGGER.warning("store_lost", call=what, problem=error.problem, detail=error.detail)
-
-    def unsound(self, reason: str, **fields: Any) -> None:
-        """Count a record that was passed over, by reason, and log it once a burst."""
-        if self._metrics is not None:
-            self._metrics.drop(reason)
-        self._records.warning(reason, **fields)
-
-    def failed_within(self, span: timedelta) -> bool:
-        """Tell whether a call failed within the last `span`."""
-        if self.last_failure is None:
-            return False
-        return self._clock.monotonic() - self.last_failure < span
-
-
 TimedRead = Callable[[timedelta], Awaitable[Result[LogRead, StoreError]]]
 
 
@@ -161,6 +120,13 @@
         outage = max(until - max(since, self._read_at), timedelta())
         return self._clock.elapsed() - self._read_at - outage
 
+    def unconfirmed_for(self) -> timedelta | None:
+        """Return for how long a newer record may stand unread; None before the first read.
+
+        Suspensions of the VM and outages of the store count.
+        """
+        return None if self._read_at is None else self._clock.elapsed() - self._read_at
+
     @abc.abstractmethod
     async def _async_step(self) -> StoreError | None:
         """Make one call and take what it brings; return why it brought nothing."""
@@ -289,7 +255,7 @@
         return lost or (None if self.offset > before else gone)
 
     async def _async_load(self) -> StoreError | None:
-        asked = self._clock.monotonic()
+        asked = self._moment()
         loaded = await self._log.async_newest(self.topic, _SNAPSHOT_TIMEOUT)
         if isinstance(loaded, Err):
             return loaded.unwrap_err()
@@ -302,7 +268,7 @@
         for _ in range(snapshot.unreadable):
             self._health.unsound("store_record_unreadable", topic=self.topic)
         self.offset = max(self.offset, snapshot.end)
-        self.current_at = asked
+        self.current_at, self._read_at = asked.monotonic, asked.elapsed
         self.loaded.set()
         return None
 
--- a/cranberryline/jobs/book.py
+++ b/cranberryline/jobs/book.py
@@ -103,8 +103,8 @@
         if state is not None:
             self._apply_piece(state, piece, is_progress=False)
 
-    def completed(self, item: Item) -> ItemResult | None:
-        """Return the completed result that some job lists for an identical item, if any.
+    def completed(self, item: Item, workspace: str = "") -> ItemResult | None:
+        """Return the result that a job of the same workspace lists for an identical item, if any.
 
         Trainers resubmit groups that an earlier job did not finish; their listed results are
         reused.
@@ -113,15 +113,19 @@
         if found is None:
             return None
         state, index, listed = found
+        if state.head.workspace != workspace:
+            return None
         is_same = state.readable and state.job.items[index] == item
         return listed.result if is_same else None
 
-    def find_partial_text(self, item: Item) -> PartialText | None:
-        """Return the longest partial text that some job stores for an identical item."""
+    def find_partial_text(self, item: Item, workspace: str = "") -> PartialText | None:
+        """Return the longest text that a job of the same workspace stores for an identical item."""
         found = self._partial_texts.get(item.id)
         if found is None:
             return None
         state, index = found
+        if state.head.workspace != workspace:
+            return None
         is_same = state.readable and same_request(state.job.items[index], item)
         return state.texts.longest(index) if is_same else None
 
--- a/cranberryline/jobs/codec.py
+++ b/cranberryline/jobs/codec.py
@@ -84,6 +84,7 @@
         job.min_version,
         job.group_count,
         details_crc,
+        job.workspace,
     )
 
 
--- a/cranberryline/jobs/errors.py
+++ b/cranberryline/jobs/errors.py
@@ -13,6 +13,7 @@
 
     UNKNOWN_JOB = "unknown_job"
     UNKNOWN_ITEM = "unknown_item"
+    OTHER_OWNER = "job_id_taken"  # a job of another workspace has this id
     UNCERTAIN = "job_not_sure"  # the store is unreachable: the answer is unknown
     NOT_STORED = "job_not_kept"  # the store refused the job: none of it will run
     MAY_BE_STORED = "job_may_be_kept"  # the store did not answer: the job may still run
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -88,7 +88,7 @@
 
     def _get_earlier_result(self) -> ItemResult | None:
         """Return the result of the same item in an earlier job, if this job allows its versions."""
-        stored = self.context.find_result(self.item)
+        stored = self.context.find_result(self.item, self.state.head.workspace)
         route = self._match_route(self.state.job.host, self.item.path)
         if stored is None or route is None:
             return None
@@ -107,7 +107,7 @@
 
         The text is used only if the job allows the versions that generated it.
         """
-        stored = self.context.find_partial_text(self.item)
+        stored = self.context.find_partial_text(self.item, self.state.head.workspace)
         route = self._match_route(self.state.job.host, self.item.path)
         if (
             stored is None
@@ -161,6 +161,10 @@
         table = self.context.routes.table
         return None if table is None else table.match(host, path)
 
+    def _rank(self, route: Route) -> int:
+        table = self.context.routes.table
+        return route.priority if table is None else table.rank(route, self.state.head.workspace)
+
     def _is_expired(self, route: Route) -> bool:
         if route.max_wait is None:
             return False
@@ -236,6 +240,8 @@
             deadline=self.context.clock.monotonic() + _RUN_TIMEOUT,
             caller=job.host,
             caller_class=CallerClass.TRAINER,
+            workspace=job.workspace,
+            rank=self._rank(route),
             tokens=self._tokens_left() or max(self.item.tokens, 1),
             prefix_key=self.item.prefix,
             prefix_tokens=int(self.item.prefix_tokens * PROMPT_READ_COST),
@@ -322,6 +328,8 @@
                 deadline=deadline,
                 caller=self.state.job.host,
                 caller_class=CallerClass.TRAINER,
+                workspace=self.state.head.workspace,
+                rank=route.priority,
                 avoid=avoid,
                 eligible=lambda _upstream: self._may_send(),
                 max_attempts=1,
--- a/cranberryline/jobs/item_context.py
+++ b/cranberryline/jobs/item_context.py
@@ -42,11 +42,11 @@
     metrics: Metrics
     rng: Random
     scoring_slots: ScoringSlots
-    # Returns the result of the same item in any known job, if it is completed.
-    find_result: Callable[[Item], ItemResult | None]
+    # Returns the result of the same item in any known job of a workspace, if it is completed.
+    find_result: Callable[[Item, str], ItemResult | None]
     freshness: JobFreshness
-    # Returns the longest stored partial text of the same item in any known job.
-    find_partial_text: Callable[[Item], PartialText | None] = lambda _item: None
+    # Returns the longest stored partial text of the same item in any known job of a workspace.
+    find_partial_text: Callable[[Item, str], PartialText | None] = lambda _item, _workspace: None
     # Reads the stored partial texts of a job from the log.
     async_read_texts: Callable[[JobState], Awaitable[None]] = _async_read_nothing
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
--- a/cranberryline/jobs/model.py
+++ b/cranberryline/jobs/model.py
@@ -58,7 +58,8 @@
     """A batch job.
 
     `submitted` is the wall-clock time of the submission, in seconds since the epoch. It is used
-    only to give up items that have waited too long.
+    only to give up items that have waited too long. `workspace` is empty if callers need no key, and
+    in records of older releases.
     """
 
     id: str
@@ -70,6 +71,7 @@
     step: int | None = None
     min_version: int | None = None
     group_count: int | None = None
+    workspace: str = ""
 
 
 class ItemHead(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -96,6 +98,7 @@
     min_version: int | None = None
     group_count: int | None = None
     details_crc: int = 0
+    workspace: str = ""
 
 
 class ItemState(enum.StrEnum):
--- a/cranberryline/jobs/ports.py
+++ b/cranberryline/jobs/ports.py
@@ -84,11 +84,18 @@
 
     @abc.abstractmethod
     def credential(self, headers: Mapping[str, str]) -> str:
-        """Return what distinguishes callers of one host, or an empty string."""
+        """Return the caller's key, or an empty string."""
+
+    @abc.abstractmethod
+    def caller_headers(self, headers: HeaderPairs, workspace: str) -> HeaderPairs:
+        """Return a caller's headers for the upstream: without the key, with the workspace.
+
+        `workspace` is empty if the request belongs to none.
+        """
 
     @abc.abstractmethod
     def read_job(
-        self, request_id: str, host: str, path: str, body: bytes, now: float
+        self, request_id: str, host: str, path: str, body: bytes, now: float, workspace: str = ""
     ) -> Result[Job, str]:
         """Parse a submitted job; the error describes what is invalid."""
 
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -16,6 +16,7 @@
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
 from cranberryline.ports.store import SharedLog, StoreProblem
+from cranberryline.workspaces import may_access
 
 from .book import JobBook
 from .codec import decode_record, encode_job, encode_records
@@ -135,7 +136,11 @@
 
     async def async_submit(self, job: Job) -> Result[None, JobRefused]:
         """Store a job durably. On failure, the error tells whether the job may still be stored."""
-        if job.id in self.book.jobs or self.book.closed(job.id):
+        known = self.book.jobs.get(job.id)
+        if known is not None and not may_access(job.workspace or None, known.head.workspace):
+            _LOGGER.warning("job_id_taken", request_id=job.id)
+            return Err(JobRefused(JobProblem.OTHER_OWNER))
+        if known is not None or self.book.closed(job.id):
             _LOGGER.info("job_known", request_id=job.id)
             return Ok(None)
         began = self._clock.monotonic()
@@ -164,9 +169,11 @@
         )
         return Ok(None)
 
-    async def async_end(self, job_id: str) -> Result[None, JobRefused]:
-        """Record durably that a job has ended."""
-        found = await self.async_find(job_id)
+    async def async_end(
+        self, job_id: str, workspace: str | None = None
+    ) -> Result[None, JobRefused]:
+        """Record durably that a job has ended; see `async_find` for the workspace."""
+        found = await self.async_find(job_id, workspace)
         if isinstance(found, Err):
             return Err(found.unwrap_err())
         if found.unwrap().ended:
@@ -181,10 +188,12 @@
         _LOGGER.info("job_ended", request_id=job_id)
         return Ok(None)
 
-    async def async_find(self, job_id: str) -> Result[JobState, JobRefused]:
-        """Return a job.
+    async def async_find(
+        self, job_id: str, workspace: str | None = None
+    ) -> Result[JobState, JobRefused]:
+        """Return a job that callers of a workspace may access; None stands for any workspace.
 
-        The error is `UNKNOWN_JOB` only if the whole partition has been read, and `UNCERTAIN` if the
+        A job of another workspace is reported like one that does not exist. Otherwise the error is `UNKNOWN_JOB` only if the whole partition has been read, and `UNCERTAIN` if the
         partition cannot be read now or records of the job may be missing.
         """
         state = self.book.jobs.get(job_id)
@@ -193,6 +202,8 @@
             state = self.book.jobs.get(job_id)
             if state is None and read:
                 return Err(JobRefused(JobProblem.UNKNOWN_JOB))
+        if state is not None and not may_access(workspace, state.head.workspace):
+            return Err(JobRefused(JobProblem.UNKNOWN_JOB))
         if state is None or state.results_missing:
             return Err(JobRefused(JobProblem.UNCERTAIN))
         return Ok(state)
@@ -209,14 +220,16 @@
         return await self._history.async_backfill(partition, deadline - self._clock.monotonic())
 
     async def async_read(
-        self, job_id: str, after: int, wait: timedelta
+        self, job_id: str, after: int, wait: timedelta, workspace: str | None = None
     ) -> Result[JobPage, JobRefused]:
         """Return the results from a position on, waiting up to `wait` for the first one.
 
+        See `async_find` for the workspace.
+
         An empty page is returned only after reading to the end of the partition. Otherwise a
         lagging node would deny results that another node has already listed.
         """
-        found = await self.async_find(job_id)
+        found = await self.async_find(job_id, workspace)
         if isinstance(found, Err):
             return Err(found.unwrap_err())
         state = found.unwrap()
--- a/cranberryline/jobs/state.py
+++ b/cranberryline/jobs/state.py
@@ -107,6 +107,7 @@
                 head.step,
                 head.min_version,
                 head.group_count,
+                head.workspace,
             )
         return self._job
 
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -11,7 +11,7 @@
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
 
-from .config import read_config, read_version
+from .config import read_config, read_version, without_keys
 from .const import (
     KEY_CONFIG,
     KEY_VERSION_PREFIX,
@@ -66,6 +66,11 @@
             return Ok(NamedVersion(*named.unwrap()))
         return Ok(None)
 
+    def without_secrets(self, record: KeyedRecord) -> bytes:
+        """Return the value, with digests in place of the keys of a configuration."""
+        is_config = record.key == KEY_CONFIG and record.value
+        return without_keys(record.value) if is_config else record.value
+
     def read_registration(self, record: KeyedRecord) -> Result[Registration, RegistrationProblem]:
         """Read an upstream's entry."""
         return read_registration(record.key, record.value)
--- a/cranberryline/platform/config.py
+++ b/cranberryline/platform/config.py
@@ -8,8 +8,9 @@
 
 from cranberryline.helpers.decode import decode_json
 from cranberryline.routes import EngineService, Limits, Route, RouteKind, RouteTable, ServiceShare
+from cranberryline.workspaces import Workspace, WorkspaceTable, key_digest
 
-__all__ = ["read_config", "read_version"]
+__all__ = ["read_config", "read_version", "without_keys"]
 
 _KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -45,6 +46,7 @@
     can_resume: bool = False
     single_version: bool = False
     max_wait_s: Annotated[float, msgspec.Meta(ge=0, le=1e10)] | None = None
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -68,11 +70,24 @@
     idle_timeout_ms: _Span = 15_000
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # Hexadecimal digests, which other gateways send in place of the keys.
+    api_key_digests: list[str] = []
+    priority: int | None = None
+
+
 class _Config(msgspec.Struct):
     version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+class _TenantsOnly(msgspec.Struct):
+    tenants: list[_Tenant] | None = None
 
 
 class _Version(msgspec.Struct):
@@ -97,7 +112,31 @@
         _ms(raw.limits.header_timeout_ms),
         _ms(raw.limits.idle_timeout_ms),
     )
-    return Ok(RouteTable(raw.version, routes, services, limits))
+    workspaces: WorkspaceTable | None = None
+    if raw.tenants is not None:
+        checked = _workspaces_of(raw.tenants)
+        if isinstance(checked, Err):
+            return checked
+        workspaces = checked.unwrap()
+    return Ok(RouteTable(raw.version, routes, services, limits, workspaces))
+
+
+def without_keys(value: bytes) -> bytes:
+    """Return a configuration with digests in place of keys, for messages between gateways.
+
+    A configuration that cannot be read is replaced by an empty record, as it may contain keys.
+    """
+    read = decode_json(value, _TenantsOnly)
+    whole = decode_json(value, dict)
+    if isinstance(read, Err) or isinstance(whole, Err):
+        return b"{}"
+    tenants = read.unwrap().tenants
+    if tenants is None:
+        return value
+    for tenant in tenants:
+        tenant.api_key_digests += [key_digest(key.encode()).hex() for key in tenant.api_keys]
+        tenant.api_keys = []
+    return msgspec.json.encode({**whole.unwrap(), "tenants": tenants})
 
 
 def read_version(model: str, value: bytes) -> Result[tuple[str, int], str]:
@@ -127,9 +166,22 @@
         resumable=raw.can_resume,
         single_version=raw.single_version,
         max_wait=None if raw.max_wait_s is None else timedelta(seconds=raw.max_wait_s),
+        public=raw.public,
     )
 
 
+def _workspaces_of(tenants: list[_Tenant]) -> Result[WorkspaceTable, str]:
+    workspaces = []
+    for tenant in tenants:
+        try:
+            digests = [bytes.fromhex(digest) for digest in tenant.api_key_digests]
+        except ValueError:
+            return Err(f"workspace {tenant.name}: a digest is not hexadecimal")
+        digests += [key_digest(key.encode()) for key in tenant.api_keys]
+        workspaces.append(Workspace(tenant.name, frozenset(digests), tenant.priority))
+    return WorkspaceTable.checked(workspaces).map_err("; ".join)
+
+
 def _service_of(raw: _Service) -> EngineService | None:
     if raw.engine is None:
         return None
--- a/cranberryline/platform/const.py
+++ b/cranberryline/platform/const.py
@@ -12,6 +12,7 @@
 HEADER_LENGTH = "Length-Hint"
 HEADER_HOST = "Host"
 HEADER_KEY = "Api-Key"
+HEADER_WORKSPACE = "Tenant"
 HEADER_PRIORITY = "Request-Priority"
 EVENT_VERSION_FIELD = "weight-versions"
 
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -33,6 +33,7 @@
     HEADER_TIME_LEFT,
     HEADER_VERSIONS,
     HEADER_WAIT,
+    HEADER_WORKSPACE,
     PATH_ITEMS,
     PATH_JOBS,
 )
@@ -40,6 +41,8 @@
 __all__ = ["PlatformEdge"]
 
 _MAX_DIGITS = 9
+# Never passed on as a caller sent them: the key is secret, and the workspace is set from it.
+_WORKSPACE_HEADERS = (HEADER_KEY.lower(), HEADER_WORKSPACE.lower())
 
 
 class _Scorer(msgspec.Struct):
@@ -101,8 +104,15 @@
         """Return the caller's key."""
         return headers.get(HEADER_KEY, "")
 
+    def caller_headers(self, headers: HeaderPairs, workspace: str) -> HeaderPairs:
+        """Return the headers with the workspace in place of the caller's key."""
+        kept = [pair for pair in headers if pair[0].lower() not in _WORKSPACE_HEADERS]
+        if workspace:
+            kept.append((HEADER_WORKSPACE, workspace))
+        return tuple(kept)
+
     def read_job(
-        self, request_id: str, host: str, path: str, body: bytes, now: float
+        self, request_id: str, host: str, path: str, body: bytes, now: float, workspace: str = ""
     ) -> Result[Job, str]:
         """Read a submitted job."""
         if not request_id:
@@ -125,6 +135,7 @@
                 raw.step,
                 raw.min_version,
                 raw.group_count,
+                workspace,
             )
         )
 
@@ -142,7 +153,11 @@
 
     def item_headers(self, job: Job, item: Item, last_event: int | None) -> HeaderPairs:
         """Return the item's own headers, its id, the route's host and where to go on."""
-        headers = [*item.headers, (HEADER_REQUEST_ID, item.id), (HEADER_HOST, job.host)]
+        headers = [
+            *self.caller_headers(item.headers, job.workspace),
+            (HEADER_REQUEST_ID, item.id),
+            (HEADER_HOST, job.host),
+        ]
         if last_event is not None:
             headers.append((HEADER_LAST_EVENT, str(last_event)))
         return tuple(headers)
@@ -175,7 +190,7 @@
     return Item(
         raw.id,
         raw.path,
-        tuple(raw.headers.items()),
+        tuple(pair for pair in raw.headers.items() if pair[0].lower() not in _WORKSPACE_HEADERS),
         base64.b64decode(raw.body, validate=True),
         raw.tokens,
         raw.group,
--- a/cranberryline/platform/ports.py
+++ b/cranberryline/platform/ports.py
@@ -51,6 +51,10 @@
     def read_operator(self, record: KeyedRecord) -> Result[OperatorChange | None, str]:
         """Read what an operator or a trainer wrote; None for what does not concern us."""
 
+    @abc.abstractmethod
+    def without_secrets(self, record: KeyedRecord) -> bytes:
+        """Return an operator's value without callers' keys, as it may be sent to other gateways."""
+
     @abc.abstractmethod
     def read_registration(self, record: KeyedRecord) -> Result[Registration, RegistrationProblem]:
         """Read what stands for an upstream; an Err where it names none. Never raises."""
--- a/cranberryline/routes/model.py
+++ b/cranberryline/routes/model.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from cranberryline.workspaces import WorkspaceTable
+
 __all__ = ["EngineService", "Limits", "Route", "RouteKind", "RouteTable", "ServiceShare"]
 
 
@@ -33,7 +35,7 @@
 
     `goal` is the latency goal, from which the hedge delay follows. `resumable` allows an
     interrupted stream to be continued at another upstream. `single_version` requires that one model
-    version generates all of a text. Items of a job that was submitted more than `max_wait` ago
+    version generates all of a text. Requests of a `public` route need no key. Items of a job that was submitted more than `max_wait` ago
     expire.
     """
 
@@ -49,6 +51,7 @@
     resumable: bool = False
     single_version: bool = False
     max_wait: timedelta | None = None
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -86,16 +89,17 @@
 
 @attrs.frozen
 class RouteTable:
-    """The routes of one version, their services, and the limits for callers.
+    """The routes of one version, their services and workspaces, and the limits for callers.
 
     `services` maps a service to its engine settings, or to None if its upstreams are plain HTTP
-    services.
+    services. `workspaces` is None if callers need no keys.
     """
 
     version: int
     routes: tuple[Route, ...] = ()
     services: Mapping[str, EngineService | None] = attrs.field(factory=dict)
     limits: Limits = Limits()
+    workspaces: WorkspaceTable | None = None
 
     def names_service(self, service: str) -> bool:
         """Return whether the table lists a service or a route uses it."""
@@ -103,6 +107,13 @@
             return True
         return any(share.service == service for route in self.routes for share in route.services)
 
+    def rank(self, route: Route, workspace: str) -> int:
+        """Return the rank of a workspace's requests on a route; 0 is the most urgent."""
+        found = None if self.workspaces is None else self.workspaces.get(workspace)
+        if found is None or found.priority is None:
+            return route.priority
+        return found.priority
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path."""
         found: Route | None = None
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -160,6 +160,12 @@
         DEFAULT_LEASE,
         key="lease_ms",
     )
+    key_max_age: timedelta | None = _setting(
+        Milliseconds(),
+        "How long keys are accepted without a confirmed configuration; without it, for any time.",
+        None,
+        key="key_max_age_ms",
+    )
     keep_jobs: timedelta = _setting(
         Seconds(),
         "How long a batch job is answered for after it was submitted.",
--- a/tests/jobs/engine_harness.py
+++ b/tests/jobs/engine_harness.py
@@ -133,7 +133,7 @@
             metrics,
             Random(1),
             ScoringSlots(self.dispatcher.total_slots),
-            lambda _item: None,
+            lambda *_: None,
             cast(Any, SimpleNamespace(is_fresh=lambda _job: True, age=lambda _job: timedelta())),
         )
 
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -87,7 +87,9 @@
         goal=timedelta(seconds=1),
         choose_service=lambda _rng: "engines",
     )
-    return SimpleNamespace(table=SimpleNamespace(match=lambda _host, _path: route))
+    return SimpleNamespace(
+        table=SimpleNamespace(match=lambda _host, _path: route, rank=lambda *_: 0)
+    )
 
 
 def _edge() -> SimpleNamespace:
--- a/tests/jobs/test_failing_engines.py
+++ b/tests/jobs/test_failing_engines.py
@@ -64,7 +64,7 @@
         answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
     )
     versions = SimpleNamespace(version=lambda _up, _model: 1, record_version=lambda *_: None)
-    table = SimpleNamespace(match=lambda _host, _path: route)
+    table = SimpleNamespace(match=lambda _host, _path: route, rank=lambda *_: 0)
     stubs = (SimpleNamespace(table=table), engines, edge, versions)
     dependencies = [cast(Any, stub) for stub in stubs]
     return RunnerDependencies(
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -56,7 +56,9 @@
     engine = {"slots": 4, "models": [{"name": MODEL}]}
     services = [{"name": "files"}, {"name": "other"}, {"name": "engines", "engine": engine}]
     routes = [plain_route, once, jobs, stream, *more.get("routes", [])]
-    return {"version": version, "routes": routes, "services": services, "limits": {}}
+    whole = {"version": version, "routes": routes, "services": services, "limits": {}}
+    tenants = more.get("tenants")
+    return whole if tenants is None else {**whole, "tenants": tenants}
 
 
 def job(items: int = 4, min_version: int = 1) -> dict[str, Any]:
@@ -144,11 +146,15 @@
         )
         return await AsyncHTTPClient(force_instance=True).fetch(req, raise_error=False)
 
-    async def async_results(self, job_id: str, count: int, number: int = 0) -> list[dict[str, Any]]:
+    async def async_results(
+        self, job_id: str, count: int, number: int = 0, **headers: str
+    ) -> list[dict[str, Any]]:
         """Read a job until so many results are listed."""
         async with asyncio.timeout(15):
             while True:
-                answer = await self.async_call("GET", f"/api/lots/{job_id}?after=0", number)
+                answer = await self.async_call(
+                    "GET", f"/api/lots/{job_id}?after=0", number, **headers
+                )
                 if answer.code == 200:
                     page = msgspec.json.decode(answer.body)
                     if len(page["results"]) >= count:
@@ -173,11 +179,14 @@
     asyncio.run(scene)
 
 
-async def async_platform(gateways: int = 1) -> Platform:
-    """Return a platform with two plain services, two engines and some gateways."""
+async def async_platform(gateways: int = 1, **more: Any) -> Platform:
+    """Return a platform with two plain services, two engines and some gateways.
+
+    `more` is passed to `config`.
+    """
     platform = Platform()
     platform.store.start()
-    platform.store.put("keyed.op", "config", config())
+    platform.store.put("keyed.op", "config", config(**more))
     for _ in range(2):
         platform.add_sampler("files")
         platform.add_sampler("engines", MODEL)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,7 +13,7 @@
 LAYERS = (
     ("__init__", "exit_code", "ports", "settings"),
     ("helpers",),
-    ("client", "config_client", "decisions", "leases", "requests", "transport"),
+    ("client", "config_client", "decisions", "leases", "requests", "transport", "workspaces"),
     ("configs", "weights"),
     ("execution", "quarantine", "routes", "samples", "upstreams"),
     ("dispatch",),
