Share waiting requests of workspaces, count them, and check configurations

Cause: with 80 workspaces the queue's shares, the metrics and the operator's checks have to know them. Change: the comparison as a measurement and as a test; a counter whose labels are bounded; check-config, one line a mistake. Result: the test fails for first come first served and passes for both others.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,18 @@
 import importlib
 import sys
 
-COMMANDS = ("decisions", "path", "idle", "capacity", "replay", "gateway", "fold", "steps", "soak")
+COMMANDS = (
+    "decisions",
+    "path",
+    "idle",
+    "capacity",
+    "replay",
+    "gateway",
+    "fold",
+    "steps",
+    "soak",
+    "fairness",
+)
 
 
 def main(argv: list[str]) -> int:
--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -214,6 +214,15 @@
         """
         return _command(_check_settings, settings, role)
 
+    def check_config(self, file: str) -> _Command:
+        """Check a configuration that the users' platform keeps, and print every mistake.
+
+        Args:
+            file: The configuration as JSON, as the operator writes it to the store.
+
+        """
+        return _command(_operator("check_config"), file)
+
     def report(
         self,
         *files: str,
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -150,6 +150,10 @@
             self.set_header("Connection", "close")
         self.finish(body)
 
+    def _count_for_workspace(self, outcome: str) -> None:
+        if self.workspace is not None:
+            self.context.metrics.workspace_requests.count(self.workspace, outcome)
+
     def _config_version(self) -> int:
         table = self.context.routes.table
         return 0 if table is None else table.version
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -163,6 +163,7 @@
             sink = outcome.unwrap()
             if forwarder.response_started:
                 await self.finish()
+                self._count_for_workspace("answered")
                 _LOGGER.info(
                     "stream_ended",
                     request_id=self.request_id,
@@ -239,6 +240,7 @@
                 self.add_header(name, value)
         self._finish_body(sink.body)
         self.context.metrics.answers.labels(route.kind.value).inc()
+        self._count_for_workspace("answered")
         elapsed = self.context.clock.monotonic() - self._started_at
         self.context.metrics.latency.labels(route.kind.value).observe(elapsed.total_seconds())
         _LOGGER.info(
@@ -263,6 +265,7 @@
         ctx = self.context
         count = ctx.metrics.refuse if refusal.ran is Ran.NO else ctx.metrics.fail
         count(refusal.reason.value)
+        self._count_for_workspace("refused" if refusal.ran is Ran.NO else "failed")
         status = refusal.status
         if refusal.ran is not Ran.NO:
             # Either status leaves open whether the request ran; 504 says that the timeout ended it,
--- a/cranberryline/gateway/job_handler.py
+++ b/cranberryline/gateway/job_handler.py
@@ -50,6 +50,7 @@
         if isinstance(submitted, Err):
             self._refuse_job_call(submitted.unwrap_err())
             return
+        self._count_for_workspace("accepted")
         self._write_json(HTTPStatus.ACCEPTED, b"{}")
 
     async def _async_read_job(self, call: JobRead) -> None:
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -10,6 +10,7 @@
 
 from .logging import dropped_lines
 from .problem import ProblemHandler
+from .top_counter import TopCounter
 
 __all__ = ["Metrics", "MetricsHandler"]
 
@@ -68,6 +69,12 @@
         self.queued = self._gauge("queued", "Requests that wait for a place.")
         self.peers = self._gauge("peers", "Peers connected.")
         self.config_offset = self._gauge("config_offset", "Log offset of the fold in force.")
+        self.workspace_requests = TopCounter(
+            f"{_NAMESPACE}_workspace_requests",
+            "Requests of the largest workspaces, and of all others together.",
+            "workspace",
+        )
+        self.registry.register(self.workspace_requests)
         self.latency = Histogram(
             "request_seconds",
             "Time from taking a request in to the end of its answer.",
--- a/cranberryline/operator_commands.py
+++ b/cranberryline/operator_commands.py
@@ -14,9 +14,11 @@
 
 from .config_client import ApiClient, ApiError, ApiReason, RecordDraft, read_records
 from .exit_code import ExitCode
+from .platform import config as platform_config
 from .settings.fields import Url
 
 __all__ = [
+    "check_config",
     "get",
     "history",
     "list_holds",
@@ -102,6 +104,22 @@
     return _call(entry, token_file, lambda client: client.async_status(), _print_yaml)
 
 
+def check_config(file: str) -> int:
+    """Print every mistake of a platform's configuration, else its workspaces without keys."""
+    try:
+        value = Path(file).read_bytes()
+    except OSError as exc:
+        return _complain(f"{file}: {exc.strerror}", ExitCode.USAGE)
+    checked = platform_config.check_config(value)
+    if isinstance(checked, Err):
+        return _complain("\n".join(checked.unwrap_err()), ExitCode.FAILURE)
+    workspaces = checked.unwrap().workspaces
+    for name in [] if workspaces is None else workspaces.without_keys():
+        print(f"workspace {name}: has no key, so no caller can use it")
+    print(f"{file}: valid configuration of version {checked.unwrap().version}")
+    return ExitCode.OK
+
+
 def list_holds(gateway: str) -> int:
     """Print the requests that a gateway suspects or holds, as YAML."""
     if not gateway:
--- a/cranberryline/platform/config.py
+++ b/cranberryline/platform/config.py
@@ -10,7 +10,7 @@
 from cranberryline.routes import EngineService, Limits, Route, RouteKind, RouteTable, ServiceShare
 from cranberryline.workspaces import Workspace, WorkspaceTable, key_digest
 
-__all__ = ["read_config", "read_version", "without_keys"]
+__all__ = ["check_config", "read_config", "read_version", "without_keys"]
 
 _KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -97,13 +97,24 @@
 
 def read_config(value: bytes) -> Result[RouteTable, str]:
     """Read the whole configuration; the error says what is wrong with it."""
+    return check_config(value).map_err("; ".join)
+
+
+def check_config(value: bytes) -> Result[RouteTable, list[str]]:
+    """Read the whole configuration; the error has one line for each mistake."""
     read = decode_json(value, _Config)
     if isinstance(read, Err):
-        return read
+        return Err([read.unwrap_err()])
     raw = read.unwrap()
-    for route in raw.routes:
-        if route.split and not any(share.weight for share in route.split):
-            return Err(f"route {route.name} is shared by services of no weight")
+    mistakes = [
+        f"route {route.name} is shared by services of no weight"
+        for route in raw.routes
+        if route.split and not any(share.weight for share in route.split)
+    ]
+    checked: Result[WorkspaceTable | None, list[str]]
+    checked = Ok(None) if raw.tenants is None else _workspaces_of(raw.tenants)
+    if isinstance(checked, Err) or mistakes:
+        return Err(mistakes + (checked.err() or []))
     routes = tuple(_route_of(route) for route in raw.routes if route.kind in _KINDS)
     services = {service.name: _service_of(service) for service in raw.services}
     limits = Limits(
@@ -112,13 +123,7 @@
         _ms(raw.limits.header_timeout_ms),
         _ms(raw.limits.idle_timeout_ms),
     )
-    workspaces: WorkspaceTable | None = None
-    if raw.tenants is not None:
-        checked = _workspaces_of(raw.tenants)
-        if isinstance(checked, Err):
-            return checked
-        workspaces = checked.unwrap()
-    return Ok(RouteTable(raw.version, routes, services, limits, workspaces))
+    return Ok(RouteTable(raw.version, routes, services, limits, checked.unwrap()))
 
 
 def without_keys(value: bytes) -> bytes:
@@ -170,16 +175,16 @@
     )
 
 
-def _workspaces_of(tenants: list[_Tenant]) -> Result[WorkspaceTable, str]:
+def _workspaces_of(tenants: list[_Tenant]) -> Result[WorkspaceTable, list[str]]:
     workspaces = []
     for tenant in tenants:
         try:
             digests = [bytes.fromhex(digest) for digest in tenant.api_key_digests]
         except ValueError:
-            return Err(f"workspace {tenant.name}: a digest is not hexadecimal")
+            return Err([f"workspace {tenant.name}: a digest is not hexadecimal"])
         digests += [key_digest(key.encode()) for key in tenant.api_keys]
         workspaces.append(Workspace(tenant.name, frozenset(digests), tenant.priority))
-    return WorkspaceTable.checked(workspaces).map_err("; ".join)
+    return WorkspaceTable.checked(workspaces)
 
 
 def _service_of(raw: _Service) -> EngineService | None:
