--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "steps",
     "soak",
     "fairness",
+    "keys",
 )
 
 
--- a/bench/soak/holders.py
+++ b/bench/soak/holders.py
@@ -3,7 +3,7 @@
 import asyncio
 from contextlib import suppress
 
-from .model import HOST, Book
+from .model import ALPHA_KEY, HOST, Book
 from .world import World
 
 __all__ = ["Holders"]
@@ -68,6 +68,7 @@
         "POST /safe/x HTTP/1.1",
         f"Host: {HOST}",
         f"Attempt-Id: {name}",
+        f"Api-Key: {ALPHA_KEY}",
         "Deadline-Ms: 3000",
         "Content-Length: 2",
         "",
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -77,6 +77,11 @@
         """Tell whether a gateway stood still within the last seconds."""
         return self._trouble.get(gateway, -math.inf) > self._now() - seconds
 
+    def troubled(self, gateway: int) -> bool:
+        """Tell whether a gateway stood still, or the store was out, within the bound."""
+        trouble = max(self._trouble.get(gateway, -math.inf), self._store_trouble)
+        return self._now() - trouble <= BOUND_S
+
     def store(self, down: bool) -> None:
         """Take that all gateways are cut from the store, or no longer."""
         if down:
@@ -116,8 +121,7 @@
             self._book.break_promise("poison_ran_on", told)
 
     def _excused(self, port: int) -> bool:
-        trouble = max(self._trouble.get(self._gateway(port), -math.inf), self._store_trouble)
-        return self._now() - trouble <= BOUND_S
+        return self.troubled(self._gateway(port))
 
     def _late(
         self, what: str, late: float, sampler: PlatformSampler, request_id: str, port: int
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -11,6 +11,7 @@
 from .callers import Callers
 from .faults import async_faults
 from .holders import Holders
+from .keys import KeyCallers
 from .model import Book, SoakPlan
 from .poison import Poisoner
 from .world import World
@@ -28,7 +29,7 @@
     book = Book()
     world = World(plan, folder, book)
     callers, holders = Callers(world, plan, book), Holders(world, book)
-    poisoner = Poisoner(world, plan, book)
+    poisoner, keys = Poisoner(world, plan, book), KeyCallers(world, plan, book)
     try:
         await world.async_start()
         minded = [
@@ -38,15 +39,20 @@
         load = [asyncio.ensure_future(callers.async_plain(n)) for n in range(plan.callers)]
         load.append(asyncio.ensure_future(callers.async_train()))
         load.append(asyncio.ensure_future(poisoner.async_send()))
+        load += [
+            asyncio.ensure_future(keys.async_rotate()),
+            asyncio.ensure_future(keys.async_use()),
+        ]
         kept = [asyncio.ensure_future(holders.async_hold(n)) for n in range(2 * plan.gateways)]
         faults = asyncio.ensure_future(async_faults(world, plan, book))
         await asyncio.sleep(plan.seconds)
-        callers.stopping = poisoner.stopping = True
+        callers.stopping = poisoner.stopping = keys.stopping = True
         await asyncio.gather(faults, *load)
         await asyncio.sleep(_AFTER_S)
         await callers.async_read_all_again()
         await poisoner.async_check()
         callers.check_runs()
+        keys.check_runs()
         for task in (*minded, *kept):
             if task.done():
                 task.result()  # it never ends, so this tells why it has
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -1,7 +1,9 @@
 """What a soak is made of: its settings, its counts, and what callers expect."""
 
 import base64
+import re
 from collections import Counter
+from collections.abc import Sequence
 from random import Random
 from typing import Any
 
@@ -9,6 +11,8 @@
 
 __all__ = [
     "ALL",
+    "ALPHA_KEY",
+    "BETA",
     "ENGINES",
     "GROUP",
     "HOST",
@@ -19,6 +23,7 @@
     "SoakPlan",
     "config",
     "job",
+    "workspace_of",
 ]
 
 HOST = "soak.example"
@@ -26,6 +31,9 @@
 PLAIN = "plain"
 ENGINES = "engines"
 POISON = "poison"
+ALPHA = "alpha"
+ALPHA_KEY = "alpha-key-of-all-callers"
+BETA = "beta"
 GROUP = 4
 _GROUPS = 4
 ALL = GROUP * _GROUPS
@@ -61,8 +69,15 @@
         self.broken.append(f"{what}: {detail}")
 
 
-def config(version: int) -> dict[str, Any]:
-    """Return the operator's configuration; every version allows the same requests."""
+def workspace_of(request_id: str) -> str | None:
+    """Return the workspace under which a request runs, None for scoring requests."""
+    if re.fullmatch(r"s\d+r\d+", request_id):
+        return None
+    return BETA if request_id.startswith(BETA) else ALPHA
+
+
+def config(version: int, beta_keys: Sequence[str] = ()) -> dict[str, Any]:
+    """Return the operator's configuration; every version allows the same requests but for keys."""
     common = {"host": HOST, "timeout_ms": 2500, "goal_ms": 400, "priority": 2, "max_attempts": 3}
     routes = [
         {"name": "safe", "path_prefix": "/safe/", "kind": "safe", "service": PLAIN, **common},
@@ -78,7 +93,12 @@
     ]
     engine = {"slots": 4, "models": [{"name": MODEL}]}
     services = [{"name": PLAIN}, {"name": ENGINES, "engine": engine}]
-    return {"version": version, "routes": routes, "services": services, "limits": {}}
+    tenants = [
+        {"name": ALPHA, "api_keys": [ALPHA_KEY]},
+        {"name": BETA, "api_keys": list(beta_keys)},
+    ]
+    whole = {"version": version, "routes": routes, "services": services, "limits": {}}
+    return {**whole, "tenants": tenants}
 
 
 def job(step: int, min_version: int) -> dict[str, Any]:
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,7 +16,7 @@
 from stand_ins.process import Process, free_ports
 
 from .judge import Judge
-from .model import ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
+from .model import ALPHA_KEY, ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
 
 __all__ = ["World"]
 
@@ -48,6 +48,7 @@
         self.ready: list[int] = []
         self._luck = plan.luck("crashes")
         self._returns: set[asyncio.Future[None]] = set()
+        self.keys: list[str] = []
         self._config = 0
         self._plan = plan
         self._folder = folder
@@ -79,7 +80,7 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self._config += 1
-        self.store.put("keyed.op", "config", config(self._config))
+        self.store.put("keyed.op", "config", config(self._config, self.keys))
 
     def name_version(self, version: int) -> None:
         """Name a version as a trainer does."""
@@ -206,12 +207,14 @@
         request_id: str,
         body: Any = None,
         seconds: float = 3.0,
+        key: str = ALPHA_KEY,
     ) -> HTTPResponse | None:
         """Call a gateway as a client does; None when no whole answer came."""
         headers = {
             "Host": HOST,
             "Attempt-Id": request_id,
             "Deadline-Ms": str(int(seconds * 1000)),
+            "Api-Key": key,
         }
         data = msgspec.json.encode(body) if body is not None else None
         req = HTTPRequest(
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -14,6 +14,7 @@
 from bench.soak.entries import bad_entry
 from bench.soak.faults import draw
 from bench.soak.judge import Judge
+from bench.soak.keys import KeyCallers
 from bench.soak.main import async_soak
 from bench.soak.model import POISON, Book, SoakPlan
 from bench.soak.world import World
@@ -236,3 +237,52 @@
         "ran_though_refused",
         "ran_twice",
     ]
+
+
+@pytest.mark.parametrize(
+    ("key", "status", "sent", "excused", "broken"),
+    [
+        ("never", 200, 1.0, False, True),
+        ("never", 401, 1.0, False, False),
+        ("taken", 200, 14.0, False, True),
+        ("taken", 200, 12.0, False, False),
+        ("taken", 200, 14.0, True, False),
+        ("taken", 401, 14.0, False, False),
+        ("given", 401, 4.0, False, True),
+        ("given", 401, 2.0, False, False),
+        ("given", 200, 4.0, False, False),
+    ],
+)
+def test_the_soak_sees_what_a_key_must_not_do(
+    tmp_path: Path, key: str, status: int, sent: float, excused: bool, broken: bool
+) -> None:
+    """A run under a key never given or long taken away, and a refusal of a key in force, are seen."""
+    plan, book = SoakPlan(), Book()
+    keys = KeyCallers(World(plan, tmp_path, book), plan, book)
+    keys._given |= {"taken": 0.0, "given": 0.0}
+    keys._taken["taken"] = 10.0
+    keys._check(key, status, sent, excused, "one")
+    assert bool(book.broken) is broken
+
+
+@pytest.mark.parametrize(
+    ("run_id", "headers", "broken"),
+    [
+        ("safe1", {"Tenant": "alpha"}, False),
+        ("safe1", {"Tenant": "beta"}, True),
+        ("safe1", {"Tenant": "alpha", "api-key": "k"}, True),
+        ("beta1", {"Tenant": "beta"}, False),
+        ("s1i1", {}, True),
+        ("s1r1", {}, False),
+        ("s1r1", {"Tenant": "alpha"}, True),
+    ],
+)
+def test_the_soak_sees_a_run_under_another_workspace(
+    tmp_path: Path, run_id: str, headers: dict[str, str], broken: bool
+) -> None:
+    """Each run names the workspace of its caller, scoring none, and never the key."""
+    plan, book = SoakPlan(), Book()
+    world = World(plan, tmp_path, book)
+    world.samplers.append(PlatformSampler("plain", runs=[Run(run_id, "/x", b"", headers)]))
+    KeyCallers(world, plan, book).check_runs()
+    assert bool(book.broken) is broken
