Report how many requests of each workspace began to run in each window

Weighed: counts that ride on heartbeats cost no call, but every node reads every heartbeat, so bytes read grow with the square of the nodes, and the newest heartbeat of a restarted VM replaces the counts of its predecessor. Records of their own, appended only after something was counted and read by the holder once a window, keep both: chosen. Time from the own clock moves windows when the clock is stepped; the median of all nodes' clocks over the uptime clock does not: chosen; the store's answers have no time finer than a second. Change: a usage package. A report is decided by the first record of its window in the log; only what was read back is sent, under the token of the lease that stands, checked directly before each call. Windows in time go first; one past its time is sent once; a fenced token is not used again.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -191,6 +191,8 @@
             sink.dispatched(reservation.upstream.link.vm_id)
             trace = AttemptTrace()
             outcome = await self._async_run_attempt(scheduler, reservation, req, sink, trace)
+            if isinstance(outcome, AttemptNotRun):
+                sink.not_run()
             if isinstance(outcome, AttemptDone):
                 if self._guard is not None and outcome.status < _STATUS_SERVER_ERROR:
                     self._guard.record_answer(req.fingerprint)
--- a/cranberryline/dispatch/hedged.py
+++ b/cranberryline/dispatch/hedged.py
@@ -15,7 +15,7 @@
 from .errors import Ran, Refusal, RefusalReason
 from .model import CallerRequest, CollectingSink
 
-__all__ = ["AttemptSink", "HedgedRequest"]
+__all__ = ["AttemptSink", "HedgedRequest", "RunTimes"]
 
 STATUS_SERVER_ERROR = 500
 # A rejected request was not run, so it does not count as an attempt. This limit ends the request if
@@ -24,19 +24,51 @@
 _REJECTIONS = (RefusalReason.RETRIES_SPENT, RefusalReason.NO_UPSTREAM)
 
 
+class RunTimes:
+    """When a request may have begun to run: the starts of its attempts, without those not run."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._starts: list[timedelta] = []
+
+    @property
+    def first(self) -> timedelta | None:
+        """Return the first start as a reading of `Clock.elapsed`, None if nothing has run."""
+        return min(self._starts, default=None)
+
+    def start(self) -> timedelta:
+        """Record the start of an attempt and return it."""
+        started = self._clock.elapsed()
+        self._starts.append(started)
+        return started
+
+    def remove(self, started: timedelta) -> None:
+        """Remove an attempt that certainly did not run."""
+        self._starts.remove(started)
+
+
 class AttemptSink(CollectingSink):
     """Store a response, its upstream and, if a clock is given, the start of its attempt."""
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(self, clock: Clock | None = None, runs: RunTimes | None = None) -> None:
         super().__init__()
         self.upstream = ""
         self.sent_at: timedelta | None = None
         self._clock = clock
+        self._runs = runs
+        self._started: timedelta | None = None
 
     def dispatched(self, upstream: str) -> None:
         """Store the upstream of the attempt and its start time."""
         self.upstream = upstream
         self.sent_at = None if self._clock is None else self._clock.monotonic()
+        self._started = None if self._runs is None else self._runs.start()
+
+    def not_run(self) -> None:
+        """Remove the last attempt from the runs of the request."""
+        if self._runs is not None and self._started is not None:
+            self._runs.remove(self._started)
+            self._started = None
 
 
 @attrs.define
@@ -56,6 +88,7 @@
     max_attempts: int
     failures: int = 0
     clock: Clock | None = None
+    runs: RunTimes | None = None
     _running: dict[asyncio.Task[Result[str, Refusal]], AttemptSink] = attrs.field(factory=dict)
     _avoid: frozenset[str] = frozenset()
     _may_have_run: int = 0
@@ -100,7 +133,7 @@
 
     def _start(self) -> None:
         self._avoid |= {sink.upstream for sink in self._running.values() if sink.upstream}
-        sink = AttemptSink(self.clock)
+        sink = AttemptSink(self.clock, self.runs)
         work = self.dispatcher.async_run(self.make(self._avoid), sink)
         self._running[asyncio.ensure_future(work)] = sink
 
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -88,6 +88,10 @@
         """Handle the start of an attempt at an upstream."""
         return
 
+    def not_run(self) -> None:
+        """Handle that the last attempt certainly did not run."""
+        return
+
     @abc.abstractmethod
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Receive the status and headers; return whether the caller may have received them."""
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -22,7 +22,6 @@
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.shutdown import Shutdown, StopOutcome
 from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
-from cranberryline.jobs import JobState
 from cranberryline.jobs.mark_keeper import MarkManager
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
@@ -33,7 +32,6 @@
 from cranberryline.routes import ActiveRoutes, RouteTable
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
-from cranberryline.weights.lags import TrainerLags
 from cranberryline.weights.shift import VersionScheduler
 from cranberryline.workspaces import KeyCheck
 
@@ -49,6 +47,8 @@
 from .reload import SettingsWatch
 from .stop import StopParts, async_stop_gateway
 from .tasks import leave_log_to_handlers, log_task_failure, run_soon
+from .usage import GatewayUsage
+from .version_needs import VersionNeeds
 
 __all__ = ["GatewayProcess", "run"]
 
@@ -127,7 +127,7 @@
             NodeHeartbeat(cfg.vm_id, cfg.data_center, cfg.peer),
             clock,
             lambda: self._nodes_tail.current_at,
-            self._on_nodes_changed,
+            self._wake,
             self.health,
         )
         self.marks = MarkManager(
@@ -153,13 +153,26 @@
             )
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
+        self.usage = GatewayUsage(
+            cfg,
+            platform,
+            self.store,
+            self.lease,
+            self.nodes,
+            clock,
+            self.health,
+            self.metrics,
+        )
+        needs = VersionNeeds(
+            self.routes, lambda model: self.version_scheduler.requested_versions.get(model, 0)
+        )
         self.version_scheduler = VersionScheduler(
             platform.orders(self.directory.get),
             self.lease,
             self.registrations.engines,
-            self._service_models,
-            self._version_lag,
-            self._requires_single_version,
+            needs.models,
+            needs.allowed_lag,
+            needs.finish_runs,
             self.directory.record_version,
             clock,
             self.metrics,
@@ -171,9 +184,8 @@
         self._nodes_tail = self._make_tail(
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
         )
-        self._trainer_lags = TrainerLags()
         self.key_check = KeyCheck(self._config_tail.unconfirmed_for, cfg.key_max_age)
-        self.jobs.book.listen(self._on_job)
+        self.jobs.book.listen(needs.record_job)
         self.routes.listen(self._on_routes)
         self.directory.listen(self._on_registration)
         self.directory.listen_superseded(self.direct_upstreams.abort_requests)
@@ -198,6 +210,7 @@
             self.jobs,
             random.Random(),
             self.key_check,
+            self.usage.counter,
             quarantine_ready=self._is_quarantine_ready,
         )
         self._context = context
@@ -233,6 +246,8 @@
         self._start_task(self.lease.async_run())
         self._start_task(self.version_scheduler.async_run())
         self._start_task(self._async_expire_registrations())
+        for coroutine in self.usage.tasks():
+            self._start_task(coroutine)
         _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
 
     def apply_settings(self, cfg: GatewaySettings) -> None:
@@ -264,6 +279,7 @@
 
     async def async_close(self) -> None:
         """Cancel the background tasks and close the components."""
+        await self.usage.async_close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -350,39 +366,10 @@
         self.links.apply(self.directory.membership)
         self._wake()
 
-    def _on_nodes_changed(self) -> None:
-        self.runner.wake()
-
     def _wake(self) -> None:
         self.dispatcher.wake()
         self.runner.wake()
 
-    def _service_models(self, service: str) -> tuple[str, ...]:
-        table = self.routes.table
-        engine = None if table is None else table.services.get(service)
-        return () if engine is None else engine.models
-
-    def _version_lag(self, model: str) -> int:
-        """Return how many versions behind the requested one the model's trainer accepts."""
-        return self._trainer_lags.allowed_lag(
-            model, self.version_scheduler.requested_versions.get(model, 0)
-        )
-
-    def _on_job(self, state: JobState) -> None:
-        job = state.head
-        if job.min_version is not None and not state.listed and not state.ended:
-            requested = self.version_scheduler.requested_versions.get(job.model, 0)
-            self._trainer_lags.record_job(job.model, job.min_version, requested)
-
-    def _requires_single_version(self, service: str) -> bool:
-        """Return whether a route of the service requires single-version texts."""
-        table = self.routes.table
-        routes = () if table is None else table.routes
-        return any(
-            route.single_version and any(share.service == service for share in route.services)
-            for route in routes
-        )
-
 
 async def _async_run(cfg: GatewaySettings, path: str) -> int:
     gateway = GatewayProcess(cfg, UsersPlatform(cfg.store), SystemClock())
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -13,6 +13,7 @@
 
 from cranberryline.decisions.hedging import HedgeBudget
 from cranberryline.dispatch.dispatch import Dispatcher
+from cranberryline.dispatch.hedged import RunTimes
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.http_server import break_off_if_closed
 from cranberryline.helpers.logging import get_logger
@@ -21,6 +22,7 @@
 from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.jobs.service import JobService
 from cranberryline.routes import ActiveRoutes
+from cranberryline.usage import UsageCounter
 from cranberryline.workspaces import KeyCheck
 
 __all__ = ["RETRY_AFTER", "CallerHandler", "GatewayContext", "ReadyHandler"]
@@ -42,6 +44,7 @@
     jobs: JobService
     rng: random.Random
     key_check: KeyCheck
+    usage: UsageCounter | None = None
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     quarantine_ready: Callable[[], bool] = lambda: True
     stopping: bool = False
@@ -80,6 +83,7 @@
         self._response_head_ms = 0
         # None while it is unknown, and where callers need no key.
         self.workspace: str | None = None
+        self._runs = RunTimes(self.context.clock)
         self.request_id = ""
         if break_off_if_closed(self):
             _LOGGER.info("connection_closed_before_work", path=self.request.path)
@@ -154,6 +158,12 @@
         if self.workspace is not None:
             self.context.metrics.workspace_requests.count(self.workspace, outcome)
 
+    def _record_usage(self) -> None:
+        """Count the request for its workspace if an upstream began to run it."""
+        usage, began = self.context.usage, self._runs.first
+        if usage is not None and self.workspace is not None and began is not None:
+            usage.count(self.workspace, began)
+
     def _config_version(self) -> int:
         table = self.context.routes.table
         return 0 if table is None else table.version
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -102,10 +102,13 @@
         if route.kind is RouteKind.JOB:
             await self._async_submit_job(call, host)
             return
-        if route.kind is RouteKind.STREAM:
-            await self._async_forward_stream(call, route)
-            return
-        await self._async_forward(call, route)
+        try:
+            if route.kind is RouteKind.STREAM:
+                await self._async_forward_stream(call, route)
+            else:
+                await self._async_forward(call, route)
+        finally:
+            self._record_usage()
 
     async def _async_forward(self, call: PlainCall, route: Route) -> None:
         """Send the request until an upstream returns a complete response, and forward it."""
@@ -122,10 +125,11 @@
                 hedge_delay(route.goal),
                 max(1, route.max_attempts),
                 clock=ctx.clock,
+                runs=self._runs,
             )
             outcome = await hedged.async_run()
         else:
-            sink = AttemptSink(ctx.clock)
+            sink = AttemptSink(ctx.clock, self._runs)
             req = self._upstream_request(route, deadline, frozenset(), max(1, route.max_attempts))
             result = await ctx.dispatcher.async_run(req, sink)
             outcome = Ok(sink) if isinstance(result, Ok) else Err(result.unwrap_err())
@@ -188,6 +192,8 @@
         break_off(self)
 
     async def _async_stream_head(self, status: int, headers: HeaderPairs) -> None:
+        # A stream begins to run with its first token, possibly long after it was sent.
+        self._runs.start()
         self._response_head_ms = self._elapsed_ms()
         self.set_status(status)
         for name, value in headers:
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -88,8 +88,13 @@
         self._on_change = on_change
         self._health = health
         self._states: dict[str, _NodeState] = {}
+        self._listeners: list[Callable[[NodeHeartbeat], None]] = []
         self._last_live: frozenset[str] = frozenset()
 
+    def listen(self, listener: Callable[[NodeHeartbeat], None]) -> None:
+        """Register a callback that is called with each heartbeat that is read."""
+        self._listeners.append(listener)
+
     def live_nodes(self, since: timedelta) -> frozenset[str]:
         """Return the nodes that are responsible for work that arrived at `since` (monotonic).
 
@@ -141,6 +146,8 @@
             self._health.unsound("node_sign_unreadable", key=record.key, detail=read.unwrap_err())
             return
         heartbeat = read.unwrap()
+        for listener in self._listeners:
+            listener(heartbeat)
         now = self._clock.monotonic()
         previous = self._states.get(record.key)
         stopping = now if heartbeat.stopping else None
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -64,6 +64,9 @@
         self.relayed = self._counter(
             "store_calls_relayed", "Calls to the store made through a peer.", "outcome"
         )
+        self.usage_reports = self._counter(
+            "usage_reports", "Reports of use that were sent.", "outcome"
+        )
         self.stops = self._counter("stops", "Planned stops, by how they ended.", "outcome")
         self.in_flight = self._gauge("in_flight", "Requests taken in and not yet answered.")
         self.queued = self._gauge("queued", "Requests that wait for a place.")
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -318,6 +318,15 @@
         as_of = self._moment()
         return await self._async_taken(await self._async_next_page(), as_of)
 
+    async def async_read_to_end(self) -> StoreError | None:
+        """Read up to the partition's end without following it; return why that failed."""
+        self.at_end = False
+        while not self.at_end:
+            error = await self.async_page()
+            if error is not None:
+                return error
+        return None
+
     async def _async_step(self) -> StoreError | None:
         as_of = self._moment()
         if self.loaded.is_set():
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -10,6 +10,7 @@
 from cranberryline.ports.store import KeyedRecord, SharedLog
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
+from cranberryline.usage import UsagePort
 
 from .config import read_config, read_version, without_keys
 from .const import (
@@ -25,6 +26,7 @@
 from .ports import NamedVersion, OperatorChange, PlatformPort
 from .samplers import SamplerClient, SamplerOrders, read_registration
 from .store import HttpStore
+from .usage import PlatformUsage
 
 __all__ = ["UsersPlatform"]
 
@@ -79,6 +81,10 @@
         """Return the client of one incarnation of an upstream."""
         return SamplerClient(row)
 
+    def usage(self, address: str) -> UsagePort:
+        """Return the client for reports of use."""
+        return PlatformUsage(address)
+
     def orders(self, find: Callable[[str], Registration | None]) -> OrderPort:
         """Return the client for orders."""
         return SamplerOrders(find)
--- a/cranberryline/platform/ports.py
+++ b/cranberryline/platform/ports.py
@@ -13,6 +13,7 @@
 from cranberryline.routes import RouteTable
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
+from cranberryline.usage import UsagePort
 
 __all__ = ["NamedVersion", "OperatorChange", "PlatformPort"]
 
@@ -63,6 +64,10 @@
     def connect(self, row: VmEntry) -> PlainServicePort:
         """Return the way to one upstream."""
 
+    @abc.abstractmethod
+    def usage(self, address: str) -> UsagePort:
+        """Return the client of the service that takes reports of use."""
+
     @abc.abstractmethod
     def orders(self, find: Callable[[str], Registration | None]) -> OrderPort:
         """Return the way to order engines; `find` tells of a start by its key, None once it is over."""
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -19,6 +19,7 @@
     DEFAULT_SIDE_PEER,
     DEFAULT_SLOW_SENDER_TIMEOUT,
     DEFAULT_STOP_TIMEOUT,
+    DEFAULT_USAGE_LATE,
     LOG_LEVELS,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -166,6 +167,21 @@
         None,
         key="key_max_age_ms",
     )
+    usage_api: str | None = _setting(
+        Address(), "Address of the service that takes reports of use.", None
+    )
+    usage_window: timedelta | None = _setting(
+        Seconds(),
+        "Length of the windows of time that are reported; without it none are.",
+        None,
+        key="usage_window_seconds",
+    )
+    usage_late: timedelta = _setting(
+        Seconds(),
+        "Within which time after its end a window is to be reported.",
+        DEFAULT_USAGE_LATE,
+        key="usage_late_seconds",
+    )
     keep_jobs: timedelta = _setting(
         Seconds(),
         "How long a batch job is answered for after it was submitted.",
