--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -39,6 +39,7 @@
         load = [asyncio.ensure_future(callers.async_plain(n)) for n in range(plan.callers)]
         load.append(asyncio.ensure_future(callers.async_train()))
         load.append(asyncio.ensure_future(poisoner.async_send()))
+        load.append(asyncio.ensure_future(world.reports.async_fail()))
         load += [
             asyncio.ensure_future(keys.async_rotate()),
             asyncio.ensure_future(keys.async_use()),
@@ -46,13 +47,14 @@
         kept = [asyncio.ensure_future(holders.async_hold(n)) for n in range(2 * plan.gateways)]
         faults = asyncio.ensure_future(async_faults(world, plan, book))
         await asyncio.sleep(plan.seconds)
-        callers.stopping = poisoner.stopping = keys.stopping = True
+        callers.stopping = poisoner.stopping = keys.stopping = world.reports.stopping = True
         await asyncio.gather(faults, *load)
         await asyncio.sleep(_AFTER_S)
         await callers.async_read_all_again()
         await poisoner.async_check()
         callers.check_runs()
         keys.check_runs()
+        world.reports.check()
         for task in (*minded, *kept):
             if task.done():
                 task.result()  # it never ends, so this tells why it has
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -17,6 +17,7 @@
 
 from .judge import Judge
 from .model import ALPHA_KEY, ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
+from .reports import LATE_S, WINDOW_S, Reports
 
 __all__ = ["World"]
 
@@ -49,6 +50,7 @@
         self._luck = plan.luck("crashes")
         self._returns: set[asyncio.Future[None]] = set()
         self.keys: list[str] = []
+        self.reports = Reports(plan, self._book)
         self._config = 0
         self._plan = plan
         self._folder = folder
@@ -56,6 +58,7 @@
     async def async_start(self) -> None:
         """Start everything and wait until every gateway is ready."""
         self.store.start()
+        self.reports.api.start()
         self.trap.start()
         self.configure()
         for service, model in ((PLAIN, ""), (ENGINES, MODEL)):
@@ -76,6 +79,7 @@
         for sampler in (*self.samplers, *self.left, self.trap):
             sampler.stop()
         self.store.stop()
+        self.reports.api.stop()
 
     def configure(self) -> None:
         """Write the next version of the configuration."""
@@ -242,6 +246,9 @@
             "peer": f"127.0.0.1:{peer}",
             "partitions": 2,
             "stop_seconds": 4,
+            "usage_api": self.reports.api.address,
+            "usage_window_seconds": WINDOW_S,
+            "usage_late_seconds": LATE_S,
         }
         file = self._folder / f"front-{number}.yaml"
         file.write_text(yaml.safe_dump(settings))
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -92,6 +92,8 @@
     gateways: list[GatewayProcess] = attrs.field(factory=list)
     addresses: list[str] = attrs.field(factory=list)
     settings: list[GatewaySettings] = attrs.field(factory=list)
+    # Further settings of the gateways that are added.
+    more: dict[str, Any] = attrs.field(factory=dict)
 
     def add_sampler(self, service: str, model: str = "", **fields: Any) -> PlatformSampler:
         """Start a sampler and let it register."""
@@ -120,6 +122,7 @@
             peer=peer,
             partitions=2,
             stop_timeout=timedelta(seconds=4),
+            **self.more,
         )
         gateway = GatewayProcess(cfg, UsersPlatform(cfg.store), SystemClock())
         gateway.start()
