--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -305,7 +305,7 @@
     if role == "entry":
         from .entry.app import run  # noqa: PLC0415 - keeps the other roles out of memory
     elif role == "gateway":
-        from .gateway.app import run  # noqa: PLC0415 - keeps the other roles out of memory
+        from .gateway.run import run  # noqa: PLC0415 - keeps the other roles out of memory
 
         more = (path,)
     else:
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -1,7 +1,6 @@
 """Creates the components of a gateway process, starts them and stops them in order."""
 
 import asyncio
-import gc
 import random
 import sys
 import uuid
@@ -15,23 +14,22 @@
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.dispatch.upstreams import UpstreamTable
-from cranberryline.exit_code import ExitCode
-from cranberryline.helpers.clock import Clock, SystemClock
+from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.logging import Level, get_logger, set_level
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
-from cranberryline.helpers.shutdown import Shutdown, StopOutcome
+from cranberryline.helpers.shutdown import StopOutcome
 from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
 from cranberryline.jobs.mark_keeper import MarkManager
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
-from cranberryline.platform.adapter import UsersPlatform
 from cranberryline.platform.ports import NamedVersion, PlatformPort
 from cranberryline.ports.store import KeyedRecord
 from cranberryline.routes import ActiveRoutes, RouteTable
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
+from cranberryline.weights.news import VersionNews
 from cranberryline.weights.shift import VersionScheduler
 from cranberryline.workspaces import KeyCheck
 
@@ -44,13 +42,12 @@
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .relay_calls import Redaction
-from .reload import SettingsWatch
 from .stop import StopParts, async_stop_gateway
 from .tasks import leave_log_to_handlers, log_task_failure, run_soon
 from .usage import GatewayUsage
 from .version_needs import VersionNeeds
 
-__all__ = ["GatewayProcess", "run"]
+__all__ = ["GatewayProcess"]
 
 _LOGGER = get_logger(__name__)
 
@@ -163,6 +160,7 @@
             self.health,
             self.metrics,
         )
+        self.version_news = VersionNews(self.store, clock, self.health, self._on_version_loaded)
         needs = VersionNeeds(
             self.routes, lambda model: self.version_scheduler.requested_versions.get(model, 0)
         )
@@ -173,7 +171,7 @@
             needs.models,
             needs.allowed_lag,
             needs.finish_runs,
-            self.directory.record_version,
+            self.version_news.publish,
             clock,
             self.metrics,
         )
@@ -235,7 +233,7 @@
         )
         self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
-        for tail in (*self._startup_tails(), self.lease.tail):
+        for tail in (*self._startup_tails(), self.lease.tail, self.version_news.tail):
             self._start_task(tail.async_run())
         self._start_task(self.quarantine.async_run())
         for partition_tail in self.jobs.tails:
@@ -245,6 +243,7 @@
         self._start_task(self.runner.async_run())
         self._start_task(self.lease.async_run())
         self._start_task(self.version_scheduler.async_run())
+        self._start_task(self.version_news.async_run())
         self._start_task(self._async_expire_registrations())
         for coroutine in self.usage.tasks():
             self._start_task(coroutine)
@@ -365,34 +364,13 @@
     def _on_membership_changed(self) -> None:
         self.links.apply(self.directory.membership)
         self._wake()
+        self.runner.notify_upstreams_changed()
+
+    def _on_version_loaded(self, engine: str, model: str, version: int) -> None:
+        if (self.directory.version(engine, model) or 0) < version:
+            self.directory.record_version(engine, model, version)
+            self.runner.notify_upstreams_changed()
 
     def _wake(self) -> None:
         self.dispatcher.wake()
         self.runner.wake()
-
-
-async def _async_run(cfg: GatewaySettings, path: str) -> int:
-    gateway = GatewayProcess(cfg, UsersPlatform(cfg.store), SystemClock())
-    shutdown = Shutdown(gateway.async_stop, cfg.stop_timeout, gateway.metrics)
-    shutdown.install()
-    # Modules and components live as long as the process. Each full garbage collection would traverse
-    # these 50,000 objects or so, which takes 40 ms. The first one would run while recent jobs are
-    # read, which would take 22 us per result instead of 4.
-    gc.freeze()
-    try:
-        gateway.start()
-    except OSError as exc:
-        _LOGGER.error("cannot_listen", error=str(exc))
-        return ExitCode.UNAVAILABLE
-    watch = SettingsWatch(path, cfg, gateway.apply_settings, SystemClock())
-    watch.install()
-    watch_task = asyncio.ensure_future(watch.async_run())
-    outcome = await shutdown.async_wait()
-    watch_task.cancel()
-    await gateway.async_close()
-    return outcome.exit_code
-
-
-def run(cfg: GatewaySettings, path: str) -> int:
-    """Run a gateway until it receives a stop signal; return the exit code."""
-    return asyncio.run(_async_run(cfg, path))
