--- a/cranberryline/gateway/usage.py
+++ b/cranberryline/gateway/usage.py
@@ -13,7 +13,7 @@
 from cranberryline.usage import PeerClock, UsageCounter, UsageReporter, UsageWindows, UsageWriter
 from cranberryline.usage.reporter import ReporterParts
 
-from .nodes import NodeRegistry
+from .nodes import NodeHeartbeat, NodeRegistry
 
 __all__ = ["GatewayUsage"]
 
@@ -41,13 +41,12 @@
             return
         windows = UsageWindows(cfg.usage_window, cfg.usage_late)
         peer_clock = PeerClock(clock)
-        nodes.listen(
-            lambda heartbeat: (
+
+        def on_heartbeat(heartbeat: NodeHeartbeat) -> None:
+            if heartbeat.node != cfg.vm_id:
                 peer_clock.record(heartbeat.node, heartbeat.written)
-                if heartbeat.node != cfg.vm_id
-                else None
-            )
-        )
+
+        nodes.listen(on_heartbeat)
         self.counter = UsageCounter(windows, peer_clock, cfg.vm_id)
         writer = UsageWriter(
             self.counter,
