--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -29,7 +29,6 @@
 from cranberryline.routes import ActiveRoutes, RouteTable
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
-from cranberryline.weights.news import VersionNews
 from cranberryline.weights.shift import VersionScheduler
 from cranberryline.workspaces import KeyCheck
 
@@ -160,7 +159,6 @@
             self.health,
             self.metrics,
         )
-        self.version_news = VersionNews(self.store, clock, self.health, self._on_version_loaded)
         needs = VersionNeeds(
             self.routes, lambda model: self.version_scheduler.requested_versions.get(model, 0)
         )
@@ -171,7 +169,7 @@
             needs.models,
             needs.allowed_lag,
             needs.finish_runs,
-            self.version_news.publish,
+            self.directory.record_version,
             clock,
             self.metrics,
         )
@@ -233,7 +231,7 @@
         )
         self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
-        for tail in (*self._startup_tails(), self.lease.tail, self.version_news.tail):
+        for tail in (*self._startup_tails(), self.lease.tail):
             self._start_task(tail.async_run())
         self._start_task(self.quarantine.async_run())
         for partition_tail in self.jobs.tails:
@@ -243,7 +241,6 @@
         self._start_task(self.runner.async_run())
         self._start_task(self.lease.async_run())
         self._start_task(self.version_scheduler.async_run())
-        self._start_task(self.version_news.async_run())
         self._start_task(self._async_expire_registrations())
         for coroutine in self.usage.tasks():
             self._start_task(coroutine)
@@ -364,12 +361,6 @@
     def _on_membership_changed(self) -> None:
         self.links.apply(self.directory.membership)
         self._wake()
-        self.runner.notify_upstreams_changed()
-
-    def _on_version_loaded(self, engine: str, model: str, version: int) -> None:
-        if (self.directory.version(engine, model) or 0) < version:
-            self.directory.record_version(engine, model, version)
-            self.runner.notify_upstreams_changed()
 
     def _wake(self) -> None:
         self.dispatcher.wake()
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -65,7 +65,6 @@
         self._pieces = PieceBuilder(state.head.id, index)
         self._retry_delay = _MIN_RETRY_DELAY
         self._avoided_upstreams: frozenset[str] = frozenset()
-        self._found_no_upstream = False
 
     async def async_run(self) -> ItemResult | None:
         """Return the result, or None if the item is no longer needed."""
@@ -178,12 +177,7 @@
         return age > route.max_wait.total_seconds()
 
     async def _async_back_off(self) -> None:
-        """Wait before the next attempt, or until an upstream may be able to run the item."""
-        delay = self._retry_delay * (0.5 + self.context.rng.random())
-        if self._found_no_upstream:
-            await self.context.upstreams_changed.async_wait(delay)
-        else:
-            await self.context.clock.async_sleep(delay)
+        await self.context.clock.async_sleep(self._retry_delay * (0.5 + self.context.rng.random()))
         self._retry_delay = min(self._retry_delay * 2, _MAX_RETRY_DELAY)
 
     async def _async_generate_text(self, route: Route) -> bool | None:
@@ -196,7 +190,6 @@
         sink = TextSink(self.context, self.state, self.text, self.phases, route.single_version)
         events_before = len(self.text.events)
         outcome = await self._async_dispatch(route, sink)
-        self._found_no_upstream = not sink.upstream
         if sink.upstream:
             self._avoided_upstreams = next_excluded(self._avoided_upstreams, sink.upstream)
         if len(self.text.events) > events_before:
--- a/cranberryline/jobs/item_context.py
+++ b/cranberryline/jobs/item_context.py
@@ -13,7 +13,6 @@
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
-from cranberryline.helpers.pulse import Pulse
 from cranberryline.routes import ActiveRoutes
 from cranberryline.upstreams.versions import UpstreamVersions
 
@@ -53,8 +52,6 @@
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     # Monotonic time of the last byte from each upstream.
     last_received_at: dict[str, timedelta] = attrs.field(factory=dict)
-    # Notified when an upstream may have become able to run an item.
-    upstreams_changed: Pulse = attrs.field(factory=Pulse)
     rejecting_upstreams: UpstreamCooldowns = attrs.field(factory=UpstreamCooldowns)
     lengths: TextLengthEstimator = attrs.field(factory=TextLengthEstimator)
     paces: EngineRates = attrs.field(factory=EngineRates)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -132,10 +132,6 @@
         self._next_full_scan = timedelta()
         self._wake.set()
 
-    def notify_upstreams_changed(self) -> None:
-        """Let items look for an upstream that did not find one before."""
-        self._context.upstreams_changed.notify()
-
     async def async_run(self) -> None:
         """Start due items and store the partial texts of running items until cancelled."""
         keeper_task = asyncio.ensure_future(self._keeper.async_run())
@@ -276,12 +272,7 @@
         task = asyncio.ensure_future(self._async_run_item(run))
         self._running[key] = _RunningItem(run, task)
         self._keeper.wake()
-
-        def on_done(_task: object) -> None:
-            self._running.pop(key, None)
-            self._context.upstreams_changed.notify()
-
-        task.add_done_callback(on_done)
+        task.add_done_callback(lambda _: self._running.pop(key, None))
 
     async def _async_run_item(self, run: ItemRun) -> None:
         result = await run.async_run()
