Drop the urgency of items at their engine

Cause: a step's longest texts take most of its time, and may wait at an engine behind short ones (from being sent to the first event over 0.5 s for 9%).

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -7,7 +7,6 @@
 
 from cranberryline.decisions.excluded_upstreams import next_excluded
 from cranberryline.decisions.hedging import scoring_hedge_delay
-from cranberryline.decisions.item_urgency import item_urgency
 from cranberryline.decisions.moving import MAX_MOVES
 from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
 from cranberryline.dispatch.hedged import HedgedRequest
@@ -166,10 +165,6 @@
         table = self.context.routes.table
         return route.priority if table is None else table.rank(route, self.state.head.workspace)
 
-    def _urgency(self) -> int:
-        age = self.context.clock.monotonic() - self.state.seen_at
-        return item_urgency(self.item.told_tokens, self.state.told_lengths, age)
-
     def _is_expired(self, route: Route) -> bool:
         if route.max_wait is None:
             return False
@@ -240,9 +235,7 @@
             service=route.choose_service(self.context.rng),
             method="POST",
             path=self.item.path,
-            headers=self.context.edge.item_headers(
-                job, self.item, self.text.last_id, self._urgency()
-            ),
+            headers=self.context.edge.item_headers(job, self.item, self.text.last_id),
             body=self.item.body,
             deadline=self.context.clock.monotonic() + _RUN_TIMEOUT,
             caller=job.host,
--- a/cranberryline/jobs/ports.py
+++ b/cranberryline/jobs/ports.py
@@ -104,13 +104,10 @@
         """Encode a page of results for a caller."""
 
     @abc.abstractmethod
-    def item_headers(
-        self, job: Job, item: Item, last_event: int | None, urgency: int
-    ) -> HeaderPairs:
+    def item_headers(self, job: Job, item: Item, last_event: int | None) -> HeaderPairs:
         """Return the headers of the request that generates an item's text.
 
-        If `last_event` is set, the text is resumed after that event. `urgency` is from 0, the most
-        urgent, to 9.
+        If `last_event` is set, the text is resumed after that event.
         """
 
     @abc.abstractmethod
--- a/cranberryline/jobs/state.py
+++ b/cranberryline/jobs/state.py
@@ -111,11 +111,6 @@
             )
         return self._job
 
-    @cached_property
-    def told_lengths(self) -> list[int]:
-        """Return the text lengths that the caller expects of the items, sorted."""
-        return sorted(item.told_tokens for item in self.job.items)
-
     def set_texts_start(self, offset: int) -> None:
         """Record that a text piece of the job is stored at an offset of the texts topic."""
         if self.texts_start is None or offset < self.texts_start:
--- a/cranberryline/platform/edge.py
+++ b/cranberryline/platform/edge.py
@@ -28,7 +28,6 @@
     HEADER_LAST_EVENT,
     HEADER_LENGTH,
     HEADER_PREFIX,
-    HEADER_PRIORITY,
     HEADER_REQUEST_ID,
     HEADER_SIGNATURE,
     HEADER_TIME_LEFT,
@@ -152,16 +151,12 @@
             rows.append(row)
         return msgspec.json.encode({"total": page.total, "next_token": page.next, "results": rows})
 
-    def item_headers(
-        self, job: Job, item: Item, last_event: int | None, urgency: int
-    ) -> HeaderPairs:
-        """Return the item's own headers, its id, the route's host, urgency and where to go on."""
-        own = self.caller_headers(item.headers, job.workspace)
+    def item_headers(self, job: Job, item: Item, last_event: int | None) -> HeaderPairs:
+        """Return the item's own headers, its id, the route's host and where to go on."""
         headers = [
-            *(pair for pair in own if pair[0].lower() != HEADER_PRIORITY.lower()),
+            *self.caller_headers(item.headers, job.workspace),
             (HEADER_REQUEST_ID, item.id),
             (HEADER_HOST, job.host),
-            (HEADER_PRIORITY, str(urgency)),
         ]
         if last_event is not None:
             headers.append((HEADER_LAST_EVENT, str(last_event)))
