Ignore heartbeats whose time is no number, and keep decided reports at a gap

Cause: found in reading. A heartbeat with a time that is NaN would have made the estimate of the time of day NaN, and counting a request would have raised; a gap in the log of reports dropped reports that were known and not yet sent. Change: only finite times have a say; a gap only raises the floor. Result: both cases are in tests/usage/test_parts.py; the first fails before.

--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -169,8 +169,9 @@
     def _tokens_ahead_in_class(self, queued: Outstanding, req: AdmissionRequest) -> float:
         """Return the tokens of the same class that the queue serves before the request.
 
-        More urgent ranks are served first. Within the rank, each other caller is served at most in proportion to its weight, so a caller with a large
-        backlog waits for its own work and does not delay the others.
+        More urgent ranks are served first. Within the rank, each other caller is served at most in
+        proportion to its weight, so a caller with a large backlog waits for its own work and does
+        not delay the others.
         """
         more_urgent = queued.tokens_before_rank(req.priority, req.rank)
         tokens_by_caller = queued.rank_tokens(req.priority, req.rank)
--- a/cranberryline/usage/ledger.py
+++ b/cranberryline/usage/ledger.py
@@ -61,7 +61,7 @@
 
     def miss_records(self, window: int) -> None:
         """Handle the deletion of unread records, which may have decided windows up to this one."""
-        self.forget_before(window + 1)
+        self._raise_floor(window + 1)
 
     @property
     def empty(self) -> bool:
@@ -82,4 +82,7 @@
         """Drop the reports of earlier windows and decide none of these any more."""
         for old in [known for known in self._reports if known < window]:
             del self._reports[old]
+        self._raise_floor(window)
+
+    def _raise_floor(self, window: int) -> None:
         self._floor = window if self._floor is None else max(self._floor, window)
--- a/cranberryline/usage/peer_clock.py
+++ b/cranberryline/usage/peer_clock.py
@@ -1,5 +1,6 @@
 """The time of day on which most nodes agree, independent of steps of this VM's clock."""
 
+import math
 from collections import deque
 from datetime import timedelta
 from statistics import median
@@ -36,8 +37,11 @@
         self._peers: dict[str, _Peer] = {}
 
     def record(self, node: str, written: float) -> None:
-        """Record the time of day, in Unix seconds, that a peer's heartbeat carries."""
-        if written <= 0:
+        """Record the time of day, in Unix seconds, that a peer's heartbeat carries.
+
+        A heartbeat without a time, or with one that is no number, has no say.
+        """
+        if not 0 < written < math.inf:
             return
         now = self._clock.elapsed()
         peer = self._peers.setdefault(node, _Peer())
--- a/tests/usage/test_parts.py
+++ b/tests/usage/test_parts.py
@@ -1,5 +1,6 @@
 """Windows, counts, the clock of peers, and the fold of reports."""
 
+import math
 import random
 from datetime import UTC, datetime, timedelta
 
@@ -83,7 +84,8 @@
     peer_clock = PeerClock(clock)
     for peer in range(3):
         peer_clock.record(f"front-{peer}", TRUE_START + 50.0)
-    peer_clock.record("old", 0.0)
+    for written in (0.0, -1.0, math.inf, math.nan):
+        peer_clock.record("foreign", written)
     clock.at = 6.0
     assert peer_clock.unix_seconds() == pytest.approx(TRUE_START + 6.0)
 
@@ -142,6 +144,8 @@
     book = ReportBook(4)
     book.apply(17, ReportRecord(100, {}))
     assert not book.may_decide(101) and not book.may_decide(104) and book.may_decide(105)
+    book.miss_records(200)
+    assert book.report(100) is not None and not book.may_decide(200) and book.may_decide(201)
     empty = ReportBook(4)
     empty.miss_records(100)
     assert not empty.may_decide(100) and empty.may_decide(101)
