--- a/tests/usage/test_parts.py
+++ b/tests/usage/test_parts.py
@@ -84,12 +84,20 @@
     peer_clock = PeerClock(clock)
     for peer in range(3):
         peer_clock.record(f"front-{peer}", TRUE_START + 50.0)
-    for written in (0.0, -1.0, math.inf, math.nan):
-        peer_clock.record("foreign", written)
+    peer_clock.record("old", 0.0)
     clock.at = 6.0
     assert peer_clock.unix_seconds() == pytest.approx(TRUE_START + 6.0)
 
 
+@pytest.mark.parametrize("written", [0.0, -1.0, math.inf, math.nan])
+def test_a_heartbeat_whose_time_is_no_number_has_no_say(written: float) -> None:
+    """Another writer stored it; the time of day stays a number near the own clock's."""
+    clock = SteppedClock()
+    peer_clock = PeerClock(clock)
+    peer_clock.record("foreign", written)
+    assert peer_clock.unix_seconds() == pytest.approx(TRUE_START)
+
+
 def test_counts_replace_each_other_within_a_start_and_add_up_between_starts() -> None:
     """An append without an answer is repeated, and may land behind a newer one."""
     ledger = UsageLedger()
