Count only failed runs of a scorer as failures

Cause: responses of 502, 503 and 504 counted like those of 500. A service that was sixteen times slower responded 504 four times at the 2.5 s that it was given. Ruled out: a missing route (the item's score took 5.7 s of tries), and 500s of the item's own runs (it had one run, complete). Change: only 500 counts, as for the item's runs.

--- a/cranberryline/dispatch/hedged.py
+++ b/cranberryline/dispatch/hedged.py
@@ -77,7 +77,8 @@
 
     At most `max_attempts` attempts may have run it. A hedged copy is sent to a second upstream
     after `hedge_delay` without a response. `make` returns the request, given the ids of the
-    upstreams to avoid. `failures` counts the responses with a server error status.
+    upstreams to avoid. `failures` counts the responses of runs that failed (500). Other server errors
+    do not count: a service that is slower than the time it was given has not failed.
     """
 
     dispatcher: Dispatcher
@@ -165,7 +166,7 @@
             self._may_have_run += 1
             if sink.status < STATUS_SERVER_ERROR:
                 return sink
-            self.failures += 1
+            self.failures += sink.status == STATUS_SERVER_ERROR
             self._error_response, self._refusal = sink, None
             return None
         refusal = outcome.unwrap_err()
--- a/tests/dispatch/test_hedged.py
+++ b/tests/dispatch/test_hedged.py
@@ -15,6 +15,7 @@
 from tests.virtual_time import run_virtual
 
 STATUS_ERROR = 500
+_NO_UPSTREAM = Refusal(RefusalReason.NO_UPSTREAM)
 MAX_CALLS = 50
 
 
@@ -37,8 +38,8 @@
         return Ok(f"upstream-{self.call_count}")
 
 
-def _run(dispatcher: ScriptedDispatcher, max_attempts: int = 3) -> Result[AttemptSink, Refusal]:
-    req = HedgedRequest(
+def _make_request(dispatcher: ScriptedDispatcher, max_attempts: int) -> HedgedRequest:
+    return HedgedRequest(
         cast(Any, dispatcher),
         HedgeBudget(),
         Metrics(),
@@ -46,6 +47,10 @@
         timedelta(seconds=1),
         max_attempts,
     )
+
+
+def _run(dispatcher: ScriptedDispatcher, max_attempts: int = 3) -> Result[AttemptSink, Refusal]:
+    req = _make_request(dispatcher, max_attempts)
     results: list[Result[AttemptSink, Refusal]] = []
 
     async def async_main() -> None:
@@ -56,6 +61,19 @@
     return results[0]
 
 
+@pytest.mark.parametrize(("status", "failures"), [(500, 3), (504, 0), (502, 0), (503, 0)])
+def test_only_a_failed_run_counts_as_a_failure(status: int, failures: int) -> None:
+    """A service that is slower than the time it was given responds 504; nothing has failed."""
+    dispatcher = ScriptedDispatcher(_NO_UPSTREAM, status, status, status)
+    req = _make_request(dispatcher, 3)
+
+    async def async_main() -> None:
+        await req.async_run()
+
+    run_virtual(async_main())
+    assert dispatcher.call_count == 3 and req.failures == failures
+
+
 @pytest.mark.parametrize(
     "reason",
     [RefusalReason.OVERLOADED, RefusalReason.NO_UPSTREAM, RefusalReason.RETRIES_SPENT],
