Look at the peers' clocks once for all new counts, not for each request

Change: a count keeps the moment at which the request began; the writer, which runs at most four times a second, gives all new ones their windows.

--- a/cranberryline/usage/counter.py
+++ b/cranberryline/usage/counter.py
@@ -39,19 +39,21 @@
         self._node = node
         # Counts of two processes on one VM are added up; those of one process replace each other.
         self._start = uuid.uuid4().hex
+        # Requests that no window has yet: the time of day takes a look at every peer, which is done
+        # once for all of them and not for each request.
+        self._new: list[tuple[str, timedelta]] = []
         self._counts: defaultdict[int, Counter[str]] = defaultdict(Counter)
         self._unstored: set[int] = set()
         self.changed = asyncio.Event()
 
     def count(self, workspace: str, began: timedelta) -> None:
         """Count a request that began to run at a reading of `Clock.elapsed`."""
-        window = self._windows.window_at(self._clock.unix_seconds(began))
-        self._counts[window][workspace] += 1
-        self._unstored.add(window)
+        self._new.append((workspace, began))
         self.changed.set()
 
     def take_unstored(self) -> list[CountRecord]:
         """Return the records of all windows with new counts, and drop windows past reporting."""
+        self._assign_windows()
         horizon = self._windows.late.total_seconds() * HORIZON_LIMITS
         oldest = self._clock.unix_seconds() - horizon
         for window in [window for window in self._counts if self._windows.end(window) < oldest]:
@@ -66,6 +68,14 @@
             for window in taken
         ]
 
+    def _assign_windows(self) -> None:
+        offset = self._clock.offset()
+        for workspace, began in self._new:
+            window = self._windows.window_at(began.total_seconds() + offset)
+            self._counts[window][workspace] += 1
+            self._unstored.add(window)
+        self._new.clear()
+
     def put_back(self, records: list[CountRecord]) -> None:
         """Mark records as not stored; they are repeated with what was counted since."""
         self._unstored.update(record.window for record in records)
--- a/cranberryline/usage/peer_clock.py
+++ b/cranberryline/usage/peer_clock.py
@@ -48,13 +48,13 @@
         peer.offsets.append(written - now.total_seconds())
         peer.heard_at = now
 
-    def unix_seconds(self, elapsed: timedelta | None = None) -> float:
-        """Return the time of day at a reading of `Clock.elapsed`, by default now."""
-        now = self._clock.elapsed()
-        at = now if elapsed is None else elapsed
-        return at.total_seconds() + self._offset(now)
+    def unix_seconds(self) -> float:
+        """Return the time of day, in Unix seconds."""
+        return self._clock.elapsed().total_seconds() + self.offset()
 
-    def _offset(self, now: timedelta) -> float:
+    def offset(self) -> float:
+        """Return the time of day less the uptime, in seconds; it takes a look at every peer."""
+        now = self._clock.elapsed()
         offsets = [self._clock.now().timestamp() - now.total_seconds()]
         offsets += [
             max(peer.offsets) for peer in self._peers.values() if now - peer.heard_at < _SAMPLE_TTL
