--- a/bench/fold_load.py
+++ b/bench/fold_load.py
@@ -8,9 +8,9 @@
 
 from cranberryline.decisions.job_placement import JobPlacement
 from cranberryline.gateway.nodes import NodeHeartbeat
+from cranberryline.helpers.partition import partition_of
 from cranberryline.jobs import Item, ItemResult, ItemState, Job, JobEnded, ResultRecord, Scorer
 from cranberryline.jobs.codec import encode_job, encode_records
-from cranberryline.jobs.partition import partition_of
 
 __all__ = ["PARTS", "Load", "Record"]
 
--- a/cranberryline/gateway/ingress.py
+++ b/cranberryline/gateway/ingress.py
@@ -214,7 +214,7 @@
     def _upstream_request(
         self, route: Route, deadline: timedelta, avoid: frozenset[str], attempts: int
     ) -> CallerRequest:
-        req, edge, table = self.request, self.context.edge, self.context.routes.table
+        req, edge = self.request, self.context.edge
         headers = tuple(
             (name, value)
             for name, value in req.headers.get_all()
@@ -236,7 +236,7 @@
             request_id=self.request_id,
             credential=workspace or edge.credential(req.headers),
             workspace=workspace,
-            rank=route.priority if table is None else table.rank(route, workspace),
+            rank=self.context.routes.rank(route, workspace),
         )
 
     def _write_response(self, sink: AttemptSink, route: Route) -> None:
--- a/cranberryline/jobs/freshness.py
+++ b/cranberryline/jobs/freshness.py
@@ -5,10 +5,10 @@
 from datetime import timedelta
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import PartitionTail
 
 from .const import MAX_VIEW_AGE, REFRESH_RETRY_DELAY, REFRESH_TIMEOUT
-from .partition import partition_of
 
 __all__ = ["JobFreshness"]
 
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -161,10 +161,6 @@
         table = self.context.routes.table
         return None if table is None else table.match(host, path)
 
-    def _rank(self, route: Route) -> int:
-        table = self.context.routes.table
-        return route.priority if table is None else table.rank(route, self.state.head.workspace)
-
     def _is_expired(self, route: Route) -> bool:
         if route.max_wait is None:
             return False
@@ -241,7 +237,7 @@
             caller=job.host,
             caller_class=CallerClass.TRAINER,
             workspace=job.workspace,
-            rank=self._rank(route),
+            rank=self.context.routes.rank(route, job.workspace),
             tokens=self._tokens_left() or max(self.item.tokens, 1),
             prefix_key=self.item.prefix,
             prefix_tokens=int(self.item.prefix_tokens * PROMPT_READ_COST),
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -12,6 +12,7 @@
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import PartitionTail
 from cranberryline.routes import ActiveRoutes
 from cranberryline.upstreams.versions import UpstreamVersions
@@ -20,7 +21,6 @@
 from .item import ItemRun
 from .item_context import ItemContext
 from .model import ItemResult, JobRecord, ResultRecord
-from .partition import partition_of
 from .plan import JobPlan
 from .ports import EdgeFormat
 from .scoring import ScoringSlots
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -14,6 +14,7 @@
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import PartitionTail, StoreHealth
 from cranberryline.ports.store import SharedLog, StoreProblem
 from cranberryline.workspaces import may_access
@@ -35,7 +36,6 @@
 from .history import PartitionHistory
 from .marks import PartitionMark
 from .model import ItemHead, ItemResult, Job, JobEnded, JobRecord
-from .partition import partition_of
 from .read_limiter import ReadLimiter
 from .state import JobState
 from .text_log import TextLog
@@ -193,8 +193,9 @@
     ) -> Result[JobState, JobRefused]:
         """Return a job that callers of a workspace may access; None stands for any workspace.
 
-        A job of another workspace is reported like one that does not exist. Otherwise the error is `UNKNOWN_JOB` only if the whole partition has been read, and `UNCERTAIN` if the
-        partition cannot be read now or records of the job may be missing.
+        A job of another workspace is reported like one that does not exist. Otherwise the error is
+        `UNKNOWN_JOB` only if the whole partition has been read, and `UNCERTAIN` if the partition
+        cannot be read now or records of the job may be missing.
         """
         state = self.book.jobs.get(job_id)
         if state is None:
--- a/cranberryline/jobs/text_checkpointer.py
+++ b/cranberryline/jobs/text_checkpointer.py
@@ -6,10 +6,10 @@
 from datetime import timedelta
 
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.partition import partition_of
 
 from .item import ItemRun
 from .model import JobRecord, TextPiece
-from .partition import partition_of
 from .service import JobService
 
 __all__ = ["TextCheckpointer"]
--- a/cranberryline/jobs/text_log.py
+++ b/cranberryline/jobs/text_log.py
@@ -8,6 +8,7 @@
 
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.partition import partition_of
 from cranberryline.ports.store import LogRead, SharedLog, StoreProblem
 
 from .book import JobBook
@@ -22,7 +23,6 @@
     TOPIC_TEXTS,
 )
 from .model import TextPiece, TextsStart
-from .partition import partition_of
 from .state import JobState
 
 __all__ = ["TextLog"]
--- a/cranberryline/routes/active.py
+++ b/cranberryline/routes/active.py
@@ -6,7 +6,7 @@
 
 from cranberryline.configs import CallerSpec, ServiceSpec, ServiceType
 
-from .model import RouteTable
+from .model import Route, RouteTable
 
 __all__ = ["ActiveRoutes"]
 
@@ -69,6 +69,17 @@
             found = self._specs[service] = self._make_spec(service)
         return found
 
+    def rank(self, route: Route, workspace: str) -> int:
+        """Return the rank of a workspace's requests on a route; 0 is the most urgent.
+
+        The workspace's own priority, if it has one, replaces that of the route.
+        """
+        workspaces = None if self.table is None else self.table.workspaces
+        found = None if workspaces is None else workspaces.get(workspace)
+        if found is None or found.priority is None:
+            return route.priority
+        return found.priority
+
     def caller(self, name: str) -> CallerSpec | None:
         """Return None, because route tables contain no settings of callers."""
         return None
--- a/cranberryline/routes/model.py
+++ b/cranberryline/routes/model.py
@@ -35,8 +35,8 @@
 
     `goal` is the latency goal, from which the hedge delay follows. `resumable` allows an
     interrupted stream to be continued at another upstream. `single_version` requires that one model
-    version generates all of a text. Requests of a `public` route need no key. Items of a job that was submitted more than `max_wait` ago
-    expire.
+    version generates all of a text. Requests of a `public` route need no key. Items of a job that
+    was submitted more than `max_wait` ago expire.
     """
 
     name: str
@@ -107,13 +107,6 @@
             return True
         return any(share.service == service for route in self.routes for share in route.services)
 
-    def rank(self, route: Route, workspace: str) -> int:
-        """Return the rank of a workspace's requests on a route; 0 is the most urgent."""
-        found = None if self.workspaces is None else self.workspaces.get(workspace)
-        if found is None or found.priority is None:
-            return route.priority
-        return found.priority
-
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path."""
         found: Route | None = None
--- a/cranberryline/usage/counter.py
+++ b/cranberryline/usage/counter.py
@@ -11,6 +11,7 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import get_logger
+from cranberryline.helpers.partition import partition_of
 from cranberryline.ports.store import SharedLog
 
 from .const import (
@@ -22,7 +23,7 @@
     STORE_RETRY_DELAY,
     TOPIC_COUNTS,
 )
-from .model import CountRecord, UsageWindows, node_partition
+from .model import CountRecord, UsageWindows
 from .peer_clock import PeerClock
 
 __all__ = ["UsageCounter", "UsageWriter"]
@@ -100,7 +101,7 @@
     ) -> None:
         self._counter = counter
         self._log = log
-        self._partition = node_partition(node, partitions)
+        self._partition = partition_of(node, partitions)
         self._clock = clock
         self._live_nodes = live_nodes
 
--- a/cranberryline/usage/model.py
+++ b/cranberryline/usage/model.py
@@ -6,7 +6,7 @@
 import attrs
 import msgspec
 
-__all__ = ["CountRecord", "ReportRecord", "UsageWindows", "node_partition", "without_zeros"]
+__all__ = ["CountRecord", "ReportRecord", "UsageWindows", "without_zeros"]
 
 
 class CountRecord(msgspec.Struct, array_like=True, frozen=True, tag="count"):
@@ -50,11 +50,6 @@
         return self.end(window) + self.late.total_seconds()
 
 
-def node_partition(node: str, partitions: int) -> int:
-    """Return the partition of a node's counts; it only spreads the appends."""
-    return sum(node.encode()) % partitions
-
-
 def without_zeros(counts: Mapping[str, int]) -> dict[str, int]:
     """Return the counts of the workspaces that have any, by name."""
     return {name: counts[name] for name in sorted(counts) if counts[name] > 0}
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -88,7 +88,7 @@
         choose_service=lambda _rng: "engines",
     )
     return SimpleNamespace(
-        table=SimpleNamespace(match=lambda _host, _path: route, rank=lambda *_: 0)
+        table=SimpleNamespace(match=lambda _host, _path: route), rank=lambda *_: 0
     )
 
 
--- a/tests/jobs/test_failing_engines.py
+++ b/tests/jobs/test_failing_engines.py
@@ -64,8 +64,8 @@
         answer_head=lambda headers: AnswerHead("", int(dict(headers)["version"])),
     )
     versions = SimpleNamespace(version=lambda _up, _model: 1, record_version=lambda *_: None)
-    table = SimpleNamespace(match=lambda _host, _path: route, rank=lambda *_: 0)
-    stubs = (SimpleNamespace(table=table), engines, edge, versions)
+    table = SimpleNamespace(match=lambda _host, _path: route)
+    stubs = (SimpleNamespace(table=table, rank=lambda *_: 0), engines, edge, versions)
     dependencies = [cast(Any, stub) for stub in stubs]
     return RunnerDependencies(
         jobs, *dependencies, clock, Metrics(), "front-1", lambda _since: ["front-1"]
--- a/tests/jobs/test_foreign_records.py
+++ b/tests/jobs/test_foreign_records.py
@@ -13,6 +13,7 @@
 
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs import (
     Item,
@@ -30,7 +31,6 @@
 from cranberryline.jobs.codec import decode_job
 from cranberryline.jobs.const import MAX_JOB_BYTES, MAX_RECORD_BYTES, TOPIC_JOBS
 from cranberryline.jobs.errors import JobProblem
-from cranberryline.jobs.partition import partition_of
 from cranberryline.jobs.service import JobService
 from tests.foreign import HUGE, deep, foreign
 from tests.store_fake import FakeStore, StoreLink
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -6,10 +6,10 @@
 from result import Err, Ok
 
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.jobs import ItemResult, ItemState, JobEnded, ResultRecord, encode_records
 from cranberryline.jobs.errors import JobProblem
-from cranberryline.jobs.partition import partition_of
 from cranberryline.jobs.service import JobService
 from tests.store_fake import FakeStore, StoreLink
 from tests.virtual_time import LoopClock, run_virtual
