Name the settings of reports in the project's own words

Cause: usage_window and usage_late are the users' pages' words, which belong in platform/ and the template only.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -247,8 +247,8 @@
             "partitions": 2,
             "stop_seconds": 4,
             "usage_api": self.reports.api.address,
-            "usage_window_seconds": WINDOW_S,
-            "usage_late_seconds": LATE_S,
+            "report_window_seconds": WINDOW_S,
+            "report_late_seconds": LATE_S,
         }
         file = self._folder / f"front-{number}.yaml"
         file.write_text(yaml.safe_dump(settings))
--- a/cranberryline/gateway/usage.py
+++ b/cranberryline/gateway/usage.py
@@ -37,9 +37,9 @@
     ) -> None:
         self.counter: UsageCounter | None = None
         self._parts: tuple[UsageWriter, UsageReporter] | None = None
-        if not cfg.usage_api or cfg.usage_window is None:
+        if not cfg.usage_api or cfg.report_window is None:
             return
-        windows = UsageWindows(cfg.usage_window, cfg.usage_late)
+        windows = UsageWindows(cfg.report_window, cfg.report_late)
         peer_clock = PeerClock(clock)
 
         def on_heartbeat(heartbeat: NodeHeartbeat) -> None:
--- a/cranberryline/settings/const.py
+++ b/cranberryline/settings/const.py
@@ -34,4 +34,4 @@
 MAX_PARTITIONS = 1024
 DEFAULT_LEASE = timedelta(seconds=3)
 DEFAULT_KEEP_JOBS = timedelta(seconds=180)
-DEFAULT_USAGE_LATE = timedelta(seconds=10)
+DEFAULT_REPORT_LATE = timedelta(seconds=10)
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -15,11 +15,11 @@
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
     DEFAULT_PARTITIONS,
+    DEFAULT_REPORT_LATE,
     DEFAULT_SIDE_LISTEN,
     DEFAULT_SIDE_PEER,
     DEFAULT_SLOW_SENDER_TIMEOUT,
     DEFAULT_STOP_TIMEOUT,
-    DEFAULT_USAGE_LATE,
     LOG_LEVELS,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -170,17 +170,17 @@
     usage_api: str | None = _setting(
         Address(), "Address of the service that takes reports of use.", None
     )
-    usage_window: timedelta | None = _setting(
+    report_window: timedelta | None = _setting(
         Seconds(),
         "Length of the windows of time that are reported; without it none are.",
         None,
-        key="usage_window_seconds",
+        key="report_window_seconds",
     )
-    usage_late: timedelta = _setting(
+    report_late: timedelta = _setting(
         Seconds(),
         "Within which time after its end a window is to be reported.",
-        DEFAULT_USAGE_LATE,
-        key="usage_late_seconds",
+        DEFAULT_REPORT_LATE,
+        key="report_late_seconds",
     )
     keep_jobs: timedelta = _setting(
         Seconds(),
--- a/tests/platform/test_usage.py
+++ b/tests/platform/test_usage.py
@@ -23,7 +23,7 @@
         api = PlatformUsage()
         api.start()
         platform = await async_platform(0, **WITH_KEYS)
-        platform.more = {"usage_api": api.address, "usage_window": WINDOW, "usage_late": LATE}
+        platform.more = {"usage_api": api.address, "report_window": WINDOW, "report_late": LATE}
         for _ in range(gateways):
             await platform.async_add_gateway()
         await async_until(lambda: any(g.lease.token() is not None for g in platform.gateways))
