Log and count refusals with the estimate behind them

A 429 of a service that had free slots could not be explained: no log line or metric showed the estimated wait, the capacity it rests on, how much was measured, or how many slots a process may use.

- `admission_refused`, once a second and service, with the estimate and what it was made from
- `queue_refusals` by cause: the problem's detail was in no metric
- `capacity` of each service

--- a/cranberryline/decisions/rate_meter.py
+++ b/cranberryline/decisions/rate_meter.py
@@ -34,6 +34,11 @@
         self._seconds = 0.0
         self._recorded_at: timedelta | None = None
 
+    @property
+    def measured_seconds(self) -> float:
+        """Return how much time the rate is measured over, weighted by age."""
+        return self._seconds
+
     def record(self, tokens: float, spent: timedelta, now: timedelta) -> None:
         """Record tokens and the time spent on them; time without any token counts as well."""
         if spent <= ZERO:
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -134,6 +134,7 @@
                 self._catalog.shares(),
                 self._data_center,
             )
+            self._metrics.capacity.labels(service).set_function(lambda: scheduler.capacity)
         return scheduler
 
     def total_slots(self, service: str) -> int:
@@ -171,12 +172,15 @@
         scheduler = self.scheduler(req.service)
         admitted = scheduler.admit(req)
         if isinstance(admitted, Err):
+            self._metrics.refuse_queueing(admitted.unwrap_err().detail)
             return admitted
         avoid: frozenset[str] = req.avoid
         outcomes: list[AttemptOutcome] = []
         while True:
             reserved = await scheduler.async_reserve_slot(req, admitted.unwrap(), avoid)
             if isinstance(reserved, Err):
+                if reserved.unwrap_err().detail:
+                    self._metrics.refuse_queueing(reserved.unwrap_err().detail)
                 return Err(include_earlier_attempts(reserved.unwrap_err(), outcomes))
             reservation = reserved.unwrap()
             if req.eligible is not None and not req.eligible(reservation.upstream.link.vm_id):
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -27,6 +27,7 @@
 )
 from cranberryline.decisions.const import DEFAULT_QUEUE_SECONDS
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import once_per_burst
 
 from .errors import Refusal, RefusalReason
 from .model import CallerRequest
@@ -39,6 +40,7 @@
 _RETRY_AFTER = timedelta(seconds=1)
 # A load report becomes outdated without an event, so a non-empty queue is checked this often.
 _RECHECK_INTERVAL = timedelta(milliseconds=250)
+_REFUSAL_LOG_INTERVAL = timedelta(seconds=1)
 
 
 @attrs.frozen
@@ -87,6 +89,7 @@
         self._queue = WorkQueue(0, QueueSettings(caller_weights=shares))
         self.shares = shares
         self._capacity = RateMeter()
+        self._refusal_log = once_per_burst(__name__, clock, _REFUSAL_LOG_INTERVAL)
         self._saturated_since: timedelta | None = None
         self._waiters: dict[int | str, _Waiter] = {}
         self._ids = itertools.count()
@@ -121,6 +124,7 @@
         )
         decision = policy.decide(view, request, self._rng)
         if isinstance(decision, Refuse):
+            self._log_refusal(decision, view, policy.estimated_wait(view, request))
             return Err(
                 Refusal(
                     RefusalReason.OVERLOADED,
@@ -130,6 +134,19 @@
             )
         return Ok(now + decision.start_within)
 
+    def _log_refusal(self, decision: Refuse, view: AdmissionView, wait: timedelta) -> None:
+        self._refusal_log.info(
+            "admission_refused",
+            service=self._service,
+            reason=decision.reason.value,
+            estimated_wait_s=round(wait.total_seconds(), 3),
+            capacity=round(view.tokens_per_second, 3),
+            capacity_measured_s=round(self._capacity.measured_seconds, 3),
+            slots=view.slots,
+            running=len(view.running),
+            queued=len(view.queued),
+        )
+
     async def async_reserve_slot(
         self, req: CallerRequest, start_by: timedelta, avoid: frozenset[str]
     ) -> Result[SlotReservation, Refusal]:
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -43,6 +43,16 @@
         self.requests = self._counter("requests", "Requests taken in.", "kind")
         self.answers = self._counter("answers", "Answers handed over whole.", "kind")
         self.refusals = self._counter("refusals", "Requests refused.", _LABEL_REASON)
+        self.queue_refusals = self._counter(
+            "queue_refusals", "Requests refused on arrival or overdue in a queue.", _LABEL_REASON
+        )
+        self.capacity = Gauge(
+            "capacity",
+            "Measured tokens per second of a service's slots, 0 if unknown.",
+            ("service",),
+            namespace=_NAMESPACE,
+            registry=self.registry,
+        )
         self.failures = self._counter(
             "failures", "Requests that ended after they may have run.", _LABEL_REASON
         )
@@ -99,6 +109,10 @@
         """Count a refusal."""
         self.refusals.labels(reason).inc()
 
+    def refuse_queueing(self, reason: str) -> None:
+        """Count a request that admission refused or that waited in a queue for too long."""
+        self.queue_refusals.labels(reason).inc()
+
     def fail(self, reason: str) -> None:
         """Count a request that ended in failure after it may have run."""
         self.failures.labels(reason).inc()
--- /dev/null
+++ b/tests/dispatch/test_scheduler_capacity.py
@@ -0,0 +1,69 @@
+"""Admission by the measured capacity: callers that fit are admitted, others refused at once."""
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from cranberryline.dispatch.model import CollectingSink
+from cranberryline.transport import Exchange
+from cranberryline.transport.model import Submit
+from tests.virtual_time import LoopClock, run_virtual
+
+from .conftest import DispatcherHarness, FakeSideProcess, echo_response
+
+CONCURRENCY = 16
+UPSTREAMS = 3
+RUN_SECONDS = 0.3
+CAPACITY = UPSTREAMS * CONCURRENCY / RUN_SECONDS
+QUEUE_SECONDS = 1
+
+
+@pytest.fixture
+def timed_harness() -> DispatcherHarness:
+    """Return a dispatcher in virtual time over three upstreams that take 0.3 s a request."""
+    harness = DispatcherHarness(LoopClock(), concurrency=CONCURRENCY, queue_seconds=QUEUE_SECONDS)
+    for number in range(UPSTREAMS):
+        harness.add_upstream(f"up-{number}", _respond_later)
+    return harness
+
+
+def _respond_later(side: FakeSideProcess, exchange: Exchange, msg: Submit) -> None:
+    # Responses of requests that started together arrive one after the other.
+    seconds = RUN_SECONDS + 0.001 * side.outstanding
+    asyncio.get_running_loop().call_later(seconds, echo_response, side, exchange, msg)
+
+
+async def _async_request(harness: DispatcherHarness) -> str:
+    """Send a request with a deadline of 10 s; return `ok` or the detail of its refusal."""
+    req = harness.request(deadline=harness.clock.monotonic() + timedelta(seconds=10))
+    result = await harness.dispatcher.async_run(req, CollectingSink())
+    return "ok" if result.is_ok() else result.unwrap_err().detail
+
+
+def test_refusal_is_logged_with_its_estimate(
+    timed_harness: DispatcherHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A refusal cannot be told from a wrong estimate in the log."""
+    logged: list[dict[str, object]] = []
+    scheduler = timed_harness.dispatcher.scheduler(timed_harness.service)
+    monkeypatch.setattr(
+        scheduler._refusal_log, "info", lambda event, **fields: logged.append({event: fields})
+    )
+
+    async def async_main() -> None:
+        work = []
+        for _ in range(40):
+            work += [asyncio.ensure_future(_async_request(timed_harness)) for _ in range(20)]
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*work)
+
+    run_virtual(async_main())
+    fields = logged[0]["admission_refused"]
+    assert isinstance(fields, dict)
+    assert fields["reason"] == "queue_wait"
+    assert fields["estimated_wait_s"] > QUEUE_SECONDS * 0.65
+    assert fields["capacity"] > 0
+    assert fields["capacity_measured_s"] > 0
+    assert (fields["slots"], fields["running"]) == (48, 48)
+    assert fields["queued"] > 0
