Report early when a full upstream has free slots again

Callers saw 429 (`queue_wait`), or waited, beside free slots: 60 callers at two entries before 48 slots of 0.3 s, without any stop or pause.

Cause: an entry leaves slots alone that its last load report shows as taken by other entries, and reports come with heartbeats, one a second. Evidence: `admission_refused` shows 9 slots, 9 running and 36 queued at one entry at a moment when the other can run 15 at most, so 24 slots of 48 were free; refused by an estimated wait of 0.8 s.

Change: a side process sends its load early once a quarter of the slots has become free since a report that showed three quarters in use; collected for 10 ms, and five times a second at most. An upstream that stays full, or has free slots anyway, sends nothing more than before.

Weighed: a report behind each answer (by arithmetic 38 a second and entry at the two-year peak, for nothing on most); probes from the entry that waits (same traffic, one way more, from every entry that waits); the entry assumes that old reports are over (several entries would all fill the same slots).

Cost by arithmetic: five reports of 38 bytes a second to each of 17 entries, 3.2 KB/s at the very most, while a service is full and idle by turns.

--- a/cranberryline/execution/runner.py
+++ b/cranberryline/execution/runner.py
@@ -26,6 +26,7 @@
     """Queue, start, withdraw and cancel the requests of one upstream.
 
     All requests to the upstream pass through one runner. `book` decides which of them may run.
+    `on_ended` is called after a run has left its slot.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
     ) -> None:
         self.concurrency = concurrency
         self.book = book
+        self.on_ended: Callable[[], None] = lambda: None
         self._clock = clock
         self._execution = execution
         self._metrics = metrics
@@ -194,3 +196,4 @@
         self._requests.pop(key, None)
         self.book.finish(key)
         self._start_queued()
+        self.on_ended()
--- a/cranberryline/side/app.py
+++ b/cranberryline/side/app.py
@@ -210,7 +210,7 @@
         if self._http is not None:
             self._http.stop()
         if self.server is not None:
-            self.server.listener.close()
+            self.server.close()
         self._ctx.destroy(linger=0)
 
     def _apply_concurrency(self, _: Revision) -> None:
--- a/cranberryline/side/server.py
+++ b/cranberryline/side/server.py
@@ -23,6 +23,8 @@
     Withdrawn,
 )
 
+from .load_reports import LoadReporter
+
 __all__ = ["PeerServer", "ServerEvents"]
 
 
@@ -70,27 +72,31 @@
         self._metrics = metrics
         self._events = events
         self.listener = Listener(ctx, address, clock, welcome, self)
+        self._reporter = LoadReporter(
+            clock, events.load, self.listener.send, lambda: self.listener.connections
+        )
+        runner.on_ended = self._reporter.request_ended
 
-    def report_load(self) -> None:
-        """Send the current load report to every entry."""
-        load = self._events.load()
-        if load is not None:
-            self.listener.broadcast(load)
+    def close(self) -> None:
+        """Close the port and send no more reports."""
+        self._reporter.close()
+        self.listener.close()
 
     def on_connected(self, conn: Connection) -> None:
         """Register the connection and send the current load report."""
         self._runner.book.open(conn.name)
-        self._send_load(conn)
+        self._reporter.report(conn)
         self._events.on_connected(conn)
 
     def on_disconnected(self, conn: Connection) -> None:
         """Handle the loss of the connection for the entry's queued and running requests."""
+        self._reporter.forget(conn)
         self._runner.connection_lost(conn.name)
         self._events.on_disconnected(conn)
 
     def on_heartbeat(self, conn: Connection) -> None:
         """Reply with the current load report."""
-        self._send_load(conn)
+        self._reporter.report(conn)
         self._events.on_config_offset(conn)
 
     def on_bad_frame(self, bad: BadFrame) -> None:
@@ -118,8 +124,3 @@
             self._events.on_config_message(conn, msg)
         elif isinstance(msg, Members):
             self._events.on_members(msg)
-
-    def _send_load(self, conn: Connection) -> None:
-        load = self._events.load()
-        if load is not None:
-            self.listener.send(conn, load)
--- a/tests/failures/test_planned.py
+++ b/tests/failures/test_planned.py
@@ -1,6 +1,7 @@
 """Planned shutdowns and the removal of upstreams under load, as seen by callers and upstreams."""
 
 import asyncio
+import random
 import threading
 import time
 from collections.abc import Iterator
@@ -12,7 +13,7 @@
 from stand_ins.demo import async_load, figures_of
 from stand_ins.deployment import load_plan
 from stand_ins.launcher import Deployment, call, launched
-from stand_ins.process import wait_for
+from stand_ins.process import Process, wait_for
 
 from .scenarios import VIOLATION_COUNTS
 
@@ -197,3 +198,57 @@
     assert {count: figures[count] for count in VIOLATION_COUNTS} == dict.fromkeys(
         VIOLATION_COUNTS, 0
     )
+
+
+def test_callers_that_begin_at_once_and_fit_are_not_refused(deployment: Deployment) -> None:
+    """Callers that would wait for less than a fifth of the allowed time are refused.
+
+    60 callers share 48 slots of 0.3 s each, without any stop. The estimate of their wait must not
+    rest on the first request that ends, nor on slots that are free again.
+    """
+    for name in deployment.upstreams(SERVICE):
+        deployment.control(name, latency_s=0.3)
+    balancer = Balancer(deployment)
+    with balancer.load(callers=60):
+        time.sleep(4.0)
+    assert balancer.connection_errors == []
+    assert set(balancer.statuses) == {200}
+
+
+@pytest.mark.parametrize("seed", [6, 7])
+def test_a_stopping_side_process_beside_a_stalled_one_cuts_no_request(
+    deployment: Deployment, seed: int
+) -> None:
+    """Callers are refused when a side process stops while another one gets no processor time.
+
+    The requests that a stall holds up end together, which must not make the service look slow.
+    """
+    rng = random.Random(seed)
+    for name in deployment.upstreams(SERVICE):
+        deployment.control(name, latency_s=0.3)
+    balancer = Balancer(deployment)
+    with balancer.load(callers=24):
+        time.sleep(1.0)
+        busiest = _busiest(deployment)
+        stopping = deployment.process(f"side-{busiest}")
+        other = next(name for name in deployment.upstreams(SERVICE) if name != busiest)
+        stalled = deployment.process(f"side-{other}")
+        before, first = 0.4 + rng.uniform(-0.1, 0.1), rng.uniform(0.3, 0.6)
+        after, second = rng.uniform(0.2, 0.7), rng.uniform(0.3, 0.6)
+        with ThreadPoolExecutor(2) as pool:
+            pool.submit(_stall, stalled, 0.0, first)
+            pool.submit(_stall, stalled, before + after, second)
+            time.sleep(before)
+            stopping.terminate()
+            assert stopping.wait(15.0) == 0
+        time.sleep(1.0)
+    assert balancer.connection_errors == []
+    assert set(balancer.statuses) == {200}
+
+
+def _stall(process: Process, begin_s: float, seconds: float) -> None:
+    """Pause a process for a while, as if it got no processor time."""
+    time.sleep(begin_s)
+    process.freeze()
+    time.sleep(seconds)
+    process.thaw()
