Do not take a request that is turned away at once for a stall

An upstream whose first request is turned away (it starts, it drains, its list entry is old) had a rate of 0.01 tokens a second, for half a minute or until requests reach it because all others are full: no token in two milliseconds counted like no token in minutes. Routing then expects minutes there.

Found by looking for other rates over a short first time. A rate without any token is unknown until a second was measured. The test fails before. A stall is still seen: a second without a token gives the low rate. Looked at and left: `EngineRates` (a first pair of chunks that arrive together shows a high rate, for one record; suspected, not shown), `TrainerEstimates` (whole samples only), limits of first reads (no rate).

--- a/cranberryline/decisions/rate_meter.py
+++ b/cranberryline/decisions/rate_meter.py
@@ -13,6 +13,8 @@
 # requests again.
 MEASUREMENT_TTL = timedelta(seconds=30)
 STALLED_TOKENS_PER_SECOND = 0.01
+# Time without any token that shows a stall. A first request that is turned away at once shows none.
+MIN_STALL_TIME = timedelta(seconds=1)
 
 
 class RateMeter:
@@ -53,10 +55,12 @@
         self._recorded_at = now
 
     def tokens_per_second(self, now: timedelta) -> float:
-        """Return the rate, or 0 if there is no recent measurement.
+        """Return the rate, or 0 if it is unknown: not measured recently, or for too short a time.
 
         The rate of a stalled upstream is very low but not 0, because 0 means unknown.
         """
         if self._recorded_at is None or now - self._recorded_at > self._measurement_ttl:
             return 0.0
+        if not self._tokens and self._seconds < MIN_STALL_TIME.total_seconds():
+            return 0.0
         return max(self._tokens / self._seconds, STALLED_TOKENS_PER_SECOND)
--- a/tests/decisions/test_rate_meter.py
+++ b/tests/decisions/test_rate_meter.py
@@ -42,3 +42,12 @@
     meter.record(1, SECOND, SECOND)
     assert meter.tokens_per_second(20 * SECOND) > 0
     assert meter.tokens_per_second(60 * SECOND) == 0
+
+
+def test_short_time_without_tokens_does_not_show_a_stall() -> None:
+    """An upstream whose first request was turned away at once gets none for half a minute."""
+    meter = RateMeter()
+    meter.record(0, timedelta(milliseconds=2), SECOND)
+    assert meter.tokens_per_second(SECOND) == 0.0
+    meter.record(0, SECOND, 2 * SECOND)
+    assert 0 < meter.tokens_per_second(2 * SECOND) < 0.1
