Tell who holds a port that a gateway of the soak could not listen on

Ruled out by reading: another launcher (ports came from slices of their own then already), the kernel's outgoing connections (the range lies below theirs), connections of the killed process (SO_REUSEADDR; only a listener keeps a port). The soak now names the processes that listen on the ports of a gateway that ended by itself, from proc(5).

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -13,6 +13,7 @@
 
 from stand_ins.platform_sampler import PlatformSampler
 from stand_ins.platform_store import PlatformStore
+from stand_ins.ports import listeners
 from stand_ins.process import Process, free_ports
 
 from .judge import Judge
@@ -47,6 +48,7 @@
         self.gateways: list[Process] = []
         self.left: list[PlatformSampler] = []
         self.ready: list[int] = []
+        self._peers: list[int] = []
         self._luck = plan.luck("crashes")
         self._returns: set[asyncio.Future[None]] = set()
         self.keys: list[str] = []
@@ -182,9 +184,16 @@
             for number, gateway in enumerate(self.gateways):
                 if not gateway.running and not self.held_down[number]:
                     code = gateway.wait(0)
-                    self._book.break_promise("ended_by_itself", f"front-{number}: code {code}")
+                    held = self._holders_of_ports(number)
+                    detail = f"front-{number}: code {code}, its ports held by {held or 'nobody'}"
+                    self._book.break_promise("ended_by_itself", detail)
                     self.start_gateway(number)
 
+    def _holders_of_ports(self, number: int) -> list[str]:
+        """Return who listens on a gateway's ports, which tells why it could not."""
+        ports = (self.fronts[number], self.ready[number], self._peers[number])
+        return [f"{port}: {holder}" for port in ports for holder in listeners(port)]
+
     def _pids(self) -> dict[int, int]:
         return {way.pid: number for number, way in enumerate(self.gateways) if way.running}
 
@@ -258,6 +267,7 @@
         self.gateways.append(gateway)
         self.fronts.append(front)
         self.ready.append(ready)
+        self._peers.append(peer)
 
     async def _async_is_ready(self, port: int) -> bool:
         try:
--- a/stand_ins/ports.py
+++ b/stand_ins/ports.py
@@ -2,14 +2,16 @@
 
 import random
 import socket
+from pathlib import Path
 
-__all__ = ["PortSource", "free_ports"]
+__all__ = ["PortSource", "free_ports", "listeners"]
 
 # Below the range that the kernel gives to outgoing connections: one of those could otherwise take
 # a port between the look that finds it free and the start of the process it is meant for.
 _PORT_RANGE = (12_000, 32_000)
 # Some five small deployments; a hundred slices are enough for all launchers of a machine.
 _SLICE = 200
+_LISTENING = "0A"
 
 
 class PortSource:
@@ -86,3 +88,26 @@
 def free_ports(count: int) -> list[int]:
     """Return ports out of this process's slices; OSError when there are not enough."""
     return _SOURCE.take(count)
+
+
+def listeners(port: int) -> list[str]:
+    """Return the command lines of the processes that listen on a port of loopback.
+
+    A socket whose process cannot be read is named by its inode. Source: proc(5), `net/tcp`.
+    """
+    rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
+    inodes = {
+        row[9]
+        for row in rows
+        if row[3] == _LISTENING and int(row[1].rpartition(":")[2], 16) == port
+    }
+    found = {inode: f"socket {inode}" for inode in inodes}
+    for fd in Path("/proc").glob("[0-9]*/fd/*"):
+        try:
+            inode = str(fd.readlink()).removeprefix("socket:[").rstrip("]")
+            if inode in inodes:
+                words = (fd.parent.parent / "cmdline").read_bytes().split(b"\0")
+                found[inode] = f"{fd.parent.parent.name} " + b" ".join(words).decode().strip()
+        except OSError:
+            continue
+    return sorted(found.values())
--- a/tests/stand_ins/test_ports.py
+++ b/tests/stand_ins/test_ports.py
@@ -1,11 +1,14 @@
 """Ports for deployments: free, all different, and never those of another launcher."""
 
+import os
+import socket
 import subprocess
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
+from stand_ins.ports import listeners
 from stand_ins.process import free_ports
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -46,3 +49,15 @@
     """A launcher that asks for a few ports at a time gets new ones each time."""
     ports = [port for _ in range(100) for port in free_ports(3)]
     assert len(set(ports)) == len(ports)
+
+
+def test_listeners_of_a_port_are_told_by_process() -> None:
+    """A port that is in use cannot be traced to the process that holds it."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        assert listeners(port) == []
+        sock.listen()
+        told = listeners(port)
+    assert len(told) == 1
+    assert told[0].startswith(f"{os.getpid()} ")
