Report freed slots within a tenth of a second, and count a share that is in use

The log: estimated wait 0.654 s of 0.65 allowed, 14 slots in use, 25 queued, share of the last second 0.25. The other entry had 21 callers at most, so 13 slots were free: after a first early report the rest of a batch waited for the next one, 200 ms later. Early reports may now follow after 100 ms: 27 bytes each on the wire, 4.6 KB/s at most to 17 entries, by arithmetic. A share of slots that is in use now counts if it is above the average. The average of a first few milliseconds without any slot would refuse callers, as the rate of the first end did; the test of it fails before.

--- a/cranberryline/decisions/slot_capacity.py
+++ b/cranberryline/decisions/slot_capacity.py
@@ -96,6 +96,9 @@
                 run.recorded_until = now
 
     def tokens_per_second(self, now: timedelta) -> float:
-        """Return the capacity, 0 if there is no recent measurement."""
-        share = self._share.tokens_per_second(now) or self._share_in_use
+        """Return the capacity, 0 if there is no recent measurement.
+
+        A share above the average is in use already, so no less than that can be had.
+        """
+        share = max(self._share.tokens_per_second(now), self._share_in_use)
         return self._rate.tokens_per_second(now) * share * self._total_slots
--- a/cranberryline/side/load_reports.py
+++ b/cranberryline/side/load_reports.py
@@ -17,7 +17,7 @@
 # Share of the slots that must have become free before a report is worth its message.
 _FREED_SHARE = 0.25
 # Bounds the traffic of an upstream that is full and idle by turns.
-_MIN_INTERVAL = timedelta(milliseconds=200)
+_MIN_INTERVAL = timedelta(milliseconds=100)
 # Collects requests that end together.
 _COLLECT_TIME = timedelta(milliseconds=10)
 
--- a/tests/decisions/test_slot_capacity.py
+++ b/tests/decisions/test_slot_capacity.py
@@ -99,6 +99,21 @@
         now += RUN_TIME
     capacity.set_slots(SLOTS // 4, SLOTS, True, now)
     assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY / 2, rel=0.1)
+    capacity.set_slots(3 * SLOTS // 4, SLOTS, True, now)
+    assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY * 3 / 4)
+
+
+def test_share_of_the_first_moment_does_not_hold_back_the_slots_in_use() -> None:
+    """Callers are refused since the first few milliseconds, without any slot, count as the average."""
+    capacity = SlotCapacity()
+    capacity.set_slots(0, SLOTS, True, timedelta())
+    now = timedelta(milliseconds=5)
+    capacity.set_slots(SLOTS, SLOTS, True, now)
+    capacity.start(0, 1, now)
+    capacity.set_slots(SLOTS, SLOTS, True, now + RUN_TIME / 10)
+    now += RUN_TIME
+    capacity.record_end(0, now)
+    assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY)
 
 
 def test_lost_upstreams_lower_the_capacity_at_once() -> None:
