Let deployments of tests begin once every entry has the configuration

test_killed_upstream_loses_no_idempotent_and_repeats_no_other_request once timed out in a run beside others. Its calls go to two entries in turn, even ones to the first, and it waits until one upstream has run even and odd ones.

Cause: publish_all returned once the records were published. A publication waits for a second for another entry's confirmation; an entry that got no processor time for longer answers its first calls with 404 (`unknown_service`), which the contract allows for 4 s, so all odd calls were lost and the test waited for ten seconds.

Change: publish_all waits until every entry tells at least the newest record's offset. The test of it fails before. The test that timed out is unchanged.

--- a/stand_ins/launcher.py
+++ b/stand_ins/launcher.py
@@ -177,11 +177,30 @@
         return call(url, {"amends": 0, **record}, self.tokens[OPERATOR])
 
     def publish_all(self) -> None:
-        """Publish the plan's records."""
+        """Publish the plan's records and wait until every entry has them.
+
+        An entry that has not read them yet answers 404 to calls of its share.
+        """
+        offset = 0
         for record in self.plan.records:
             answer = self.publish(record)
             if not 200 <= answer.status < 300:
                 raise LaunchError(f"{record['kind']} {record['name']}: {answer.data}")
+            offset = max(offset, answer.data["revision"])
+        for number, url in enumerate(self.entries, 1):
+            wait_for(
+                lambda url=url: self._config_offset(url) >= offset,
+                f"entry-{number} had no configuration",
+                START_SECONDS,
+            )
+
+    def _config_offset(self, entry_url: str) -> int:
+        """Return how much of the configuration an entry has, -1 if it does not answer."""
+        try:
+            answer = call(entry_url + "/config/records", token=self.tokens[OPERATOR], timeout_s=1.0)
+        except OSError:
+            return -1
+        return answer.data["config_offset"] if answer.status == 200 else -1
 
     def _port_count(self) -> int:
         upstreams = sum(service.samplers for service in self.plan.services)
--- a/tests/stand_ins/test_launcher.py
+++ b/tests/stand_ins/test_launcher.py
@@ -1,7 +1,9 @@
 """A small deployment as real processes: start, faults by signal, stop."""
 
+import threading
 from collections.abc import Iterator
 
+import attrs
 import pytest
 
 from stand_ins.deployment import load_plan
@@ -65,3 +67,23 @@
     assert [link["name"] for link in silent] == ["pickup-app-1"]
     wait_for(lambda: _book(deployment, 4) == 200, "no new connection", 40.0)
     assert deployment.live_journal("relay")["made"] > made
+
+
+def test_publication_waits_until_every_entry_has_the_records() -> None:
+    """The first calls of a test get 404 from an entry that was paused as the records came.
+
+    A test that waits for calls of both entries at one upstream then timed out.
+    """
+    plan = load_plan("giat-sach").shrunk(1, entries=2)
+    service = tuple(record for record in plan.records if record["name"] == "pickup-app")
+    with launched(attrs.evolve(plan, records=service), publish=False) as deployment:
+        paused = deployment.process("entry-2")
+        paused.freeze()
+        paused_until = threading.Timer(2.0, paused.thaw)
+        paused_until.start()
+        deployment.publish_all()
+        assert not paused_until.is_alive()
+        statuses = [
+            call(f"{url}/services/pickup-app/bookings/1").status for url in deployment.entries
+        ]
+    assert statuses == [200, 200]
