Do not count time without callers as a share of no slots

Only time in which somebody waits, or in which all slots that there are for this entry are in use, shows its share. The test fails before.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -48,7 +48,7 @@
         self.gateways: list[Process] = []
         self.left: list[PlatformSampler] = []
         self.ready: list[int] = []
-        self._peers: list[int] = []
+        self._ports: dict[int, tuple[int, ...]] = {}
         self._luck = plan.luck("crashes")
         self._returns: set[asyncio.Future[None]] = set()
         self.keys: list[str] = []
@@ -184,15 +184,14 @@
             for number, gateway in enumerate(self.gateways):
                 if not gateway.running and not self.held_down[number]:
                     code = gateway.wait(0)
-                    held = self._holders_of_ports(number)
-                    detail = f"front-{number}: code {code}, its ports held by {held or 'nobody'}"
+                    detail = f"front-{number}: code {code}{self._holders_of_ports(number)}"
                     self._book.break_promise("ended_by_itself", detail)
                     self.start_gateway(number)
 
-    def _holders_of_ports(self, number: int) -> list[str]:
-        """Return who listens on a gateway's ports, which tells why it could not."""
-        ports = (self.fronts[number], self.ready[number], self._peers[number])
-        return [f"{port}: {holder}" for port in ports for holder in listeners(port)]
+    def _holders_of_ports(self, number: int) -> str:
+        """Return who listens on an ended gateway's ports, which tells why it could not."""
+        ports = self._ports.get(number, ())
+        return "".join(f", {port} held by {who}" for port in ports for who in listeners(port))
 
     def _pids(self) -> dict[int, int]:
         return {way.pid: number for number, way in enumerate(self.gateways) if way.running}
@@ -267,7 +266,7 @@
         self.gateways.append(gateway)
         self.fronts.append(front)
         self.ready.append(ready)
-        self._peers.append(peer)
+        self._ports[number] = (front, ready, peer)
 
     async def _async_is_ready(self, port: int) -> bool:
         try:
--- a/cranberryline/decisions/slot_capacity.py
+++ b/cranberryline/decisions/slot_capacity.py
@@ -25,9 +25,9 @@
     """Measures the capacity of a service while requests wait for its slots.
 
     It is the tokens per second of slot time that leave a slot, times the slots in use (Little's
-    law). One completed request is enough for an estimate. The tokens of all slots per wall-clock time need
-    many: of requests that start and end together, the first one appears to be all that the slots
-    served in that time.
+    law). One completed request is enough for an estimate. The tokens of all slots per wall-clock
+    time need many: of requests that start and end together, the first one appears to be all that
+    the slots served in that time.
 
     Failed requests count like completed ones, since they make room for the next request as well.
     The slot time of an overdue request counts while it still runs, because an upstream that is
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -214,7 +214,7 @@
     def _track_saturation(self, now: timedelta) -> None:
         waiting = len(self._queue) > 0
         in_use = len(self._queue.running)
-        saturated = waiting or in_use >= self._queue.slots
+        saturated = waiting or 0 < self._queue.slots <= in_use
         total = len(self._upstreams.usable(self._service)) * self._spec().concurrency
         self._capacity.set_slots(in_use, total, saturated, now)
         if waiting and now - self._overdue_checked_at >= _RECHECK_INTERVAL:
--- a/tests/dispatch/test_scheduler_capacity.py
+++ b/tests/dispatch/test_scheduler_capacity.py
@@ -9,7 +9,7 @@
 
 from cranberryline.dispatch.model import CollectingSink
 from cranberryline.transport import Exchange
-from cranberryline.transport.model import Submit
+from cranberryline.transport.model import Load, Submit
 from tests.virtual_time import LoopClock, run_virtual
 
 from .conftest import DispatcherHarness, FakeSideProcess, echo_response
@@ -92,6 +92,21 @@
     assert refused == results["queue_wait"]
 
 
+def test_time_without_callers_beside_full_upstreams_does_not_count(
+    timed_harness: DispatcherHarness,
+) -> None:
+    """The first callers are refused since other entries used all slots while there were none.
+
+    Nobody waited in that time, so it does not show what this entry can use.
+    """
+    scheduler = timed_harness.dispatcher.scheduler(timed_harness.service)
+    for upstream in timed_harness.table.usable(timed_harness.service):
+        upstream.link.load = Load(CONCURRENCY, 0, 0, CONCURRENCY, None, 0)
+    scheduler.dispatch_waiting()
+    assert scheduler.upstreams_with_free_slots() == []
+    assert not scheduler._capacity.saturated
+
+
 def test_refusal_is_logged_with_its_estimate(
     timed_harness: DispatcherHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
