Reuse the wait of a refusal in its log, and count total slots in one place

Under overload each refusal estimated its wait a second time for a line that is logged once a second; `Refuse` now carries the estimate (left out of comparisons). The slots of all usable upstreams were counted in the dispatcher and again in the scheduler; both ask the table.

--- a/cranberryline/decisions/admission.py
+++ b/cranberryline/decisions/admission.py
@@ -102,6 +102,7 @@
 
     reason: RefusalReason
     retry_after: timedelta | None
+    estimated_wait: timedelta = attrs.field(default=ZERO, eq=False)
 
 
 @attrs.frozen
@@ -126,17 +127,17 @@
         wait = self.estimated_wait(view, req)
         reason = self._limit_reached(view, req)
         if reason is not None:
-            return Refuse(reason, _retry_after(wait, rng))
+            return Refuse(reason, _retry_after(wait, rng), wait)
         allowed_wait = self.limits.queue_seconds[req.priority]
         slack = None if req.remaining is None else req.remaining - req.service_time
         if slack is not None and slack < ZERO:
-            return Refuse(RefusalReason.DEADLINE, None)
+            return Refuse(RefusalReason.DEADLINE, None, wait)
         if slack is not None and wait > slack * MAX_WAIT_SHARE:
-            return Refuse(RefusalReason.DEADLINE, _retry_after(wait - slack * MAX_WAIT_SHARE, rng))
+            hint = _retry_after(wait - slack * MAX_WAIT_SHARE, rng)
+            return Refuse(RefusalReason.DEADLINE, hint, wait)
         if wait > allowed_wait * MAX_WAIT_SHARE:
-            return Refuse(
-                RefusalReason.QUEUE_WAIT, _retry_after(wait - allowed_wait * MAX_WAIT_SHARE, rng)
-            )
+            hint = _retry_after(wait - allowed_wait * MAX_WAIT_SHARE, rng)
+            return Refuse(RefusalReason.QUEUE_WAIT, hint, wait)
         return Admit(wait, allowed_wait if slack is None else min(allowed_wait, slack))
 
     def estimated_wait(self, view: AdmissionView, req: AdmissionRequest) -> timedelta:
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -139,7 +139,7 @@
 
     def total_slots(self, service: str) -> int:
         """Return how many requests the service's usable upstreams can run at once."""
-        return len(self._upstreams.usable(service)) * self._catalog.spec(service).concurrency
+        return self._upstreams.total_slots(service, self._catalog.spec(service))
 
     def upstreams_with_free_slots(self, service: str) -> list[str]:
         """Return the ids of a service's upstreams with a free slot, as far as this node knows."""
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -124,7 +124,7 @@
         )
         decision = policy.decide(view, request, self._rng)
         if isinstance(decision, Refuse):
-            self._log_refusal(decision, view, policy.estimated_wait(view, request))
+            self._log_refusal(decision, view)
             return Err(
                 Refusal(
                     RefusalReason.OVERLOADED,
@@ -134,12 +134,12 @@
             )
         return Ok(now + decision.start_within)
 
-    def _log_refusal(self, decision: Refuse, view: AdmissionView, wait: timedelta) -> None:
+    def _log_refusal(self, decision: Refuse, view: AdmissionView) -> None:
         self._refusal_log.info(
             "admission_refused",
             service=self._service,
             reason=decision.reason.value,
-            estimated_wait_s=round(wait.total_seconds(), 3),
+            estimated_wait_s=round(decision.estimated_wait.total_seconds(), 3),
             capacity=round(view.tokens_per_second, 3),
             capacity_measured_s=round(self._capacity.measured_seconds, 3),
             slots=view.slots,
@@ -215,7 +215,7 @@
         waiting = len(self._queue) > 0
         in_use = len(self._queue.running)
         saturated = waiting or 0 < self._queue.slots <= in_use
-        total = len(self._upstreams.usable(self._service)) * self._spec().concurrency
+        total = self._upstreams.total_slots(self._service, self._spec())
         self._capacity.set_slots(in_use, total, saturated, now)
         if waiting and now - self._overdue_checked_at >= _RECHECK_INTERVAL:
             self._overdue_checked_at = now
--- a/cranberryline/dispatch/upstreams.py
+++ b/cranberryline/dispatch/upstreams.py
@@ -119,6 +119,10 @@
         """Return the upstreams of a service that accept new requests."""
         return [up for up in self._by_service.get(service, {}).values() if up.link.usable]
 
+    def total_slots(self, service: str, spec: ServiceSpec) -> int:
+        """Return how many requests the usable upstreams of a service can run at once."""
+        return len(self.usable(service)) * spec.concurrency
+
     def get(self, service: str, vm_id: str) -> Upstream | None:
         """Return an upstream of a service, None if it is not in the table."""
         return self._by_service.get(service, {}).get(vm_id)
