Keep stalls out of the estimated capacity

Change: an overdue request lowers the capacity by the rate that its own slot has lost, and adds nothing to the measured rate before its end. `ServiceScheduler` looks at the queue or at running requests every 250 ms; what a look is late by, with nothing in between, is a pause, and is left out of the running times. Until as many tokens were measured as are running, the rate at any load counts if it is higher: the first end under saturation may be one that a stall held up (unit test).

--- a/cranberryline/decisions/rate_meter.py
+++ b/cranberryline/decisions/rate_meter.py
@@ -36,6 +36,11 @@
         self._seconds = 0.0
         self._recorded_at: timedelta | None = None
 
+    @property
+    def measured_tokens(self) -> float:
+        """Return how many tokens the rate is measured over, weighted by age."""
+        return self._tokens
+
     @property
     def measured_seconds(self) -> float:
         """Return how much time the rate is measured over, weighted by age."""
--- a/cranberryline/decisions/slot_capacity.py
+++ b/cranberryline/decisions/slot_capacity.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .rate_meter import RateMeter
+from .rate_meter import STALLED_TOKENS_PER_SECOND, RateMeter
 
 __all__ = ["SlotCapacity"]
 
@@ -14,11 +14,10 @@
 
 @attrs.define
 class _Run:
-    """A request in a slot; its slot time is recorded up to `recorded_until`."""
+    """A request in a slot; `started` moves on by time that does not count."""
 
     tokens: int
     started: timedelta
-    recorded_until: timedelta
 
 
 class SlotCapacity:
@@ -30,8 +29,8 @@
     the slots served in that time.
 
     Failed requests count like completed ones, since they make room for the next request as well.
-    The slot time of an overdue request counts while it still runs, because an upstream that is
-    frozen ends nothing.
+    The slot of an overdue request counts at the rate that its running time shows so far, because
+    an upstream that is frozen ends nothing. Its other slots are as fast as before.
 
     Processes that share a service take slots from each other all the time, and a queue keeps some
     in reserve, so the share of the slots that are in use here is averaged.
@@ -39,6 +38,7 @@
 
     def __init__(self) -> None:
         self._rate = RateMeter()
+        self._rate_at_any_load = RateMeter()
         self._share = RateMeter()
         self._share_in_use = 0.0
         self._saturated_until: timedelta | None = None
@@ -69,36 +69,61 @@
 
     def start(self, item_id: int | str, tokens: int, now: timedelta) -> None:
         """Note that a request takes a slot."""
-        self._running[item_id] = _Run(tokens, now, now)
+        self._running[item_id] = _Run(tokens, now)
 
     def discard(self, item_id: int | str) -> None:
         """Forget a request that left its slot without showing how fast the slot is."""
         self._running.pop(item_id, None)
 
     def record_end(self, item_id: int | str, now: timedelta) -> None:
-        """Record that a request ran and left its slot.
-
-        It counts only under saturation: an engine with free slots runs each request faster.
-        """
+        """Record that a request ran and left its slot."""
         run = self._running.pop(item_id, None)
-        if run is not None and self.saturated:
-            self._rate.record(run.tokens, now - run.recorded_until, now)
-
-    def record_overdue(self, now: timedelta) -> None:
-        """Record the slot time so far of requests that run for longer than expected."""
-        rate = self._rate.tokens_per_second(now)
-        if rate <= 0:
+        if run is None:
             return
+        self._rate_at_any_load.record(run.tokens, now - run.started, now)
+        if self.saturated:
+            self._rate.record(run.tokens, now - run.started, now)
+
+    def exclude_pause(self, duration: timedelta, now: timedelta) -> None:
+        """Do not count the last `duration`, in which this process did not run.
+
+        Responses were not read in that time, so it says nothing about the upstreams.
+        """
         for run in self._running.values():
-            expected = timedelta(seconds=run.tokens / rate)
-            if now - run.started > expected * OVERDUE_FACTOR:
-                self._rate.record(0.0, now - run.recorded_until, now)
-                run.recorded_until = now
+            run.started = min(run.started + duration, now)
+        if self._saturated_until is not None:
+            self._saturated_until = min(self._saturated_until + duration, now)
 
     def tokens_per_second(self, now: timedelta) -> float:
         """Return the capacity, 0 if there is no recent measurement.
 
         A share above the average is in use already, so no less than that can be had.
         """
+        rate = self._slot_rate(now)
+        if rate <= 0:
+            return 0.0
         share = max(self._share.tokens_per_second(now), self._share_in_use)
-        return self._rate.tokens_per_second(now) * share * self._total_slots
+        lost = sum(_lost_to_overdue(run, rate, now) for run in self._running.values())
+        return max(rate * share * self._total_slots - lost, STALLED_TOKENS_PER_SECOND)
+
+    def _slot_rate(self, now: timedelta) -> float:
+        """Return the tokens per second of slot time, 0 if unknown.
+
+        An engine with free slots runs each request faster, so only ends under saturation count.
+        The first few of these may all come from one upstream that was stalled, so the rate at any
+        load also counts until as many tokens were measured as are running.
+        """
+        rate = self._rate.tokens_per_second(now)
+        if rate <= 0:
+            return 0.0
+        if self._rate.measured_tokens < sum(run.tokens for run in self._running.values()):
+            return max(rate, self._rate_at_any_load.tokens_per_second(now))
+        return rate
+
+
+def _lost_to_overdue(run: _Run, rate: float, now: timedelta) -> float:
+    """Return by how many tokens per second the slot of a request is slower than `rate`."""
+    seconds = (now - run.started).total_seconds()
+    if seconds * rate <= run.tokens * OVERDUE_FACTOR:
+        return 0.0
+    return rate - run.tokens / seconds
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -39,7 +39,10 @@
 # A request that expires or finds no upstream after its admission may be retried this soon.
 _RETRY_AFTER = timedelta(seconds=1)
 # A load report becomes outdated without an event, so a non-empty queue is checked this often.
+# Running requests are, too, to notice when this process does not run.
 _RECHECK_INTERVAL = timedelta(milliseconds=250)
+# A shorter delay of a check is the load of this process.
+_MIN_PAUSE = timedelta(milliseconds=50)
 _REFUSAL_LOG_INTERVAL = timedelta(seconds=1)
 
 
@@ -89,7 +92,7 @@
         self._queue = WorkQueue(0, QueueSettings(caller_weights=shares))
         self.shares = shares
         self._capacity = SlotCapacity()
-        self._overdue_checked_at = timedelta()
+        self._checked_at = timedelta()
         self._refusal_log = once_per_burst(__name__, clock, _REFUSAL_LOG_INTERVAL)
         self._waiters: dict[int | str, _Waiter] = {}
         self._ids = itertools.count()
@@ -108,6 +111,7 @@
     def admit(self, req: CallerRequest) -> Result[timedelta, Refusal]:
         """Admit a request and return the latest time at which it may start, or refuse it."""
         now = self._clock.monotonic()
+        self._exclude_pause(now)
         policy = AdmissionPolicy(self._limits())
         view = AdmissionView(
             queued=self._queue.queued,
@@ -177,6 +181,7 @@
         `was_run` is False if the upstream confirmed that it did not run the attempt.
         """
         now = self._clock.monotonic()
+        self._exclude_pause(now)
         item_id = reservation.item.id
         self._queue.finish(item_id)
         reservation.upstream.complete(tokens, now - reservation.reserved_at, now)
@@ -199,6 +204,7 @@
     def dispatch_waiting(self) -> None:
         """Reserve slots for queued requests as long as upstreams have free ones."""
         now = self._clock.monotonic()
+        self._exclude_pause(now)
         self._queue.slots = self._usable_slots()
         while self._waiters:
             free = self._upstreams_with_free_slots()
@@ -217,9 +223,16 @@
         saturated = waiting or 0 < self._queue.slots <= in_use
         total = self._upstreams.total_slots(self._service, self._spec())
         self._capacity.set_slots(in_use, total, saturated, now)
-        if waiting and now - self._overdue_checked_at >= _RECHECK_INTERVAL:
-            self._overdue_checked_at = now
-            self._capacity.record_overdue(now)
+
+    def _exclude_pause(self, now: timedelta) -> None:
+        """Exclude the time since the last call if this process has not run for most of it.
+
+        While the timer is set, it calls at least once per `_RECHECK_INTERVAL`.
+        """
+        pause = now - self._checked_at - _RECHECK_INTERVAL
+        if self._timer is not None and pause >= _MIN_PAUSE:
+            self._capacity.exclude_pause(pause, now)
+        self._checked_at = now
 
     def _reserve_slot(self, item: WorkItem, free: list[Upstream], now: timedelta) -> None:
         waiter = self._waiters.pop(item.id)
@@ -270,14 +283,25 @@
         self._schedule_recheck(now)
 
     def _schedule_recheck(self, now: timedelta) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        wait = _RECHECK_INTERVAL
         expiry = self._queue.next_expiry()
         if expiry is not None:
-            # Fires 1 ms late, so that the request has expired by then.
-            wait = max(min(expiry - now, _RECHECK_INTERVAL).total_seconds(), 0.0) + 0.001
-            self._timer = asyncio.get_running_loop().call_later(wait, self.dispatch_waiting)
+            wait = min(max(expiry - now, timedelta()), wait)
+        elif not len(self._queue.running):
+            return
+        loop = asyncio.get_running_loop()
+        # Fires 1 ms late, so that the request has expired by then.
+        due = loop.time() + wait.total_seconds() + 0.001
+        if self._timer is not None:
+            if self._timer.when() <= due:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._recheck)
+
+    def _recheck(self) -> None:
+        self._exclude_pause(self._clock.monotonic())
+        self._timer = None
+        self.dispatch_waiting()
 
     def _cancel(self, item: WorkItem, waiter: _Waiter) -> None:
         self._waiters.pop(item.id, None)
--- a/tests/decisions/test_slot_capacity.py
+++ b/tests/decisions/test_slot_capacity.py
@@ -60,20 +60,70 @@
     assert capacity.tokens_per_second(RUN_TIME) == 0.0
 
 
+def _run_half_of_the_slots(capacity: SlotCapacity, turns: int) -> timedelta:
+    """Let half of the requests end in time for some turns, and the other half not end."""
+    now = timedelta()
+    for _ in range(turns):
+        now += RUN_TIME
+        for item in range(SLOTS // 2):
+            capacity.record_end(item, now)
+            capacity.start(item, 1, now)
+        capacity.set_slots(SLOTS, SLOTS, True, now)
+    return now
+
+
 def test_blocked_slots_lower_the_capacity_while_their_requests_run() -> None:
     """Callers wait for their whole time behind frozen upstreams instead of being refused.
 
     Half of the slots are blocked. Those requests do not end, so only their running time shows it.
     """
+    capacity = _full_slots()
+    now = _run_half_of_the_slots(capacity, 20)
+    assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY / 2, rel=0.1)
+
+
+def test_blocked_slots_do_not_slow_the_others() -> None:
+    """Callers are refused since few ends are measured beside much time of a frozen upstream.
+
+    After three run times half of the slots serve as before, and the others are overdue.
+    """
+    capacity = _full_slots()
+    now = _run_half_of_the_slots(capacity, 3)
+    assert capacity.tokens_per_second(now) >= TRUE_CAPACITY / 2
+
+
+def test_capacity_is_back_once_a_stall_is_over() -> None:
+    """Callers are refused for seconds after a short stall of a third of the slots."""
     capacity, now = _full_slots(), timedelta()
-    for _ in range(20):
+    for turn in range(1, 5):
         now += RUN_TIME
-        for item in range(SLOTS // 2):
-            capacity.record_end(item, now)
-            capacity.start(item, 1, now)
+        for item in range(SLOTS):
+            if item % 3 or turn > 2:
+                capacity.record_end(item, now)
+                capacity.start(item, 1, now)
         capacity.set_slots(SLOTS, SLOTS, True, now)
-        capacity.record_overdue(now)
-    assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY / 2, rel=0.1)
+    assert capacity.tokens_per_second(now) >= TRUE_CAPACITY * 2 / 3
+
+
+def test_first_end_of_a_stalled_request_does_not_stand_for_all() -> None:
+    """Callers are refused since the first request that ends was held up by a stall.
+
+    Requests without saturation took the usual time before.
+    """
+    capacity, now = SlotCapacity(), timedelta()
+    capacity.set_slots(0, SLOTS, False, now)
+    for item in range(SLOTS):
+        capacity.start(f"early-{item}", 1, now)
+        capacity.record_end(f"early-{item}", now + RUN_TIME)
+    now += RUN_TIME
+    capacity.set_slots(SLOTS, SLOTS, True, now)
+    capacity.start("stalled", 1, now)
+    now += RUN_TIME * 2
+    for item in range(SLOTS - 1):
+        capacity.start(item, 1, now)
+    now += RUN_TIME
+    capacity.record_end("stalled", now)
+    assert capacity.tokens_per_second(now) >= TRUE_CAPACITY * 0.8
 
 
 def test_time_of_an_overdue_request_counts_once() -> None:
@@ -82,7 +132,7 @@
     capacity.record_end(0, RUN_TIME)
     for overdue in (RUN_TIME * 3, RUN_TIME * 5):
         capacity.set_slots(2, 2, True, overdue)
-        capacity.record_overdue(overdue)
+        assert capacity.tokens_per_second(overdue) > 0
     capacity.record_end(1, RUN_TIME * 9)
     # Two tokens in ten times the run time, of which each half-life halves the older part.
     assert capacity.tokens_per_second(RUN_TIME * 9) == pytest.approx(
@@ -90,10 +140,31 @@
     )
 
 
+def test_pause_of_this_process_is_no_slot_time() -> None:
+    """Callers are refused after a process has woken up, since its requests seem to take so long."""
+    capacity, pause = _full_slots(), timedelta(seconds=5)
+    capacity.record_end(0, RUN_TIME)
+    now = RUN_TIME + pause
+    capacity.exclude_pause(pause, now)
+    capacity.record_end(1, now)
+    assert capacity.tokens_per_second(now) == pytest.approx(TRUE_CAPACITY)
+
+
+def test_pause_that_began_before_a_request_counts_up_to_its_start() -> None:
+    """A request that starts after a pause has a negative running time."""
+    capacity, now = SlotCapacity(), timedelta(seconds=5)
+    capacity.set_slots(1, 1, True, now)
+    capacity.start(0, 1, now)
+    capacity.exclude_pause(timedelta(seconds=3), now)
+    capacity.record_end(0, now + RUN_TIME)
+    assert capacity.tokens_per_second(now + RUN_TIME) == pytest.approx(1 / 0.3)
+
+
 def test_share_of_the_slots_is_averaged() -> None:
     """Callers are refused since another process holds most of the slots for a moment."""
     capacity, now = _full_slots(), RUN_TIME
-    capacity.record_end(0, now)
+    for item in range(SLOTS):
+        capacity.record_end(item, now)
     for turn in range(40):
         capacity.set_slots(SLOTS // 4 if turn % 2 else 3 * SLOTS // 4, SLOTS, True, now)
         now += RUN_TIME
--- a/tests/dispatch/test_scheduler_capacity.py
+++ b/tests/dispatch/test_scheduler_capacity.py
@@ -10,7 +10,7 @@
 from cranberryline.dispatch.model import CollectingSink
 from cranberryline.transport import Exchange
 from cranberryline.transport.model import Load, Submit
-from tests.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, VirtualLoop, run_virtual
 
 from .conftest import DispatcherHarness, FakeSideProcess, echo_response
 
@@ -67,6 +67,36 @@
     assert set(results) == {"ok"}
 
 
+def test_callers_after_a_pause_of_the_entry_are_not_refused(
+    timed_harness: DispatcherHarness,
+) -> None:
+    """Callers are refused after an entry has woken up, since its requests seem to take so long.
+
+    60 callers share 48 slots, the entry does not run for 0.6 s, and 20 more come behind that.
+    """
+    results: Counter[str] = Counter()
+
+    async def async_call_repeatedly() -> None:
+        while timed_harness.clock.monotonic() < timedelta(seconds=6):
+            results[await _async_request(timed_harness)] += 1
+
+    async def async_pause() -> None:
+        await asyncio.sleep(0.4)
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        loop.jump(0.6)
+        for _ in range(3):
+            await asyncio.sleep(0.05)
+            more = [asyncio.ensure_future(_async_request(timed_harness)) for _ in range(20)]
+            results.update(await asyncio.gather(*more))
+
+    async def async_main() -> None:
+        await asyncio.gather(async_pause(), *(async_call_repeatedly() for _ in range(60)))
+
+    run_virtual(async_main())
+    assert set(results) == {"ok"}
+
+
 @pytest.mark.parametrize("overload", [1.5, 2.0, 4.0])
 def test_overload_is_refused_on_arrival(timed_harness: DispatcherHarness, overload: float) -> None:
     """Callers are refused only after they have waited in vain, or the upstreams are not used up.
