Leave an engine's rate unknown until it was measured for 200 ms

Listed as suspected: of a run's first two events that arrive in one packet, the second counted as an event in a millisecond, so `EngineRates` told hundreds of events per second or more for that engine until the next event. Texts of this node move to an engine that is 15% faster, and items are routed by that rate.

Shown by a unit test that failed before (1 event in 1 ms: 1,000 per second). Change: a rate over less than 200 ms of event time is unknown, which neither moves a text nor draws one.

--- a/cranberryline/decisions/moving.py
+++ b/cranberryline/decisions/moving.py
@@ -18,6 +18,8 @@
 # Age at which an engine's event rate is discarded: two steps of a trainer that requests one every
 # four seconds. An older rate says little about the engine now.
 MAX_EVENT_RATE_AGE = timedelta(seconds=8)
+# Time over which a rate must be measured. Two events that arrive in one packet show no rate.
+MIN_MEASURED_TIME = timedelta(milliseconds=200)
 # Time that a move costs: closing the connection, a new request, prefill of the prompt and of the
 # text so far (some 20 ms for 10,000 tokens), and the average wait for a slot.
 MOVE_COST = timedelta(milliseconds=100)
@@ -55,9 +57,14 @@
             del self._recorded_at[name], self._meters[name]
 
     def events_per_second(self, upstream: str, now: timedelta) -> float:
-        """Return the event rate of a single run on an engine, or 0 if none is recent."""
+        """Return the event rate of a single run on an engine, or 0 if it is unknown.
+
+        It is unknown if it was not measured recently, or only for a very short time.
+        """
         meter = self._meters.get(upstream)
-        return 0.0 if meter is None else meter.tokens_per_second(now)
+        if meter is None or meter.measured_seconds < MIN_MEASURED_TIME.total_seconds():
+            return 0.0
+        return meter.tokens_per_second(now)
 
 
 def should_move(events_left: float, here: float, elsewhere: Iterable[float]) -> bool:
--- a/tests/decisions/test_moving.py
+++ b/tests/decisions/test_moving.py
@@ -32,6 +32,18 @@
     assert should_move(130, SLOW, [0.0, FAST])
 
 
+def test_events_that_arrive_together_show_no_rate() -> None:
+    """Texts move to an engine whose first two events arrived in one packet."""
+    rates = EngineRates()
+    now = timedelta(milliseconds=1)
+    rates.record("e", 1, now, now)
+    assert rates.events_per_second("e", now) == 0.0
+    for _ in range(20):
+        now += timedelta(milliseconds=40)
+        rates.record("e", 1, timedelta(milliseconds=40), now)
+    assert 24 < rates.events_per_second("e", now) < 28
+
+
 def test_engine_a_third_slower_matters_only_to_a_long_text() -> None:
     """An engine that is a third slower costs a long text 1.5 s and a usual one only 0.3 s."""
     assert should_move(130, 20.0, [FAST])
