--- a/tests/routes/test_routes.py
+++ b/tests/routes/test_routes.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from random import Random
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -15,6 +16,7 @@
     RouteTable,
     ServiceShare,
 )
+from cranberryline.workspaces import Workspace, WorkspaceTable
 
 SECOND = timedelta(seconds=1)
 
@@ -67,3 +69,15 @@
     assert routes.spec("plain").type is ServiceType.PLAIN
     assert routes.has_service("plain") and not routes.has_service("nobody")
     assert routes.caller("x") is None and routes.shares() == {}
+
+
+def test_priority_of_a_workspace_replaces_that_of_the_route() -> None:
+    """Requests of an urgent workspace wait behind others because of their route's priority."""
+    workspaces = WorkspaceTable([Workspace("urgent", priority=0), Workspace("usual")])
+    route = attrs.evolve(_route("/"), priority=2)
+    routes = ActiveRoutes()
+    assert routes.rank(route, "urgent") == 2
+    routes.apply(RouteTable(1, (route,), workspaces=workspaces))
+    assert routes.rank(route, "urgent") == 0
+    assert routes.rank(route, "usual") == 2
+    assert routes.rank(route, "unknown") == 2
