Look only at the oldest requests for overdue ones

The capacity is asked for at each admission and looked at every running request: 364 us with 384 of one token, on a machine at load 13. Requests lie in the order of their start, so the look ends at the first that cannot be overdue, and the running tokens are counted as they come and go: 2 us. With 384 requests of 200 tokens it is 0.5 ms still; those are seconds long each. No change of the estimate; its tests are unchanged and pass.

--- a/cranberryline/decisions/slot_capacity.py
+++ b/cranberryline/decisions/slot_capacity.py
@@ -44,6 +44,7 @@
         self._saturated_until: timedelta | None = None
         self._total_slots = 0
         self._running: dict[int | str, _Run] = {}
+        self._running_tokens = 0
 
     @property
     def measured_seconds(self) -> float:
@@ -68,22 +69,29 @@
             self._total_slots, self._share_in_use = total, in_use / total
 
     def start(self, item_id: int | str, tokens: int, now: timedelta) -> None:
-        """Note that a request takes a slot."""
+        """Note that a request of at least one token takes a slot."""
         self._running[item_id] = _Run(tokens, now)
+        self._running_tokens += tokens
 
     def discard(self, item_id: int | str) -> None:
         """Forget a request that left its slot without showing how fast the slot is."""
-        self._running.pop(item_id, None)
+        self._pop(item_id)
 
     def record_end(self, item_id: int | str, now: timedelta) -> None:
         """Record that a request ran and left its slot."""
-        run = self._running.pop(item_id, None)
+        run = self._pop(item_id)
         if run is None:
             return
         self._rate_at_any_load.record(run.tokens, now - run.started, now)
         if self.saturated:
             self._rate.record(run.tokens, now - run.started, now)
 
+    def _pop(self, item_id: int | str) -> _Run | None:
+        run = self._running.pop(item_id, None)
+        if run is not None:
+            self._running_tokens -= run.tokens
+        return run
+
     def exclude_pause(self, duration: timedelta, now: timedelta) -> None:
         """Do not count the last `duration`, in which this process did not run.
 
@@ -103,8 +111,8 @@
         if rate <= 0:
             return 0.0
         share = max(self._share.tokens_per_second(now), self._share_in_use)
-        lost = sum(_lost_to_overdue(run, rate, now) for run in self._running.values())
-        return max(rate * share * self._total_slots - lost, STALLED_TOKENS_PER_SECOND)
+        capacity = rate * share * self._total_slots - self._lost_to_overdue(rate, now)
+        return max(capacity, STALLED_TOKENS_PER_SECOND)
 
     def _slot_rate(self, now: timedelta) -> float:
         """Return the tokens per second of slot time, 0 if unknown.
@@ -116,14 +124,20 @@
         rate = self._rate.tokens_per_second(now)
         if rate <= 0:
             return 0.0
-        if self._rate.measured_tokens < sum(run.tokens for run in self._running.values()):
+        if self._rate.measured_tokens < self._running_tokens:
             return max(rate, self._rate_at_any_load.tokens_per_second(now))
         return rate
 
+    def _lost_to_overdue(self, rate: float, now: timedelta) -> float:
+        """Return by how many tokens per second slots with overdue requests are slower than `rate`.
 
-def _lost_to_overdue(run: _Run, rate: float, now: timedelta) -> float:
-    """Return by how many tokens per second the slot of a request is slower than `rate`."""
-    seconds = (now - run.started).total_seconds()
-    if seconds * rate <= run.tokens * OVERDUE_FACTOR:
-        return 0.0
-    return rate - run.tokens / seconds
+        The oldest requests come first, and none has less than one token.
+        """
+        lost = 0.0
+        for run in self._running.values():
+            seconds = (now - run.started).total_seconds()
+            if seconds * rate <= OVERDUE_FACTOR:
+                break
+            if seconds * rate > run.tokens * OVERDUE_FACTOR:
+                lost += rate - run.tokens / seconds
+        return lost
