Show the fencing token in the log

docs/PLATFORM.md listed it as open: `lease_held`, `lease_lapsed` and `usage_report` showed `token: (hidden)`, as the log hides fields named like a secret. An operator could not tell whose refused order or report was fenced off. The field is now `fence`, as in the log of weights; a caller's token stays hidden (its test is unchanged). Nothing reads the old name: searched in `reports`, tests, pages and scripts. The new test failed before.

--- a/cranberryline/leases/keeper.py
+++ b/cranberryline/leases/keeper.py
@@ -72,7 +72,7 @@
         held = self._token > 0 and self._clock.elapsed() < self._valid_until
         if held != self._last_logged_held:
             self._last_logged_held = held
-            _LOGGER.info("lease_held" if held else "lease_lapsed", token=self._token)
+            _LOGGER.info("lease_held" if held else "lease_lapsed", fence=self._token)
         return self._token if held else None
 
     def set_length(self, lease: timedelta) -> None:
--- a/cranberryline/usage/reporter.py
+++ b/cranberryline/usage/reporter.py
@@ -165,7 +165,7 @@
         )
         self._parts.metrics.usage_reports.labels(outcome.value).inc()
         if outcome is not ReportOutcome.ACCEPTED or late:
-            _LOGGER.warning("usage_report", window=window, outcome=outcome, late=late, token=token)
+            _LOGGER.warning("usage_report", window=window, outcome=outcome, late=late, fence=token)
         if outcome is ReportOutcome.FENCED:
             self._fenced_token = token
             return False
--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -2,6 +2,9 @@
 
 import asyncio
 from datetime import timedelta
+from typing import Any
+
+import eliot
 
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
@@ -186,3 +189,25 @@
         assert node.keeper.token() is not None
 
     run_virtual(async_scenario())
+
+
+def test_the_log_tells_the_fencing_token() -> None:
+    """An operator cannot tell whose refused order was fenced off, since the number is hidden."""
+    logged: list[dict[str, Any]] = []
+
+    async def async_scenario() -> int:
+        node = Node(FakeStore(), "front-1")
+        node.start()
+        await asyncio.sleep(1)
+        token = node.keeper.token()
+        assert token is not None
+        node.kill()
+        return token
+
+    eliot.add_destinations(logged.append)
+    try:
+        token = run_virtual(async_scenario())
+    finally:
+        eliot.remove_destination(logged.append)
+    held = [event["fence"] for event in logged if event.get("message_type") == "lease_held"]
+    assert held[-1:] == [token]
