Tell the end of an aborted request once

When an upstream is replaced, `Runner.abort_all` tells the end of each request and cancels its task, which told it again: two `Failed` and a failure counted as `cancelled` besides. Callers were not harmed, as the second message meets an exchange that is over; the counters of failures were off. The test failed before for a request that had begun (2 for 1), and passes for one that had not, whose task sends nothing.

--- a/cranberryline/execution/execution.py
+++ b/cranberryline/execution/execution.py
@@ -72,7 +72,8 @@
                 return
             await self._async_run_once(request, None)
         except asyncio.CancelledError:
-            self._send_failed(request, FailReason.CANCELLED, "unknown")
+            if not request.aborted:
+                self._send_failed(request, FailReason.CANCELLED, "unknown")
             raise
 
     async def _async_run_keyed(self, request: Held) -> None:
--- a/cranberryline/execution/model.py
+++ b/cranberryline/execution/model.py
@@ -23,6 +23,7 @@
 
     `deadline` is a reading of the monotonic clock. `is_eligible` is called directly before the
     request is sent to the upstream; False prevents that. `timer` ends the wait in the queue.
+    `aborted` means that the sender has been told of the end, before the task is cancelled.
     """
 
     key: RequestKey
@@ -34,6 +35,7 @@
     is_eligible: Callable[[], bool] | None = None
     timer: asyncio.TimerHandle | None = None
     task: asyncio.Task[None] | None = None
+    aborted: bool = False
 
     def __lt__(self, other: "Held") -> bool:
         """Order by priority, then by arrival."""
--- a/cranberryline/execution/runner.py
+++ b/cranberryline/execution/runner.py
@@ -150,6 +150,7 @@
         """
         self.drain()
         for request in list(self._requests.values()):
+            request.aborted = True
             self._metrics.fail(FailReason.UPSTREAM_RESTARTED.value)
             request.reply(Failed(request.msg.id, FailReason.UPSTREAM_RESTARTED.value, "unknown"))
             self._stop(request.key)
--- a/tests/execution/test_runner.py
+++ b/tests/execution/test_runner.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cranberryline.execution.errors import FailReason
 from cranberryline.execution.stream import INITIAL_WINDOW_BYTES
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.requests.errors import ClaimReason, ClaimRefused
@@ -110,6 +111,25 @@
     asyncio.run(async_case())
 
 
+@pytest.mark.parametrize("begun", [True, False])
+def test_aborted_request_ends_twice(begun: bool) -> None:
+    """The upstream is replaced while a request runs, or is about to; its sender is told once."""
+
+    async def async_case() -> None:
+        harness = RunnerHarness()
+        harness.upstream.gate.clear()
+        harness.submit(1)
+        if begun:
+            await asyncio.sleep(0.01)
+        harness.runner.abort_all()
+        await harness.async_idle()
+        ends = [msg for msg in harness.replies_to(1) if isinstance(msg, Failed)]
+        assert [end.reason for end in ends] == [FailReason.UPSTREAM_RESTARTED.value]
+        assert harness.metrics.value("cranberryline_failures_total", reason="cancelled") == 0
+
+    asyncio.run(async_case())
+
+
 def test_response_is_buffered_without_limit_for_a_slow_caller() -> None:
     """At most one window is read ahead of the caller; the rest follows when it is extended."""
 
