--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -218,6 +218,7 @@
         self._track_saturation(now)
 
     def _track_saturation(self, now: timedelta) -> None:
+        """Tell the capacity how many slots are in use, and whether more are wanted."""
         waiting = len(self._queue) > 0
         in_use = len(self._queue.running)
         saturated = waiting or 0 < self._queue.slots <= in_use
