Name the upstreams of the shared service's model by number

Read in the whole change: the model named its upstreams by `id()`, other in each run, so a failure would not have told the same names twice. Also wraps a docstring that I had lengthened.

--- a/tests/dispatch/shared_service.py
+++ b/tests/dispatch/shared_service.py
@@ -75,9 +75,10 @@
 class ModelSide:
     """A side process: a first-come queue before its slots, and real load reports."""
 
-    def __init__(self, process: StallingProcess, rng: Random) -> None:
+    def __init__(self, vm_id: str, process: StallingProcess, rng: Random) -> None:
         self.process = process
         self.connections: list[_ModelConnection] = []
+        self._vm_id = vm_id
         self._rng = rng
         self._running = 0
         self._queue: deque[tuple[_ModelConnection, Exchange, Message]] = deque()
@@ -96,7 +97,7 @@
             job = (conn, exchange, msg)
             self.process.deliver(LATENCY_SECONDS, lambda: self._submit(job))
 
-        conn.link = harness.add_upstream(f"up-{id(self)}", submit)
+        conn.link = harness.add_upstream(self._vm_id, submit)
         self.connections.append(conn)
 
     async def async_report_with_heartbeats(self) -> None:
@@ -140,7 +141,8 @@
         self.rng = Random(seed)
         self.results: Counter[str] = Counter()
         self.sides = [
-            ModelSide(StallingProcess(self.rng, event_seconds), self.rng) for _ in range(UPSTREAMS)
+            ModelSide(f"up-{number}", StallingProcess(self.rng, event_seconds), self.rng)
+            for number in range(UPSTREAMS)
         ]
         self.entries = [StallingProcess(self.rng, event_seconds) for _ in range(2)]
         self._harnesses = [self._build_entry(number) for number in range(len(self.entries))]
--- a/tests/usage/conftest.py
+++ b/tests/usage/conftest.py
@@ -41,8 +41,8 @@
     """Takes reports with fencing; `fenced` is whether it checks the token.
 
     `called` has the time and window of each call, `arrived` the time, holder and token of each that
-    reached the service. `refuse` answers that nothing was done, `silent` loses the answer, and `late` is how much later
-    a call without an answer is carried out.
+    reached the service. `refuse` answers that nothing was done, `silent` loses the answer, and
+    `late` is how much later a call without an answer is carried out.
     """
 
     fenced: bool = True
