Do not estimate waits by slots that others took first

What callers saw: 429 queue_wait where 60 callers share 48 slots of 0.3 s with a second of queue.

Cause, from the log of the refusals with their factors: the share of slots. It was averaged over 0.26 s of saturated time only, in which the other entry held 39 of 48 slots. Rate 2.76 (true 2.8 to 3.3), lost to overdue requests 0, total 48, share 0.21: a wait of 0.67 s, though the 39 ended within 0.3 s.

Ruled out: the rate, total slots, overdue requests (same log). A bound of queued requests over slots held at the slowest time seen was weighed: with 3 slots and 13 ahead it is 2 s and lets nobody in.

Change: until the share is measured for longer than a second, one part for each entry counts beside it. The log of a refusal names all four factors.

--- a/cranberryline/decisions/slot_capacity.py
+++ b/cranberryline/decisions/slot_capacity.py
@@ -6,10 +6,34 @@
 
 from .rate_meter import STALLED_TOKENS_PER_SECOND, RateMeter
 
-__all__ = ["SlotCapacity"]
+__all__ = ["CapacityFactors", "SlotCapacity"]
 
 # A request counts as overdue after this multiple of the time that its tokens are expected to take.
 OVERDUE_FACTOR = 2.0
+# Saturated time after which the measured share of the slots counts as much as the fair share.
+FAIR_SHARE_TIME = timedelta(seconds=1)
+
+
+@attrs.frozen
+class CapacityFactors:
+    """What a capacity is computed from, for the log.
+
+    The capacity is `slot_rate` (tokens per second of slot time) times `share` times `total_slots`,
+    less `lost_to_overdue` (tokens per second).
+    """
+
+    slot_rate: float
+    share: float
+    total_slots: int
+    lost_to_overdue: float
+
+    @property
+    def tokens_per_second(self) -> float:
+        """Return the capacity, 0 if the rate is unknown."""
+        if self.slot_rate <= 0:
+            return 0.0
+        capacity = self.slot_rate * self.share * self.total_slots - self.lost_to_overdue
+        return max(capacity, STALLED_TOKENS_PER_SECOND)
 
 
 @attrs.define
@@ -33,7 +57,9 @@
     an upstream that is frozen ends nothing. Its other slots are as fast as before.
 
     Processes that share a service take slots from each other all the time, and a queue keeps some
-    in reserve, so the share of the slots that are in use here is averaged.
+    in reserve, so the share of the slots that are in use here is averaged. At the beginning it
+    shows only who came first: a process that has few slots then gets more as soon as the requests
+    of the others end. Until it is measured for long enough, the fair share counts as well.
     """
 
     def __init__(self) -> None:
@@ -41,6 +67,7 @@
         self._rate_at_any_load = RateMeter()
         self._share = RateMeter()
         self._share_in_use = 0.0
+        self._fair_share = 0.0
         self._saturated_until: timedelta | None = None
         self._total_slots = 0
         self._running: dict[int | str, _Run] = {}
@@ -56,15 +83,19 @@
         """Return whether requests wait or would have to."""
         return self._saturated_until is not None
 
-    def set_slots(self, in_use: int, total: int, saturated: bool, now: timedelta) -> None:
+    def set_slots(
+        self, in_use: int, total: int, saturated: bool, now: timedelta, fair_share: float = 0.0
+    ) -> None:
         """Set how many slots of all this process uses, and whether it may use no more.
 
-        A total of 0 is ignored, so that the queue stays bounded while no upstream is connected.
+        `fair_share` is the part of the slots that it gets if all processes have work waiting, 0 if
+        that is not known. A total of 0 is ignored, so that the queue stays bounded while no upstream is connected.
         """
         if self._saturated_until is not None:
             spent = now - self._saturated_until
             self._share.record(self._share_in_use * spent.total_seconds(), spent, now)
         self._saturated_until = now if saturated and total else None
+        self._fair_share = fair_share
         if total:
             self._total_slots, self._share_in_use = total, in_use / total
 
@@ -103,16 +134,25 @@
             self._saturated_until = min(self._saturated_until + duration, now)
 
     def tokens_per_second(self, now: timedelta) -> float:
-        """Return the capacity, 0 if there is no recent measurement.
+        """Return the capacity, 0 if there is no recent measurement."""
+        return self.factors(now).tokens_per_second
+
+    def factors(self, now: timedelta) -> CapacityFactors:
+        """Return what the capacity is computed from."""
+        rate = self._slot_rate(now)
+        lost = 0.0 if rate <= 0 else self._lost_to_overdue(rate, now)
+        return CapacityFactors(rate, self._expected_share(now), self._total_slots, lost)
+
+    def _expected_share(self, now: timedelta) -> float:
+        """Return the share of the slots that this process can use.
 
         A share above the average is in use already, so no less than that can be had.
         """
-        rate = self._slot_rate(now)
-        if rate <= 0:
-            return 0.0
-        share = max(self._share.tokens_per_second(now), self._share_in_use)
-        capacity = rate * share * self._total_slots - self._lost_to_overdue(rate, now)
-        return max(capacity, STALLED_TOKENS_PER_SECOND)
+        share = self._share.tokens_per_second(now)
+        if share < self._fair_share:
+            measured, fair = self._share.measured_seconds, FAIR_SHARE_TIME.total_seconds()
+            share = (share * measured + self._fair_share * fair) / (measured + fair)
+        return max(share, self._share_in_use)
 
     def _slot_rate(self, now: timedelta) -> float:
         """Return the tokens per second of slot time, 0 if unknown.
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -1,5 +1,6 @@
 """Run a request from admission over queueing, attempts and retries to its final result."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 
@@ -94,7 +95,10 @@
 
 
 class Dispatcher:
-    """Assign requests to upstreams, retry them, and return one final result for each."""
+    """Assign requests to upstreams, retry them, and return one final result for each.
+
+    `sharers` returns how many processes use the same upstreams, this one included.
+    """
 
     def __init__(
         self,
@@ -105,8 +109,10 @@
         metrics: Metrics,
         data_center: str = "",
         guard: RequestGuard | None = None,
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._guard = guard
+        self._sharers = sharers
         self._clock = clock
         self._rng = rng
         self._upstreams = upstreams
@@ -133,6 +139,7 @@
                 lambda: self._catalog.spec(service),
                 self._catalog.shares(),
                 self._data_center,
+                self._sharers,
             )
             self._metrics.capacity.labels(service).set_function(lambda: scheduler.capacity)
         return scheduler
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -69,7 +69,8 @@
     """Admit, queue and route the requests of one service.
 
     `shares` maps callers to their weights in the queue. It is a live view: a change of the
-    configuration applies from the next request on.
+    configuration applies from the next request on. `sharers` returns how many processes use the
+    same upstreams, this one included.
     """
 
     def __init__(
@@ -81,8 +82,10 @@
         spec: Callable[[], ServiceSpec],
         shares: Mapping[str, float],
         data_center: str = "",
+        sharers: Callable[[], int] = lambda: 1,
     ) -> None:
         self.budget = RetryBudget()
+        self._sharers = sharers
         self._service = service
         self._data_center = data_center
         self._clock = clock
@@ -139,6 +142,7 @@
         return Ok(now + decision.start_within)
 
     def _log_refusal(self, decision: Refuse, view: AdmissionView) -> None:
+        factors = self._capacity.factors(self._clock.monotonic())
         self._refusal_log.info(
             "admission_refused",
             service=self._service,
@@ -149,6 +153,10 @@
             slots=view.slots,
             running=len(view.running),
             queued=len(view.queued),
+            slot_rate=round(factors.slot_rate, 3),
+            share=round(factors.share, 3),
+            total_slots=factors.total_slots,
+            lost_to_overdue=round(factors.lost_to_overdue, 3),
         )
 
     async def async_reserve_slot(
@@ -223,7 +231,8 @@
         in_use = len(self._queue.running)
         saturated = waiting or 0 < self._queue.slots <= in_use
         total = self._upstreams.total_slots(self._service, self._spec())
-        self._capacity.set_slots(in_use, total, saturated, now)
+        fair_share = 1 / max(1, self._sharers())
+        self._capacity.set_slots(in_use, total, saturated, now, fair_share)
 
     def _exclude_pause(self, now: timedelta) -> None:
         """Exclude the time since the last call if this process has not run for most of it.
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -129,7 +129,13 @@
         )
         self.catalog = ServiceCatalog(self.config_sync.fold)
         self.dispatcher = Dispatcher(
-            clock, random.Random(), self.table, self.catalog, self.metrics, cfg.data_center
+            clock,
+            random.Random(),
+            self.table,
+            self.catalog,
+            self.metrics,
+            cfg.data_center,
+            sharers=lambda: len(self.members.entries()),
         )
         self.tokens = tokens
         scorer = ZeroScorer() if cfg.scorer_url is None else HttpScorer(cfg.scorer_url)
@@ -376,8 +382,7 @@
     try:
         entry.start()
     except OSError as exc:
-        # Another process, possibly a suspended earlier one, still uses the port. The supervisor has
-        # to end it first, since two processes must not run for the same VM.
+        # Another process of this VM, possibly suspended; the supervisor has to end it first.
         _LOGGER.error("cannot_listen", error=str(exc))
         await entry.async_close()
         return ExitCode.UNAVAILABLE
--- a/tests/decisions/test_slot_capacity.py
+++ b/tests/decisions/test_slot_capacity.py
@@ -231,3 +231,28 @@
         capacity.record_end(item, run_time)
     expected = slots * tokens / run_time.total_seconds()
     assert capacity.tokens_per_second(run_time) == pytest.approx(expected)
+
+
+def test_slots_that_others_took_first_do_not_stand_for_the_share() -> None:
+    """Callers are refused since another process took nearly all slots at the beginning.
+
+    This one has 9 of 48, measured for a quarter of a second, and half of them is its fair share.
+    """
+    capacity, slots, now = SlotCapacity(), 48, timedelta()
+    capacity.set_slots(9, slots, True, now, fair_share=0.5)
+    for item in range(9):
+        capacity.start(item, 1, now)
+    now += RUN_TIME
+    capacity.record_end(0, now)
+    assert capacity.tokens_per_second(now) >= 0.75 * (slots / 2) / RUN_TIME.total_seconds()
+
+
+def test_share_that_was_measured_for_long_replaces_the_fair_one() -> None:
+    """Callers wait in vain in a process that gets few slots all the time."""
+    capacity, slots, now = SlotCapacity(), 48, timedelta()
+    for turn in range(60):
+        capacity.set_slots(9, slots, True, now, fair_share=0.5)
+        capacity.start(turn, 1, now)
+        now += RUN_TIME
+        capacity.record_end(turn, now)
+    assert capacity.tokens_per_second(now) <= 1.5 * 9 / RUN_TIME.total_seconds()
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -108,13 +108,15 @@
 
     service = "dossiers"
 
-    def __init__(self, clock: Clock, **spec: Any) -> None:
+    def __init__(self, clock: Clock, sharers: int = 1, **spec: Any) -> None:
         self.clock = clock
         self.fold = ConfigFold()
         self.metrics = Metrics()
         self.table = UpstreamTable()
         self.book = ServiceCatalog(self.fold)
-        self.dispatcher = Dispatcher(clock, Random(7), self.table, self.book, self.metrics)
+        self.dispatcher = Dispatcher(
+            clock, Random(7), self.table, self.book, self.metrics, sharers=lambda: sharers
+        )
         self.publish("service", self.service, {"type": "plain", "concurrency": 2, **spec})
 
     def delete(self, kind: Kind, name: str) -> None:
--- a/tests/dispatch/shared_service.py
+++ b/tests/dispatch/shared_service.py
@@ -155,7 +155,7 @@
     def _build_entry(self, number: int) -> DispatcherHarness:
         process = self.entries[number]
         harness = DispatcherHarness(
-            LoopClock(), concurrency=CONCURRENCY, queue_seconds=QUEUE_SECONDS
+            LoopClock(), len(self.entries), concurrency=CONCURRENCY, queue_seconds=QUEUE_SECONDS
         )
         for side in self.sides:
             side.connect(f"entry-{number}", process, harness)
--- a/tests/dispatch/test_scheduler_capacity.py
+++ b/tests/dispatch/test_scheduler_capacity.py
@@ -21,15 +21,21 @@
 QUEUE_SECONDS = 1
 
 
-@pytest.fixture
-def timed_harness() -> DispatcherHarness:
-    """Return a dispatcher in virtual time over three upstreams that take 0.3 s a request."""
-    harness = DispatcherHarness(LoopClock(), concurrency=CONCURRENCY, queue_seconds=QUEUE_SECONDS)
+def _timed_harness(sharers: int = 1) -> DispatcherHarness:
+    harness = DispatcherHarness(
+        LoopClock(), sharers, concurrency=CONCURRENCY, queue_seconds=QUEUE_SECONDS
+    )
     for number in range(UPSTREAMS):
         harness.add_upstream(f"up-{number}", _respond_later)
     return harness
 
 
+@pytest.fixture
+def timed_harness() -> DispatcherHarness:
+    """Return a dispatcher in virtual time over three upstreams that take 0.3 s a request."""
+    return _timed_harness()
+
+
 def _respond_later(side: FakeSideProcess, exchange: Exchange, msg: Submit) -> None:
     # Responses of requests that started together arrive one after the other.
     seconds = RUN_SECONDS + 0.001 * side.outstanding
@@ -97,6 +103,33 @@
     assert set(results) == {"ok"}
 
 
+def test_callers_beside_an_entry_that_took_most_slots_are_not_refused() -> None:
+    """Callers are refused since the other entry's requests took nearly all slots before theirs.
+
+    This entry has 3 of 48 slots and 13 requests in its queue. The 45 others end a moment later.
+    """
+    harness = _timed_harness(sharers=2)
+    links = [up.link for up in harness.table.usable(harness.service)]
+
+    def report(others: int) -> None:
+        for link in links:
+            link.load = Load(others + link.outstanding, 0, 0, CONCURRENCY, None, 0)
+            link.load_at = harness.clock.monotonic()
+            link.outstanding_at_load = link.outstanding
+        harness.dispatcher.wake()
+
+    async def async_main() -> Counter[str]:
+        report(others=CONCURRENCY - 1)
+        early = [asyncio.ensure_future(_async_request(harness)) for _ in range(16)]
+        await asyncio.sleep(RUN_SECONDS + 0.02)
+        late = [asyncio.ensure_future(_async_request(harness)) for _ in range(4)]
+        await asyncio.sleep(0.05)
+        report(others=0)
+        return Counter(await asyncio.gather(*early, *late))
+
+    assert set(run_virtual(async_main())) == {"ok"}
+
+
 @pytest.mark.parametrize("overload", [1.5, 2.0, 4.0])
 def test_overload_is_refused_on_arrival(timed_harness: DispatcherHarness, overload: float) -> None:
     """Callers are refused only after they have waited in vain, or the upstreams are not used up.
@@ -161,4 +194,6 @@
     assert fields["estimated_wait_s"] > QUEUE_SECONDS * 0.65
     assert fields["capacity"] == pytest.approx(CAPACITY, rel=0.1)
     assert (fields["slots"], fields["running"]) == (48, 48)
+    assert fields["slot_rate"] == pytest.approx(1 / RUN_SECONDS, rel=0.1)
+    assert (fields["share"], fields["total_slots"], fields["lost_to_overdue"]) == (1.0, 48, 0.0)
     assert fields["queued"] > 0
