Choose an upstream at the same cost at any number of upstreams

What callers saw: at 300 VMs a gateway spent its processor on choosing.

Cause: each dispatch and each recheck looked at all upstreams of the service: the request's own condition and a view for each, and two sums of slots.

Change: a pool of a service's upstreams keeps the free ones, the failing ones, those free by model version, and the sums. A change marks its upstream, which is counted again before the next read. A request is weighed for four free upstreams drawn at random, the home of its prefix (rendezvous within a bucket), and upstreams that were used last and have an idle connection. Its own condition is asked once. A text that may move looks at the engines with a known faster rate, and at none where no engine could pay. An upstream that is the only eligible one is still always found.

Ruled out: filters first and views for the rest only, which still grows with the number of upstreams. Fakes of links are links now, so that they tell their changes.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,6 +5,7 @@
 
 COMMANDS = (
     "decisions",
+    "choice",
     "path",
     "idle",
     "capacity",
--- a/bench/capacity/memory.py
+++ b/bench/capacity/memory.py
@@ -14,7 +14,7 @@
 from cranberryline.configs.model import ServiceSpec, ServiceType
 from cranberryline.dispatch.model import CallerRequest
 from cranberryline.dispatch.scheduler import ServiceScheduler
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.ports.model import VmList
 from cranberryline.transport import Dialer, DialerEvents, Exchange
--- a/bench/capacity/registrations.py
+++ b/bench/capacity/registrations.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from cranberryline.dispatch.direct import DirectUpstreams
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.gateway.registrations import Registrations
 from cranberryline.helpers.clock import SystemClock
--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -16,6 +16,7 @@
 from .idle import IdlePolicy
 from .model import AttemptOutcome, Priority, RefusalReason, WorkItem
 from .outstanding import Outstanding
+from .prefix_homes import PrefixHomes
 from .queueing import QueueSettings, WorkQueue
 from .rate_meter import RateMeter
 from .retry import GiveUp, GiveUpReason, RetryBudget, RetryElsewhere, RetryPolicy, RetryRequest
@@ -31,7 +32,15 @@
     StragglerAction,
     StragglerDecision,
 )
-from .routing import RouteRequest, RoutingPolicy, UpstreamView, free_slots
+from .routing import (
+    SAMPLE_SIZE,
+    Candidates,
+    RouteRequest,
+    RoutingPolicy,
+    UpstreamView,
+    free_slots,
+    typical_rate,
+)
 from .slot_capacity import SlotCapacity
 from .subset import SubsetChooser, subset
 from .weight_swap import SwapSchedule, SwapSettings, hashed_swap_delay, swap_delay
@@ -43,6 +52,7 @@
     "AdmissionView",
     "Admit",
     "AttemptOutcome",
+    "Candidates",
     "DecisionError",
     "DuplicateItemError",
     "GiveUp",
@@ -53,6 +63,7 @@
     "HealthView",
     "IdlePolicy",
     "Outstanding",
+    "PrefixHomes",
     "Priority",
     "QueueSettings",
     "RateMeter",
@@ -68,6 +79,7 @@
     "RolloutView",
     "RouteRequest",
     "RoutingPolicy",
+    "SAMPLE_SIZE",
     "SampleView",
     "SlotCapacity",
     "SwapSchedule",
@@ -84,4 +96,5 @@
     "hashed_swap_delay",
     "subset",
     "swap_delay",
+    "typical_rate",
 ]
--- a/cranberryline/decisions/health.py
+++ b/cranberryline/decisions/health.py
@@ -91,8 +91,12 @@
         """Return the state after a probe was sent, which defers the next probe by one interval."""
         return attrs.evolve(state, probe_at=now + state.probe_interval)
 
+    def is_failing(self, state: HealthState) -> bool:
+        """Return whether the upstream gets no requests except probes."""
+        return state.weight <= self.min_weight
+
     def view(self, state: HealthState, now: timedelta) -> HealthView:
         """Return the health as routing uses it."""
-        if state.weight > self.min_weight:
+        if not self.is_failing(state):
             return HealthView(state.weight)
         return HealthView(0.0, probe_due=now >= state.probe_at)
--- a/cranberryline/decisions/moving.py
+++ b/cranberryline/decisions/moving.py
@@ -9,7 +9,7 @@
 
 from .rate_meter import RateMeter
 
-__all__ = ["MAX_MOVES", "EngineRates", "should_move"]
+__all__ = ["MAX_MOVES", "EngineRates", "may_pay_to_move", "should_move"]
 
 # Half-life of an engine's event rate: about twenty events of one run. Long enough that the prefill
 # of another prompt between two events does not count as a slow engine, short enough to detect a
@@ -66,6 +66,16 @@
             return 0.0
         return meter.tokens_per_second(now)
 
+    def faster_than(self, rate: float, now: timedelta) -> list[tuple[str, float]]:
+        """Return the engines with a higher rate than the given one, and their rates."""
+        rates = ((upstream, self.events_per_second(upstream, now)) for upstream in self._meters)
+        return [(upstream, found) for upstream, found in rates if found > rate]
+
+
+def may_pay_to_move(events_left: float, here: float) -> bool:
+    """Return whether a move would save enough time if the other engine took none at all."""
+    return here > 0 and timedelta(seconds=events_left / here) > MOVE_COST + MIN_NET_SAVING
+
 
 def should_move(events_left: float, here: float, elsewhere: Iterable[float]) -> bool:
     """Return whether a text should move to another engine, after the last complete event.
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -3,7 +3,7 @@
 Upstreams differ in speed, load reports lag behind, and prompts share cached prefixes.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from random import Random
 from statistics import median
@@ -16,7 +16,15 @@
 from .model import Priority
 from .queueing import max_slots_for_class
 
-__all__ = ["RouteRequest", "RoutingPolicy", "UpstreamView", "free_slots"]
+__all__ = [
+    "SAMPLE_SIZE",
+    "Candidates",
+    "RouteRequest",
+    "RoutingPolicy",
+    "UpstreamView",
+    "free_slots",
+    "typical_rate",
+]
 
 # Age at which the load in a report counts half: about the time in which an engine turns over its
 # work.
@@ -33,7 +41,10 @@
 # Weight of the outstanding work where a slot is free: the request does not queue, but shares the
 # batch.
 BATCH_SHARING_WEIGHT = 0.25
-# Fraction taken off the expected time of a short request where a kept connection is idle.
+# Fraction taken off the expected time of a short request where a kept connection is idle, so that
+# each of many entries with few requests keeps to few upstreams. Spread over all, kept connections
+# would expire in between and nearly every request would open a new one. An upstream slower than
+# others by more than this loses its requests.
 CONNECTION_REUSE_DISCOUNT = 0.25
 # Rate of a single request, where no upstream has a recent measurement.
 FALLBACK_TOKENS_PER_SECOND = 50.0
@@ -87,6 +98,21 @@
     short: bool = False
 
 
+@attrs.frozen
+class Candidates:
+    """The upstreams that a request is weighed for, all of them eligible and healthy.
+
+    `drawn` are some at random, `cached` should have its prefix cached, and `connected` have an idle
+    connection. `typical_rate` returns the rate that is assumed of an upstream without a
+    measurement, in tokens per second.
+    """
+
+    drawn: Sequence[UpstreamView]
+    cached: Sequence[UpstreamView]
+    connected: Sequence[UpstreamView]
+    typical_rate: Callable[[], float]
+
+
 @attrs.frozen
 class RoutingPolicy:
     """Routes by expected time to completion, with bounded prefix and connection affinity.
@@ -116,23 +142,38 @@
             if probes:
                 return rng.choice(probes)
         healthy = [upstream for upstream in eligible if upstream.health.weight > 0]
-        if not healthy:
+        candidates = Candidates(
+            drawn=rng.sample(healthy, min(self.sample_size, len(healthy))),
+            cached=self._expected_cached(healthy, req),
+            connected=[upstream for upstream in healthy if upstream.connected],
+            typical_rate=lambda: typical_rate(up.tokens_per_second for up in healthy),
+        )
+        return self.choose_candidate(candidates, req)
+
+    def choose_candidate(self, candidates: Candidates, req: RouteRequest) -> str | None:
+        """Return the id of the candidate that would complete the request first, None without any.
+
+        An expected cache or a connection counts only where a slot is free. Without one the request
+        would wait for a slot in any case, and callers with few prefixes would all queue at one
+        upstream each.
+        """
+        cached = [up for up in candidates.cached if self._has_slot(up, req)]
+        connected = [up for up in candidates.connected if req.short and self._has_slot(up, req)]
+        all_candidates = list(candidates.drawn)
+        all_candidates += [up for up in (*cached, *connected) if up not in all_candidates]
+        if not all_candidates:
             return None
-        rate = _typical_rate(healthy)
-        expected_cached = self._expected_cached(healthy, req)
-        candidates = rng.sample(healthy, min(self.sample_size, len(healthy)))
-        connected = self._connected(healthy, req)
-        candidates += [
-            upstream for upstream in (*expected_cached, *connected) if upstream not in candidates
-        ]
+        rate = 0.0
+        if not all(upstream.tokens_per_second for upstream in all_candidates):
+            rate = candidates.typical_rate()
         with_cached_prefix = attrs.evolve(req, tokens=max(0, req.tokens - req.prefix_tokens))
 
         def cost(upstream: UpstreamView) -> float:
-            work = with_cached_prefix if upstream in expected_cached else req
+            work = with_cached_prefix if upstream in cached else req
             seconds = self.expected_seconds(upstream, work, rate)
             return seconds * (1 - CONNECTION_REUSE_DISCOUNT * (upstream in connected))
 
-        return min(candidates, key=cost).id
+        return min(all_candidates, key=cost).id
 
     def expected_seconds(self, upstream: UpstreamView, req: RouteRequest, rate: float) -> float:
         """Return the approximate time in which the upstream would complete the request.
@@ -178,27 +219,13 @@
 
         They are the first by rendezvous hashing of the prefix key. Their expected time is reduced
         only by the work that the cache saves, so requests with a popular prefix overflow to other
-        upstreams. Without a free slot an upstream gets no preference: the request would wait for a
-        slot in any case, and callers with few prefixes would all queue at one upstream each.
+        upstreams.
         """
         if req.prefix_key is None or not req.prefix_tokens:
             return []
         by_id = {upstream.id: upstream for upstream in healthy}
         ranked = rendezvous.rank(req.prefix_key, by_id)
-        expected_cached = [by_id[member] for member in ranked[: self.affinity_choices]]
-        return [upstream for upstream in expected_cached if self._has_slot(upstream, req)]
-
-    def _connected(self, healthy: Sequence[UpstreamView], req: RouteRequest) -> list[UpstreamView]:
-        """Return the upstreams where a short request can reuse a kept connection.
-
-        They are always among the candidates. With few requests at each of many entries, spread over
-        all upstreams, kept connections would expire in between and nearly every request would open
-        a new one. An upstream slower than others by more than `CONNECTION_REUSE_DISCOUNT` loses its
-        requests.
-        """
-        if not req.short:
-            return []
-        return [up for up in healthy if up.connected and self._has_slot(up, req)]
+        return [by_id[member] for member in ranked[: self.affinity_choices]]
 
 
 def free_slots(upstreams: Sequence[UpstreamView], min_version: int | None = None) -> int:
@@ -211,7 +238,7 @@
     eligible = [u for u in upstreams if _is_eligible(u, req) and u.health.weight > 0]
     if not eligible:
         return 0
-    slow = SLOW_RATE_FRACTION * _typical_rate(eligible)
+    slow = SLOW_RATE_FRACTION * typical_rate(u.tokens_per_second for u in eligible)
     return sum(
         max(
             0,
@@ -232,6 +259,7 @@
     return version is not None and version >= req.min_weight_version
 
 
-def _typical_rate(upstreams: Sequence[UpstreamView]) -> float:
-    known = [u.tokens_per_second for u in upstreams if u.tokens_per_second > 0]
+def typical_rate(rates: Iterable[float]) -> float:
+    """Return the median of the known rates in tokens per second; a rate of 0 is unknown."""
+    known = [rate for rate in rates if rate > 0]
     return median(known) if known else FALLBACK_TOKENS_PER_SECOND
--- a/cranberryline/dispatch/__init__.py
+++ b/cranberryline/dispatch/__init__.py
@@ -7,7 +7,8 @@
 from .hedged import AttemptSink, HedgedRequest
 from .model import CallerClass, CallerRequest, CollectingSink, ResponseSink
 from .scheduler import ServiceScheduler
-from .upstreams import Upstream, UpstreamTable
+from .table import UpstreamTable
+from .upstreams import Upstream
 
 __all__ = [
     "AttemptSink",
--- a/cranberryline/dispatch/attempt.py
+++ b/cranberryline/dispatch/attempt.py
@@ -60,8 +60,7 @@
     trace: AttemptTrace | None = None,
 ) -> AttemptOutcome:
     """Run a request at one upstream and write its response to the sink."""
-    eligible = req.eligible
-    may_send = None if eligible is None else partial(eligible, link.vm_id)
+    may_send = partial(req.may_send_to, link.vm_id) if req.conditional else None
     exchange = link.open(
         lambda request_id, incarnation: _make_submit(request_id, incarnation, req, clock),
         req.tokens,
--- a/cranberryline/dispatch/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -108,6 +108,7 @@
         self._exchanges[exchange.id] = exchange
         self._tokens += tokens
         self._unfinished.add(exchange.id)
+        self._changed()
         msg = make(exchange.id, self._incarnation)
         if isinstance(msg, Submit):
             self.runner.submit(_request_key(msg.id), msg, self._deliver, may_go)
@@ -135,6 +136,12 @@
         self._tokens -= exchange.tokens
         if request_id in self._unfinished:
             self._orphaned.add(request_id)
+        self._changed()
+
+    def drain(self) -> None:
+        """Accept no new requests; those that run finish."""
+        self.draining = True
+        self._changed()
 
     def _deliver(self, msg: Message) -> None:
         request_id = getattr(msg, "id", 0)
@@ -148,6 +155,7 @@
         self._unfinished.discard(request_id)
         if request_id in self._orphaned:
             self._orphaned.discard(request_id)
+            self._changed()
             self._on_slot_free()
 
 
@@ -197,7 +205,7 @@
 
     def drain(self, link: DirectUpstream) -> None:
         """Send no new requests to an upstream that was removed; its running requests finish."""
-        link.draining = True
+        link.drain()
 
     def abort_requests(self, vm_id: str) -> None:
         """End all requests at an upstream whose process has been replaced.
@@ -208,7 +216,7 @@
         all others may have run.
         """
         for link in self._links.pop(vm_id, []):
-            link.draining = True
+            link.drain()
             link.runner.abort_all()
 
     def update_concurrency(self) -> None:
@@ -219,7 +227,7 @@
     async def async_stop(self) -> None:
         """Reject queued requests, wait for running ones, and store the outcomes of keyed calls."""
         for link in self._all_links():
-            link.draining = True
+            link.drain()
             link.runner.drain()
         await asyncio.gather(*(link.runner.async_wait_idle() for link in self._all_links()))
         await asyncio.gather(*(claims.async_stop() for claims in self._claims.values()))
--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -37,7 +37,7 @@
     reason_text,
 )
 from .scheduler import ServiceScheduler, SlotReservation
-from .upstreams import UpstreamTable
+from .table import UpstreamTable
 
 __all__ = ["Dispatcher", "ServiceCatalog"]
 
@@ -135,7 +135,7 @@
                 service,
                 self._clock,
                 self._rng,
-                self._upstreams,
+                self._upstreams.pool(service),
                 lambda: self._catalog.spec(service),
                 self._catalog.shares(),
                 self._data_center,
@@ -146,11 +146,11 @@
 
     def total_slots(self, service: str) -> int:
         """Return how many requests the service's usable upstreams can run at once."""
-        return self._upstreams.total_slots(service, self._catalog.spec(service))
+        return self.scheduler(service).total_slots
 
-    def upstreams_with_free_slots(self, service: str) -> list[str]:
-        """Return the ids of a service's upstreams with a free slot, as far as this node knows."""
-        return self.scheduler(service).upstreams_with_free_slots()
+    def has_free_slot(self, service: str, vm_id: str) -> bool:
+        """Return whether an upstream has a free slot, as far as this node knows."""
+        return self.scheduler(service).has_free_slot(vm_id)
 
     def wake(self) -> None:
         """Assign queued requests to upstreams that have become available."""
@@ -190,7 +190,7 @@
                     self._metrics.refuse_queueing(reserved.unwrap_err().detail)
                 return Err(include_earlier_attempts(reserved.unwrap_err(), outcomes))
             reservation = reserved.unwrap()
-            if req.eligible is not None and not req.eligible(reservation.upstream.link.vm_id):
+            if not req.may_send_to(reservation.upstream.id):
                 # The event loop may have been busy for some time since the slot was reserved.
                 scheduler.release_unused(reservation)
                 return Err(include_earlier_attempts(_NO_LONGER_ELIGIBLE, outcomes))
@@ -199,7 +199,7 @@
                 scheduler.release_unused(reservation)
                 return Err(include_earlier_attempts(hold_refusal(hold), outcomes))
             is_trial = False
-            sink.dispatched(reservation.upstream.link.vm_id)
+            sink.dispatched(reservation.upstream.id)
             trace = AttemptTrace()
             outcome = await self._async_run_attempt(scheduler, reservation, req, sink, trace)
             if isinstance(outcome, AttemptNotRun):
@@ -207,13 +207,13 @@
             if isinstance(outcome, AttemptDone):
                 if self._guard is not None and outcome.status < _STATUS_SERVER_ERROR:
                     self._guard.record_answer(req.fingerprint)
-                return Ok(reservation.upstream.link.vm_id)
+                return Ok(reservation.upstream.id)
             if self._guard is not None and may_be_crash(outcome, trace, self._clock.monotonic()):
                 await self._guard.async_report_broken_run(
-                    make_broken_run(req, reservation.upstream.link.vm_id)
+                    make_broken_run(req, reservation.upstream.id)
                 )
             outcomes.append(outcome)
-            avoid = avoid | {reservation.upstream.link.vm_id}
+            avoid = avoid | {reservation.upstream.id}
             decision = self._decide_retry(scheduler, req, outcomes, avoid)
             if isinstance(decision, Refusal):
                 return Err(include_earlier_attempts(decision, outcomes))
@@ -301,6 +301,5 @@
 
     def _has_untried_upstream(self, req: CallerRequest, avoid: frozenset[str]) -> bool:
         """Return whether an eligible upstream remains that is not to be avoided."""
-        ids = (upstream.link.vm_id for upstream in self._upstreams.usable(req.service))
-        eligible = req.eligible or (lambda _upstream: True)
-        return any(vm_id not in avoid and eligible(vm_id) for vm_id in ids)
+        ids = (upstream.id for upstream in self._upstreams.iter_usable(req.service))
+        return any(vm_id not in avoid and req.may_send_to(vm_id) for vm_id in ids)
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -10,7 +10,7 @@
 
 from cranberryline.quarantine import fingerprint
 
-__all__ = ["CallerClass", "CallerRequest", "CollectingSink", "ResponseSink"]
+__all__ = ["CallerClass", "CallerRequest", "CollectingSink", "ResponseSink", "VersionNeed"]
 
 
 class CallerClass(enum.IntEnum):
@@ -21,6 +21,14 @@
     BACKGROUND = 2
 
 
+@attrs.frozen
+class VersionNeed:
+    """A model, and the oldest version of it that may serve a request."""
+
+    model: str
+    min_version: int
+
+
 @attrs.frozen
 class CallerRequest:
     """A request as it was accepted.
@@ -31,7 +39,10 @@
     `prefix_tokens` is how many of these an upstream saves that has served the same `prefix_key`.
     `avoid` lists upstreams to use only if there is no other, such as those that already generate
     the same sample.
+    `is_wanted` returns whether the request may still be sent at all; None means that it always may.
     `eligible` returns whether an upstream may serve the request; None means that any may.
+    `version_need` is the model version that an upstream must serve, None for none. It only narrows
+    the search; `eligible` decides.
     `max_attempts` limits how many upstreams run it; None means the limit of the retry policy.
     `token_rate` returns how many tokens per second an upstream generates for this request, 0 if it
     is not known; None means the rate measured by the dispatcher.
@@ -55,7 +66,9 @@
     prefix_key: str = ""
     prefix_tokens: int = 0
     avoid: frozenset[str] = frozenset()
+    is_wanted: Callable[[], bool] | None = None
     eligible: Callable[[str], bool] | None = None
+    version_need: VersionNeed | None = None
     max_attempts: int | None = None
     token_rate: Callable[[str], float] | None = None
     request_id: str = ""
@@ -63,6 +76,17 @@
     workspace: str = ""
     rank: int = 0
 
+    def may_send_to(self, vm_id: str) -> bool:
+        """Return whether the request may be sent to an upstream now."""
+        if self.is_wanted is not None and not self.is_wanted():
+            return False
+        return self.eligible is None or self.eligible(vm_id)
+
+    @property
+    def conditional(self) -> bool:
+        """Return whether it may change which upstreams the request may be sent to."""
+        return self.is_wanted is not None or self.eligible is not None
+
     @property
     def queue_key(self) -> str:
         """Return whose requests share a fair part of a service."""
--- a/cranberryline/dispatch/scheduler.py
+++ b/cranberryline/dispatch/scheduler.py
@@ -20,7 +20,6 @@
     Refuse,
     RetryBudget,
     RouteRequest,
-    RoutingPolicy,
     SlotCapacity,
     WorkItem,
     WorkQueue,
@@ -29,13 +28,14 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.logging import once_per_burst
 
+from .candidates import choose_upstream
 from .errors import Refusal, RefusalReason
 from .model import CallerRequest
-from .upstreams import Upstream, UpstreamTable
+from .pool import UpstreamPool
+from .upstreams import Upstream
 
 __all__ = ["ServiceScheduler", "SlotReservation"]
 
-_ROUTING = RoutingPolicy()
 # A request that expires or finds no upstream after its admission may be retried this soon.
 _RETRY_AFTER = timedelta(seconds=1)
 # A load report becomes outdated without an event, so a non-empty queue is checked this often.
@@ -78,7 +78,7 @@
         service: str,
         clock: Clock,
         rng: Random,
-        upstreams: UpstreamTable,
+        pool: UpstreamPool,
         spec: Callable[[], ServiceSpec],
         shares: Mapping[str, float],
         data_center: str = "",
@@ -90,7 +90,7 @@
         self._data_center = data_center
         self._clock = clock
         self._rng = rng
-        self._upstreams = upstreams
+        self._pool = pool
         self._spec = spec
         self._queue = WorkQueue(0, QueueSettings(caller_weights=shares))
         self.shares = shares
@@ -119,7 +119,7 @@
         view = AdmissionView(
             queued=self._queue.queued,
             running=self._queue.running,
-            slots=self._usable_slots(),
+            slots=self._updated_pool().usable_slots,
             tokens_per_second=self.capacity,
         )
         request = AdmissionRequest(
@@ -194,6 +194,7 @@
         self._queue.finish(item_id)
         reservation.upstream.complete(tokens, now - reservation.reserved_at, now)
         if was_run:
+            self._pool.record_ended(reservation.upstream.id)
             self._capacity.record_end(item_id, now)
         else:
             self._capacity.discard(item_id)
@@ -213,15 +214,15 @@
         """Reserve slots for queued requests as long as upstreams have free ones."""
         now = self._clock.monotonic()
         self._exclude_pause(now)
-        self._queue.slots = self._usable_slots()
+        self._queue.slots = self._updated_pool().usable_slots
         while self._waiters:
-            free = self._upstreams_with_free_slots()
-            if not free:
+            pool = self._updated_pool()
+            if not pool.free and not pool.failing:
                 break
             item = self._queue.pop(now)
             if item is None:
                 break
-            self._reserve_slot(item, free, now)
+            self._reserve_slot(item, now)
         self._expire_overdue()
         self._track_saturation(now)
 
@@ -230,7 +231,7 @@
         waiting = len(self._queue) > 0
         in_use = len(self._queue.running)
         saturated = waiting or 0 < self._queue.slots <= in_use
-        total = self._upstreams.total_slots(self._service, self._spec())
+        total = self.total_slots
         fair_share = 1 / max(1, self._sharers())
         self._capacity.set_slots(in_use, total, saturated, now, fair_share)
 
@@ -244,9 +245,9 @@
             self._capacity.exclude_pause(pause, now)
         self._checked_at = now
 
-    def _reserve_slot(self, item: WorkItem, free: list[Upstream], now: timedelta) -> None:
+    def _reserve_slot(self, item: WorkItem, now: timedelta) -> None:
         waiter = self._waiters.pop(item.id)
-        upstream = self._route(item, waiter, free, now)
+        upstream = self._route(item, waiter, now)
         if upstream is None:
             self._queue.finish(item.id)
             self._resolve(waiter, Err(_no_upstream_refusal()))
@@ -256,33 +257,21 @@
         waiter.reservation = SlotReservation(item, upstream, now)
         self._resolve(waiter, Ok(waiter.reservation))
 
-    def _route(
-        self, item: WorkItem, waiter: _Waiter, free: list[Upstream], now: timedelta
-    ) -> Upstream | None:
-        spec = self._spec()
-        eligible = waiter.req.eligible
-        if eligible is not None:
-            free = [upstream for upstream in free if eligible(upstream.link.vm_id)]
-        views = [upstream.view(spec, now) for upstream in free]
-        token_rate = waiter.req.token_rate
-        if token_rate is not None:
-            views = [attrs.evolve(view, tokens_per_second=token_rate(view.id)) for view in views]
-        excluded = waiter.avoid & {view.id for view in views}
-        # The exclusion is a preference: if all upstreams are excluded, any of them may be chosen.
-        if len(excluded) >= len(views):
-            excluded = frozenset()
-        request = RouteRequest(
-            tokens=max(waiter.req.tokens, 1),
+    def _route(self, item: WorkItem, waiter: _Waiter, now: timedelta) -> Upstream | None:
+        req = waiter.req
+        if req.is_wanted is not None and not req.is_wanted():
+            return None
+        routed = RouteRequest(
+            tokens=max(req.tokens, 1),
             priority=item.priority,
             data_center=self._data_center,
-            prefix_key=waiter.req.prefix_key or None,
-            prefix_tokens=waiter.req.prefix_tokens,
-            excluded=excluded,
-            may_probe=waiter.req.idempotent,
-            short=token_rate is None,
+            prefix_key=req.prefix_key or None,
+            prefix_tokens=req.prefix_tokens,
+            excluded=waiter.avoid,
+            may_probe=req.idempotent,
+            short=req.token_rate is None,
         )
-        chosen = _ROUTING.choose(views, request, self._rng)
-        return None if chosen is None else self._upstreams.get(self._service, chosen)
+        return choose_upstream(self._pool, req, routed, now, self._rng)
 
     def _expire_overdue(self) -> None:
         now = self._clock.monotonic()
@@ -327,24 +316,26 @@
         if not waiter.fut.done():
             waiter.fut.set_result(result)
 
-    def upstreams_with_free_slots(self) -> list[str]:
-        """Return the ids of the upstreams that have a free slot, as far as this node knows."""
-        return [upstream.link.vm_id for upstream in self._upstreams_with_free_slots()]
+    def has_free_slot(self, vm_id: str) -> bool:
+        """Return whether an upstream has a free slot, as far as this node knows."""
+        pool = self._updated_pool()
+        return vm_id in pool.free or vm_id in pool.failing
 
-    def _upstreams_with_free_slots(self) -> list[Upstream]:
-        spec, now = self._spec(), self._clock.monotonic()
-        return [up for up in self._upstreams.usable(self._service) if up.has_free_slot(spec, now)]
+    @property
+    def total_slots(self) -> int:
+        """Return how many requests the usable upstreams can run at once."""
+        pool = self._updated_pool()
+        return pool.usable_count * pool.concurrency
 
-    def _usable_slots(self) -> int:
-        """Return how many slots this process can use; the queue's reserves are fractions of these.
+    def _updated_pool(self) -> UpstreamPool:
+        """Return the pool with the slots that this process can use.
 
-        Other entries use some of the service's slots. If the reserves were fractions of all slots,
-        this process might never use enough of them to reach a reserve.
+        The queue's reserves are fractions of its usable slots. Other entries use some of the
+        service's slots; if the reserves were fractions of all of them, this process might never use
+        enough to reach a reserve.
         """
-        spec, now = self._spec(), self._clock.monotonic()
-        return sum(
-            upstream.usable_slots(spec, now) for upstream in self._upstreams.usable(self._service)
-        )
+        self._pool.update(self._spec().concurrency, self._clock.monotonic())
+        return self._pool
 
     def _limits(self) -> AdmissionLimits:
         spec = self._spec()
--- /dev/null
+++ b/cranberryline/dispatch/table.py
@@ -0,0 +1,67 @@
+"""The upstreams of all services that this process can send requests to."""
+
+from collections.abc import Callable, Iterator, Mapping
+
+from cranberryline.transport import UpstreamLink
+
+from .pool import UpstreamPool
+from .upstreams import Upstream
+
+__all__ = ["UpstreamTable"]
+
+
+def _no_versions(_vm_id: str) -> Mapping[str, int]:
+    return {}
+
+
+class UpstreamTable:
+    """The upstreams of each service, by VM id.
+
+    `served_versions` returns the version of each model that an upstream serves.
+    """
+
+    def __init__(self, served_versions: Callable[[str], Mapping[str, int]] = _no_versions) -> None:
+        self._served_versions = served_versions
+        self._pools: dict[str, UpstreamPool] = {}
+        self._services: dict[str, str] = {}
+
+    def add(self, service: str, link: UpstreamLink, data_center: str) -> None:
+        """Add an upstream of a service, or replace the one with the same VM id."""
+        self.remove(link.vm_id)
+        self._services[link.vm_id] = service
+        self.pool(service).add(link, data_center)
+
+    def remove(self, vm_id: str) -> None:
+        """Remove an upstream."""
+        service = self._services.pop(vm_id, None)
+        if service is not None:
+            self._pools[service].remove(vm_id)
+
+    def versions_changed(self, vm_id: str) -> None:
+        """Take in that an upstream serves other versions than before."""
+        service = self._services.get(vm_id)
+        if service is not None:
+            self._pools[service].mark_changed(vm_id)
+
+    def pool(self, service: str) -> UpstreamPool:
+        """Return the upstreams of a service; the pool stays the same object."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = UpstreamPool(self._served_versions)
+        return pool
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that accept new requests."""
+        return list(self.pool(service).iter_usable())
+
+    def get(self, service: str, vm_id: str) -> Upstream | None:
+        """Return an upstream of a service, None if it is not in the table."""
+        return self.pool(service).get(vm_id)
+
+    def all(self) -> list[UpstreamLink]:
+        """Return the links to all upstreams."""
+        return [link for pool in self._pools.values() for link in pool.links()]
+
+    def iter_usable(self, service: str) -> Iterator[Upstream]:
+        """Yield the upstreams of a service that accept new requests."""
+        return self.pool(service).iter_usable()
--- a/cranberryline/dispatch/upstreams.py
+++ b/cranberryline/dispatch/upstreams.py
@@ -1,15 +1,15 @@
-"""The upstreams that this process can send requests to, with the state it keeps of each."""
+"""An upstream that this process can send requests to, with the state it keeps of it."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
 
-from cranberryline.configs import ServiceSpec
 from cranberryline.decisions import HealthPolicy, HealthState, RateMeter, UpstreamView
 from cranberryline.transport import UpstreamLink
 from cranberryline.transport.const import HEARTBEAT_BUSY
 
-__all__ = ["Upstream", "UpstreamTable"]
+__all__ = ["Upstream"]
 
 _HEALTH = HealthPolicy()
 # Twice the interval of load reports on a busy connection. On an idle connection reports are so rare
@@ -20,72 +20,109 @@
 
 @attrs.define(eq=False)
 class Upstream:
-    """An upstream, its link, and its slots, token rate and health as tracked by this process."""
+    """An upstream, its link, and its slots, token rate and health as tracked by this process.
+
+    `on_change` is called after each change of the reserved slots or of the health.
+    """
 
     link: UpstreamLink
     data_center: str
+    on_change: Callable[[], None] = lambda: None
     token_rate: RateMeter = attrs.field(factory=RateMeter)
     health: HealthState = attrs.field(factory=HealthState)
     _reserved_slots: int = 0
     _cooldown_until: timedelta = timedelta()
 
-    def has_free_slot(self, spec: ServiceSpec, now: timedelta) -> bool:
+    @property
+    def id(self) -> str:
+        """Return the VM id."""
+        return self.link.vm_id
+
+    @property
+    def failing(self) -> bool:
+        """Return whether it gets no requests except probes."""
+        return _HEALTH.is_failing(self.health)
+
+    def has_free_slot(self, concurrency: int, now: timedelta) -> bool:
         """Return whether a slot is free for one more request, as far as this process knows.
 
         The load report is up to one heartbeat interval old, so own requests are counted locally.
         Those of other entries are the reported requests minus the own ones included in the report.
         """
-        return self._own_requests() < spec.concurrency - self._others_requests(now)
+        return self._own_requests() < concurrency - self._others_requests(now)
 
-    def usable_slots(self, spec: ServiceSpec, now: timedelta) -> int:
+    def usable_slots(self, concurrency: int, now: timedelta) -> int:
         """Return how many slots this process can use: those it already uses and the free ones."""
-        return max(self._own_requests(), spec.concurrency - self._others_requests(now))
+        return max(self._own_requests(), concurrency - self._others_requests(now))
+
+    def load_outdated_at(self, now: timedelta) -> timedelta | None:
+        """Return when its load report stops counting, None if none counts now."""
+        if self.link.load is None or now - self.link.load_at > _MAX_LOAD_REPORT_AGE:
+            return None
+        return self.link.load_at + _MAX_LOAD_REPORT_AGE
+
+    def probe_due(self, now: timedelta) -> bool:
+        """Return whether a request should be sent to it as a health probe."""
+        return _HEALTH.view(self.health, now).probe_due
+
+    def rejects_requests(self, now: timedelta) -> bool:
+        """Return whether it has just rejected a request, so that others are preferred."""
+        return now < self._cooldown_until
 
     def reserve(self, now: timedelta) -> None:
         """Reserve a slot for a request; the request may serve as a health probe."""
         self._reserved_slots += 1
+        self.on_change()
         if _HEALTH.view(self.health, now).probe_due:
             self.health = _HEALTH.probed(self.health, now)
 
     def complete(self, tokens: int, duration: timedelta, now: timedelta) -> None:
         """Release the slot of an attempt that ended, and record its tokens and duration."""
         self._reserved_slots -= 1
+        self.on_change()
         self.token_rate.record(tokens, duration, now)
 
     def release(self) -> None:
         """Release a slot to which no request was sent."""
         self._reserved_slots -= 1
+        self.on_change()
 
     def response_completed(self) -> None:
         """Record a complete response."""
         self.health = _HEALTH.succeeded(self.health)
+        self.on_change()
 
     def attempt_failed(self, sent_at: timedelta, now: timedelta) -> None:
         """Record a fault of the upstream in an attempt that started at `sent_at`."""
         self.health = _HEALTH.failed(self.health, now, sent_at)
+        self.on_change()
 
     def request_rejected(self, cooldown: timedelta, now: timedelta) -> None:
         """Record that the upstream rejected a request; others are preferred for `cooldown`."""
         self._cooldown_until = max(self._cooldown_until, now + cooldown)
 
-    def view(self, spec: ServiceSpec, now: timedelta) -> UpstreamView:
-        """Return the state of the upstream for routing."""
+    def view(
+        self, concurrency: int, now: timedelta, tokens_per_second: float | None = None
+    ) -> UpstreamView:
+        """Return the state of the upstream for routing; the rate replaces the one measured here."""
+        if tokens_per_second is None:
+            tokens_per_second = self.token_rate.tokens_per_second(now)
         load = self.link.load
         return UpstreamView(
             id=self.link.vm_id,
             data_center=self.data_center,
-            slots=spec.concurrency,
+            slots=concurrency,
             own_requests=self._own_requests(),
             own_tokens=self.link.outstanding_tokens,
             reported_requests=0 if load is None else load.running + load.queued,
             reported_tokens=0 if load is None else load.queued_tokens,
             report_age=None if load is None else now - self.link.load_at,
-            tokens_per_second=self.token_rate.tokens_per_second(now),
+            tokens_per_second=tokens_per_second,
             weight_version=None if load is None else load.weight_version,
             health=_HEALTH.view(self.health, now),
             draining=self.link.draining,
             connected=self.link.connected,
-            recently_refused=now < self._cooldown_until,
+            recently_refused=self.rejects_requests(now),
         )
 
     def _own_requests(self) -> int:
@@ -97,36 +134,3 @@
         if load is None or now - self.link.load_at > _MAX_LOAD_REPORT_AGE:
             return 0
         return max(0, load.running + load.queued - self.link.outstanding_at_load)
-
-
-class UpstreamTable:
-    """The upstreams of each service, by VM id."""
-
-    def __init__(self) -> None:
-        self._by_service: dict[str, dict[str, Upstream]] = {}
-
-    def add(self, service: str, link: UpstreamLink, data_center: str) -> None:
-        """Add an upstream of a service, or replace the one with the same VM id."""
-        upstreams = self._by_service.setdefault(service, {})
-        upstreams[link.vm_id] = Upstream(link, data_center)
-
-    def remove(self, vm_id: str) -> None:
-        """Remove an upstream from all services."""
-        for upstreams in self._by_service.values():
-            upstreams.pop(vm_id, None)
-
-    def usable(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that accept new requests."""
-        return [up for up in self._by_service.get(service, {}).values() if up.link.usable]
-
-    def total_slots(self, service: str, spec: ServiceSpec) -> int:
-        """Return how many requests the usable upstreams of a service can run at once."""
-        return len(self.usable(service)) * spec.concurrency
-
-    def get(self, service: str, vm_id: str) -> Upstream | None:
-        """Return an upstream of a service, None if it is not in the table."""
-        return self._by_service.get(service, {}).get(vm_id)
-
-    def all(self) -> list[UpstreamLink]:
-        """Return the links to all upstreams."""
-        return [up.link for upstreams in self._by_service.values() for up in upstreams.values()]
--- a/cranberryline/entry/app.py
+++ b/cranberryline/entry/app.py
@@ -19,7 +19,7 @@
 from cranberryline.configs.relay import RelayPort
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher, ServiceCatalog
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.exit_code import ExitCode
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.http_server import GracefulServer
--- a/cranberryline/entry/links.py
+++ b/cranberryline/entry/links.py
@@ -5,7 +5,7 @@
 
 from cranberryline.decisions import SubsetChooser
 from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.model import VmEntry, VmRole
 from cranberryline.transport import DialerEvents, UpstreamLink
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -13,7 +13,7 @@
 
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.logging import Level, get_logger, set_level
@@ -86,7 +86,7 @@
         )
         self.directory = Directory(clock, self.health, run_soon)
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
-        self.upstreams = UpstreamTable()
+        self.upstreams = UpstreamTable(self.directory.served_versions)
         self.direct_upstreams = DirectUpstreams(
             clock,
             self.metrics,
@@ -184,6 +184,7 @@
         self.jobs.book.listen(needs.record_job)
         self.routes.listen(self._on_routes)
         self.directory.listen(self._on_registration)
+        self.directory.listen_versions(self.upstreams.versions_changed)
         self.directory.listen_superseded(self.direct_upstreams.abort_requests)
         self.directory.membership.listen(self._on_membership_changed)
 
--- a/cranberryline/gateway/links.py
+++ b/cranberryline/gateway/links.py
@@ -1,7 +1,7 @@
 """Direct links from the gateway to upstreams, without a side process in between."""
 
 from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.ports.model import VmEntry
 from cranberryline.upstreams import Membership
 
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -10,7 +10,7 @@
 from cranberryline.decisions.moving import MAX_MOVES
 from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
 from cranberryline.dispatch.hedged import HedgedRequest
-from cranberryline.dispatch.model import CallerClass, CallerRequest
+from cranberryline.dispatch.model import CallerClass, CallerRequest, VersionNeed
 from cranberryline.helpers.logging import get_logger
 from cranberryline.routes import Route
 
@@ -218,8 +218,6 @@
         job, model, min_version = self.state.job, self.state.job.model, self.state.job.min_version
 
         def eligible(upstream: str) -> bool:
-            if not self._may_send():
-                return False
             if self.context.rejecting_upstreams.is_active(upstream, self.context.clock.monotonic()):
                 return False
             if min_version is None:
@@ -242,7 +240,9 @@
             prefix_key=self.item.prefix,
             prefix_tokens=int(self.item.prefix_tokens * PROMPT_READ_COST),
             avoid=self._avoided_upstreams,
+            is_wanted=self._may_send,
             eligible=eligible,
+            version_need=None if min_version is None else VersionNeed(model, min_version),
             max_attempts=1,
             token_rate=self._tokens_per_second,
             request_id=self.item.id,
@@ -327,7 +327,7 @@
                 workspace=self.state.head.workspace,
                 rank=route.priority,
                 avoid=avoid,
-                eligible=lambda _upstream: self._may_send(),
+                is_wanted=self._may_send,
                 max_attempts=1,
                 request_id=scorer.id,
             )
--- a/cranberryline/jobs/run_monitor.py
+++ b/cranberryline/jobs/run_monitor.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from cranberryline.decisions.moving import should_move
+from cranberryline.decisions.moving import may_pay_to_move, should_move
 from cranberryline.dispatch.model import CallerRequest
 
 from .events import ItemText
@@ -50,13 +50,19 @@
             self._item.told_tokens, len(self._text.events)
         )
         current_pace = paces.events_per_second(self._sink.upstream, now)
+        if not may_pay_to_move(events_left, current_pace):
+            return False
         other_paces = [
-            paces.events_per_second(upstream, now)
-            for upstream in self._context.dispatcher.upstreams_with_free_slots(self._req.service)
+            pace
+            for upstream, pace in paces.faster_than(current_pace, now)
             if upstream != self._sink.upstream and self._may_serve(upstream)
         ]
         return should_move(events_left, current_pace, other_paces)
 
     def _may_serve(self, upstream: str) -> bool:
-        req = self._req
-        return upstream not in req.avoid and (req.eligible is None or req.eligible(upstream))
+        req, dispatcher = self._req, self._context.dispatcher
+        return (
+            upstream not in req.avoid
+            and dispatcher.has_free_slot(req.service, upstream)
+            and req.may_send_to(upstream)
+        )
--- a/cranberryline/transport/dialer.py
+++ b/cranberryline/transport/dialer.py
@@ -145,6 +145,7 @@
             self._sock.interrupt()
         self._exchanges[exchange.id] = exchange
         self._tokens += tokens
+        self._changed()
         return exchange
 
     def send(self, msg: Message) -> bool:
@@ -162,6 +163,7 @@
         exchange = self._exchanges.pop(request_id, None)
         if exchange is not None:
             self._tokens -= exchange.tokens
+            self._changed()
 
     async def async_run(self) -> None:
         """Keep a connection until cancelled, dialling anew with a growing pause."""
@@ -193,6 +195,7 @@
         self.draining = welcome.draining
         self.peer_config_offset = welcome.config_offset
         self._heard_at = self._probed_at = self._clock.monotonic()
+        self._changed()
         self._events.on_up(self, welcome)
         return True
 
@@ -230,10 +233,12 @@
         if isinstance(msg, Load):
             self.load, self.load_at = msg, self._clock.monotonic()
             self.outstanding_at_load = len(self._exchanges)
+            self._changed()
             self._note_offset(msg.config_offset)
             self._events.on_load(self, msg)
         elif isinstance(msg, Drain):
             self.draining = True
+            self._changed()
             self.send(DrainAck(msg.incarnation))
             self._events.on_drain(self, msg)
         elif isinstance(msg, HeartbeatAck):
@@ -251,6 +256,7 @@
             self.down_since = self._clock.monotonic()
         self.welcome = None
         self.load = None
+        self._changed()
         exchanges, self._exchanges, self._tokens = self._exchanges, {}, 0
         for exchange in exchanges.values():
             exchange.push(Lost())
--- a/cranberryline/transport/link.py
+++ b/cranberryline/transport/link.py
@@ -25,6 +25,18 @@
     load: Load | None
     load_at: timedelta
     outstanding_at_load: int
+    _listener: Callable[[], None] | None = None
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change of `usable`, `outstanding` or `load`.
+
+        The listener may run before all attributes of the change are set, so it only marks the link.
+        """
+        self._listener = listener
+
+    def _changed(self) -> None:
+        if self._listener is not None:
+            self._listener()
 
     @property
     @abstractmethod
--- a/cranberryline/upstreams/directory.py
+++ b/cranberryline/upstreams/directory.py
@@ -89,6 +89,7 @@
         self._last_rejection: timedelta | None = None
         self._listeners: list[Callable[[Registration], None]] = []
         self._superseded_listeners: list[Callable[[str], None]] = []
+        self._version_listeners: list[Callable[[str], None]] = []
 
     def listen(self, listener: Callable[[Registration], None]) -> None:
         """Call a listener with each registration."""
@@ -98,6 +99,10 @@
         """Call a listener with the key of each incarnation that a newer one replaces."""
         self._superseded_listeners.append(listener)
 
+    def listen_versions(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the key of each incarnation whose known versions have changed."""
+        self._version_listeners.append(listener)
+
     def put(self, registration: Registration) -> Result[None, RegistrationProblem]:
         """Apply a new or changed registration; the error says why it was rejected."""
         newest = self._newest_by_id.get(registration.id)
@@ -121,6 +126,7 @@
         self._key_by_id[registration.id] = registration.key
         for listener in self._listeners:
             listener(registration)
+        self._notify_versions(registration.key)
         if known is None or _published_fields(known) != _published_fields(registration):
             self._vm_entries[registration.key] = _vm_entry(registration)
             _LOGGER.info(
@@ -193,10 +199,22 @@
         registration = self._registrations.get(upstream)
         return None if registration is None else registration.versions.get(model)
 
+    def served_versions(self, upstream: str) -> Mapping[str, int]:
+        """Return the newest version that the upstream is known to serve of each model."""
+        registration = self._registrations.get(upstream)
+        registered = {} if registration is None else registration.versions
+        reported = self._reported_versions.get(upstream)
+        return registered if reported is None else {**registered, **reported}
+
     def record_version(self, upstream: str, model: str, version: int) -> None:
         """Record the version that a response reported; it is newer than the registration's."""
-        if upstream in self._registrations:
+        if upstream in self._registrations and self.version(upstream, model) != version:
             self._reported_versions.setdefault(upstream, {})[model] = version
+            self._notify_versions(upstream)
+
+    def _notify_versions(self, key: str) -> None:
+        for listener in self._version_listeners:
+            listener(key)
 
     def _supersede(self, registration: Registration) -> None:
         """End an incarnation that a newer one replaces, even if it was removed before."""
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -11,11 +11,11 @@
 from cranberryline.configs import ConfigFold, Kind
 from cranberryline.dispatch.dispatch import Dispatcher, ServiceCatalog
 from cranberryline.dispatch.model import CallerClass, CallerRequest
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.clock import Clock, SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.ports.model import LogRecord
-from cranberryline.transport import Exchange
+from cranberryline.transport import Exchange, UpstreamLink
 from cranberryline.transport.model import (
     Cancel,
     Chunk,
@@ -42,17 +42,22 @@
     """Send no response."""
 
 
-class FakeSideProcess:
-    """Fake of a connection to a side process; `script` responds to each request."""
+class FakeSideProcess(UpstreamLink):
+    """Fake of a connection to a side process; `script` responds to each request.
 
+    Tests set its attributes; as with a real link, each change is told to its listener.
+    """
+
+    usable = True
+    connected = False
     _ids = itertools.count(1)
 
     def __init__(self, vm_id: str, script: Script = echo_response) -> None:
         self.vm_id = vm_id
+        self.address = ""
+        self.welcome = None
         self.script = script
-        self.usable = True
         self.draining = False
-        self.connected = False
         self.load: Load | None = None
         self.load_at = timedelta()
         self.outstanding_at_load = 0
@@ -62,6 +67,10 @@
         self._exchanges: dict[int, Exchange] = {}
         self.peak = 0
 
+    def __setattr__(self, name: str, value: Any) -> None:
+        super().__setattr__(name, value)
+        self._changed()
+
     @property
     def outstanding(self) -> int:
         return len(self._exchanges)
@@ -81,6 +90,7 @@
         exchange = Exchange(self, next(self._ids), tokens)  # type: ignore[arg-type]
         self._exchanges[exchange.id] = exchange
         self.peak = max(self.peak, self.outstanding)
+        self._changed()
         msg = make(exchange.id, "life-1")
         self.submits.append(msg)
         self.script(self, exchange, msg)
@@ -97,6 +107,7 @@
 
     def forget(self, request_id: int) -> None:
         self._exchanges.pop(request_id, None)
+        self._changed()
 
     def cancelled(self) -> bool:
         """Return whether a run was cancelled."""
@@ -138,7 +149,7 @@
     def add_upstream(self, vm_id: str, script: Script = echo_response) -> FakeSideProcess:
         """Add an upstream with a fake side process."""
         side = FakeSideProcess(vm_id, script)
-        self.table.add(self.service, side, "levis")  # type: ignore[arg-type]
+        self.table.add(self.service, side, "levis")
         return side
 
     def request(self, **overrides: Any) -> CallerRequest:
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -364,7 +364,8 @@
     for _ in range(5):
         req = harness.request(tokens=9000, token_rate=token_rates.__getitem__)
         assert asyncio.run(harness.dispatcher.async_run(req, CollectingSink())).unwrap() == "up-2"
-    assert sorted(harness.dispatcher.upstreams_with_free_slots(harness.service)) == ["up-1", "up-2"]
+    for upstream in token_rates:
+        assert harness.dispatcher.has_free_slot(harness.service, upstream)
 
 
 @pytest.mark.parametrize("idempotent", [True, False])
--- a/tests/dispatch/test_scheduler_capacity.py
+++ b/tests/dispatch/test_scheduler_capacity.py
@@ -163,10 +163,11 @@
     Nobody waited in that time, so it does not show what this entry can use.
     """
     scheduler = timed_harness.dispatcher.scheduler(timed_harness.service)
-    for upstream in timed_harness.table.usable(timed_harness.service):
+    upstreams = timed_harness.table.usable(timed_harness.service)
+    for upstream in upstreams:
         upstream.link.load = Load(CONCURRENCY, 0, 0, CONCURRENCY, None, 0)
     scheduler.dispatch_waiting()
-    assert scheduler.upstreams_with_free_slots() == []
+    assert upstreams and not any(scheduler.has_free_slot(up.id) for up in upstreams)
     assert not scheduler._capacity.saturated
 
 
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cranberryline.dispatch.direct import DirectUpstreams
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.helpers.metrics import Metrics
--- a/tests/jobs/engine_harness.py
+++ b/tests/jobs/engine_harness.py
@@ -12,7 +12,7 @@
 
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher
-from cranberryline.dispatch.upstreams import UpstreamTable
+from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.gateway.links import DirectLinks
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
@@ -100,9 +100,11 @@
     """A gateway's directory and dispatcher with connections to fake engines, for running items."""
 
     def __init__(self) -> None:
-        clock, metrics, table = LoopClock(), Metrics(), UpstreamTable()
+        clock, metrics = LoopClock(), Metrics()
         self.engines: dict[str, FakeEngine] = {}
         self.directory = Directory(clock, StoreHealth(clock))
+        table = UpstreamTable(self.directory.served_versions)
+        self.directory.listen_versions(table.versions_changed)
         routes = ActiveRoutes()
         directs = DirectUpstreams(
             clock,
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -58,7 +58,7 @@
     async def async_run(self, req: CallerRequest, sink: ResponseSink) -> Result[str, Refusal]:
         """Send the request to the engine, if that is still allowed after its time in the queue."""
         await asyncio.sleep(self.queue_s)
-        if req.eligible is not None and not req.eligible("engine-1"):
+        if not req.may_send_to("engine-1"):
             return Err(_NO_UPSTREAM)
         self.reached_at.append(asyncio.get_running_loop().time())
         sink.dispatched("engine-1")
--- a/tests/jobs/test_failing_engines.py
+++ b/tests/jobs/test_failing_engines.py
@@ -38,7 +38,7 @@
         self.requested.append(candidates[0])
         sink.dispatched(candidates[0])
         await asyncio.sleep(0.05)
-        if req.eligible is not None and not req.eligible(candidates[0]):
+        if not req.may_send_to(candidates[0]):
             return Err(Refusal(RefusalReason.NO_UPSTREAM, Ran.NO))
         if candidates[0] != self.engines[-1]:
             await sink.async_head(500, ())
--- a/tests/jobs/test_text_checkpointer.py
+++ b/tests/jobs/test_text_checkpointer.py
@@ -36,7 +36,7 @@
     async def async_run(self, req: CallerRequest, sink: ResponseSink) -> Result[str, Refusal]:
         """Generate the events one by one."""
         last = int(dict(req.headers).get("last", "0"))
-        if req.eligible is not None and not req.eligible("engine-1"):
+        if not req.may_send_to("engine-1"):
             return Err(Refusal(RefusalReason.NO_UPSTREAM))
         self.requests.append((asyncio.get_running_loop().time(), last))
         sink.dispatched("engine-1")
