Confirm the configuration before serving by one that may be too old

Cause: a gateway served by whatever it had read, however long ago.

Change: each request, and each run of an item, checks how old the configuration may be. From 250 ms before `config_max_age_ms` (the platform's bound) on, it is read first, once for all that wait. Without an answer of the store the configuration stays in force; if the read ends late, the process itself is short of processor and answers 503, not run.

Ruled out: a shorter poll, which a busy process reads as late; an event-loop monitor, which tells nothing about the configuration; 503 whenever the age is too high, which would end service where a gateway is cut from the store.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -26,7 +26,7 @@
 from cranberryline.leases import LeaseKeeper
 from cranberryline.platform.ports import NamedVersion, PlatformPort
 from cranberryline.ports.store import KeyedRecord
-from cranberryline.routes import ActiveRoutes, RouteTable
+from cranberryline.routes import ActiveRoutes, ConfigConfirmation, RouteTable
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.shift import VersionScheduler
@@ -146,6 +146,7 @@
                 self.metrics,
                 cfg.vm_id,
                 self.nodes.live_nodes,
+                lambda: self.confirmation.async_confirm(clock.monotonic()),
             )
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
@@ -180,6 +181,9 @@
         self._nodes_tail = self._make_tail(
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
         )
+        self.confirmation = ConfigConfirmation(
+            self._config_tail.age, self._config_tail.async_sync, clock, cfg.config_max_age
+        )
         self.key_check = KeyCheck(self._config_tail.unconfirmed_for, cfg.key_max_age)
         self.jobs.book.listen(needs.record_job)
         self.routes.listen(self._on_routes)
@@ -207,6 +211,7 @@
             self.jobs,
             random.Random(),
             self.key_check,
+            self.confirmation,
             self.usage.counter,
             quarantine_ready=self._is_quarantine_ready,
         )
@@ -252,6 +257,7 @@
         set_level(Level[cfg.log_level.upper()])
         self.lease.set_length(cfg.lease)
         self.key_check.max_age = cfg.key_max_age
+        self.confirmation.max_age = cfg.config_max_age
         self._cfg = cfg
 
     async def async_stop(self) -> StopOutcome:
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -21,7 +21,7 @@
 from cranberryline.helpers.problem import ProblemHandler, problem_body
 from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.jobs.service import JobService
-from cranberryline.routes import ActiveRoutes
+from cranberryline.routes import ActiveRoutes, ConfigConfirmation
 from cranberryline.usage import UsageCounter
 from cranberryline.workspaces import KeyCheck
 
@@ -44,6 +44,7 @@
     jobs: JobService
     rng: random.Random
     key_check: KeyCheck
+    confirmation: ConfigConfirmation
     usage: UsageCounter | None = None
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     quarantine_ready: Callable[[], bool] = lambda: True
--- a/cranberryline/gateway/job_handler.py
+++ b/cranberryline/gateway/job_handler.py
@@ -90,7 +90,7 @@
         self._write_json(HTTPStatus.OK, b"{}")
 
     async def _async_wait_for_routes(self) -> RouteTable | None:
-        """Return the active routes, or None if they are not loaded in time.
+        """Return the active routes, or None if they are not loaded or confirmed in time.
 
         Shortly after startup, waits for the routes and the quarantine. All gateways may have been
         started at once, and a refused caller retries only after several times the time that
@@ -102,6 +102,8 @@
             if ctx.clock.monotonic() >= give_up_at:
                 break
             await ctx.clock.async_sleep(_STARTUP_POLL_INTERVAL)
+        if not await ctx.confirmation.async_confirm(self._started_at):
+            return None
         return ctx.routes.table
 
     async def _async_identify_for_job(self, job_id: str) -> bool:
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -268,6 +268,7 @@
         for _ in range(snapshot.unreadable):
             self._health.unsound("store_record_unreadable", topic=self.topic)
         self.offset = max(self.offset, snapshot.end)
+        self.at_end = True
         self.current_at, self._read_at = asked.monotonic, asked.elapsed
         self.loaded.set()
         return None
--- a/cranberryline/jobs/freshness.py
+++ b/cranberryline/jobs/freshness.py
@@ -1,11 +1,11 @@
 """The age of this node's view of a job, which decides whether work of the job may be sent."""
 
-import asyncio
 from collections.abc import Sequence
 from datetime import timedelta
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.partition import partition_of
+from cranberryline.helpers.shared_calls import SharedCalls
 from cranberryline.helpers.tail import PartitionTail
 
 from .const import MAX_VIEW_AGE, REFRESH_RETRY_DELAY, REFRESH_TIMEOUT
@@ -25,7 +25,7 @@
     def __init__(self, tails: Sequence[PartitionTail], clock: Clock) -> None:
         self._tails = tails
         self._clock = clock
-        self._refreshes: dict[int, asyncio.Future[None]] = {}
+        self._refreshes: SharedCalls[None] = SharedCalls()
 
     def age(self, job_id: str) -> timedelta | None:
         """Return the maximum age of this node's view of a job, None if it is unbounded."""
@@ -39,12 +39,7 @@
     async def async_refresh(self, job_id: str) -> None:
         """Read to the end of a job's partition now; concurrent callers share one read."""
         partition = self._partition(job_id)
-        refresh = self._refreshes.get(partition)
-        if refresh is None:
-            refresh = asyncio.ensure_future(self._async_read(partition))
-            self._refreshes[partition] = refresh
-            refresh.add_done_callback(lambda _: self._refreshes.pop(partition, None))
-        await asyncio.shield(refresh)
+        await self._refreshes.async_run(partition, lambda: self._async_read(partition))
 
     async def _async_read(self, partition: int) -> None:
         """Read once, and wait after a failure.
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -134,7 +134,7 @@
     async def _async_is_needed(self) -> bool:
         """Return whether the item still needs a result.
 
-        Waits until this node's data about the job is recent enough to decide that.
+        Waits until this node's data about the job and the routes is recent enough to decide that.
         """
         job, freshness = self.state.job.id, self.context.freshness
         while self._is_needed() and not freshness.is_fresh(job):
@@ -142,6 +142,8 @@
             await freshness.async_refresh(job)
             if not freshness.is_fresh(job):
                 await self._async_back_off()
+        while self._is_needed() and not await self.context.async_confirm_routes():
+            await self._async_back_off()
         return self._is_needed()
 
     def _is_needed(self) -> bool:
--- a/cranberryline/jobs/item_context.py
+++ b/cranberryline/jobs/item_context.py
@@ -23,13 +23,18 @@
 from .scoring import ScoringSlots
 from .state import JobState
 
-__all__ = ["ItemContext"]
+__all__ = ["ItemContext", "async_confirm_always"]
 
 
 async def _async_read_nothing(_state: JobState) -> None:
     """Default for `async_read_texts`; reads nothing."""
 
 
+async def async_confirm_always() -> bool:
+    """Default for `async_confirm_routes`; the routes do not change."""
+    return True
+
+
 @attrs.define
 class ItemContext:
     """Dependencies of `ItemRun`, and the state that all runs of this node share."""
@@ -49,6 +54,7 @@
     find_partial_text: Callable[[Item, str], PartialText | None] = lambda _item, _workspace: None
     # Reads the stored partial texts of a job from the log.
     async_read_texts: Callable[[JobState], Awaitable[None]] = _async_read_nothing
+    async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     # Monotonic time of the last byte from each upstream.
     last_received_at: dict[str, timedelta] = attrs.field(factory=dict)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from datetime import timedelta
 
 import attrs
@@ -19,7 +19,7 @@
 
 from .groups import group_of
 from .item import ItemRun
-from .item_context import ItemContext
+from .item_context import ItemContext, async_confirm_always
 from .model import ItemResult, JobRecord, ResultRecord
 from .plan import JobPlan
 from .ports import EdgeFormat
@@ -56,6 +56,8 @@
     node: str
     # Returns the nodes that are alive, given the monotonic time at which a job was first seen.
     live_nodes: Callable[[timedelta], Collection[str]]
+    # Returns whether work may be sent by the active routes.
+    async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
 
 
 @attrs.frozen(eq=False)
@@ -113,6 +115,7 @@
             dependencies.jobs.freshness,
             dependencies.jobs.book.find_partial_text,
             dependencies.jobs.texts.async_read,
+            dependencies.async_confirm_routes,
         )
         self._keeper = TextCheckpointer(
             dependencies.jobs,
--- a/cranberryline/routes/__init__.py
+++ b/cranberryline/routes/__init__.py
@@ -1,10 +1,12 @@
 """Routes: which service handles a request, and with which limits."""
 
 from .active import ActiveRoutes
+from .confirmation import ConfigConfirmation
 from .model import EngineService, Limits, Route, RouteKind, RouteTable, ServiceShare
 
 __all__ = [
     "ActiveRoutes",
+    "ConfigConfirmation",
     "EngineService",
     "Limits",
     "Route",
--- /dev/null
+++ b/cranberryline/routes/confirmation.py
@@ -0,0 +1,69 @@
+"""Confirm that the active configuration is recent enough to serve a request by it."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.shared_calls import SharedCalls
+
+__all__ = ["ConfigConfirmation"]
+
+# Time between the confirmation and its effect on the request.
+CONFIRM_MARGIN = timedelta(milliseconds=250)
+READ_TIMEOUT = timedelta(seconds=1)
+# A read that ends this long after its timeout shows that this process gets too little processor time.
+MAX_LATENESS = timedelta(milliseconds=250)
+
+
+class ConfigConfirmation:
+    """Keeps requests from being served by a configuration that was replaced too long ago.
+
+    Following the store's changes is not enough: a process that gets too little processor time
+    takes a change in seconds late, and refuses routes until then that callers know to be there, or
+    sends to services that they have been moved from. So the age of what was read is checked for
+    each request, and the configuration is read again where it may be too old.
+
+    `age` returns how old the active configuration may be, None if that is unknown. `read` reads up
+    to the newest one and returns whether the store answered in time. `max_age` is the time within
+    which a change has to be in force, None for no limit.
+    """
+
+    def __init__(
+        self,
+        age: Callable[[], timedelta | None],
+        read: Callable[[timedelta], Awaitable[bool]],
+        clock: Clock,
+        max_age: timedelta | None = None,
+    ) -> None:
+        self.max_age = max_age
+        self._age = age
+        self._read = read
+        self._clock = clock
+        self._reads: SharedCalls[bool] = SharedCalls()
+
+    async def async_confirm(self, received_at: timedelta) -> bool:
+        """Return whether a request may be served by the active configuration.
+
+        `received_at` is on the monotonic clock. While the store does not answer, the active
+        configuration stays in force, unless this process is too late itself to tell.
+        """
+        if self._is_recent(received_at):
+            return True
+        store_unreachable = await self._reads.async_run(None, self._async_read)
+        return store_unreachable or self._is_recent(received_at)
+
+    def _is_recent(self, received_at: timedelta) -> bool:
+        if self.max_age is None:
+            return True
+        age = self._age()
+        if age is None:
+            return False
+        age_then = age - (self._clock.monotonic() - received_at)
+        return age_then <= self.max_age - CONFIRM_MARGIN
+
+    async def _async_read(self) -> bool:
+        """Read the configuration; return True if the store did not answer in time."""
+        asked_at = self._clock.monotonic()
+        if await self._read(READ_TIMEOUT):
+            return False
+        return self._clock.monotonic() - asked_at <= READ_TIMEOUT + MAX_LATENESS
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -161,6 +161,12 @@
         DEFAULT_LEASE,
         key="lease_ms",
     )
+    config_max_age: timedelta | None = _setting(
+        Milliseconds(),
+        "Within which time a change of the configuration has to be in force; without it, none.",
+        None,
+        key="config_max_age_ms",
+    )
     key_max_age: timedelta | None = _setting(
         Milliseconds(),
         "How long keys are accepted without a confirmed configuration; without it, for any time.",
