--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -100,6 +100,37 @@
     assert "data_center: missing" in done.stderr
 
 
+@pytest.mark.parametrize("after_s", [0.02, 0.05, 0.1, 0.2, 0.3])
+def test_sighup_during_the_start_does_not_end_a_gateway(
+    binary: Path, environment: dict[str, str], tmp_path: Path, after_s: float
+) -> None:
+    """SIGHUP tells of changed settings before Python, or the program, is loaded."""
+    path = tmp_path / "gateway.yaml"
+    free = [socket.socket() for _ in range(3)]
+    for sock in free:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in free]
+    for sock in free:
+        sock.close()
+    names = ("listen", "ready", "peer")
+    settings = {name: f"127.0.0.1:{port}" for name, port in zip(names, ports, strict=True)}
+    settings |= {"vm_id": "front-1", "data_center": "levis", "store": "127.0.0.1:9"}
+    path.write_text(yaml.safe_dump(settings))
+    with subprocess.Popen(
+        [binary, "gateway", str(path)],
+        env=environment,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    ) as process:
+        try:
+            time.sleep(after_s)
+            process.send_signal(signal.SIGHUP)
+            with pytest.raises(subprocess.TimeoutExpired):
+                process.wait(1.0)
+        finally:
+            process.kill()
+
+
 def test_the_guard_sees_other_processes(environment: dict[str, str]) -> None:
     """Without this the test above could pass because the guard was never loaded."""
     code = "import subprocess; subprocess.run(['true'])"
