Let the test of a slow VM decode slowly

The stand-in for `JobBook.apply` took one argument where two are passed. The error was caught as a record that could not be taken, so nothing was decoded slowly and the test passed for any code. It passes with the check as it was, now that the record is applied 4 s late.

--- a/tests/jobs/test_ended_jobs.py
+++ b/tests/jobs/test_ended_jobs.py
@@ -28,11 +28,12 @@
         gateway = Gateway(ended.store, engine)
         apply = gateway.jobs.book.apply
 
-        def apply_slowly(record: Any) -> None:
-            apply(record)
+        def apply_slowly(record: Any, offset: int) -> Any:
+            applied = apply(record, offset)
             if not ended.at:
                 ended.end_job()
                 cast(VirtualLoop, asyncio.get_running_loop()).jump(4.0)
+            return applied
 
         gateway.jobs.book.apply = apply_slowly  # type: ignore[method-assign]
         await asyncio.sleep(8)
