Start a job as soon as the page that brought it is applied

Cause: such a page is applied in several turns, and until its end the partition counts as not read to the end, so that no item of a job that ends further on is started. The runner put the job back and looked again at its next full scan, unless something else woke it.

Change: the runner is woken after each page while a job waits so.

Result: in virtual time, 10 ms a record, nothing behind the job that wakes: not started within 0.15 s before, started now.

--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -124,6 +124,7 @@
             lambda: len(dependencies.live_nodes(dependencies.clock.monotonic())),
         )
         self._jobs.book.listen(self._on_change)
+        self._jobs.listen_batches(self._on_batch)
 
     @property
     def busy(self) -> bool:
@@ -174,6 +175,11 @@
         self._changed_jobs.add(state.head.id)
         self._wake.set()
 
+    def _on_batch(self) -> None:
+        """Check jobs again that could not start before the rest of their page was applied."""
+        if self._changed_jobs:
+            self._wake.set()
+
     def _cancel_items(self, state: JobState) -> None:
         job_id = state.head.id
         keys = ((job_id, index) for index in range(len(state.head.items))) if self._running else ()
--- a/cranberryline/jobs/service.py
+++ b/cranberryline/jobs/service.py
@@ -78,6 +78,7 @@
         self._health = health
         self._metrics = metrics
         self._change_events: dict[str, asyncio.Event] = {}
+        self._batch_listeners: list[Callable[[], None]] = []
         first_reads = ReadLimiter(StartupReadLimits(), clock)
         self.tails = [
             PartitionTail(
@@ -87,7 +88,7 @@
                 clock,
                 health,
                 partial(self._apply_record, self.book, partition),
-                self.book.forget_old,
+                self._on_batch,
                 partial(self._on_gap, partition),
                 first_reads,
             )
@@ -114,6 +115,10 @@
         """Return whether every partition has been read to its end at least once."""
         return all(tail.loaded.is_set() for tail in self.tails)
 
+    def listen_batches(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each batch of records that was read and applied."""
+        self._batch_listeners.append(listener)
+
     def start_from_mark(self, partition: int, mark: PartitionMark) -> None:
         """Start reading a partition at its checkpoint; must be called before its tail runs."""
         if mark.offset <= self.tails[partition].offset:
@@ -320,6 +325,11 @@
             detail = applied.unwrap_err()
             self._health.unsound("job_record_unsound", part=partition, offset=offset, detail=detail)
 
+    def _on_batch(self) -> None:
+        self.book.forget_old()
+        for listener in self._batch_listeners:
+            listener()
+
     def _on_gap(self, partition: int) -> None:
         self.book.miss_records(self._partition_filter(partition))
 
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -13,7 +13,7 @@
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
 from tests.store_fake import FakeStore, StoreLink
-from tests.virtual_time import LoopClock, run_virtual
+from tests.virtual_time import LoopClock, VirtualLoop, run_virtual
 
 from .test_book import make_job
 
@@ -250,3 +250,32 @@
         assert {name for name, _ in node.started} == {"job-1", "job-2"}
 
     run_virtual(scenario())
+
+
+def test_a_job_within_a_long_page_starts_once_the_page_is_applied() -> None:
+    """A job is applied while the rest of its page takes longer, and starts a quarter second late.
+
+    Nothing in the rest of the page changes a job, so nothing else wakes the runner.
+    """
+
+    async def scenario() -> None:
+        store, loop = FakeStore(), asyncio.get_running_loop()
+        node = Node(StoreLink(store))
+        await asyncio.sleep(1.0)
+        apply = node.jobs.book.apply
+
+        def apply_slowly(record: Any, offset: int) -> Any:
+            applied = apply(record, offset)
+            cast(VirtualLoop, loop).jump(0.01)
+            return applied
+
+        node.jobs.book.apply = apply_slowly  # type: ignore[method-assign]
+        # Right after a full scan, so that the next one is 250 ms away.
+        node.runner._next_full_scan = timedelta(seconds=loop.time() + 0.25)
+        store.append("jobs", 0, encode_records(encode_job(make_job("job-1"), "w")))
+        for number in range(5):
+            store.append("jobs", 0, encode_records([JobEnded(f"unknown-{number}")]))
+        await asyncio.sleep(0.15)
+        assert {name for name, _ in node.started} == {"job-1"}
+
+    run_virtual(scenario())
