Name outgoing connections as holders of a port, and keep ports away from them

The soak named listeners only, so an outgoing connection that holds the port would not have shown. Now every socket of a process is named with its state, and launchers use no port that the kernel gives to outgoing connections, whatever its range is where they run (32,768 to 60,999 here, so it is no cause here).

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -13,7 +13,7 @@
 
 from stand_ins.platform_sampler import PlatformSampler
 from stand_ins.platform_store import PlatformStore
-from stand_ins.ports import listeners
+from stand_ins.ports import holders
 from stand_ins.process import Process, free_ports
 
 from .judge import Judge
@@ -191,7 +191,7 @@
     def _holders_of_ports(self, number: int) -> str:
         """Return who listens on an ended gateway's ports, which tells why it could not."""
         ports = self._ports.get(number, ())
-        return "".join(f", {port} held by {who}" for port in ports for who in listeners(port))
+        return "".join(f", {port} held by {who}" for port in ports for who in holders(port))
 
     def _pids(self) -> dict[int, int]:
         return {way.pid: number for number, way in enumerate(self.gateways) if way.running}
--- a/stand_ins/ports.py
+++ b/stand_ins/ports.py
@@ -4,14 +4,15 @@
 import socket
 from pathlib import Path
 
-__all__ = ["PortSource", "free_ports", "listeners"]
+__all__ = ["PortSource", "free_ports", "holders"]
 
-# Below the range that the kernel gives to outgoing connections: one of those could otherwise take
-# a port between the look that finds it free and the start of the process it is meant for.
+# Ports that launchers may use, as far as the kernel does not give them to outgoing connections: one of
+# those could otherwise take a port before the process it is meant for starts, or starts again.
 _PORT_RANGE = (12_000, 32_000)
+_OUTGOING_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 # Some five small deployments; a hundred slices are enough for all launchers of a machine.
 _SLICE = 200
-_LISTENING = "0A"
+_STATES = {"01": "established", "08": "close wait", "0A": "listening"}
 
 
 class PortSource:
@@ -47,7 +48,7 @@
 
     def _hold_slice(self) -> list[int]:
         """Take the first slice that nobody holds; nothing if there is none."""
-        starts = list(range(*_PORT_RANGE, _SLICE))
+        starts = _slice_starts()
         random.SystemRandom().shuffle(starts)
         for start in starts:
             lock = socket.socket()
@@ -66,6 +67,13 @@
         return [port for start in starts for port in _shuffled(start)]
 
 
+def _slice_starts() -> list[int]:
+    """Return where slices begin that the kernel gives to no outgoing connection, else all."""
+    low, high = (int(bound) for bound in _OUTGOING_RANGE.read_text().split())
+    starts = list(range(*_PORT_RANGE, _SLICE))
+    return [start for start in starts if start + _SLICE <= low or start > high] or starts
+
+
 def _shuffled(start: int) -> list[int]:
     ports = list(range(start + 1, start + _SLICE))
     random.SystemRandom().shuffle(ports)
@@ -90,24 +98,25 @@
     return _SOURCE.take(count)
 
 
-def listeners(port: int) -> list[str]:
-    """Return the command lines of the processes that listen on a port of loopback.
+def holders(port: int) -> list[str]:
+    """Return the processes that hold a port of loopback, by command line and state of the socket.
 
+    Any socket but those of ended connections counts, since an outgoing connection holds its port, too.
     A socket whose process cannot be read is named by its inode. Source: proc(5), `net/tcp`.
     """
     rows = [row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:]]
-    inodes = {
-        row[9]
+    states = {
+        row[9]: _STATES.get(row[3], f"state {row[3]}")
         for row in rows
-        if row[3] == _LISTENING and int(row[1].rpartition(":")[2], 16) == port
+        if row[9] != "0" and int(row[1].rpartition(":")[2], 16) == port
     }
-    found = {inode: f"socket {inode}" for inode in inodes}
+    found = {inode: f"socket {inode}" for inode in states}
     for fd in Path("/proc").glob("[0-9]*/fd/*"):
         try:
             inode = str(fd.readlink()).removeprefix("socket:[").rstrip("]")
-            if inode in inodes:
+            if inode in states:
                 words = (fd.parent.parent / "cmdline").read_bytes().split(b"\0")
                 found[inode] = f"{fd.parent.parent.name} " + b" ".join(words).decode().strip()
         except OSError:
             continue
-    return sorted(found.values())
+    return sorted(f"{who} ({states[inode]})" for inode, who in found.items())
