--- a/cranberryline/jobs/mark_keeper.py
+++ b/cranberryline/jobs/mark_keeper.py
@@ -52,6 +52,8 @@
         self._live_nodes = live
         self._last_written: dict[int, PartitionMark] = {}
         self._next_trim_at = timedelta()
+        self._ranked_nodes: frozenset[str] = frozenset()
+        self._first_for: set[int] = set()
 
     async def async_run(self) -> None:
         """Start each partition at its mark, then write marks until cancelled."""
@@ -109,9 +111,15 @@
 
     def _assigned_partitions(self) -> list[int]:
         """Return the partitions assigned to this node that it has read to their end."""
-        live_nodes = self._live_nodes()
+        live_nodes = frozenset(self._live_nodes())
+        if live_nodes != self._ranked_nodes:
+            # Ranking all nodes for each partition once a second takes longer than all else here.
+            self._ranked_nodes = live_nodes
+            self._first_for = {
+                partition
+                for partition in range(len(self._jobs.tails))
+                if rendezvous.top(f"mark {partition}", live_nodes) == self._node
+            }
         return [
-            partition
-            for partition, tail in enumerate(self._jobs.tails)
-            if tail.at_end and rendezvous.top(f"mark {partition}", live_nodes) == self._node
+            partition for partition in sorted(self._first_for) if self._jobs.tails[partition].at_end
         ]
