Pace polls so that all gateways stay within the store's limit of reads

Cause: every record wakes each gateway's poll and the next poll follows at once. Beyond its limit the store answers 429, as it does where it serves other machines only, and each gateway then asks two peers over new connections, which are turned away too: 125 new connections a second at each gateway, 644 to upstreams in all.

Change: polls wait for this gateway's part of three quarters of the limit, by the live gateways. Reads that somebody waits for are counted and not delayed.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -11,6 +11,7 @@
 from result import Err
 from tornado.web import Application
 
+from cranberryline.decisions.read_budget import ReadBudget
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.dispatch.table import UpstreamTable
@@ -37,6 +38,7 @@
 from .ingress import IngressHandler
 from .links import DirectLinks
 from .nodes import NodeHeartbeat, NodeRegistry
+from .paced_log import PacedLog
 from .refusing_log import RefusingLog
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
@@ -78,7 +80,13 @@
         self.routes = ActiveRoutes()
         self.health = StoreHealth(clock, self.metrics)
         self.store = RelayedLog(
-            platform.log,
+            PacedLog(
+                platform.log,
+                ReadBudget(cfg.store_reads),
+                lambda: self.nodes.live_count,
+                clock,
+                self.metrics.reads_paced.inc,
+            ),
             self._relay_peers,
             clock,
             self.metrics,
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -129,6 +129,11 @@
             _LOGGER.info("nodes_live", came=joined, went=left)
             self._last_live = live
 
+    @property
+    def live_count(self) -> int:
+        """Return how many nodes were alive when that was last looked at."""
+        return len(self._last_live)
+
     def heartbeats(self) -> list[NodeHeartbeat]:
         """Return the last heartbeat of each known node, which may be dead by now."""
         return [state.heartbeat for state in self._states.values()]
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -74,6 +74,12 @@
         self.relayed = self._counter(
             "store_calls_relayed", "Calls to the store made through a peer.", "outcome"
         )
+        self.reads_paced = Counter(
+            "store_reads_paced",
+            "Polls of the store that waited for this process's part of its limit.",
+            namespace=_NAMESPACE,
+            registry=self.registry,
+        )
         self.usage_reports = self._counter(
             "usage_reports", "Reports of use that were sent.", "outcome"
         )
--- a/cranberryline/settings/fields.py
+++ b/cranberryline/settings/fields.py
@@ -2,6 +2,7 @@
 
 import abc
 import ipaddress
+import math
 import re
 from datetime import timedelta
 from typing import Any
@@ -18,6 +19,7 @@
     "Milliseconds",
     "Identifier",
     "PeerAddress",
+    "Rate",
     "Seconds",
     "Size",
     "Text",
@@ -200,6 +202,21 @@
         return Ok(raw)
 
 
+class Rate(FieldKind):
+    """A number of calls per second above 0."""
+
+    @property
+    def allowed(self) -> str:
+        """Return what is allowed."""
+        return "a number per second above 0"
+
+    def parse(self, raw: Any) -> Result[float, str]:
+        """Return the rate."""
+        if isinstance(raw, bool) or not isinstance(raw, int | float):
+            return Err(self.allowed)
+        return Ok(float(raw)) if 0 < raw < math.inf else Err(self.allowed)
+
+
 def _is_ip_and_port(text: str) -> bool:
     """Tell whether the text is an IP number and a port."""
     host, colon, port = text.rpartition(":")
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -35,6 +35,7 @@
     Identifier,
     Milliseconds,
     PeerAddress,
+    Rate,
     Seconds,
     Size,
     Text,
@@ -155,6 +156,12 @@
     partitions: int = _setting(
         Size(1, MAX_PARTITIONS), "Partitions of the store's topics.", DEFAULT_PARTITIONS
     )
+    store_reads: float | None = _setting(
+        Rate(),
+        "Reads per second that the store allows all gateways together; without it, any number.",
+        None,
+        key="store_reads_per_second",
+    )
     lease: timedelta = _setting(
         Milliseconds(),
         "How long a holder may give orders after its last renewal.",
