Share the calls that wrapped logs only pass on

The log that relays and the log that paces had the same methods for trims and keyed records. Behaviour stays: tests of the gateway and its scene pass.

--- a/cranberryline/gateway/paced_log.py
+++ b/cranberryline/gateway/paced_log.py
@@ -7,20 +7,15 @@
 
 from cranberryline.decisions.read_budget import ReadBudget
 from cranberryline.helpers.clock import Clock
-from cranberryline.ports.store import (
-    Appended,
-    KeyedRecord,
-    KeyedSnapshot,
-    LogRead,
-    SharedLog,
-    StoreError,
-)
+from cranberryline.ports.store import KeyedSnapshot, LogRead, SharedLog, StoreError
+
+from .wrapped_log import WrappedLog
 
 __all__ = ["PacedLog"]
 
 
-class PacedLog(SharedLog):
-    """Passes calls on to the store; polls wait for their part of the store's limit.
+class PacedLog(WrappedLog):
+    """Lets polls wait for this gateway's part of the store's limit of reads.
 
     Reads that do not wait for records are counted, but not delayed: a request or an item waits for
     them. `sharers` returns how many gateways read the store.
@@ -34,23 +29,12 @@
         clock: Clock,
         on_delay: Callable[[], None] = lambda: None,
     ) -> None:
-        self._direct = direct
+        super().__init__(direct)
         self._budget = budget
         self._sharers = sharers
         self._clock = clock
         self._on_delay = on_delay
 
-    async def async_append(
-        self,
-        topic: str,
-        part: int,
-        records: list[bytes],
-        timeout: timedelta,
-        at: int | None = None,
-    ) -> Result[Appended, StoreError]:
-        """Append at once."""
-        return await self._direct.async_append(topic, part, records, timeout, at)
-
     async def async_read(
         self, topic: str, part: int, start: int, wait: timedelta, timeout: timedelta
     ) -> Result[LogRead, StoreError]:
@@ -59,25 +43,11 @@
         if wait and delay:
             self._on_delay()
             await self._clock.async_sleep(delay)
-        return await self._direct.async_read(topic, part, start, wait, timeout)
+        return await self.direct.async_read(topic, part, start, wait, timeout)
 
     async def async_newest(
         self, topic: str, timeout: timedelta
     ) -> Result[KeyedSnapshot, StoreError]:
-        """Read the newest records at once."""
+        """Read the newest record of each key."""
         self._budget.take(self._sharers(), self._clock.monotonic())
-        return await self._direct.async_newest(topic, timeout)
-
-    async def async_trim(
-        self, topic: str, part: int, before: int, timeout: timedelta
-    ) -> Result[None, StoreError]:
-        """Trim at once."""
-        return await self._direct.async_trim(topic, part, before, timeout)
-
-    def pack_keyed(self, key: str, value: bytes) -> bytes:
-        """Return the record that sets a key of a keyed topic."""
-        return self._direct.pack_keyed(key, value)
-
-    def unpack_keyed(self, record: bytes) -> KeyedRecord | None:
-        """Return the key and value of a record of a keyed topic, or None if it has none."""
-        return self._direct.unpack_keyed(record)
+        return await self.direct.async_newest(topic, timeout)
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -31,6 +31,7 @@
 
 from .relay_calls import Redaction, async_execute
 from .relay_messages import ANSWERS, CALLS, RelayAnswer, RelayAppend, RelayNewest, RelayRead
+from .wrapped_log import WrappedLog
 
 __all__ = ["PATH_RELAY", "RelayHandler", "RelayedLog"]
 
@@ -60,11 +61,12 @@
 _STOPPING_ANSWER = RelayAnswer(StoreProblem.REFUSED.value, "peer is stopping")
 
 
-class RelayedLog(SharedLog):
+class RelayedLog(WrappedLog):
     """Calls the store directly, and through a peer while direct calls fail.
 
     A store that rejects this VM, or that this VM cannot reach, may still serve other VMs. Without
-    relaying, the node could not accept jobs, list results or renew leases during that time.
+    relaying, the node could not accept jobs, list results or renew leases during that time. Trims
+    are not relayed, since the next one deletes what this one did not.
     """
 
     def __init__(
@@ -75,7 +77,7 @@
         metrics: Metrics,
         redaction: Redaction | None = None,
     ) -> None:
-        self.direct = direct
+        super().__init__(direct)
         self._redaction = redaction
         self._peers = peers
         self._clock = clock
@@ -219,20 +221,6 @@
         silent_for = in_milliseconds(self._clock.elapsed() - self._last_answer_at)
         return msgspec.structs.replace(answer, silent_ms=silent_for)
 
-    async def async_trim(
-        self, topic: str, part: int, before: int, timeout: timedelta
-    ) -> Result[None, StoreError]:
-        """Trim, never through a peer; the next trim deletes what this one did not."""
-        return await self.direct.async_trim(topic, part, before, timeout)
-
-    def pack_keyed(self, key: str, value: bytes) -> bytes:
-        """Return the record that sets a key of a keyed topic."""
-        return self.direct.pack_keyed(key, value)
-
-    def unpack_keyed(self, record: bytes) -> KeyedRecord | None:
-        """Return the key and value of a record of a keyed topic, or None if it has none."""
-        return self.direct.unpack_keyed(record)
-
     async def _async_call(
         self,
         direct: Callable[[timedelta, bool], Awaitable[Result[_T, StoreError]]],
