Make the read that confirms the configuration again when it is turned away

A read that was turned away counted as a store that is lost.

Change: it is made again for up to a second. A store that is lost then is not asked again for two seconds, so that requests of a cut gateway do not all wait.

Result: two tests, which fail on the code before.

--- a/cranberryline/routes/confirmation.py
+++ b/cranberryline/routes/confirmation.py
@@ -11,6 +11,10 @@
 # Time between the confirmation and its effect on the request.
 CONFIRM_MARGIN = timedelta(milliseconds=250)
 READ_TIMEOUT = timedelta(seconds=1)
+# A store that turns a read away may have been asked too often, and may answer the next one.
+READ_RETRY_DELAY = timedelta(milliseconds=250)
+# Requests do not wait for a store that has just been found lost.
+LOST_INTERVAL = timedelta(seconds=2)
 # A read that ends this long after its timeout shows that this process gets too little processor time.
 MAX_LATENESS = timedelta(milliseconds=250)
 
@@ -40,6 +44,7 @@
         self._read = read
         self._clock = clock
         self._reads: SharedCalls[bool] = SharedCalls()
+        self._lost_until = timedelta()
 
     async def async_confirm(self, received_at: timedelta) -> bool:
         """Return whether a request may be served by the active configuration.
@@ -47,10 +52,10 @@
         `received_at` is on the monotonic clock. While the store does not answer, the active
         configuration stays in force, unless this process is too late itself to tell.
         """
-        if self._is_recent(received_at):
+        if self._is_recent(received_at) or self._clock.monotonic() < self._lost_until:
             return True
-        store_unreachable = await self._reads.async_run(None, self._async_read)
-        return store_unreachable or self._is_recent(received_at)
+        store_lost = await self._reads.async_run(None, self._async_read)
+        return store_lost or self._is_recent(received_at)
 
     def _is_recent(self, received_at: timedelta) -> bool:
         if self.max_age is None:
@@ -63,7 +68,13 @@
 
     async def _async_read(self) -> bool:
         """Read the configuration; return True if the store did not answer in time."""
-        asked_at = self._clock.monotonic()
-        if await self._read(READ_TIMEOUT):
-            return False
-        return self._clock.monotonic() - asked_at <= READ_TIMEOUT + MAX_LATENESS
+        give_up_at = self._clock.monotonic() + READ_TIMEOUT
+        while (left := give_up_at - self._clock.monotonic()) > timedelta():
+            if await self._read(left):
+                return False
+            await self._clock.async_sleep(READ_RETRY_DELAY)
+        now = self._clock.monotonic()
+        store_lost = now <= give_up_at + READ_RETRY_DELAY + MAX_LATENESS
+        if store_lost:
+            self._lost_until = now + LOST_INTERVAL
+        return store_lost
--- a/tests/routes/test_confirmation.py
+++ b/tests/routes/test_confirmation.py
@@ -5,7 +5,13 @@
 
 from cranberryline.helpers.clock import FakeClock
 from cranberryline.routes import ConfigConfirmation
-from cranberryline.routes.confirmation import CONFIRM_MARGIN, MAX_LATENESS, READ_TIMEOUT
+from cranberryline.routes.confirmation import (
+    CONFIRM_MARGIN,
+    LOST_INTERVAL,
+    MAX_LATENESS,
+    READ_RETRY_DELAY,
+    READ_TIMEOUT,
+)
 
 MAX_AGE = timedelta(seconds=2)
 
@@ -84,10 +90,38 @@
     """A starved process gives its own reads up, and serves by an old configuration."""
     store = Store(clock)
     clock.advance(MAX_AGE)
-    store.answers, store.takes = False, READ_TIMEOUT + MAX_LATENESS + timedelta(milliseconds=1)
+    late = READ_RETRY_DELAY + MAX_LATENESS + timedelta(milliseconds=1)
+    store.answers, store.takes = False, READ_TIMEOUT + late
     assert not store.confirm()
 
 
+def test_a_read_that_is_turned_away_is_made_again(clock: FakeClock) -> None:
+    """A store that is asked too often turns one read away, and the request is served by an old table."""
+    store = Store(clock)
+    clock.advance(MAX_AGE)
+    turned_away, read = [False, False], store._async_read
+
+    async def async_read(timeout: timedelta) -> bool:
+        store.answers = not turned_away or turned_away.pop()
+        return await read(timeout)
+
+    store.confirmation._read = async_read
+    assert store.confirm()
+    assert store.reads == 3 and store._age() < MAX_AGE - CONFIRM_MARGIN  # type: ignore[operator]
+
+
+def test_a_lost_store_holds_up_requests_only_now_and_then(clock: FakeClock) -> None:
+    """Each request of a gateway that is cut from the store waits for a second."""
+    store = Store(clock)
+    clock.advance(MAX_AGE)
+    store.answers, store.takes = False, READ_TIMEOUT
+    assert store.confirm() and store.reads == 1
+    began = clock.monotonic()
+    assert store.confirm() and clock.monotonic() == began and store.reads == 1
+    clock.advance(LOST_INTERVAL)
+    assert store.confirm() and store.reads == 2
+
+
 def test_without_a_limit_nothing_is_read(clock: FakeClock) -> None:
     """A deployment without a limit makes reads that it has not asked for."""
     store = Store(clock, max_age=None)
