Reuse the hash, the rule of moving and the sample size in the choice of upstreams

Found in the last read of the change: a second hash of text beside that of rendezvous hashing; the saving of a move computed again, which is `should_move` before an engine that takes no time; the sample size read from the module, not from the policy; and upstreams drawn in vain looked at twice before all are. Behaviour stays, the hashes are the same.

--- a/cranberryline/decisions/__init__.py
+++ b/cranberryline/decisions/__init__.py
@@ -33,7 +33,6 @@
     StragglerDecision,
 )
 from .routing import (
-    SAMPLE_SIZE,
     Candidates,
     RouteRequest,
     RoutingPolicy,
@@ -79,7 +78,6 @@
     "RolloutView",
     "RouteRequest",
     "RoutingPolicy",
-    "SAMPLE_SIZE",
     "SampleView",
     "SlotCapacity",
     "SwapSchedule",
--- a/cranberryline/decisions/moving.py
+++ b/cranberryline/decisions/moving.py
@@ -4,6 +4,7 @@
 waits for its slowest text.
 """
 
+import math
 from collections.abc import Iterable
 from datetime import timedelta
 
@@ -74,7 +75,7 @@
 
 def may_pay_to_move(events_left: float, here: float) -> bool:
     """Return whether a move would save enough time if the other engine took none at all."""
-    return here > 0 and timedelta(seconds=events_left / here) > MOVE_COST + MIN_NET_SAVING
+    return should_move(events_left, here, (math.inf,))
 
 
 def should_move(events_left: float, here: float, elsewhere: Iterable[float]) -> bool:
--- a/cranberryline/decisions/prefix_homes.py
+++ b/cranberryline/decisions/prefix_homes.py
@@ -1,7 +1,6 @@
 """Find the upstream that should have a prompt's prefix cached, among any number of upstreams."""
 
 from collections.abc import Callable
-from hashlib import blake2b
 
 from . import rendezvous
 
@@ -12,7 +11,6 @@
 BUCKET_SIZE = 16
 # Buckets that a lookup tries before it gives up affinity.
 MAX_BUCKETS = 3
-HASH_BYTES = 8
 
 
 class PrefixHomes:
@@ -35,7 +33,7 @@
         """Add an upstream if it is not known."""
         if upstream in self._hashes:
             return
-        self._hashes[upstream] = _hash(upstream)
+        self._hashes[upstream] = rendezvous.hash_text(upstream)
         self._bucket(self._hashes[upstream]).add(upstream)
         if len(self._hashes) > BUCKET_SIZE * len(self._buckets):
             self._rebuild(2 * len(self._buckets))
@@ -53,7 +51,7 @@
     def find(self, prefix: str, is_eligible: Callable[[str], bool]) -> str | None:
         """Return the eligible upstream that ranks first for a prefix, or None if none is found."""
         for attempt in range(min(MAX_BUCKETS, len(self._buckets))):
-            bucket = self._bucket(_hash(f"{attempt}:{prefix}"))
+            bucket = self._bucket(rendezvous.hash_text(f"{attempt}:{prefix}"))
             home = rendezvous.top(prefix, filter(is_eligible, bucket))
             if home is not None:
                 return home
@@ -66,7 +64,3 @@
         self._buckets = [set() for _ in range(count)]
         for upstream, hashed in self._hashes.items():
             self._bucket(hashed).add(upstream)
-
-
-def _hash(text: str) -> int:
-    return int.from_bytes(blake2b(text.encode(), digest_size=HASH_BYTES).digest())
--- a/cranberryline/decisions/rendezvous.py
+++ b/cranberryline/decisions/rendezvous.py
@@ -7,15 +7,19 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-__all__ = ["rank", "score", "top"]
+__all__ = ["hash_text", "rank", "score", "top"]
 
 SCORE_BYTES = 8
 
 
+def hash_text(text: str) -> int:
+    """Return a hash that is the same in all processes, an unsigned integer of `SCORE_BYTES` bytes."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=SCORE_BYTES).digest())
+
+
 def score(key: str, member: str) -> int:
-    """Return the hash weight of a member for a key, an unsigned integer of `SCORE_BYTES` bytes."""
-    digest = blake2b(f"{len(key)}:{key}{member}".encode(), digest_size=SCORE_BYTES)
-    return int.from_bytes(digest.digest())
+    """Return the hash weight of a member for a key."""
+    return hash_text(f"{len(key)}:{key}{member}")
 
 
 def rank(key: str, members: Iterable[str]) -> list[str]:
--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -17,7 +17,6 @@
 from .queueing import max_slots_for_class
 
 __all__ = [
-    "SAMPLE_SIZE",
     "Candidates",
     "RouteRequest",
     "RoutingPolicy",
--- a/cranberryline/dispatch/candidates.py
+++ b/cranberryline/dispatch/candidates.py
@@ -1,5 +1,6 @@
 """Select the few upstreams of a pool that a request is weighed for."""
 
+import itertools
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
 from random import Random
@@ -7,7 +8,6 @@
 import attrs
 
 from cranberryline.decisions import (
-    SAMPLE_SIZE,
     Candidates,
     RouteRequest,
     RoutingPolicy,
@@ -23,7 +23,7 @@
 __all__ = ["choose_upstream"]
 
 _ROUTING = RoutingPolicy()
-# Free upstreams drawn to find `SAMPLE_SIZE` that may serve the request; if none of them may, all
+# Free upstreams drawn to find a few that may serve the request; if none of them may, all
 # are looked at.
 _MAX_DRAWS = 32
 # Failing upstreams looked at for one that is due to be probed.
@@ -78,32 +78,32 @@
         return None
 
     def _draw(self) -> list[str]:
-        """Return some free upstreams at random, the preferred ones if there are any.
+        """Return some free upstreams at random that may serve the request.
+
+        Only a bounded number is looked at, unless none of these may serve.
+        """
+        sources = self._sources()
+        drawn = _draw_from(sources, _MAX_DRAWS, self._rng)
+        found = self._select(drawn)
+        if found or len(drawn) < _MAX_DRAWS:
+            return found
+        return self._select(itertools.chain.from_iterable(sources))
+
+    def _select(self, vm_ids: Iterable[str]) -> list[str]:
+        """Return the first upstreams that may serve, the preferred ones if there are any.
 
         Upstreams that have just rejected a request are preferred to those to avoid.
         """
         preferred: list[str] = []
         others: list[str] = []
-        for vm_id in self._drawn_ids():
-            if not self._may_serve(vm_id):
-                continue
+        for vm_id in filter(self._may_serve, vm_ids):
             (preferred if self._is_preferred(vm_id) else others).append(vm_id)
-            if len(preferred) == SAMPLE_SIZE:
-                return preferred
+            if len(preferred) == _ROUTING.sample_size:
+                break
         if preferred:
             return preferred
         return [vm_id for vm_id in others if vm_id not in self._routed.excluded] or others
 
-    def _drawn_ids(self) -> Iterable[str]:
-        """Yield free upstreams in random order: a bounded number, or all if none of these may serve."""
-        sources = self._sources()
-        drawn = _draw_from(sources, _MAX_DRAWS, self._rng)
-        yield from drawn
-        if len(drawn) < _MAX_DRAWS or any(self._may_serve(vm_id) for vm_id in drawn):
-            return
-        for source in sources:
-            yield from source
-
     def _sources(self) -> Sequence[SampleSet[str]]:
         need = self._req.version_need
         if need is None:
@@ -116,7 +116,7 @@
         if prefix is None or not self._routed.prefix_tokens:
             return []
         home = self._pool.homes.find(
-            prefix, lambda vm_id: self._pool.is_free(vm_id) and self._is_candidate(vm_id)
+            prefix, lambda vm_id: vm_id in self._pool.free and self._is_candidate(vm_id)
         )
         return [] if home is None else [home]
 
@@ -125,7 +125,7 @@
         found: list[str] = []
         for upstream in self._pool.recent():
             vm_id = upstream.id
-            if upstream.link.connected and self._pool.is_free(vm_id) and self._is_candidate(vm_id):
+            if upstream.link.connected and vm_id in self._pool.free and self._is_candidate(vm_id):
                 found.append(vm_id)
             if len(found) == _MAX_CONNECTED:
                 break
--- a/cranberryline/dispatch/pool.py
+++ b/cranberryline/dispatch/pool.py
@@ -14,7 +14,7 @@
 
 from .upstreams import Upstream
 
-__all__ = ["MAX_RECENT", "UpstreamPool"]
+__all__ = ["UpstreamPool"]
 
 # Upstreams whose requests ended last. Their rates stand for the service, and they hold the kept
 # connections that the next request can reuse.
@@ -97,10 +97,6 @@
         by_version = self._free_by_version.get(model, {})
         return [members for version, members in by_version.items() if version >= min_version]
 
-    def is_free(self, vm_id: str) -> bool:
-        """Return whether an upstream that is not failing has a free slot."""
-        return vm_id in self.free
-
     def mark_changed(self, vm_id: str) -> None:
         """Count an upstream again at the next update."""
         if vm_id in self._upstreams:
