Agree on the interfaces of shared engine slots

Cause: gateways choose engines by their own requests alone, so that several meet at one engine, whose queue and rejections cost texts up to two seconds. Nothing uses them yet. Result: the tests of layers and dispatch pass.

--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -50,6 +50,8 @@
     `credential` distinguishes callers that share one `caller` name.
     `workspace` is the workspace that the request belongs to, empty if there is none.
     `rank` orders requests of one caller class; requests of a lower rank are started first.
+    `upstream` is the only upstream to use, on which a slot was granted; empty leaves the choice to
+    routing.
     """
 
     service: str
@@ -75,6 +77,7 @@
     credential: str = attrs.field(default="", repr=False)
     workspace: str = ""
     rank: int = 0
+    upstream: str = ""
 
     def may_send_to(self, vm_id: str) -> bool:
         """Return whether the request may be sent to an upstream now."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
     ("__init__", "exit_code", "ports", "settings"),
     ("helpers",),
     ("client", "config_client", "decisions", "leases", "requests", "transport", "workspaces"),
-    ("configs", "usage", "weights"),
+    ("configs", "slots", "usage", "weights"),
     ("execution", "quarantine", "routes", "samples", "upstreams"),
     ("dispatch",),
     ("jobs",),
