Keep engine speeds and text lengths in the store for gateways that start

Cause: after a stop of all gateways the speeds of engines and the tokens an event has are learned anew, and the steps that were cut off by the stop start their longest texts on engines whose speed nobody knows.

--- a/cranberryline/decisions/lengths.py
+++ b/cranberryline/decisions/lengths.py
@@ -37,6 +37,11 @@
         """Return the tokens per event, or None before any text with an estimate has completed."""
         return self._tokens_per_event
 
+    def restore(self, tokens_per_event: float) -> None:
+        """Use a ratio from before, until a text has completed here; 0 and less are ignored."""
+        if not self._ratios and tokens_per_event > 0:
+            self._tokens_per_event = tokens_per_event
+
     def record_completed(self, expected_tokens: int, events: int) -> None:
         """Record a completed text of `events` events.
 
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -21,6 +21,7 @@
     TOPIC_OPERATOR,
     TOPIC_QUARANTINE,
     TOPIC_SERVERS,
+    TOPIC_SLOTS,
 )
 from .edge import PlatformEdge
 from .ports import NamedVersion, OperatorChange, PlatformPort
@@ -39,6 +40,7 @@
     topic_nodes = TOPIC_NODES
     topic_marks = TOPIC_MARKS
     topic_quarantine = TOPIC_QUARANTINE
+    topic_slots = TOPIC_SLOTS
 
     def __init__(self, store: str) -> None:
         self._log = HttpStore(store)
--- a/cranberryline/platform/const.py
+++ b/cranberryline/platform/const.py
@@ -33,6 +33,7 @@
 TOPIC_NODES = "keyed.nodes"
 TOPIC_MARKS = "keyed.job_marks"
 TOPIC_QUARANTINE = "keyed.quarantine"
+TOPIC_SLOTS = "keyed.slots"
 KEY_CONFIG = "config"
 KEY_VERSION_PREFIX = "version/"
 
