--- /dev/null
+++ b/cranberryline/decisions/slot_supply.py
@@ -0,0 +1,115 @@
+"""Free slots of shared engines while waiting texts are placed on them.
+
+Answers engines of unequal speeds before groups of texts of unequal lengths.
+"""
+
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from statistics import median_low
+
+import attrs
+
+from .slot_model import EngineState, RunningText, TextDemand
+
+__all__ = ["SlotSupply"]
+
+# Engines whose speeds differ by less count as equal.
+EQUAL_SPEED_RATIO = 1.15
+# A text may be twice as long as estimated, and the longest of its group half as long.
+ESTIMATE_MARGIN = 2.0
+
+
+@attrs.define
+class _Kind:
+    """The engines that may run the texts of a model and a version; slowest first."""
+
+    fastest: float
+    engines: list[EngineState]
+
+
+class SlotSupply:
+    """The free slots of engines, and how many slots each trainer uses, during one call.
+
+    `caps` is the most slots that a trainer may use; trainers that it does not name have no limit.
+    """
+
+    def __init__(
+        self,
+        engines: Sequence[EngineState],
+        running: Sequence[RunningText],
+        caps: Mapping[str, int],
+    ) -> None:
+        self._engines = engines
+        self._free = {engine.id: engine.free for engine in engines if engine.free > 0}
+        self._speeds = _speeds(engines)
+        self._kinds: dict[tuple[str, int | None], _Kind] = {}
+        self._caps = caps
+        self._used = Counter(text.trainer for text in running)
+
+    @property
+    def empty(self) -> bool:
+        """Return whether no engine has a free slot."""
+        return not self._free
+
+    def fastest(self, demand: TextDemand) -> float:
+        """Return the events per second of the fastest engine for a text, 0 if unknown."""
+        return self._kind(demand).fastest
+
+    def has_room(self, demand: TextDemand) -> bool:
+        """Return whether a text may get a slot."""
+        cap = self._caps.get(demand.trainer)
+        if cap is not None and self._used[demand.trainer] >= cap:
+            return False
+        return bool(self._kind(demand).engines)
+
+    def take(self, demand: TextDemand) -> str:
+        """Take a free slot for a text that there is room for, and return its engine."""
+        kind = self._kind(demand)
+        chosen = self._choose(demand, kind)
+        self._used[demand.trainer] += 1
+        self._free[chosen] -= 1
+        if not self._free[chosen]:
+            self._remove(chosen)
+        return chosen
+
+    def _remove(self, name: str) -> None:
+        del self._free[name]
+        for kind in self._kinds.values():
+            kind.engines = [engine for engine in kind.engines if engine.id != name]
+
+    def _kind(self, demand: TextDemand) -> _Kind:
+        key = (demand.model, demand.min_version)
+        kind = self._kinds.get(key)
+        if kind is None:
+            serving = [engine for engine in self._engines if engine.serves(*key)]
+            fastest = max((self._speeds[engine.id] for engine in serving), default=0.0)
+            free = [engine for engine in serving if engine.id in self._free]
+            free.sort(key=lambda engine: self._speeds[engine.id])
+            kind = self._kinds[key] = _Kind(fastest, free)
+        return kind
+
+    def _choose(self, demand: TextDemand, kind: _Kind) -> str:
+        names = [engine.id for engine in kind.engines]
+        if demand.avoid:
+            names = [name for name in names if name not in demand.avoid] or names
+        speed = self._slowest_in_time(demand, names, kind.fastest)
+        low, high = speed / EQUAL_SPEED_RATIO, speed * EQUAL_SPEED_RATIO
+        equal = [name for name in names if low <= self._speeds[name] <= high]
+        return max(equal, key=lambda name: (name in demand.connected, self._free[name]))
+
+    def _slowest_in_time(
+        self, demand: TextDemand, names: Sequence[str], fastest_usable: float
+    ) -> float:
+        """Return the least speed at which a text ends well before its group, else the highest."""
+        highest = self._speeds[names[-1]]
+        if demand.events_left >= demand.group_events_left:
+            return highest
+        least = demand.events_left * ESTIMATE_MARGIN * fastest_usable / demand.group_events_left
+        return next((self._speeds[name] for name in names if self._speeds[name] >= least), highest)
+
+
+def _speeds(engines: Sequence[EngineState]) -> dict[str, float]:
+    """Return the speeds by engine; an unknown one counts as the typical one."""
+    known = [engine.events_per_second for engine in engines if engine.events_per_second > 0]
+    typical = median_low(known) if known else 0.0
+    return {engine.id: engine.events_per_second or typical for engine in engines}
