--- /dev/null
+++ b/cranberryline/slots/parts.py
@@ -0,0 +1,43 @@
+"""What a gateway provides to the client of slots."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import attrs
+
+from cranberryline.helpers.clock import Clock
+
+from .keeper import SlotKeeper
+from .model import EngineSlots
+from .ports import SlotTransport
+
+__all__ = ["SlotClientParts"]
+
+
+def _count_nothing(event: str) -> None:
+    return
+
+
+@attrs.frozen
+class SlotClientParts:
+    """Parts of the gateway that the client uses.
+
+    `node` is the id of this gateway's VM and `start` identifies this run of its process. `keeper`
+    is used directly where this gateway is the keeper. `peers` returns the peer address of each live
+    gateway that is not stopping by VM id, this one included. `is_shared` returns whether the slots
+    of a service are shared. `rates` returns the events per second of single texts that this gateway
+    measured lately, by upstream, and `connected` the upstreams of a service with an idle
+    connection. `count` counts an event for the metrics: "granted", "unshared", "keeper_silent" or
+    "moved".
+    """
+
+    node: str
+    start: str
+    clock: Clock
+    keeper: SlotKeeper
+    transport: SlotTransport
+    peers: Callable[[], Mapping[str, str]]
+    engines: Callable[[str], Sequence[EngineSlots]]
+    is_shared: Callable[[str], bool]
+    rates: Callable[[], Mapping[str, float]]
+    connected: Callable[[str], frozenset[str]]
+    count: Callable[[str], None] = _count_nothing
--- /dev/null
+++ b/cranberryline/slots/session.py
@@ -0,0 +1,323 @@
+"""The texts of one gateway at one shard of a service, and its exchanges with the keeper."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+
+import attrs
+from result import Err, Ok, Result
+
+from cranberryline.decisions.slot_model import RunEnd
+
+from .const import (
+    ACQUIRE_TIMEOUT,
+    FORGET_AFTER,
+    KEEPER_PAUSE,
+    MAX_NAMES,
+    MAX_OPEN_EXCHANGES,
+    MAX_ROWS,
+    MAX_WAIT,
+    POLL_GAP,
+    REPLY_ALLOWANCE,
+)
+from .grants import GrantHolder, HeldGrant
+from .messages import RejectedText, SlotAnswer, SlotExchange
+from .model import EngineSlots, SlotGrant, SlotNeed
+from .pacing import ExchangePacing
+from .parts import SlotClientParts
+from .ports import KeeperError, KeeperProblem
+from .route import KeeperRoute, Peer
+from .rows import held_row, waiting_row
+
+__all__ = ["SessionScope", "SlotSession"]
+
+_REPORTED = (RunEnd.REJECTED, RunEnd.FAILED)
+
+
+@attrs.frozen(eq=False)
+class _Waiter:
+    need: SlotNeed
+    fut: asyncio.Future[HeldGrant | None]
+
+
+@attrs.frozen
+class SessionScope:
+    """The shard that a session is about.
+
+    `engines` returns the engines of the shard by id, `is_current` whether the service is still
+    divided into as many shards, and `take_number` the next number of an exchange.
+    """
+
+    service: str
+    shard: int
+    shards: int
+    engines: Callable[[], Mapping[str, EngineSlots]]
+    is_current: Callable[[], bool]
+    take_number: Callable[[], int]
+
+    @property
+    def name(self) -> str:
+        """Return the name by which all gateways rank the keepers of the shard."""
+        return f"slots/{self.service}/{self.shard}"
+
+
+class SlotSession(GrantHolder):
+    """Keeps what this gateway's texts hold and wait for, and tells the keeper while there is any.
+
+    `retire` is called once the service is divided otherwise, to hand the texts over.
+    """
+
+    def __init__(
+        self,
+        parts: SlotClientParts,
+        route: KeeperRoute,
+        scope: SessionScope,
+        retire: Callable[[], None],
+    ) -> None:
+        self._parts = parts
+        self._route = route
+        self._scope = scope
+        self._retire = retire
+        self._pacing = ExchangePacing(parts.clock, self._send)
+        self._waiting: dict[int, _Waiter] = {}
+        self._held: dict[int, HeldGrant] = {}
+        self._rejected: dict[RejectedText, None] = {}
+        self._told_rates: dict[str, float] = {}
+        self._told: Peer | None = None
+        self._open: set[asyncio.Task[None]] = set()
+        self._newest = -1
+        self._failures = 0
+        self._is_behind = False
+        self._paused_until = timedelta()
+        self._closed = False
+
+    @property
+    def is_open_for_needs(self) -> bool:
+        """Return whether a keeper may be asked for slots now."""
+        if self._closed or self._parts.clock.monotonic() < self._paused_until:
+            return False
+        return bool(self._scope.engines())
+
+    async def async_wait(self, ticket: int, need: SlotNeed) -> SlotGrant | None:
+        """Wait for the grant of a ticket; None if the keeper is silent or has no slot in time."""
+        fut: asyncio.Future[HeldGrant | None] = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = _Waiter(need, fut)
+        self._pacing.request()
+        try:
+            async with asyncio.timeout(ACQUIRE_TIMEOUT.total_seconds()):
+                return await fut
+        except TimeoutError:
+            self._give_back(fut)
+            return None
+        except asyncio.CancelledError:
+            self._give_back(fut)
+            raise
+        finally:
+            self.forget(ticket)
+
+    def forget(self, ticket: int) -> None:
+        """Do not wait for a ticket any more."""
+        if self._waiting.pop(ticket, None) is not None:
+            self._request()
+
+    def hold(self, grant: HeldGrant) -> None:
+        """Tell the keeper of a slot that a text uses."""
+        grant.holder = self
+        self._held[grant.ticket] = grant
+        self._request()
+
+    def drop(self, grant: HeldGrant, end: RunEnd) -> None:
+        """Handle that a slot is not used any more."""
+        self._held.pop(grant.ticket, None)
+        if end in _REPORTED and len(self._rejected) < MAX_ROWS:
+            self._rejected[RejectedText(grant.upstream, grant.need.model, end)] = None
+        self._request()
+
+    def replace(self, grant: HeldGrant) -> None:
+        """Handle that a text uses another slot under the same ticket."""
+        self._held[grant.ticket] = grant
+        self._parts.count("moved")
+        self._request()
+
+    def take_held(self) -> list[HeldGrant]:
+        """Return the slots that are used, which another session takes over."""
+        held = list(self._held.values())
+        self._held.clear()
+        return held
+
+    def close(self) -> list[asyncio.Task[None]]:
+        """Stop at once, let the texts that wait choose by themselves; return what is cancelled."""
+        self._closed = True
+        self._pacing.cancel()
+        self._refuse_waiting()
+        for task in self._open:
+            task.cancel()
+        return list(self._open)
+
+    def _request(self) -> None:
+        if not self._closed:
+            self._pacing.request()
+
+    def _send(self) -> None:
+        """Send an exchange, unless the keepers are left alone or enough are under way."""
+        if not self._scope.is_current():
+            self._retire()
+            return
+        if self._parts.clock.monotonic() < self._paused_until:
+            self._pacing.delay(self._paused_until)
+            return
+        if len(self._open) >= MAX_OPEN_EXCHANGES:
+            self._is_behind = True
+            return
+        peer = self._route.find(self._scope.name)
+        if peer is None:
+            self._give_up()
+            return
+        self._pacing.record_sent(refresh=self._has_texts)
+        task = asyncio.create_task(self._async_exchange(peer, self._exchange(peer)))
+        self._open.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """Keep one exchange open while texts wait, so that a grant comes without delay."""
+        self._open.discard(task)
+        if self._closed:
+            return
+        if self._is_behind:
+            self._is_behind = False
+            self._pacing.request()
+        if self._waiting and not self._open:
+            self._pacing.request(POLL_GAP)
+
+    async def _async_exchange(self, peer: Peer, msg: SlotExchange) -> None:
+        sent = self._parts.clock.elapsed()
+        timeout = timedelta(milliseconds=msg.wait_ms) + REPLY_ALLOWANCE
+        reply = await self._async_ask(peer, msg, timeout)
+        took = self._parts.clock.elapsed() - sent
+        if isinstance(reply, Ok) and took < FORGET_AFTER:
+            self._take_answer(msg, reply.ok_value)
+        elif took < timeout + REPLY_ALLOWANCE:
+            self._handle_silence(peer)
+        elif self._has_texts:
+            # This VM was paused, not the keeper; an answer from before does not stand any more.
+            self._request()
+
+    async def _async_ask(
+        self, peer: Peer, msg: SlotExchange, timeout: timedelta
+    ) -> Result[SlotAnswer, KeeperError]:
+        """Return the answer of a keeper, this gateway itself included."""
+        if peer.node == self._parts.node:
+            reply: Result[SlotAnswer, KeeperError] = Ok(
+                await self._parts.keeper.async_exchange(msg)
+            )
+        else:
+            reply = await self._parts.transport.async_exchange(peer.address, msg, timeout)
+        if isinstance(reply, Ok) and reply.ok_value.problem:
+            return Err(KeeperError(KeeperProblem.REJECTED, reply.ok_value.problem))
+        return reply
+
+    @property
+    def _has_texts(self) -> bool:
+        return bool(self._waiting or self._held)
+
+    def _exchange(self, peer: Peer) -> SlotExchange:
+        """Return all that the keeper is told; reports are told once."""
+        now = self._parts.clock.monotonic()
+        engines = self._scope.engines()
+        connected = self._parts.connected(self._scope.service) if self._waiting else frozenset()
+        waiting = [waiting_row(each, waiter.need, now) for each, waiter in self._waiting.items()]
+        held = [
+            held_row(ticket, grant.upstream, grant.need, now)
+            for ticket, grant in self._held.items()
+        ]
+        rejected = tuple(self._rejected)
+        self._rejected.clear()
+        return SlotExchange(
+            node=self._parts.node,
+            start=self._parts.start,
+            number=self._scope.take_number(),
+            service=self._scope.service,
+            shard=self._scope.shard,
+            shards=self._scope.shards,
+            wait_ms=int(MAX_WAIT / timedelta(milliseconds=1)) if waiting else 0,
+            waiting=tuple(waiting[:MAX_ROWS]),
+            held=tuple(held[:MAX_ROWS]),
+            rejected=rejected,
+            rates=self._new_rates(peer, engines),
+            connected=tuple(sorted(engines.keys() & connected))[:MAX_NAMES],
+        )
+
+    def _new_rates(
+        self, peer: Peer, engines: Mapping[str, EngineSlots]
+    ) -> tuple[tuple[str, float], ...]:
+        """Return the rates of the shard's engines that this keeper has not been told."""
+        if peer != self._told:
+            self._told = peer
+            self._told_rates = {}
+        rates = self._parts.rates()
+        new = {
+            name: rates[name]
+            for name in engines.keys() & rates.keys()
+            if rates[name] != self._told_rates.get(name)
+        }
+        self._told_rates |= new
+        return tuple(new.items())
+
+    def _take_answer(self, msg: SlotExchange, answer: SlotAnswer) -> None:
+        self._failures = 0
+        for row in answer.grants:
+            waiter = self._waiting.pop(row.ticket, None)
+            if waiter is not None:
+                self._take_grant(waiter, row.ticket, row.upstream)
+        if msg.number > self._newest:
+            self._newest = msg.number
+            self._set_moves({row.ticket: row.upstream for row in answer.moves})
+
+    def _take_grant(self, waiter: _Waiter, ticket: int, upstream: str) -> None:
+        """Let a text use its slot; one that was cancelled in this turn gives it back itself."""
+        grant = HeldGrant(self, ticket, waiter.need, upstream)
+        self.hold(grant)
+        if waiter.fut.done():
+            grant.release(RunEnd.UNUSED)
+            return
+        self._parts.count("granted")
+        waiter.fut.set_result(grant)
+
+    def _set_moves(self, moves: Mapping[int, str]) -> None:
+        for ticket, grant in self._held.items():
+            grant.target = moves.get(ticket, "")
+
+    def _handle_silence(self, peer: Peer) -> None:
+        """Ask the next gateway at once; after two were silent, leave all alone for a while."""
+        if self._route.pass_over(peer):
+            self._failures += 1
+        if not self._has_texts:
+            self._failures = 0
+        elif self._failures > 1:
+            self._give_up()
+        else:
+            self._request()
+
+    def _give_up(self) -> None:
+        """Let the texts that wait choose by themselves, and new ones for a while."""
+        self._failures = 0
+        self._paused_until = self._parts.clock.monotonic() + KEEPER_PAUSE
+        self._parts.count("keeper_silent")
+        self._set_moves({})
+        self._refuse_waiting()
+        self._pacing.cancel()
+        if self._held:
+            self._pacing.delay(self._paused_until)
+
+    def _refuse_waiting(self) -> None:
+        for waiter in self._waiting.values():
+            if not waiter.fut.done():
+                waiter.fut.set_result(None)
+        self._waiting.clear()
+
+    def _give_back(self, fut: asyncio.Future[HeldGrant | None]) -> None:
+        """Release a slot that was granted in the turn in which its text stopped waiting."""
+        if fut.done() and not fut.cancelled():
+            grant = fut.result()
+            if grant is not None:
+                grant.release(RunEnd.UNUSED)
