--- a/cranberryline/slots/gateway_tickets.py
+++ b/cranberryline/slots/gateway_tickets.py
@@ -10,9 +10,7 @@
 from .const import FORGET_AFTER
 from .messages import HeldSlot, SlotExchange, SlotGranted, WaitingText
 
-__all__ = ["GatewayTickets", "Key"]
-
-Key = tuple[str, int]  # node and ticket
+__all__ = ["GatewayTickets"]
 
 MAX_REPLACED_STARTS = 4
 
