Send a request to the upstream that it is pinned to

Cause: a text with a granted slot has to run on the engine of that slot. Routing would weigh it against others, and a text elsewhere takes a slot that was granted to another text. Ruled out: an eligibility test alone; routing then draws upstreams at random until it meets the one, and sends health probes of other upstreams instead. Change: choose_upstream returns the pinned upstream if it may serve, has a free slot and is not failing (a failing one only for a probe that is due), else none. Other upstreams may not be used, so an attempt at a stale registration isn't repeated at the same upstream without a delay.

--- a/cranberryline/dispatch/candidates.py
+++ b/cranberryline/dispatch/candidates.py
@@ -37,12 +37,28 @@
 ) -> Upstream | None:
     """Return the upstream with a free slot to send a request to, or None if none may serve it.
 
-    The pool must be up to date. `routed` is the request as routing sees it.
+    The pool must be up to date. `routed` is the request as routing sees it. A request that is
+    pinned to an upstream gets no other one.
     """
+    if req.upstream:
+        return _pinned_upstream(pool, req, routed, now)
     chosen = _Selection(pool, req, routed, now, rng).choose()
     return None if chosen is None else pool.get(chosen)
 
 
+def _pinned_upstream(
+    pool: UpstreamPool, req: CallerRequest, routed: RouteRequest, now: timedelta
+) -> Upstream | None:
+    """Return the upstream of a pinned request if it can be sent there now."""
+    upstream = pool.get(req.upstream)
+    if upstream is None or not req.may_use(upstream.id):
+        return None
+    if upstream.id in pool.free:
+        return upstream
+    probes = routed.may_probe and upstream.id in pool.failing and upstream.probe_due(now)
+    return upstream if probes else None
+
+
 @attrs.frozen
 class _Selection:
     """The choice of an upstream for one request."""
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -83,6 +83,12 @@
         """Return whether the request may be sent to an upstream now."""
         if self.is_wanted is not None and not self.is_wanted():
             return False
+        return self.may_use(vm_id)
+
+    def may_use(self, vm_id: str) -> bool:
+        """Return whether an upstream may serve the request."""
+        if self.upstream and vm_id != self.upstream:
+            return False
         return self.eligible is None or self.eligible(vm_id)
 
     @property
