Run texts in the slots that they are granted, and log why runs are cut

Cause: a gateway chooses engines by its own requests alone, and its log didn't say which runs it cut, where and why. Ruled out: a grant kept over the retries of an item (it would stay held while the item waits for fresh job data or a delay); a task for each text where slots aren't shared. Change: ItemRun asks for a grant before each request and pins the request to it; what it holds is released in one finally with the end that the run had. A text moves to the slot that its grant names, behind its last whole event. Without a grant the engine is chosen as before and its slot is recorded. Rejections by a granted engine start no cooldown of this gateway. After a failed grant the next one is asked for at once, unless the same engine failed twice or nothing was sent. Cut runs are logged (item_run_cut) and counted, and item_ended lists the causes. The watch of a run and the scoring request are modules of their own. SlotSource.is_shared is new (true by default): nothing is computed for a text where it is false.

--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -83,6 +83,19 @@
         self.usage_reports = self._counter(
             "usage_reports", "Reports of use that were sent.", "outcome"
         )
+        self.item_cuts = self._counter(
+            "item_run_cuts", "Requests for texts that this gateway cut.", "cause"
+        )
+        self.slot_events = self._counter(
+            "slot_events", "What came of the exchanges with keepers of slots.", "event"
+        )
+        self.slot_wait = Histogram(
+            "slot_wait_seconds",
+            "Time that texts waited for the slot that they were granted.",
+            namespace=_NAMESPACE,
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
         self.stops = self._counter("stops", "Planned stops, by how they ended.", "outcome")
         self.in_flight = self._gauge("in_flight", "Requests taken in and not yet answered.")
         self.queued = self._gauge("queued", "Requests that wait for a place.")
--- a/cranberryline/jobs/groups.py
+++ b/cranberryline/jobs/groups.py
@@ -1,7 +1,8 @@
 """The groups of a job: their sizes, and which of them were read completely."""
 
-from collections import Counter
-from collections.abc import Sequence
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
+from functools import cached_property
 
 from .model import Item, ItemHead, Job, JobHead
 
@@ -23,6 +24,14 @@
         self._processed = 0
         self._unreported: dict[str, int] = {}
 
+    @cached_property
+    def members(self) -> Mapping[str, Sequence[int]]:
+        """Return the indexes of each group's items, built on the gateways that run any of them."""
+        members: defaultdict[str, list[int]] = defaultdict(list)
+        for index, item in enumerate(self._items):
+            members[group_of(item)].append(index)
+        return members
+
     def newly_read(
         self, results: Sequence[tuple[int, object]], after: int, until: int
     ) -> list[str]:
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -1,27 +1,28 @@
 """Runs one item of a job: generates its text in one or more requests, then requests its score."""
 
-import asyncio
 from datetime import timedelta
 
-from result import Err, Ok, Result
+from result import Ok
 
 from cranberryline.decisions.excluded_upstreams import next_excluded
-from cranberryline.decisions.hedging import scoring_hedge_delay
 from cranberryline.decisions.moving import MAX_MOVES
-from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
-from cranberryline.dispatch.hedged import HedgedRequest
+from cranberryline.decisions.slot_model import RunEnd
+from cranberryline.dispatch.errors import Ran, Refusal
 from cranberryline.dispatch.model import CallerClass, CallerRequest, VersionNeed
 from cranberryline.helpers.logging import get_logger
 from cranberryline.routes import Route
+from cranberryline.slots import SlotNeed
 
 from .events import ItemText
 from .item_context import ItemContext
-from .model import ItemResult, ItemState, Scorer, TextPiece
+from .model import ItemResult, ItemState, TextPiece
 from .phases import ItemPhases
 from .pieces import PieceBuilder
-from .run_monitor import RunMonitor
+from .score_request import make_score_request
 from .sink import STATUS_OK, TextSink
 from .state import JobState
+from .text_run import CutCause, TextRun
+from .text_slot import TextSlot
 
 __all__ = ["ItemRun"]
 
@@ -31,13 +32,11 @@
 STATUS_UNPROCESSABLE = 422
 STATUS_SERVER_ERROR = 500
 
-_WATCH_INTERVAL = timedelta(milliseconds=250)
 _RUN_TIMEOUT = timedelta(seconds=10)
-_SCORE_TIMEOUT = timedelta(milliseconds=2500)
-_MAX_SCORE_ATTEMPTS = 2
 _MIN_RETRY_DELAY = timedelta(milliseconds=40)
 _MAX_RETRY_DELAY = timedelta(milliseconds=400)
-_ABANDONED = Refusal(RefusalReason.UPSTREAM_FAILED)
+# Limits the length of the log line of an item that was cut many times during an outage.
+MAX_CUTS = 8
 # Cost of reading a prompt token relative to generating a token. Engines read some 300 prompt tokens
 # in the time of one generated token, but share that capacity with their other texts. With a cost of
 # 1, prefix affinity would attract texts to slow engines.
@@ -59,8 +58,11 @@
         self.text_ended_at = self.began_at
         self.phases = ItemPhases(self.began_at)
         self.job_data_age: timedelta | None = None
+        self.cuts: list[CutCause] = []
         self._failed_runs = 0
         self._moves = 0
+        self._retry_at_once = False
+        self._left_upstream = ""
         self._pieces = PieceBuilder(state.head.id, index)
         self._retry_delay = _MIN_RETRY_DELAY
         self._avoided_upstreams: frozenset[str] = frozenset()
@@ -72,6 +74,14 @@
             return stored
         await self.context.async_read_texts(self.state)
         self._resume_stored_text()
+        self.context.texts.start(self.state, self.index, self.text)
+        try:
+            return await self._async_complete()
+        finally:
+            self.context.texts.discard(self.state, self.index)
+
+    async def _async_complete(self) -> ItemResult | None:
+        """Generate what is missing of the text, and score it."""
         while await self._async_is_needed():
             route = self._match_route(self.state.job.host, self.item.path)
             if route is None or self._is_expired(route):
@@ -79,7 +89,8 @@
             self._pieces.enabled = not route.single_version
             failed = await self._async_generate_text(route)
             if failed is None:
-                await self._async_back_off()
+                if not self._retry_at_once:
+                    await self._async_back_off()
                 continue
             if failed:
                 return ItemResult(ItemState.DEAD)
@@ -174,15 +185,67 @@
         self._retry_delay = min(self._retry_delay * 2, _MAX_RETRY_DELAY)
 
     async def _async_generate_text(self, route: Route) -> bool | None:
-        """Send one request for the text.
+        """Request the text at one upstream, and at others that it moves to.
 
         Return False if the text is complete, True if the item has failed permanently, and None if
         the item has to be retried.
         """
+        service = route.choose_service(self.context.rng)
+        context, shared = self.context, self.context.slots.is_shared(service)
+        need = self._make_slot_need(route, service) if shared else None
+        slot = TextSlot(context.slots, need, context.clock, context.metrics)
+        try:
+            if not await slot.async_acquire(self._is_needed):
+                return None
+            failed = await self._async_run_request(route, service, slot)
+            while slot.moving:
+                slot.move()
+                failed = await self._async_run_request(route, service, slot)
+            return failed
+        finally:
+            slot.release()
+            self._retry_at_once = self._may_retry_at_once(slot)
+
+    def _may_retry_at_once(self, slot: TextSlot) -> bool:
+        """Return whether the next slot may be asked for without a delay.
+
+        The keeper passes over an engine that has just failed a text. Without a delay, a second
+        failure of the same engine could be followed by any number of them.
+        """
+        previous, self._left_upstream = self._left_upstream, slot.upstream
+        return slot.end is not RunEnd.UNUSED and slot.upstream not in ("", previous)
+
+    def _make_slot_need(self, route: Route, service: str) -> SlotNeed:
+        context, state, job = self.context, self.state, self.state.job
+        return SlotNeed(
+            service=service,
+            trainer=job.model or job.host,
+            due=state.seen_at + (route.max_wait or route.timeout),
+            events_left=lambda: context.texts.events_left(state, self.index),
+            group_events_left=lambda: context.texts.group_events_left(state, self.index),
+            model=job.model,
+            min_version=job.min_version,
+            rank=context.routes.rank(route, job.workspace),
+            avoid=self._avoided_upstreams,
+            prompt=self.item.prefix,
+            may_move=self._may_move,
+        )
+
+    async def _async_run_request(self, route: Route, service: str, slot: TextSlot) -> bool | None:
+        """Send one request for the text; the result is that of `_async_generate_text`."""
+        if slot.upstream and not self._serves_version(slot.upstream):
+            slot.end = RunEnd.REJECTED
+            return None
         self.runs += 1
-        sink = TextSink(self.context, self.state, self.text, self.phases, route.single_version)
+        sink = TextSink(
+            self.context, self.state, self.text, self.phases, route.single_version, slot
+        )
         events_before = len(self.text.events)
-        outcome = await self._async_dispatch(route, sink)
+        req = self._make_request(route, service, slot.upstream)
+        run = TextRun(
+            self.context, self.item, self.text, req, sink, slot, self._may_move, self._record_cut
+        )
+        outcome = await run.async_run()
         if sink.upstream:
             self._avoided_upstreams = next_excluded(self._avoided_upstreams, sink.upstream)
         if len(self.text.events) > events_before:
@@ -190,18 +253,26 @@
         complete = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.complete
         self.text_ended_at = self.context.clock.monotonic()
         self.phases.run_ended(self.text_ended_at, complete)
+        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
+        slot.end = run.end(outcome, complete, up_to_date and self._is_needed())
         if complete:
             self.context.lengths.record_completed(self.item.told_tokens, len(self.text.events))
+            self.context.texts.complete(self.state, self.index)
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_UNPROCESSABLE:
+            slot.end = RunEnd.DONE
             return True
         if isinstance(outcome, Ok) and sink.status == STATUS_SERVER_ERROR:
             self._failed_runs += 1
             return True if self._failed_runs >= route.max_attempts else None
         refusal = outcome.err()
-        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
-        if refusal is not None and refusal.ran is Ran.NO and sink.upstream and up_to_date:
+        rejected = refusal is not None and refusal.ran is Ran.NO and sink.upstream and up_to_date
+        if rejected and not slot.upstream and not slot.moving:
             self.context.rejecting_upstreams.start(sink.upstream, self.context.clock.monotonic())
+        self._log_broken_run(sink, refusal)
+        return None
+
+    def _log_broken_run(self, sink: TextSink, refusal: Refusal | None) -> None:
         reason = sink.abort_reason or (refusal.reason if refusal else "cut")
         self.context.metrics.retry(f"item_{reason}")
         _LOGGER.debug(
@@ -213,22 +284,26 @@
             reason=reason,
             events=len(self.text.events),
         )
-        return None
 
-    async def _async_dispatch(self, route: Route, sink: TextSink) -> Result[str, Refusal]:
-        """Send the item to an upstream; cancel the request if the upstream is stalled or slow."""
-        job, model, min_version = self.state.job, self.state.job.model, self.state.job.min_version
+    def _serves_version(self, upstream: str) -> bool:
+        """Return whether an upstream serves a version that the job allows."""
+        job = self.state.job
+        if job.min_version is None:
+            return True
+        version = self.context.versions.version(upstream, job.model)
+        return version is not None and version >= job.min_version
 
-        def eligible(upstream: str) -> bool:
-            if self.context.rejecting_upstreams.is_active(upstream, self.context.clock.monotonic()):
-                return False
-            if min_version is None:
-                return True
-            version = self.context.versions.version(upstream, model)
-            return version is not None and version >= min_version
+    def _is_eligible(self, upstream: str) -> bool:
+        """Return whether this gateway may choose an upstream for the text."""
+        now = self.context.clock.monotonic()
+        rejects = self.context.rejecting_upstreams.is_active(upstream, now)
+        return not rejects and self._serves_version(upstream)
 
-        req = CallerRequest(
-            service=route.choose_service(self.context.rng),
+    def _make_request(self, route: Route, service: str, upstream: str) -> CallerRequest:
+        """Return the request for the text; `upstream` is the granted one, empty if there is none."""
+        job, model, min_version = self.state.job, self.state.job.model, self.state.job.min_version
+        return CallerRequest(
+            service=service,
             method="POST",
             path=self.item.path,
             headers=self.context.edge.item_headers(job, self.item, self.text.last_id),
@@ -243,36 +318,21 @@
             prefix_tokens=int(self.item.prefix_tokens * PROMPT_READ_COST),
             avoid=self._avoided_upstreams,
             is_wanted=self._may_send,
-            eligible=eligible,
+            eligible=self._serves_version if upstream else self._is_eligible,
             version_need=None if min_version is None else VersionNeed(model, min_version),
             max_attempts=1,
             token_rate=self._tokens_per_second,
             request_id=self.item.id,
+            upstream=upstream,
         )
-        monitor = RunMonitor(self.context, self.item, self.text, req, sink)
-        task = asyncio.ensure_future(self.context.dispatcher.async_run(req, sink))
-        try:
-            while True:
-                done, _ = await asyncio.wait((task,), timeout=_WATCH_INTERVAL.total_seconds())
-                if done:
-                    return task.result()
-                if monitor.is_stalled():
-                    sink.abort_reason = "stalled"
-                elif self._may_move() and monitor.is_slow():
-                    sink.abort_reason = "slow"
-                    self._moves += 1
-                else:
-                    continue
-                task.cancel()
-                await asyncio.wait((task,))
-                return Err(_ABANDONED)
-        finally:
-            if not task.done():
-                task.cancel()
 
     def _may_move(self) -> bool:
         return self.phases.stage == "text" and self._moves < MAX_MOVES
 
+    def _record_cut(self, cause: CutCause) -> None:
+        self.cuts = [*self.cuts, cause][-MAX_CUTS:]
+        self._moves += cause in (CutCause.SLOW, CutCause.MOVED)
+
     def _tokens_left(self) -> int:
         return self.context.lengths.tokens_left(self.item.told_tokens, len(self.text.events))
 
@@ -300,7 +360,9 @@
             self.phases.scoring_queued(self.context.clock.monotonic())
             async with self.context.scoring_slots.slot(service):
                 self.phases.scoring_sent(self.context.clock.monotonic())
-                request = self._make_score_request(scorer, route, service)
+                request = make_score_request(
+                    self.context, self.state, scorer, route, service, self._may_send
+                )
                 outcome = await request.async_run()
             failures += request.failures
             answer = outcome.ok()
@@ -312,40 +374,6 @@
             await self._async_back_off()
         return None
 
-    def _make_score_request(self, scorer: Scorer, route: Route, service: str) -> HedgedRequest:
-        """Return the scoring request, which is hedged at another upstream if its answer is slow."""
-        deadline = self.context.clock.monotonic() + _SCORE_TIMEOUT
-
-        def make_request(avoid: frozenset[str]) -> CallerRequest:
-            return CallerRequest(
-                service=service,
-                method="POST",
-                path=scorer.path,
-                headers=self.context.edge.scorer_headers(scorer),
-                body=scorer.body,
-                deadline=deadline,
-                caller=self.state.job.host,
-                caller_class=CallerClass.TRAINER,
-                workspace=self.state.head.workspace,
-                rank=route.priority,
-                avoid=avoid,
-                is_wanted=self._may_send,
-                max_attempts=1,
-                request_id=scorer.id,
-            )
-
-        attempts = min(route.max_attempts, _MAX_SCORE_ATTEMPTS)
-        context = self.context
-        hedge_delay = scoring_hedge_delay(route.goal)
-        return HedgedRequest(
-            context.dispatcher,
-            context.hedge_budget,
-            context.metrics,
-            make_request,
-            hedge_delay,
-            attempts,
-        )
-
     def _make_result(self, score: str) -> ItemResult:
         versions = tuple(self.text.versions)
         return ItemResult(ItemState.COMPLETED, self.text.text, versions, score)
--- a/cranberryline/jobs/item_context.py
+++ b/cranberryline/jobs/item_context.py
@@ -14,12 +14,14 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.routes import ActiveRoutes
+from cranberryline.slots import NoSlotSharing, SlotSource
 from cranberryline.upstreams.versions import UpstreamVersions
 
 from .freshness import JobFreshness
 from .model import Item, ItemResult
 from .partial_texts import PartialText
 from .ports import EdgeFormat
+from .running_texts import RunningTexts
 from .scoring import ScoringSlots
 from .state import JobState
 
@@ -61,3 +63,9 @@
     rejecting_upstreams: UpstreamCooldowns = attrs.field(factory=UpstreamCooldowns)
     lengths: TextLengthEstimator = attrs.field(factory=TextLengthEstimator)
     paces: EngineRates = attrs.field(factory=EngineRates)
+    slots: SlotSource = attrs.field(factory=NoSlotSharing)
+    texts: RunningTexts = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Estimate the running texts by the lengths of the completed ones."""
+        self.texts = RunningTexts(self.lengths)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cranberryline.decisions.moving import EngineRates
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
@@ -15,6 +16,7 @@
 from cranberryline.helpers.partition import partition_of
 from cranberryline.helpers.tail import PartitionTail
 from cranberryline.routes import ActiveRoutes
+from cranberryline.slots import NoSlotSharing, SlotSource
 from cranberryline.upstreams.versions import UpstreamVersions
 
 from .groups import group_of
@@ -58,6 +60,8 @@
     live_nodes: Callable[[timedelta], Collection[str]]
     # Returns whether work may be sent by the active routes.
     async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
+    paces: EngineRates = attrs.field(factory=EngineRates)
+    slots: SlotSource = attrs.field(factory=NoSlotSharing)
 
 
 @attrs.frozen(eq=False)
@@ -116,6 +120,8 @@
             dependencies.jobs.book.find_partial_text,
             dependencies.jobs.texts.async_read,
             dependencies.async_confirm_routes,
+            paces=dependencies.paces,
+            slots=dependencies.slots,
         )
         self._keeper = TextCheckpointer(
             dependencies.jobs,
@@ -316,6 +322,7 @@
             place_ms=in_milliseconds(phases.slot_wait),
             prefill_ms=in_milliseconds(phases.prefill),
             broken_ms=in_milliseconds(phases.lost),
+            cuts=run.cuts,
             resumed=phases.resumed,
             upstreams=phases.upstreams,
             score_ms=in_milliseconds(ended - run.text_ended_at),
--- a/cranberryline/jobs/sink.py
+++ b/cranberryline/jobs/sink.py
@@ -9,6 +9,7 @@
 from .item_context import ItemContext
 from .phases import ItemPhases
 from .state import JobState
+from .text_slot import TextSlot
 
 __all__ = ["STALL_TIMEOUT", "STATUS_OK", "TextSink"]
 
@@ -28,17 +29,20 @@
         text: ItemText,
         phases: ItemPhases,
         single_version: bool,
+        slot: TextSlot,
     ) -> None:
         self._context = context
         self._state = state
         self._text = text
         self._phases = phases
         self._single_version = single_version
+        self._slot = slot
         self._reader = EventReader(context.edge.version_field)
         self._version: int | None = None
         self.status = 0
         self.upstream = ""
         self.abort_reason = ""
+        self.dispatched_at: timedelta | None = None
         self.last_received_at: timedelta | None = None
         self._last_event_at: timedelta | None = None
 
@@ -54,7 +58,8 @@
     def dispatched(self, upstream: str) -> None:
         """Record the upstream of the request, and start its silence timeout."""
         self.upstream = upstream
-        self.last_received_at = self._context.clock.monotonic()
+        self.dispatched_at = self.last_received_at = self._context.clock.monotonic()
+        self._slot.dispatched(upstream)
         self._phases.dispatched(self.last_received_at, upstream, len(self._text.events))
         last_received = self._context.last_received_at
         if len(last_received) > _MAX_TRACKED_UPSTREAMS:
@@ -67,6 +72,10 @@
             ]:
                 del last_received[key]
 
+    def not_run(self) -> None:
+        """Record that the upstream did not run the request."""
+        self._slot.not_run()
+
     async def async_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bool:
         """Process the status and the model version that the upstream starts with.
 
--- a/cranberryline/slots/model.py
+++ b/cranberryline/slots/model.py
@@ -65,6 +65,10 @@
 class SlotSource(abc.ABC):
     """Grants slots of engines that several gateways share."""
 
+    def is_shared(self, service: str) -> bool:
+        """Return whether slots of a service may be granted, so that asking for one is worth it."""
+        return True
+
     @abc.abstractmethod
     async def async_acquire(self, need: SlotNeed) -> SlotGrant | None:
         """Wait for a slot; None if this gateway has to choose an engine by itself.
@@ -95,6 +99,10 @@
 class NoSlotSharing(SlotSource):
     """Leaves every choice of an engine to this gateway."""
 
+    def is_shared(self, service: str) -> bool:
+        """Return False."""
+        return False
+
     async def async_acquire(self, need: SlotNeed) -> SlotGrant | None:
         """Return None at once."""
         return None
--- a/tests/jobs/engine_harness.py
+++ b/tests/jobs/engine_harness.py
@@ -157,13 +157,16 @@
         self, min_version: int = 1, name: str = "item-1", told_tokens: int = 0
     ) -> ItemResult:
         """Run an item until it is completed, and return its result."""
-        item = Item(name, "/p/x", (), b"b", 10, "g0", told_tokens=told_tokens)
-        job = Job("j1", "h.example", "/p/1", (item,), 0.0, MODEL, 1, min_version, 1)
-        state = JobState.from_job(job, timedelta())
-        result = await ItemRun(self.context, state, 0).async_run()
+        result = await self.make_run(min_version, name, told_tokens).async_run()
         assert result is not None and result.state is ItemState.COMPLETED
         return result
 
+    def make_run(self, min_version: int = 1, name: str = "item-1", told_tokens: int = 0) -> ItemRun:
+        """Return the run of an item that is the only one of its job."""
+        item = Item(name, "/p/x", (), b"b", 10, "g0", told_tokens=told_tokens)
+        job = Job("j1", "h.example", "/p/1", (item,), 0.0, MODEL, 1, min_version, 1)
+        return ItemRun(self.context, JobState.from_job(job, timedelta()), 0)
+
 
 def _answer_head(headers: tuple[tuple[str, str], ...]) -> AnswerHead:
     version = dict(headers).get("version")
--- a/tests/jobs/gateway_fake.py
+++ b/tests/jobs/gateway_fake.py
@@ -85,6 +85,7 @@
         max_wait=None,
         max_attempts=3,
         goal=timedelta(seconds=1),
+        timeout=timedelta(seconds=30),
         choose_service=lambda _rng: "engines",
     )
     return SimpleNamespace(
