Share slots of engines between gateways by the setting slot_sharing

Cause: keeper and client of slots need the engines, the live gateways, the measured rates and a way to each other. Ruled out: the registration of the handlers where sharing is off (a peer then gets 404 and asks the next gateway); a list of engines made for each call (the keeper divides them anew each time).

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -43,6 +43,7 @@
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .relay_calls import Redaction
+from .slots import GatewaySlots
 from .stop import StopParts, async_stop_gateway
 from .tasks import leave_log_to_handlers, log_task_failure, run_soon
 from .usage import GatewayUsage
@@ -143,6 +144,9 @@
             cfg.vm_id,
             self._live_nodes,
         )
+        self.slots = GatewaySlots(
+            cfg, clock, self.metrics, self.directory, self.routes, self.upstreams, self.nodes
+        )
         self.runner = JobRunner(
             RunnerDependencies(
                 self.jobs,
@@ -155,6 +159,8 @@
                 cfg.vm_id,
                 self.nodes.live_nodes,
                 lambda: self.confirmation.async_confirm(clock.monotonic()),
+                self.slots.paces,
+                self.slots.source,
             )
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
@@ -235,13 +241,15 @@
             [
                 (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
                 (PATH_HOLDS, HoldsHandler, {"quarantine": self.quarantine}),
+                *self.slots.status_handlers,
                 (r".*", ReadyHandler, {"ready": lambda: self.ready}),
             ],
             log_function=leave_log_to_handlers,
         )
         self._admin_server = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
         relay = Application(
-            [(PATH_RELAY, RelayHandler, {"log": self.store})], log_function=leave_log_to_handlers
+            [(PATH_RELAY, RelayHandler, {"log": self.store}), *self.slots.peer_handlers],
+            log_function=leave_log_to_handlers,
         )
         self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
@@ -286,6 +294,7 @@
         return await async_stop_gateway(parts, self._cfg.stop_timeout, self._clock)
 
     def _mark_closed(self) -> None:
+        self.slots.stop_answering()
         self._context.closed = True
 
     async def async_close(self) -> None:
@@ -295,6 +304,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.runner.async_close()
+        await self.slots.async_close()
         await self.jobs.async_close()
         await self.quarantine.async_close()
         await self.version_scheduler.async_close()
--- /dev/null
+++ b/cranberryline/gateway/slots.py
@@ -0,0 +1,157 @@
+"""Slot sharing of a gateway: its keeper, its client, and how they are reached."""
+
+import uuid
+from collections.abc import Mapping
+from typing import Any
+
+from cranberryline.decisions.moving import EngineRates
+from cranberryline.decisions.slot_sharing import should_share
+from cranberryline.dispatch.table import UpstreamTable
+from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.routes import ActiveRoutes
+from cranberryline.settings import GatewaySettings
+from cranberryline.settings.const import SLOT_SHARING_OFF, SLOT_SHARING_ON
+from cranberryline.slots import EngineSlots, NoSlotSharing, SlotSource
+from cranberryline.upstreams.directory import Directory, Registration
+
+from .nodes import NodeRegistry
+from .slot_calls import (
+    PATH_SLOTS,
+    HttpSlotTransport,
+    SlotExchangeHandler,
+    SlotStatusHandler,
+)
+
+__all__ = ["GatewaySlots"]
+
+_Handlers = list[tuple[str, type, dict[str, Any]]]
+
+
+class GatewaySlots:
+    """Slots that this gateway grants as a keeper, and the `source` of those that it needs.
+
+    `paces` are the event rates that its texts measure.
+    """
+
+    def __init__(
+        self,
+        cfg: GatewaySettings,
+        clock: Clock,
+        metrics: Metrics,
+        directory: Directory,
+        routes: ActiveRoutes,
+        upstreams: UpstreamTable,
+        nodes: NodeRegistry,
+    ) -> None:
+        self.source: SlotSource = NoSlotSharing()
+        self.paces = EngineRates()
+        self._cfg = cfg
+        self._clock = clock
+        self._metrics = metrics
+        self._directory = directory
+        self._routes = routes
+        self._upstreams = upstreams
+        self._nodes = nodes
+        self._transport = HttpSlotTransport()
+        self._is_open = True
+        self._engines: dict[str, tuple[EngineSlots, ...]] = {}
+        self._keeper: Any = None
+        directory.listen_versions(lambda _key: self._engines.clear())
+        directory.membership.listen(lambda _changed: self._engines.clear())
+        routes.listen(lambda _table: self._engines.clear())
+        if cfg.slot_sharing != SLOT_SHARING_OFF:
+            self._open()
+
+    def _open(self) -> None:
+        from cranberryline.slots.client import (  # noqa: PLC0415 - used only where it is on
+            SlotClient,
+            SlotClientParts,
+        )
+        from cranberryline.slots.keeper import SlotKeeper  # noqa: PLC0415
+
+        self._keeper = SlotKeeper(self._clock, self.engines)
+        self.source = SlotClient(
+            SlotClientParts(
+                self._cfg.vm_id,
+                uuid.uuid4().hex,
+                self._clock,
+                self._keeper,
+                self._transport,
+                self.peers,
+                self.engines,
+                self.is_shared,
+                self.rates,
+                self.connected,
+                lambda event: self._metrics.slot_events.labels(event).inc(),
+            )
+        )
+
+    @property
+    def peer_handlers(self) -> _Handlers:
+        """Return the handlers for other gateways."""
+        if self._keeper is None:
+            return []
+        args = {"async_answer": self._keeper.async_exchange, "is_open": lambda: self._is_open}
+        return [(PATH_SLOTS, SlotExchangeHandler, args)]
+
+    @property
+    def status_handlers(self) -> _Handlers:
+        """Return the handlers for operators."""
+        if self._keeper is None:
+            return []
+        return [(PATH_SLOTS, SlotStatusHandler, {"describe": self._keeper.describe})]
+
+    def stop_answering(self) -> None:
+        """Reject the exchanges of peers from now on; they have another keeper by then."""
+        self._is_open = False
+
+    async def async_close(self) -> None:
+        """End all exchanges and close the connections to peers."""
+        if self._keeper is None:
+            return
+        source, self.source = self.source, NoSlotSharing()
+        await source.async_close()  # type: ignore[attr-defined]
+        self._transport.close()
+
+    def engines(self, service: str) -> tuple[EngineSlots, ...]:
+        """Return the engines of a service that accept texts; the same tuple until one changes."""
+        engines = self._engines.get(service)
+        if engines is None:
+            registrations = self._directory.engines().get(service, ())
+            engines = tuple(self._engine_slots(registration) for registration in registrations)
+            self._engines[service] = engines
+        return engines
+
+    def _engine_slots(self, registration: Registration) -> EngineSlots:
+        slots = registration.slots or self._routes.spec(registration.service).concurrency
+        versions = self._directory.served_versions(registration.key)
+        return EngineSlots(registration.key, registration.data_center, slots, versions)
+
+    def peers(self) -> Mapping[str, str]:
+        """Return the peer address of each live gateway that is not stopping, by VM id."""
+        cfg, nodes = self._cfg, self._nodes
+        live = nodes.live_nodes(self._clock.monotonic())
+        found = {
+            heartbeat.node: heartbeat.peer
+            for heartbeat in nodes.heartbeats()
+            if heartbeat.peer and not heartbeat.stopping and heartbeat.node in live
+        }
+        found.pop(cfg.vm_id, None)
+        return found if nodes.stopping else {**found, cfg.vm_id: cfg.peer}
+
+    def is_shared(self, service: str) -> bool:
+        """Return whether slots of a service are shared."""
+        if self._cfg.slot_sharing == SLOT_SHARING_ON:
+            return True
+        models = {model for engine in self.engines(service) for model in engine.versions}
+        return should_share(len(models), self._nodes.live_count)
+
+    def rates(self) -> Mapping[str, float]:
+        """Return the events per second of single texts that were measured here lately."""
+        return dict(self.paces.faster_than(0.0, self._clock.monotonic()))
+
+    def connected(self, service: str) -> frozenset[str]:
+        """Return the upstreams of a service with an idle connection."""
+        recent = self._upstreams.pool(service).recent()
+        return frozenset(upstream.id for upstream in recent if upstream.link.connected)
--- a/cranberryline/settings/const.py
+++ b/cranberryline/settings/const.py
@@ -35,3 +35,8 @@
 DEFAULT_LEASE = timedelta(seconds=3)
 DEFAULT_KEEP_JOBS = timedelta(seconds=180)
 DEFAULT_REPORT_LATE = timedelta(seconds=10)
+
+SLOT_SHARING_OFF: Final = "off"
+SLOT_SHARING_AUTO: Final = "auto"
+SLOT_SHARING_ON: Final = "on"
+DEFAULT_SLOT_SHARING: Final = SLOT_SHARING_OFF
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -18,6 +18,7 @@
     DEFAULT_REPORT_LATE,
     DEFAULT_SIDE_LISTEN,
     DEFAULT_SIDE_PEER,
+    DEFAULT_SLOT_SHARING,
     DEFAULT_SLOW_SENDER_TIMEOUT,
     DEFAULT_STOP_TIMEOUT,
     LOG_LEVELS,
@@ -27,6 +28,9 @@
     MAX_PARTITIONS,
     MIN_BODY_BYTES,
     MIN_HEADER_BYTES,
+    SLOT_SHARING_AUTO,
+    SLOT_SHARING_OFF,
+    SLOT_SHARING_ON,
 )
 from .fields import (
     Address,
@@ -201,6 +205,11 @@
         DEFAULT_KEEP_JOBS,
         key="keep_jobs_seconds",
     )
+    slot_sharing: str = _setting(
+        Choice(SLOT_SHARING_OFF, SLOT_SHARING_AUTO, SLOT_SHARING_ON),
+        "Whether gateways share the slots of engines; auto: of several models, at many gateways.",
+        DEFAULT_SLOT_SHARING,
+    )
     stop_timeout: timedelta = _setting(
         Seconds(),
         "How long a planned stop waits for work in flight.",
--- /dev/null
+++ b/tests/gateway/test_slots.py
@@ -0,0 +1,147 @@
+"""What a gateway tells the client and the keeper of slots about engines and other gateways."""
+
+from datetime import timedelta
+from types import SimpleNamespace
+from typing import Any, cast
+
+import attrs
+import pytest
+
+from cranberryline.dispatch.table import UpstreamTable
+from cranberryline.gateway.nodes import NodeHeartbeat
+from cranberryline.gateway.slots import GatewaySlots
+from cranberryline.helpers.clock import SystemClock
+from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.tail import StoreHealth
+from cranberryline.routes import ActiveRoutes, EngineService, RouteTable
+from cranberryline.slots import EngineSlots, NoSlotSharing
+from cranberryline.upstreams.directory import Directory, Registration
+
+ENGINE = Registration("e-1", "engines", "10.0.0.1:80", "levis", 4, False, {"m": 3}, 100)
+
+
+class Site:
+    """A gateway's view of engines and gateways."""
+
+    def __init__(self) -> None:
+        clock = SystemClock()
+        self.directory = Directory(clock, StoreHealth(clock))
+        self.routes = ActiveRoutes()
+        self.routes.apply(RouteTable(1, services={"engines": EngineService(slots=6)}))
+        self.cfg = SimpleNamespace(vm_id="vm-1", peer="10.0.0.9:1", slot_sharing="off")
+        self.heartbeats: list[NodeHeartbeat] = []
+        self.live: set[str] = set()
+        self.nodes = SimpleNamespace(
+            stopping=False,
+            live_count=20,
+            live_nodes=lambda _since: self.live,
+            heartbeats=lambda: self.heartbeats,
+        )
+        self.slots = GatewaySlots(
+            cast(Any, self.cfg),
+            clock,
+            Metrics(),
+            self.directory,
+            self.routes,
+            UpstreamTable(),
+            cast(Any, self.nodes),
+        )
+
+    def put(self, **fields: Any) -> None:
+        """Register an engine."""
+        self.directory.put(attrs.evolve(ENGINE, **fields)).unwrap()
+
+    def ids(self) -> list[str]:
+        """Return the engines that accept texts."""
+        return [engine.id for engine in self.slots.engines("engines")]
+
+
+def test_off_opens_nothing() -> None:
+    """Where it is off, peers find no keeper here and no text asks for a slot."""
+    slots = Site().slots
+    assert isinstance(slots.source, NoSlotSharing)
+    assert (slots.peer_handlers, slots.status_handlers) == ([], [])
+
+
+def test_engines_are_those_that_accept_texts() -> None:
+    """A slot of an engine that drains, or serves no model, is of no use to a text."""
+    site = Site()
+    site.put()
+    site.put(id="e-2", slots=0, versions={"m": 1, "n": 2})
+    site.put(id="e-3", draining=True)
+    site.put(id="e-4", versions={})
+    site.put(id="e-5", service="others")
+    assert list(site.slots.engines("engines")) == [
+        EngineSlots("e-1@100", "levis", 4, {"m": 3}),
+        EngineSlots("e-2@100", "levis", 6, {"m": 1, "n": 2}),
+    ]
+    assert site.slots.engines("unknown") == ()
+
+
+def test_change_of_an_engine_is_seen_at_once() -> None:
+    """A slot granted on an engine that is gone costs a text a round trip."""
+    site = Site()
+    site.put()
+    assert site.ids() == ["e-1@100"]
+    assert site.slots.engines("engines") is site.slots.engines("engines")
+    site.put(id="e-2")
+    assert site.ids() == ["e-1@100", "e-2@100"]
+    site.directory.record_version("e-2@100", "m", 9)
+    assert site.slots.engines("engines")[1].versions == {"m": 9}
+    site.directory.remove("e-1")
+    assert site.ids() == ["e-2@100"]
+    site.put(id="e-2", draining=True)
+    assert site.ids() == []
+
+
+@pytest.mark.parametrize("stopping", [False, True])
+def test_peers_are_live_gateways_that_do_not_stop(stopping: bool) -> None:
+    """A keeper that stops or is gone would be asked in vain."""
+    site = Site()
+    site.live = {"vm-1", "vm-2", "vm-3", "vm-4"}
+    site.heartbeats = [
+        NodeHeartbeat("vm-1", "levis", "10.0.0.9:1"),
+        NodeHeartbeat("vm-2", "levis", "10.0.0.2:1"),
+        NodeHeartbeat("vm-3", "levis", "10.0.0.3:1", stopping=True),
+        NodeHeartbeat("vm-4", "levis"),
+        NodeHeartbeat("vm-5", "levis", "10.0.0.5:1"),
+    ]
+    site.nodes.stopping = stopping
+    expected = {"vm-2": "10.0.0.2:1"}
+    assert site.slots.peers() == (expected if stopping else {**expected, "vm-1": "10.0.0.9:1"})
+
+
+def test_gateway_without_heartbeats_is_its_own_peer() -> None:
+    """A gateway that starts reads no heartbeat yet, and keeps the slots for its own texts."""
+    assert Site().slots.peers() == {"vm-1": "10.0.0.9:1"}
+
+
+@pytest.mark.parametrize(
+    ("mode", "models", "gateways", "shared"),
+    [
+        ("auto", ("m", "n"), 17, True),
+        ("auto", ("m", "n"), 16, False),
+        ("auto", ("m",), 100, False),
+        ("auto", (), 100, False),
+        ("on", ("m",), 1, True),
+    ],
+)
+def test_auto_shares_where_models_and_gateways_meet(
+    mode: str, models: tuple[str, ...], gateways: int, shared: bool
+) -> None:
+    """Few gateways see most of the load; an exchange would only cost them a round trip."""
+    site = Site()
+    site.cfg.slot_sharing, site.nodes.live_count = mode, gateways
+    for number, model in enumerate(models):
+        site.put(id=f"e-{number}", versions={model: 1})
+    assert site.slots.is_shared("engines") is shared
+
+
+def test_rates_are_those_measured_lately() -> None:
+    """The keeper places long texts by the speeds that gateways measure."""
+    site = Site()
+    now = SystemClock().monotonic()
+    for _ in range(10):
+        site.slots.paces.record("e-1@100", 5, timedelta(milliseconds=200), now)
+    rates = site.slots.rates()
+    assert list(rates) == ["e-1@100"] and rates["e-1@100"] == pytest.approx(25, rel=0.05)
