--- a/tests/jobs/test_text_slots.py
+++ b/tests/jobs/test_text_slots.py
@@ -304,6 +304,7 @@
         assert (need.service, need.trainer, need.model) == ("engines", MODEL, MODEL)
         assert (need.min_version, need.due) == (1, timedelta(seconds=30))
         assert not need.may_move()
+        assert not scene.context.texts._texts
 
     run_virtual(scenario())
 
