--- a/tests/slots/site.py
+++ b/tests/slots/site.py
@@ -66,14 +66,13 @@
         self.frozen.pop(node).set()
 
     async def async_carry(self, source: str, target: str, data: bytes) -> bytes | None:
-        """Return the encoded answer, None if the exchange or the answer is lost."""
-        if not await self._async_pass(source, target):
-            return None
+        """Return the encoded answer, None if there is no such gateway."""
+        await self._async_pass(source, target)
         if self.repeat():
             self._repeat_late(target, data)
         answer = await self._async_answer(target, data)
-        if answer is None or not await self._async_pass(target, source):
-            return None
+        if answer is not None:
+            await self._async_pass(target, source)
         return answer
 
     async def async_close(self) -> None:
@@ -82,12 +81,14 @@
             task.cancel()
         await asyncio.gather(*self._late, return_exceptions=True)
 
-    async def _async_pass(self, source: str, target: str) -> bool:
+    async def _async_pass(self, source: str, target: str) -> None:
+        """Return once a message is through; never if it is lost."""
         await asyncio.sleep(self.delay())
         for node in (source, target):
             if node in self.frozen:
                 await self.frozen[node].wait()
-        return frozenset((source, target)) not in self.cut and not self.lose()
+        if frozenset((source, target)) in self.cut or self.lose():
+            await asyncio.Event().wait()
 
     async def _async_answer(self, target: str, data: bytes) -> bytes | None:
         gateway = self.gateways.get(target)
--- a/tests/slots/test_client.py
+++ b/tests/slots/test_client.py
@@ -179,7 +179,9 @@
         await site.async_acquire(gateway)
         waiting = asyncio.create_task(gateway.client.async_acquire(need()))
         await asyncio.sleep(0.01)
+        began = asyncio.get_running_loop().time()
         await gateway.client.async_close()
+        assert asyncio.get_running_loop().time() == began
         assert await waiting is None
         assert await gateway.client.async_acquire(need()) is None
         assert asyncio.all_tasks() == {asyncio.current_task()}
--- a/tests/slots/test_keeper.py
+++ b/tests/slots/test_keeper.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cranberryline.decisions.slot_allocation import SlotAllocator
+from cranberryline.slots.const import MAX_ROWS
 from cranberryline.slots.messages import RejectedText
 
 from ..virtual_time import run_virtual
@@ -111,6 +112,7 @@
     async def async_test() -> None:
         bench = KeeperBench(engine("e1", slots=1))
         ask = bench.async_ask
+        assert await async_timed(ask(0, waiting=(waiting(1),))) < 0.002
         assert await async_timed(ask(1, waiting=(waiting(1),))) < 0.002
         assert await async_timed(ask(2, held=(held(1, "e1"),))) < 0.002
         rows = {"held": (held(1, "e1"),), "waiting": (waiting(2),)}
@@ -226,6 +228,26 @@
     run_virtual(async_test())
 
 
+def test_reports_of_engines_that_are_not_listed_are_left_out() -> None:
+    """They take no room from the others, and an engine that left is forgotten."""
+
+    async def async_test() -> None:
+        bench = KeeperBench(engine("e1", slots=9), engine("e2", slots=9))
+        rows = tuple(RejectedText(f"none{each}", "m", "rejected") for each in range(MAX_ROWS - 1))
+        rejected = (*rows, RejectedText("e1", "m", "rejected"))
+        texts = (waiting(1), waiting(2))
+        grants = await bench.async_ask(1, waiting=texts, rejected=rejected)
+        assert grants == {1: "e2", 2: "e2"}
+        await bench.async_ask(2, rejected=(RejectedText("e1", "m", "failed"),))
+        bench.engines = (engine("e2", slots=9),)
+        await bench.async_ask(3)
+        bench.engines = (engine("e1", slots=9),)
+        await asyncio.sleep(0.25)
+        assert await bench.async_ask(4, waiting=(waiting(3),)) == {3: "e1"}
+
+    run_virtual(async_test())
+
+
 def test_the_keeper_describes_what_it_knows() -> None:
     """Texts and the longest wait by trainer, slots and speed by engine."""
 
@@ -233,11 +255,12 @@
         bench = KeeperBench(engine("e1", slots=1))
         await bench.async_ask(1, held=(held(1, "e1"),), rates=(("e1", 20.0),))
         await bench.async_ask(1, node="b", waiting=(waiting(1, "u"),))
+        await bench.async_ask(2, node="b", waiting=(waiting(1, "u"), waiting(2, "u")))
         assert bench.keeper.describe() == {
             SERVICE: {
                 "trainers": {
                     "t": {"waiting": 0, "held": 1, "longest_wait_ms": 0},
-                    "u": {"waiting": 1, "held": 0, "longest_wait_ms": 100},
+                    "u": {"waiting": 2, "held": 0, "longest_wait_ms": 200},
                 },
                 "engines": {"e1": {"slots": 1, "held": 1, "speed": 20.0}},
             }
--- a/tests/slots/test_moves.py
+++ b/tests/slots/test_moves.py
@@ -91,12 +91,39 @@
     assert shard.policy.offered == [[]]
 
 
+def test_no_move_to_a_slot_that_was_just_granted() -> None:
+    """A text that waits and one that may move never get the same slot in one turn."""
+    shard = _Shard("e1", "e2")
+    rows = {"held": (held(1, "e1", may_move=True),), "waiting": (waiting(2),)}
+    assert shard.tell(1, **rows) == {2: "e2"}
+
+
+def test_a_move_stands_while_others_are_chosen() -> None:
+    """A text that was told to move is not sent elsewhere before it did."""
+    shard = _Shard("e1", "e2", "e3")
+    for number in range(3):
+        assert shard.tell(number, held=(held(1, "e1", may_move=True),)) == {1: "e2"}
+
+
 def test_moves_are_chosen_at_most_four_times_a_second() -> None:
     """Each choice is paid for by all texts of the shard."""
     shard = _Shard("e1", "e2")
+    rows = (held(1, "e1", may_move=True), held(2, "e2", may_move=True))
     for number in range(50):
-        shard.tell(number, after=0.02, held=(held(1, "e1", may_move=True),))
-    assert len(shard.policy.offered) <= 4
+        shard.tell(number, after=0.02, held=rows)
+    assert len(shard.policy.offered) == 4
+
+
+def test_a_move_is_told_at_once_and_only_once() -> None:
+    """It ends the wait of its gateway's exchange; the next ones wait for news again."""
+    shard = _Shard("e1", "e2")
+    rows = {"held": (held(1, "e1", may_move=True),)}
+    msg = exchange(1, **rows)
+    shard.slots.accept(msg, shard.now)
+    shard.slots.place({"a"}, shard.now)
+    assert shard.slots.has_news("a")
+    shard.slots.answer(msg)
+    assert not shard.slots.has_news("a")
 
 
 def test_a_text_that_may_not_move_is_not_offered() -> None:
