Test that gateways which do not listen get no slots, and shards of unshared ones

Cause: of 60 safeguards taken out one by one on a scratch copy, five were still not noticed: shard of a slot taken without a grant, reports of unlisted engines, one allocation a turn, a gateway without an open exchange, a late exchange that parks. Ruled out: nothing.

--- a/tests/slots/test_client.py
+++ b/tests/slots/test_client.py
@@ -208,6 +208,25 @@
     run_virtual(async_test())
 
 
+def test_a_slot_taken_without_a_grant_counts_in_its_shard() -> None:
+    """The keeper of the engine's shard is told, whichever shard the text would have asked."""
+
+    async def async_test() -> None:
+        site = Site(["a", "b"], [engine(f"e{each}", slots=1) for each in range(100)])
+        client = site.gateways["a"].client
+        grants = [client.record_unshared(need(prompt="p"), each.id) for each in site.engines]
+        await asyncio.sleep(0.05)
+        texts = [need(prompt=f"p{each}") for each in range(6)]
+        other = site.gateways["b"]
+        asks = (site.async_acquire(other, text) for text in texts)
+        assert not any(await asyncio.gather(*asks))
+        for grant in grants:
+            grant.release(RunEnd.DONE)
+        await site.async_close()
+
+    run_virtual(async_test())
+
+
 def test_texts_stay_held_when_the_number_of_shards_changes() -> None:
     """A keeper knows the running texts after engines were added, and grants only free slots."""
 
--- a/tests/slots/test_keeper.py
+++ b/tests/slots/test_keeper.py
@@ -3,12 +3,14 @@
 import asyncio
 import math
 import time
+from collections.abc import Sized
+from datetime import timedelta
 
 import pytest
 
-from cranberryline.decisions.slot_allocation import SlotAllocator
 from cranberryline.slots.const import MAX_ROWS
 from cranberryline.slots.messages import RejectedText
+from cranberryline.slots.shard_slots import ShardSlots
 
 from ..virtual_time import run_virtual
 from .exchanges import KeeperBench, async_timed, exchange, held, waiting
@@ -139,16 +141,46 @@
     run_virtual(async_test())
 
 
+def test_a_late_exchange_does_not_end_the_wait_of_the_newest() -> None:
+    """It is answered at once, and the newest one stays parked."""
+
+    async def async_test() -> None:
+        bench = KeeperBench(engine("e1", slots=1))
+        await bench.async_ask(1, node="b", held=(held(1, "e1"),))
+        newest = asyncio.create_task(bench.async_ask(5, waiting=(waiting(1),)))
+        await asyncio.sleep(0.01)
+        assert await async_timed(bench.async_ask(4, waiting=(waiting(1),))) == 0
+        assert not newest.done()
+        await bench.async_ask(2, node="b")
+        assert await newest == {1: "e1"}
+
+    run_virtual(async_test())
+
+
+def test_a_gateway_that_does_not_listen_gets_no_slot() -> None:
+    """A slot that is free between two exchanges of a gateway does not wait for the next one."""
+
+    async def async_test() -> None:
+        bench = KeeperBench(engine("e1", slots=1))
+        await bench.async_ask(1, node="b", held=(held(1, "e1"),))
+        assert await bench.async_ask(1, waiting=(waiting(1),)) == {}
+        await bench.async_ask(2, node="b")
+        assert bench.held() == {"e1": 0}
+        assert await bench.async_ask(2, waiting=(waiting(1),)) == {1: "e1"}
+
+    run_virtual(async_test())
+
+
 def test_exchanges_of_one_turn_are_allocated_together(monkeypatch: pytest.MonkeyPatch) -> None:
     """A burst of gateways costs one allocation, which sees the texts of all."""
     seen = []
-    place = SlotAllocator.place
+    place = ShardSlots.place
 
-    def count(self: SlotAllocator, demands: list, *others: object) -> list:
-        seen.append(len(demands))
-        return place(self, demands, *others)
+    def count(self: ShardSlots, listening: Sized, now: timedelta) -> None:
+        seen.append(len(listening))
+        place(self, listening, now)
 
-    monkeypatch.setattr(SlotAllocator, "place", count)
+    monkeypatch.setattr(ShardSlots, "place", count)
 
     async def async_test() -> None:
         bench = KeeperBench(engine("e1", slots=50))
@@ -233,8 +265,9 @@
 
     async def async_test() -> None:
         bench = KeeperBench(engine("e1", slots=9), engine("e2", slots=9))
-        rows = tuple(RejectedText(f"none{each}", "m", "rejected") for each in range(MAX_ROWS - 1))
-        rejected = (*rows, RejectedText("e1", "m", "rejected"))
+        rows = tuple(RejectedText(f"none{each}", "m", "rejected") for each in range(MAX_ROWS))
+        await bench.async_ask(0, rejected=rows)
+        rejected = (RejectedText("e1", "m", "rejected"),)
         texts = (waiting(1), waiting(2))
         grants = await bench.async_ask(1, waiting=texts, rejected=rejected)
         assert grants == {1: "e2", 2: "e2"}
