Test a move that the keeper withdraws while the request is being cancelled

Cause: the keeper may give the other slot away between the cut and the move. Ruled out: a fault; the grant returns itself then and the text goes on where it was. SlotGrant.move says so now.

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -300,7 +300,7 @@
         return not rejects and self._serves_version(upstream)
 
     def _make_request(self, route: Route, service: str, upstream: str) -> CallerRequest:
-        """Return the request for the text; `upstream` is the granted one, empty if there is none."""
+        """Return the request for the text; `upstream` is the granted one, or empty."""
         job, model, min_version = self.state.job, self.state.job.model, self.state.job.min_version
         return CallerRequest(
             service=service,
--- a/cranberryline/jobs/text_slot.py
+++ b/cranberryline/jobs/text_slot.py
@@ -17,8 +17,9 @@
 class TextSlot:
     """The slot for one or more requests for a text; whatever it holds is released exactly once.
 
-    Without a `need`, slots are not shared and it holds nothing. `end` is how the current use of the slot ends if it is released now. `upstream` is where a
-    granted slot is, empty if this gateway chooses an upstream by itself.
+    Without a `need`, slots are not shared and it holds nothing. `end` is how the current use of the
+    slot ends if it is released now. `upstream` is where a granted slot is, empty if this gateway
+    chooses an upstream by itself.
     """
 
     def __init__(
@@ -73,7 +74,10 @@
         self.end = RunEnd.REJECTED
 
     def move(self) -> None:
-        """Go on with the slot at the upstream that the text should move to."""
+        """Go on with the slot at the upstream that the text should move to.
+
+        If the keeper needs that slot otherwise by now, the text goes on where it was.
+        """
         self.moving = False
         if self._grant is None:
             return
--- a/cranberryline/slots/model.py
+++ b/cranberryline/slots/model.py
@@ -59,7 +59,7 @@
 
     @abc.abstractmethod
     def move(self) -> "SlotGrant":
-        """Release the slot, and return the grant of the one at `move_to`."""
+        """Release the slot, and return the grant of the one at `move_to`; itself if it is empty."""
 
 
 class SlotSource(abc.ABC):
--- a/tests/jobs/slots_fake.py
+++ b/tests/jobs/slots_fake.py
@@ -31,8 +31,11 @@
         self._slots.on_release()
 
     def move(self) -> SlotGrant:
-        """Record the move, and return the other slot."""
-        assert self.move_to
+        """Record the move, and return the other slot; the keeper may have withdrawn it."""
+        if self._slots.withdraws_moves:
+            self._slots.move_to = ""
+        if not self.move_to:
+            return self
         self._slots.held.remove(self)
         self._slots.ends.append((self.upstream, "moved"))
         return FakeGrant(self._slots, self.move_to)
@@ -48,6 +51,7 @@
     upstreams: list[str]
     delay: float = 0.0
     move_to: str = ""
+    withdraws_moves: bool = False
     held: list[FakeGrant] = attrs.field(factory=list)
     ends: list[tuple[str, str]] = attrs.field(factory=list)
     asked: list[SlotNeed] = attrs.field(factory=list)
--- a/tests/jobs/test_text_slots.py
+++ b/tests/jobs/test_text_slots.py
@@ -80,7 +80,7 @@
 
 
 def test_rejected_text_gets_the_next_slot_without_a_delay() -> None:
-    """An engine that is full costs a text one round trip; other models' texts may still go there."""
+    """An engine that is full costs one round trip; texts of other models may still go there."""
 
     async def scenario() -> None:
         scene = Scene(KEYS[0], KEYS[1])
@@ -264,8 +264,28 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize("granted", [True, False])
+def test_text_goes_on_where_it_was_if_its_move_is_withdrawn(granted: bool) -> None:
+    """The keeper may give the slot to another text while this one's request is being cancelled."""
+
+    async def scenario() -> None:
+        scene = Scene(KEYS[0] if granted else "")
+        for engine in scene.started:
+            _make_slow(engine, 40)
+        task = asyncio.ensure_future(scene.async_run_item())
+        await asyncio.sleep(3)
+        first = scene.sent.index(1)
+        scene.slots.withdraws_moves = True
+        scene.slots.move_to = KEYS[(first + 1) % 3]
+        assert (await task).text == "\n".join(f"v1.{number}" for number in range(1, 41))
+        assert scene.sent == [2 * (number == first) for number in range(3)]
+        assert scene.slots.ends == [(KEYS[first], RunEnd.DONE)] and not scene.slots.held
+
+    run_virtual(scenario())
+
+
 def test_granted_text_is_not_moved_by_this_gateway(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The keeper knows which slots are free; a gateway that moves texts as well takes granted ones."""
+    """The keeper knows which slots are free; a gateway that moves texts too takes granted ones."""
 
     async def scenario() -> None:
         scene = Scene(KEYS[0])
