Import the keeper and the client of slots where they are built

Cause: the integration was written beside the keeper and the client, and imported them inside a function; a text of a service that is not shared still cost a task.

--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -13,6 +13,8 @@
 from cranberryline.settings import GatewaySettings
 from cranberryline.settings.const import SLOT_SHARING_OFF, SLOT_SHARING_ON
 from cranberryline.slots import EngineSlots, NoSlotSharing, SlotSource
+from cranberryline.slots.client import SlotClient, SlotClientParts
+from cranberryline.slots.keeper import SlotKeeper
 from cranberryline.upstreams.directory import Directory, Registration
 
 from .nodes import NodeRegistry
@@ -56,7 +58,8 @@
         self._transport = HttpSlotTransport()
         self._is_open = True
         self._engines: dict[str, tuple[EngineSlots, ...]] = {}
-        self._keeper: Any = None
+        self._keeper: SlotKeeper | None = None
+        self._client: SlotClient | None = None
         directory.listen_versions(lambda _key: self._engines.clear())
         directory.membership.listen(lambda _changed: self._engines.clear())
         routes.listen(lambda _table: self._engines.clear())
@@ -64,19 +67,13 @@
             self._open()
 
     def _open(self) -> None:
-        from cranberryline.slots.client import (  # noqa: PLC0415 - used only where it is on
-            SlotClient,
-            SlotClientParts,
-        )
-        from cranberryline.slots.keeper import SlotKeeper  # noqa: PLC0415
-
-        self._keeper = SlotKeeper(self._clock, self.engines)
-        self.source = SlotClient(
+        self._keeper = keeper = SlotKeeper(self._clock, self.engines)
+        self.source = self._client = SlotClient(
             SlotClientParts(
                 self._cfg.vm_id,
                 uuid.uuid4().hex,
                 self._clock,
-                self._keeper,
+                keeper,
                 self._transport,
                 self.peers,
                 self.engines,
@@ -108,10 +105,8 @@
 
     async def async_close(self) -> None:
         """End all exchanges and close the connections to peers."""
-        if self._keeper is None:
-            return
-        source, self.source = self.source, NoSlotSharing()
-        await source.async_close()  # type: ignore[attr-defined]
+        if self._client is not None:
+            await self._client.async_close()
         self._transport.close()
 
     def engines(self, service: str) -> tuple[EngineSlots, ...]:
--- a/cranberryline/slots/client.py
+++ b/cranberryline/slots/client.py
@@ -27,6 +27,10 @@
         self._cancelled: set[asyncio.Task[None]] = set()
         self._closed = False
 
+    def is_shared(self, service: str) -> bool:
+        """Return whether slots of a service are shared."""
+        return not self._closed and self._parts.is_shared(service)
+
     async def async_acquire(self, need: SlotNeed) -> SlotGrant | None:
         """Wait for a slot; None if this gateway has to choose an engine by itself."""
         if not self._shares(need):
@@ -58,7 +62,7 @@
         await asyncio.gather(*self._cancelled, return_exceptions=True)
 
     def _shares(self, need: SlotNeed) -> bool:
-        return not self._closed and self._parts.is_shared(need.service)
+        return self.is_shared(need.service)
 
     def _session(self, service: str, key: str) -> SlotSession:
         """Return the session of the shard that a text's key or an engine's id belongs to."""
