--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,7 +15,7 @@
     ("helpers",),
     ("client", "config_client", "decisions", "leases", "requests", "transport", "workspaces"),
     ("configs", "slots", "usage", "weights"),
-    ("execution", "quarantine", "routes", "samples", "upstreams"),
+    ("controls", "execution", "quarantine", "routes", "samples", "upstreams"),
     ("dispatch",),
     ("jobs",),
     ("platform", "reports"),
