Let gateways follow operator controls

Ruled out: to take a cordoned VM out of the live nodes for all jobs, since the items that it runs would be started again elsewhere at once; to leave the cordoned VM to the ranking of live nodes, since a node always ranks itself; readiness that waits for the topic without a limit.

Change: the setting operator_controls, off by default, has a gateway follow the topic keyed.controls and serve /controls on its ready address. DirectLinks drains links of cordoned upstreams and makes new ones afterwards. JobRunner asks whether it may start items of a job, by the time the job was first seen, and the live nodes that it gets lack the VMs that were cordoned then. DirectLinksHarness takes two optional arguments; no earlier test is changed.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -33,6 +33,7 @@
 from cranberryline.weights.shift import VersionScheduler
 from cranberryline.workspaces import KeyCheck
 
+from .controls import GatewayControls
 from .handler import GatewayContext, ReadyHandler
 from .holds import PATH_HOLDS, HoldsHandler, QuarantineParts, make_quarantine
 from .ingress import IngressHandler
@@ -105,7 +106,8 @@
             self._wake,
             platform.connect,
         )
-        self.links = DirectLinks(self.upstreams, self.direct_upstreams)
+        self.controls = GatewayControls(cfg, platform, self.store, clock, self.health, self.metrics)
+        self.links = DirectLinks(self.upstreams, self.direct_upstreams, self.controls.is_cordoned)
         self.quarantine, self._quarantine_tail = make_quarantine(
             QuarantineParts(
                 cfg.vm_id,
@@ -153,8 +155,9 @@
                 clock,
                 self.metrics,
                 cfg.vm_id,
-                self.nodes.live_nodes,
+                self.controls.live_nodes,
                 lambda: self.confirmation.async_confirm(clock.monotonic()),
+                self.controls.may_start,
             )
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
@@ -198,13 +201,14 @@
         self.directory.listen(self._on_registration)
         self.directory.listen_versions(self.upstreams.versions_changed)
         self.directory.listen_superseded(self.direct_upstreams.abort_requests)
+        self.controls.attach(self.directory.membership, self.links, self.nodes, self._wake)
         self.directory.membership.listen(self._on_membership_changed)
 
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send callers to this gateway."""
         loaded = self._config_tail.loaded.is_set() and self._upstreams_tail.loaded.is_set()
-        loaded = loaded and self._is_quarantine_ready()
+        loaded = loaded and self._is_quarantine_ready() and self.controls.ready
         return not self.stopping and loaded and self.routes.table is not None and self.jobs.loaded
 
     def start(self) -> None:
@@ -235,6 +239,7 @@
             [
                 (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
                 (PATH_HOLDS, HoldsHandler, {"quarantine": self.quarantine}),
+                *self.controls.handlers(),
                 (r".*", ReadyHandler, {"ready": lambda: self.ready}),
             ],
             log_function=leave_log_to_handlers,
@@ -256,7 +261,7 @@
         self._start_task(self.lease.async_run())
         self._start_task(self.version_scheduler.async_run())
         self._start_task(self._async_expire_registrations())
-        for coroutine in self.usage.tasks():
+        for coroutine in (*self.usage.tasks(), *self.controls.tasks()):
             self._start_task(coroutine)
         _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
 
--- a/cranberryline/gateway/links.py
+++ b/cranberryline/gateway/links.py
@@ -1,6 +1,6 @@
 """Direct links from the gateway to upstreams, without a side process in between."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from cranberryline.dispatch.direct import DirectUpstream, DirectUpstreams
 from cranberryline.dispatch.table import UpstreamTable
@@ -10,22 +10,37 @@
 __all__ = ["DirectLinks"]
 
 
+def _never(_upstream: VmEntry) -> bool:
+    return False
+
+
 class DirectLinks:
-    """Maintain a direct link to each upstream that accepts new requests."""
+    """Maintain a direct link to each upstream that accepts new requests.
+
+    `is_cordoned` returns whether an operator wants an upstream to get none.
+    """
 
-    def __init__(self, table: UpstreamTable, direct_upstreams: DirectUpstreams) -> None:
+    def __init__(
+        self,
+        table: UpstreamTable,
+        direct_upstreams: DirectUpstreams,
+        is_cordoned: Callable[[VmEntry], bool] = _never,
+    ) -> None:
         self._table = table
         self._direct_upstreams = direct_upstreams
+        self._is_cordoned = is_cordoned
         self._links: dict[str, tuple[VmEntry, DirectUpstream]] = {}
 
     def apply(self, members: Membership, changed: Collection[str]) -> None:
-        """Drain the links of removed and changed upstreams, and add links to new and changed ones.
+        """Drain the links of removed, cordoned and changed upstreams, and add links to new and changed ones.
 
         `changed` are the ids of the VMs to look at. A drained link gets no new requests; those that
         run on it finish.
         """
         for vm_id in sorted(changed):
             entry = members.upstream(vm_id)
+            if entry is not None and self._is_cordoned(entry):
+                entry = None
             known = self._links.get(vm_id)
             if known is not None and known[0] == entry:
                 continue
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -58,6 +58,8 @@
     live_nodes: Callable[[timedelta], Collection[str]]
     # Returns whether work may be sent by the active routes.
     async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
+    # Returns whether this node starts items of a job that it first saw at a monotonic time.
+    may_start: Callable[[timedelta], bool] = lambda _since: True
 
 
 @attrs.frozen(eq=False)
@@ -240,7 +242,7 @@
     def _get_plan(self, state: JobState) -> JobPlan | None:
         """Return the groups of a job that this node may start, or None if none may start now."""
         job_id = state.head.id
-        if not state.open:
+        if not state.open or not self._dependencies.may_start(state.seen_at):
             self._plans.pop(job_id, None)
             return None
         tail = self._tail(job_id)
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -16,6 +16,7 @@
 from .const import (
     KEY_CONFIG,
     KEY_VERSION_PREFIX,
+    TOPIC_CONTROLS,
     TOPIC_MARKS,
     TOPIC_NODES,
     TOPIC_OPERATOR,
@@ -39,6 +40,7 @@
     topic_nodes = TOPIC_NODES
     topic_marks = TOPIC_MARKS
     topic_quarantine = TOPIC_QUARANTINE
+    topic_controls = TOPIC_CONTROLS
 
     def __init__(self, store: str) -> None:
         self._log = HttpStore(store)
--- a/cranberryline/platform/const.py
+++ b/cranberryline/platform/const.py
@@ -33,6 +33,7 @@
 TOPIC_NODES = "keyed.nodes"
 TOPIC_MARKS = "keyed.job_marks"
 TOPIC_QUARANTINE = "keyed.quarantine"
+TOPIC_CONTROLS = "keyed.controls"
 KEY_CONFIG = "config"
 KEY_VERSION_PREFIX = "version/"
 
--- a/cranberryline/platform/ports.py
+++ b/cranberryline/platform/ports.py
@@ -37,6 +37,7 @@
     topic_nodes: str
     topic_marks: str
     topic_quarantine: str
+    topic_controls: str
 
     @property
     @abc.abstractmethod
--- a/cranberryline/settings/fields.py
+++ b/cranberryline/settings/fields.py
@@ -22,6 +22,7 @@
     "Rate",
     "Seconds",
     "Size",
+    "Switch",
     "Text",
     "Url",
 ]
@@ -202,6 +203,19 @@
         return Ok(raw)
 
 
+class Switch(FieldKind):
+    """Something that is on or off."""
+
+    @property
+    def allowed(self) -> str:
+        """Return what is allowed."""
+        return "true or false"
+
+    def parse(self, raw: Any) -> Result[bool, str]:
+        """Return the value."""
+        return Ok(raw) if isinstance(raw, bool) else Err(self.allowed)
+
+
 class Rate(FieldKind):
     """A number of calls per second above 0."""
 
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -14,6 +14,7 @@
     DEFAULT_LOG_RETENTION,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
+    DEFAULT_OPERATOR_CONTROLS,
     DEFAULT_PARTITIONS,
     DEFAULT_REPORT_LATE,
     DEFAULT_SIDE_LISTEN,
@@ -38,6 +39,7 @@
     Rate,
     Seconds,
     Size,
+    Switch,
     Text,
     Url,
 )
@@ -201,6 +203,11 @@
         DEFAULT_KEEP_JOBS,
         key="keep_jobs_seconds",
     )
+    operator_controls: bool = _setting(
+        Switch(),
+        "Whether operators can set weights, caps and cordons while gateways run.",
+        DEFAULT_OPERATOR_CONTROLS,
+    )
     stop_timeout: timedelta = _setting(
         Seconds(),
         "How long a planned stop waits for work in flight.",
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -1,6 +1,7 @@
 """Direct links are created, replaced and removed as registrations change."""
 
 import itertools
+from collections.abc import Callable
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any, cast
@@ -14,6 +15,7 @@
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.ports.model import VmEntry
+from cranberryline.upstreams import Membership
 from cranberryline.upstreams.directory import Directory, Registration
 
 REGISTRATION = Registration("i-1", "files", "10.0.0.1:80", "levis", 4, False, {}, 100)
@@ -22,7 +24,11 @@
 class DirectLinksHarness:
     """A directory and the direct links that follow its membership."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        is_cordoned: Callable[[VmEntry], bool] = lambda _: False,
+        attach: Callable[[Membership, DirectLinks], None] = lambda _membership, _links: None,
+    ) -> None:
         clock, metrics, self.table = FakeClock(), Metrics(), UpstreamTable()
         self.connected: list[VmEntry] = []
         self.directory = Directory(clock, StoreHealth(clock))
@@ -36,8 +42,9 @@
             lambda: None,
             self._connect,
         )
-        links = DirectLinks(self.table, directs)
+        links = DirectLinks(self.table, directs, is_cordoned)
         membership = self.directory.membership
+        attach(membership, links)
         membership.listen(lambda changed: links.apply(membership, changed))
 
     def _connect(self, row: VmEntry) -> Any:
