Set and take back controls on the command line

Cause: operators had to write the calls of /controls by hand.

Change: cranberryline controls list, set and clear. The operator's classes of commands and what all commands share move to operator_cli.py unchanged but for their names, which were private; it has a layer of its own below cli. A call to /controls that got no answer points to the list of controls.

The hint taken out makes its test fail.

--- a/cranberryline/cli.py
+++ b/cranberryline/cli.py
@@ -1,6 +1,5 @@
 """The command line: both roles, the operator's commands and the check of settings."""
 
-import functools
 import json
 import os
 import platform
@@ -9,7 +8,6 @@
 from pathlib import Path
 from typing import Any
 
-import attrs
 import fire
 import yaml
 from fire.parser import DefaultParseValue
@@ -17,12 +15,20 @@
 
 from . import __version__
 from .exit_code import ExitCode
+from .operator_cli import (
+    PROGRAM,
+    Command,
+    ConfigCommands,
+    ControlCommands,
+    HoldCommands,
+    command,
+    operator,
+    usage,
+)
 from .settings import EntrySettings, GatewaySettings, SettingsError, SideSettings, load_settings
 
 __all__ = ["ExitCode", "main"]
 
-PROGRAM = "cranberryline"
-
 _FIRE_HELP = ("--", "--help")
 # `fire` would take the argument behind a flag as its value.
 _SWITCHES = {"--json": "--json=True"}
@@ -35,40 +41,6 @@
 }
 
 
-@attrs.frozen
-class _Command:
-    """A command whose arguments are read; it runs only after all of the line is understood.
-
-    `fire` calls a method as soon as it has its arguments and complains of left-over ones after
-    that: a misspelt flag would be reported when the record has already been published.
-    """
-
-    _run: Callable[[], int]
-
-    def __dir__(self) -> list[str]:
-        """Hide all members from `fire`, which would take left-over arguments for their names."""
-        return []
-
-
-def _command(run: Callable[..., int], *texts: object) -> _Command:
-    """Return a command, or one that complains if `fire` read a flag without its value as True."""
-    if not all(isinstance(text, str) for text in texts):
-        return _Command(lambda: _usage("a flag lacks its value; --help tells the flags"))
-    return _Command(functools.partial(run, *texts))
-
-
-def _operator(name: str) -> Callable[..., int]:
-    """Return an operator's command, imported when it runs: the roles need no HTTP client of it."""
-
-    def run(*texts: str) -> int:
-        from . import operator_commands  # noqa: PLC0415
-
-        function: Callable[..., int] = getattr(operator_commands, name)
-        return function(*texts)
-
-    return run
-
-
 def _report(as_json: bool) -> Callable[..., int]:
     """Return the command for reports, imported when it runs: the roles need nothing of it."""
 
@@ -80,81 +52,6 @@
     return run
 
 
-class ConfigCommands:
-    """Publish and read configuration records."""
-
-    def publish(self, file: str, entry: str = "", token_file: str = "") -> _Command:
-        """Publish the records in a YAML file, in their order, and stop at the first refusal.
-
-        A record is a mapping with kind, name, schema, spec and, optionally, amends: the revision
-        that it replaces (0 for a new record). Without amends the current revision is taken.
-
-        Args:
-            file: A YAML file with one record, a list of them, or several documents.
-            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
-            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
-
-        """
-        return _command(_operator("publish"), file, entry, token_file)
-
-    def get(self, kind: str, name: str, entry: str = "", token_file: str = "") -> _Command:
-        """Print the record in force, as YAML that can be edited and published.
-
-        Args:
-            kind: Kind of the record: service, trainer, weights or caller.
-            name: Name of the record.
-            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
-            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
-
-        """
-        return _command(_operator("get"), kind, name, entry, token_file)
-
-    def list(self, entry: str = "", token_file: str = "") -> _Command:
-        """Print a line for each record in force: revision, kind, name, schema, time.
-
-        Args:
-            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
-            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
-
-        """
-        return _command(_operator("list_records"), entry, token_file)
-
-    def history(self, kind: str, name: str, entry: str = "", token_file: str = "") -> _Command:
-        """Print the revisions of a record that an entry has seen, the oldest first, as YAML.
-
-        Args:
-            kind: Kind of the record: service, trainer, weights or caller.
-            name: Name of the record.
-            entry: Base URL of an entry; else CRANBERRYLINE_ENTRY, else http://127.0.0.1:8001.
-            token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
-
-        """
-        return _command(_operator("history"), kind, name, entry, token_file)
-
-
-class HoldCommands:
-    """See and release requests that are held because upstreams crashed while they ran them."""
-
-    def list(self, gateway: str) -> _Command:
-        """Print the requests that a gateway suspects or holds, as YAML.
-
-        Args:
-            gateway: Base URL of a gateway's ready address.
-
-        """
-        return _command(_operator("list_holds"), gateway)
-
-    def release(self, fingerprint: str, gateway: str) -> _Command:
-        """Release a held request at every gateway; until upstreams crash under it again, it is run.
-
-        Args:
-            fingerprint: The request, as `holds list` and the logs name it.
-            gateway: Base URL of a gateway's ready address.
-
-        """
-        return _command(_operator("release_hold"), fingerprint, gateway)
-
-
 class Commands:
     """Rollout service for reinforcement learning on shared engines.
 
@@ -165,35 +62,36 @@
     def __init__(self) -> None:
         self.config = ConfigCommands()
         self.holds = HoldCommands()
+        self.controls = ControlCommands()
 
-    def entry(self, settings: str) -> _Command:
+    def entry(self, settings: str) -> Command:
         """Run an entry process until SIGTERM or SIGINT; a second signal stops it at once.
 
         Args:
             settings: YAML file of settings; docs/SETTINGS.md describes its keys.
 
         """
-        return _command(_run_role, "entry", settings)
+        return command(_run_role, "entry", settings)
 
-    def gateway(self, settings: str) -> _Command:
+    def gateway(self, settings: str) -> Command:
         """Run a gateway process until SIGTERM or SIGINT; its shared state lives in the store.
 
         Args:
             settings: YAML file of settings; docs/SETTINGS.md describes its keys.
 
         """
-        return _command(_run_role, "gateway", settings)
+        return command(_run_role, "gateway", settings)
 
-    def side(self, settings: str) -> _Command:
+    def side(self, settings: str) -> Command:
         """Run a side process until SIGTERM or SIGINT; a second signal stops it at once.
 
         Args:
             settings: YAML file of settings; docs/SETTINGS.md describes its keys.
 
         """
-        return _command(_run_role, "side", settings)
+        return command(_run_role, "side", settings)
 
-    def status(self, entry: str = "", token_file: str = "") -> _Command:
+    def status(self, entry: str = "", token_file: str = "") -> Command:
         """Print what is in force where, as an entry sees it, as YAML.
 
         Args:
@@ -201,9 +99,9 @@
             token_file: File with an operator's token; else CRANBERRYLINE_TOKEN.
 
         """
-        return _command(_operator("status"), entry, token_file)
+        return command(operator("status"), entry, token_file)
 
-    def check_settings(self, settings: str, role: str = "") -> _Command:
+    def check_settings(self, settings: str, role: str = "") -> Command:
         """Check a settings file, and the tokens it names, and print every mistake.
 
         Args:
@@ -212,16 +110,16 @@
                 that has `store` a gateway's.
 
         """
-        return _command(_check_settings, settings, role)
+        return command(_check_settings, settings, role)
 
-    def check_config(self, file: str) -> _Command:
+    def check_config(self, file: str) -> Command:
         """Check a configuration that the users' platform keeps, and print every mistake.
 
         Args:
             file: The configuration as JSON, as the operator writes it to the store.
 
         """
-        return _command(_operator("check_config"), file)
+        return command(operator("check_config"), file)
 
     def report(
         self,
@@ -231,7 +129,7 @@
         request: str = "",
         picture: str = "",
         json: bool = False,
-    ) -> _Command:
+    ) -> Command:
         """Tell from gateways' logs where the time of steps went, or of one plain request.
 
         Args:
@@ -244,12 +142,12 @@
 
         """
         if not isinstance(json, bool):
-            return _command(_usage, f"--json takes no value: {json!r}")
-        return _command(_report(json), job, model, request, picture, *files)
+            return command(usage, f"--json takes no value: {json!r}")
+        return command(_report(json), job, model, request, picture, *files)
 
-    def version(self) -> _Command:
+    def version(self) -> Command:
         """Print the version."""
-        return _command(_version)
+        return command(_version)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -261,9 +159,9 @@
     if args and args[-1] in _HELP_FLAGS:
         args = [*args[:-1], *_FIRE_HELP]
     try:
-        command = _parse(args)
-        if isinstance(command, _Command):
-            return command._run()
+        parsed = _parse(args)
+        if isinstance(parsed, Command):
+            return parsed.run()
         _parse([*args, *_FIRE_HELP])
         return ExitCode.USAGE
     except KeyboardInterrupt:
@@ -276,7 +174,7 @@
         return fire.Fire(Commands(), command=args, name=PROGRAM, serialize=_silent)
     except fire.core.FireExit as exc:
         code = ExitCode.USAGE if exc.code else ExitCode.OK
-        return _Command(lambda: code)
+        return Command(lambda: code)
 
 
 def _as_text(arg: str) -> str:
@@ -298,7 +196,7 @@
     """Check the settings, send the logs to standard output and run a role until it stops."""
     loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
     if isinstance(loaded, Err):
-        return _usage(str(loaded.unwrap_err()))
+        return usage(str(loaded.unwrap_err()))
     settings = loaded.unwrap()
     run: Callable[..., int]
     more: tuple[str, ...] = ()
@@ -322,17 +220,17 @@
 def _check_settings(path: str, role: str) -> int:
     """Check a settings file and the tokens file that it names."""
     if role and role not in _ROLES:
-        return _usage(f"role: {role!r}; allowed: one of {', '.join(_ROLES)}")
+        return usage(f"role: {role!r}; allowed: one of {', '.join(_ROLES)}")
     role = role or _guess_role(path)
     loaded: Result[Any, SettingsError] = load_settings(path, _ROLES[role])
     if isinstance(loaded, Err):
-        return _usage(str(loaded.unwrap_err()))
+        return usage(str(loaded.unwrap_err()))
     if role == "entry":
         from .helpers.tokens import load_tokens  # noqa: PLC0415 - only entries have tokens
 
         tokens = load_tokens(loaded.unwrap().tokens_file)
         if isinstance(tokens, Err):
-            return _usage(str(tokens.unwrap_err()))
+            return usage(str(tokens.unwrap_err()))
     print(f"{path}: valid settings of role {role}")
     return ExitCode.OK
 
@@ -348,12 +246,6 @@
     return "side" if isinstance(raw, dict) and {"service", "upstream"} & set(raw) else "entry"
 
 
-def _usage(message: str) -> int:
-    """Say what is wrong with the usage or the settings."""
-    print(f"{PROGRAM}: {message}", file=sys.stderr)
-    return ExitCode.USAGE
-
-
 def _version() -> int:
     """Print the versions of the program and of its Python."""
     print(f"{PROGRAM} {__version__} (Python {platform.python_version()})")
--- a/cranberryline/config_client.py
+++ b/cranberryline/config_client.py
@@ -38,6 +38,7 @@
 _PATH_RECORDS = "/config/records"
 _PATH_STATUS = "/status"
 _PATH_HOLDS = "/holds"
+_PATH_CONTROLS = "/controls"
 
 
 class ApiReason(enum.StrEnum):
@@ -118,6 +119,20 @@
         """Release a request that gateways hold."""
         return await self._async_call("DELETE", f"{_PATH_HOLDS}/{quote(fingerprint, safe='')}")
 
+    async def async_controls(self) -> Result[list[dict[str, Any]], ApiError]:
+        """Return the controls that a gateway knows."""
+        return _list_in(await self._async_call("GET", _PATH_CONTROLS), "controls")
+
+    async def async_set_control(
+        self, kind: str, name: str, control: dict[str, Any]
+    ) -> Result[dict[str, Any], ApiError]:
+        """Set a control at all gateways."""
+        return await self._async_call("PUT", _control_path(kind, name), control)
+
+    async def async_clear_control(self, kind: str, name: str) -> Result[dict[str, Any], ApiError]:
+        """Take a control back at all gateways."""
+        return await self._async_call("DELETE", _control_path(kind, name))
+
     async def _async_call(
         self, method: str, path: str, body: dict[str, Any] | None = None
     ) -> Result[dict[str, Any], ApiError]:
@@ -136,7 +151,7 @@
         except ConnectionRefusedError:
             return Err(ApiError(ApiReason.UNAVAILABLE, f"no entry listens at {self._base_url}"))
         except (OSError, HTTPClientError, ValueError) as exc:
-            return Err(self._unfinished(method, exc))
+            return Err(self._unfinished(method, path, exc))
         return _read(response)
 
     def _headers(self) -> dict[str, str]:
@@ -146,16 +161,19 @@
             headers["Authorization"] = f"Bearer {self._token}"
         return headers
 
-    def _unfinished(self, method: str, exc: BaseException) -> ApiError:
+    def _unfinished(self, method: str, path: str, exc: BaseException) -> ApiError:
         """Return the error of a call that got no answer."""
         if method == "GET":
             return ApiError(ApiReason.UNAVAILABLE, f"no answer from {self._base_url}: {exc}")
-        hint = (
-            "The request may be released: look with `cranberryline holds list`"
-            if method == "DELETE"
-            else "The record may be in force: look with `cranberryline config history` before "
-            "publishing it again"
-        )
+        if path.startswith(_PATH_CONTROLS):
+            hint = "The change may be in force: look with `cranberryline controls list`"
+        elif method == "DELETE":
+            hint = "The request may be released: look with `cranberryline holds list`"
+        else:
+            hint = (
+                "The record may be in force: look with `cranberryline config history` before "
+                "publishing it again"
+            )
         message = f"no answer from {self._base_url}: {exc}. {hint}"
         return ApiError(ApiReason.UNKNOWN, message)
 
@@ -182,6 +200,11 @@
     return Ok([_draft(row) for row in rows])
 
 
+def _control_path(kind: str, name: str) -> str:
+    """Return the path of a control."""
+    return f"{_PATH_CONTROLS}/{quote(kind, safe='')}/{quote(name, safe='')}"
+
+
 def _rows(documents: list[Any]) -> Iterator[Any]:
     """Yield the records of all documents."""
     for document in documents:
--- a/cranberryline/operator_commands.py
+++ b/cranberryline/operator_commands.py
@@ -1,6 +1,8 @@
 """The operator's commands: each calls an entry, prints what came and returns an exit code."""
 
 import asyncio
+import getpass
+import json
 import os
 import sys
 from collections.abc import Awaitable, Callable
@@ -19,12 +21,15 @@
 
 __all__ = [
     "check_config",
+    "clear_control",
     "get",
     "history",
+    "list_controls",
     "list_holds",
     "list_records",
     "publish",
     "release_hold",
+    "set_control",
     "status",
 ]
 
@@ -122,20 +127,83 @@
 
 def list_holds(gateway: str) -> int:
     """Print the requests that a gateway suspects or holds, as YAML."""
-    if not gateway:
-        return _complain("gateway: the base URL of a gateway's ready address", ExitCode.USAGE)
-    return _call(gateway, "", lambda client: client.async_holds(), _print_yaml)
+    return _call_gateway(gateway, lambda client: client.async_holds(), _print_yaml)
 
 
 def release_hold(fingerprint: str, gateway: str) -> int:
     """Release a held request at every gateway."""
-    if not gateway:
-        return _complain("gateway: the base URL of a gateway's ready address", ExitCode.USAGE)
 
     def show(_answer: dict[str, Any]) -> None:
         print(f"{fingerprint}: released")
 
-    return _call(gateway, "", lambda client: client.async_release(fingerprint), show)
+    return _call_gateway(gateway, lambda client: client.async_release(fingerprint), show)
+
+
+def list_controls(gateway: str) -> int:
+    """Print the controls that a gateway knows, as YAML."""
+    return _call_gateway(gateway, lambda client: client.async_controls(), _print_yaml)
+
+
+def set_control(
+    kind: str, name: str, gateway: str, weight: str, cap: str, seconds: str, reason: str
+) -> int:
+    """Set a control at every gateway; empty texts are not sent."""
+    control: dict[str, Any] = {"by": _user()}
+    numbers = {"weight": weight, "cap": cap, "ends_in_seconds": seconds}
+    for field, text in numbers.items():
+        if not text:
+            continue
+        number = _number(text)
+        if number is None:
+            return _complain(f"{field}: {text!r}; allowed: a number", ExitCode.USAGE)
+        control[field] = number
+    if reason:
+        control["reason"] = reason
+
+    def show(_answer: dict[str, Any]) -> None:
+        print(f"{kind}/{name}: set")
+
+    return _call_gateway(
+        gateway, lambda client: client.async_set_control(kind, name, control), show
+    )
+
+
+def clear_control(kind: str, name: str, gateway: str) -> int:
+    """Take a control back at every gateway."""
+
+    def show(_answer: dict[str, Any]) -> None:
+        print(f"{kind}/{name}: taken back")
+
+    return _call_gateway(gateway, lambda client: client.async_clear_control(kind, name), show)
+
+
+def _number(text: str) -> int | float | None:
+    """Return the JSON number that a text is, else None."""
+    try:
+        number = json.loads(text)
+    except (ValueError, RecursionError):
+        return None
+    is_number = isinstance(number, int | float) and not isinstance(number, bool)
+    return number if is_number else None
+
+
+def _user() -> str:
+    """Return the name under which the operator is logged in."""
+    try:
+        return getpass.getuser()
+    except (OSError, KeyError):
+        return "unknown"
+
+
+def _call_gateway(
+    gateway: str,
+    call: Callable[[ApiClient], Awaitable[Result[Any, ApiError]]],
+    show: Callable[[Any], None],
+) -> int:
+    """Make calls to a gateway, which has no address by default."""
+    if not gateway:
+        return _complain("gateway: the base URL of a gateway's ready address", ExitCode.USAGE)
+    return _call(gateway, "", call, show)
 
 
 async def _async_publish(client: ApiClient, drafts: list[RecordDraft]) -> Result[None, ApiError]:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,7 @@
     ("platform", "reports"),
     ("entry", "gateway", "side"),
     ("operator_commands",),
+    ("operator_cli",),
     ("cli",),
     ("__main__",),
 )
