--- a/tests/controls/test_shared_controls.py
+++ b/tests/controls/test_shared_controls.py
@@ -170,6 +170,23 @@
     run_scenario(scenario, gateways=1)
 
 
+def test_controls_hold_and_end_while_the_store_is_out() -> None:
+    """A gateway that is cut off would send to cordoned upstreams, or keep a cordon past its end."""
+
+    async def scenario(cluster: Cluster) -> None:
+        (node,) = cluster.nodes
+        cluster.upstreams += [make_upstream("a"), make_upstream("b"), make_upstream("c")]
+        await node.async_set("upstream/a", b'{"ends_in_seconds": 20}')
+        await node.async_set("upstream/b")
+        node.link.silent = True
+        await asyncio.sleep(15)
+        assert node.cordoned() == {"a", "b"}
+        await asyncio.sleep(6)
+        assert node.cordoned() == {"b"}
+
+    run_scenario(scenario, gateways=1)
+
+
 def test_vm_cordon_holds_for_jobs_that_arrived_while_it_was_in_force() -> None:
     """Jobs from before and after keep their VMs, or their items would run twice."""
 
