--- a/cranberryline/platform/const.py
+++ b/cranberryline/platform/const.py
@@ -34,6 +34,7 @@
 TOPIC_MARKS = "keyed.job_marks"
 TOPIC_QUARANTINE = "keyed.quarantine"
 TOPIC_SLOTS = "keyed.slots"
+TOPIC_CONTROLS = "keyed.controls"
 KEY_CONFIG = "config"
 KEY_VERSION_PREFIX = "version/"
 
--- a/cranberryline/platform/ports.py
+++ b/cranberryline/platform/ports.py
@@ -38,6 +38,7 @@
     topic_marks: str
     topic_quarantine: str
     topic_slots: str
+    topic_controls: str
 
     @property
     @abc.abstractmethod
--- a/cranberryline/settings/const.py
+++ b/cranberryline/settings/const.py
@@ -34,6 +34,7 @@
 MAX_PARTITIONS = 1024
 DEFAULT_LEASE = timedelta(seconds=3)
 DEFAULT_KEEP_JOBS = timedelta(seconds=180)
+DEFAULT_OPERATOR_CONTROLS = False
 DEFAULT_REPORT_LATE = timedelta(seconds=10)
 
 SLOT_SHARING_OFF: Final = "off"
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -14,6 +14,7 @@
     DEFAULT_LOG_RETENTION,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_MAX_HEADER_BYTES,
+    DEFAULT_OPERATOR_CONTROLS,
     DEFAULT_PARTITIONS,
     DEFAULT_REPORT_LATE,
     DEFAULT_SIDE_LISTEN,
@@ -42,6 +43,7 @@
     Rate,
     Seconds,
     Size,
+    Switch,
     Text,
     Url,
 )
@@ -210,6 +212,11 @@
         "Whether gateways share the slots of engines; auto: of several models, at many gateways.",
         DEFAULT_SLOT_SHARING,
     )
+    operator_controls: bool = _setting(
+        Switch(),
+        "Whether operators can set weights, caps and cordons while gateways run.",
+        DEFAULT_OPERATOR_CONTROLS,
+    )
     stop_timeout: timedelta = _setting(
         Seconds(),
         "How long a planned stop waits for work in flight.",
