Keep slower engines for when fast slots are scarce, and move what a step waits for

A text estimated far too short was put on a slow engine beside free fast ones, and its step ended seconds late; short texts of a job's other groups got the fastest engines although the trainer waits for all groups; a text that was not the longest by events, but the last by time, did not move. Ruled out: always the fastest free engine (long texts of the next trainer then find slow ones only). Change: short texts use slower engines while fewer than two fifths of the fast slots are free; the longest text is that of the whole job where its trainer needs all groups; moves are decided by time.

--- a/cranberryline/decisions/slot_supply.py
+++ b/cranberryline/decisions/slot_supply.py
@@ -17,13 +17,21 @@
 EQUAL_SPEED_RATIO = 1.15
 # A text may be twice as long as estimated, and the longest of its group half as long.
 ESTIMATE_MARGIN = 2.0
+# Share of the fastest engines' slots that is left to texts which decide when their group ends. A
+# text whose length is estimated far too short would end its group late on a slower engine, so the
+# others use those engines only while these slots are scarce.
+FAST_RESERVE = 0.4
 
 
 @attrs.define
 class _Kind:
-    """The engines that may run the texts of a model and a version; slowest first."""
+    """The engines that may run the texts of a model and a version; slowest first.
+
+    `fast_slots` is the number of slots of the fastest ones, in use and free.
+    """
 
     fastest: float
+    fast_slots: int
     engines: list[EngineState]
 
 
@@ -85,14 +93,27 @@
             fastest = max((self._speeds[engine.id] for engine in serving), default=0.0)
             free = [engine for engine in serving if engine.id in self._free]
             free.sort(key=lambda engine: self._speeds[engine.id])
-            kind = self._kinds[key] = _Kind(fastest, free)
+            fast_slots = sum(engine.slots for engine in serving if self._is_fast(engine, fastest))
+            kind = self._kinds[key] = _Kind(fastest, fast_slots, free)
         return kind
 
+    def _is_fast(self, engine: EngineState, fastest: float) -> bool:
+        return self._speeds[engine.id] * EQUAL_SPEED_RATIO >= fastest
+
+    def _has_fast_slots_to_spare(self, kind: _Kind) -> bool:
+        free = sum(
+            self._free[engine.id] for engine in kind.engines if self._is_fast(engine, kind.fastest)
+        )
+        return free > FAST_RESERVE * kind.fast_slots
+
     def _choose(self, demand: TextDemand, kind: _Kind) -> str:
         names = [engine.id for engine in kind.engines]
         if demand.avoid:
             names = [name for name in names if name not in demand.avoid] or names
-        speed = self._slowest_in_time(demand, names, kind.fastest)
+        if self._has_fast_slots_to_spare(kind):
+            speed = self._speeds[names[-1]]
+        else:
+            speed = self._slowest_in_time(demand, names, kind.fastest)
         low, high = speed / EQUAL_SPEED_RATIO, speed * EQUAL_SPEED_RATIO
         equal = [name for name in names if low <= self._speeds[name] <= high]
         return max(equal, key=lambda name: (name in demand.connected, self._free[name]))
--- a/cranberryline/decisions/text_moves.py
+++ b/cranberryline/decisions/text_moves.py
@@ -13,7 +13,7 @@
 __all__ = ["MoveBudget", "MovePolicy"]
 
 GRANTS_PER_MOVE = 20
-MAX_MOVES_AT_ONCE = 4
+MAX_MOVES_AT_ONCE = 12
 
 
 class MoveBudget:
@@ -45,8 +45,9 @@
 class MovePolicy:
     """Chooses the moves that pay.
 
-    Only a text that its group waits for moves, after `min_stay` on its engine: a new engine's speed
-    shows within about a second. `cost` is the time of a move, for the new request and the prefill;
+    Only a text that its group would wait for moves, as it ends later than the longest one would on
+    the fastest engine, after `min_stay` on its engine: a new engine's speed shows within about a
+    second. `cost` is the time of a move, for the new request and the prefill;
     a move has to save more than `min_saving` beside it. `min_speedup` is the least ratio of speeds,
     which keeps two engines from sending a text back and forth.
     """
@@ -68,22 +69,19 @@
         targets = [engine for engine in engines if engine.free > 0]
         if not targets:
             return []
+        fastest = max(speeds.values())
         moves = [
             move
             for text in running
-            if self._may_move(text, now)
-            for move in self._moves_of(text, speeds.get(text.engine, 0.0), targets)
+            if now - text.since >= self.min_stay
+            for move in self._moves_of(text, speeds.get(text.engine, 0.0), fastest, targets)
         ]
         return _take_largest(moves, budget)
 
-    def _may_move(self, text: RunningText, now: timedelta) -> bool:
-        decides_group = text.events_left >= text.group_events_left
-        return decides_group and now - text.since >= self.min_stay
-
     def _moves_of(
-        self, text: RunningText, here: float, targets: Sequence[EngineState]
+        self, text: RunningText, here: float, fastest: float, targets: Sequence[EngineState]
     ) -> Iterator[_Move]:
-        if here <= 0:
+        if here <= 0 or text.events_left / here < text.group_events_left / fastest:
             return
         least = (self.cost + self.min_saving).total_seconds()
         for engine in targets:
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -222,7 +222,9 @@
             trainer=job.model or job.host,
             due=state.seen_at + (route.max_wait or route.timeout),
             events_left=lambda: context.texts.events_left(state, self.index),
-            group_events_left=lambda: context.texts.group_events_left(state, self.index),
+            group_events_left=lambda: context.texts.step_events_left(
+                state, self.index, context.clock.monotonic()
+            ),
             model=job.model,
             min_version=job.min_version,
             rank=context.routes.rank(route, job.workspace),
--- a/cranberryline/jobs/running_texts.py
+++ b/cranberryline/jobs/running_texts.py
@@ -1,5 +1,7 @@
 """Texts that this gateway generates, and how many events of them and of their groups are left."""
 
+from datetime import timedelta
+
 import attrs
 
 from cranberryline.decisions.lengths import TextLengthEstimator
@@ -11,14 +13,17 @@
 __all__ = ["RunningTexts"]
 
 _Key = tuple[str, int]
+# How long the longest text of a job stays known; looking for it reads all texts of the job.
+_LONGEST_TTL = timedelta(milliseconds=100)
 
 
-@attrs.frozen
+@attrs.define
 class RunningTexts:
     """The texts of items that run on this gateway; None stands for a text that is complete."""
 
     _lengths: TextLengthEstimator
     _texts: dict[_Key, ItemText | None] = attrs.field(factory=dict)
+    _longest: dict[str, tuple[timedelta, float]] = attrs.field(factory=dict)
 
     def start(self, state: JobState, index: int, text: ItemText) -> None:
         """Add the text of an item; its events are counted whenever they are asked for."""
@@ -46,6 +51,24 @@
         events = 0 if text is None else len(text.events)
         return self._lengths.events_left(state.job.items[index].told_tokens, events)
 
+    def step_events_left(self, state: JobState, index: int, now: timedelta) -> float:
+        """Return how many events to expect of the longest text that is wanted with an item's.
+
+        A trainer that waits for all groups of its job goes on when the last of them is complete;
+        one that waits for fewer may go on without a group whose texts are long.
+        """
+        group_count = state.head.group_count
+        if group_count is not None and group_count < len(state.groups.sizes):
+            return self.group_events_left(state, index)
+        known = self._longest.get(state.head.id)
+        if known is None or now - known[0] >= _LONGEST_TTL:
+            left = [self.events_left(state, member) for member in range(len(state.head.items))]
+            self._longest = {
+                job: row for job, row in self._longest.items() if now - row[0] < _LONGEST_TTL
+            }
+            known = self._longest[state.head.id] = now, max(left)
+        return max(known[1], self.events_left(state, index))
+
     def group_events_left(self, state: JobState, index: int) -> float:
         """Return how many events to expect of the longest text of an item's group."""
         members = state.groups.members[group_of(state.head.items[index])]
--- a/tests/decisions/test_slot_allocation.py
+++ b/tests/decisions/test_slot_allocation.py
@@ -141,6 +141,14 @@
     assert _chosen([demand], FAST, MID, SLOW) == {1: engine}
 
 
+def test_short_texts_use_fast_slots_that_are_not_scarce() -> None:
+    """A text far longer than estimated ends its step late, though fast slots stayed free."""
+    plenty, slow = attrs.evolve(FAST, free=7), attrs.evolve(SLOW, free=8)
+    demands = [_demand(n, events_left=5, group_events_left=100) for n in range(8)]
+    # Of the eight fast slots, 3.2 are left to texts that decide when their group ends.
+    assert Counter(_chosen(demands, plenty, slow).values()) == {"fast": 4, "slow": 4}
+
+
 def test_short_text_is_in_time_for_a_text_on_a_full_engine() -> None:
     """The group's longest runs on the fastest engine, which is full, and ends before the others."""
     demand = _demand(1, events_left=30, group_events_left=100)
--- a/tests/jobs/test_text_slots.py
+++ b/tests/jobs/test_text_slots.py
@@ -363,3 +363,20 @@
         assert not scene.slots.asked and not scene.slots.unshared and not scene.slots.ends
 
     run_virtual(scenario())
+
+
+def test_step_waits_for_the_longest_text_of_all_its_groups() -> None:
+    """A trainer that needs all groups gains nothing by a group that is complete early."""
+    lengths = TextLengthEstimator()
+    lengths.record_completed(100, 10)
+    items = tuple(
+        Item(f"i{n}", "/p/x", (), b"", group=f"g{n}", told_tokens=tokens)
+        for n, tokens in enumerate((400, 900, 2000))
+    )
+    now, later = timedelta(seconds=1), timedelta(seconds=2)
+    for group_count, left in ((None, 200), (3, 200), (2, 40)):
+        job = Job("j1", "h.example", "/p/1", items, 0.0, group_count=group_count)
+        state, texts = JobState.from_job(job, timedelta()), RunningTexts(lengths)
+        assert texts.step_events_left(state, 0, now) == left
+        state.done.add(2)
+        assert texts.step_events_left(state, 0, later) == min(left, 90)
