Tell the keeper of slots how many connections are idle

Cause: a gateway named an engine once to which it had any idle connection, so the keeper could not tell one connection from eight.

Ruled out: a list of pairs of engine and count in the exchange.

Change: KeptStreams counts the connections that wait and are sound; the ports, links and GatewaySlots pass the count on, and the exchange names an engine once for each connection. Over the limit of names, those at the engines with most connections are left out.

--- a/cranberryline/dispatch/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -47,6 +47,7 @@
         next_id: Callable[[], int],
         on_slot_free: Callable[[], None],
         connected: Callable[[], bool] = lambda: False,
+        idle_connections: Callable[[], int] | None = None,
     ) -> None:
         self.vm_id = vm.id
         self.address = vm.address
@@ -61,6 +62,7 @@
         self._next_id = next_id
         self._on_slot_free = on_slot_free
         self._connected = connected
+        self._idle_connections = idle_connections or (lambda: int(connected()))
         self._exchanges: dict[int, Exchange] = {}
         self._tokens = 0
         self._unfinished: set[int] = set()
@@ -77,6 +79,11 @@
         """Return whether an idle connection is open that the next request would reuse."""
         return self._connected()
 
+    @property
+    def idle_connections(self) -> int:
+        """Return how many idle connections are open that requests would reuse."""
+        return self._idle_connections()
+
     @property
     def outstanding(self) -> int:
         """Return the number of requests that have not finished, including orphaned ones.
@@ -193,7 +200,13 @@
         limit = self._service_concurrency(vm.service)
         runner = Runner(self._clock, execution, self._metrics, book, limit)
         link = DirectUpstream(
-            vm, runner, self._incarnation, self._next_id, self._on_slot_free, port.connected
+            vm,
+            runner,
+            self._incarnation,
+            self._next_id,
+            self._on_slot_free,
+            port.connected,
+            port.idle_connections,
         )
         self._prune(vm.id)
         if len(self._links) >= self._prune_at:
--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -146,7 +146,10 @@
         """Return the events per second of single texts that were measured here lately."""
         return dict(self.paces.faster_than(0.0, self._clock.monotonic()))
 
-    def connected(self, service: str) -> frozenset[str]:
-        """Return the upstreams of a service with an idle connection."""
-        recent = self._upstreams.pool(service).recent()
-        return frozenset(upstream.id for upstream in recent if upstream.link.connected)
+    def connected(self, service: str) -> tuple[str, ...]:
+        """Return the upstreams of a service, each as often as it has idle connections."""
+        return tuple(
+            upstream.id
+            for upstream in self._upstreams.pool(service).recent()
+            for _ in range(upstream.link.idle_connections)
+        )
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -154,6 +154,10 @@
         """Tell whether a kept connection waits for the next request."""
         return self._pool.ready()
 
+    def idle_connections(self) -> int:
+        """Return how many kept connections wait for a request."""
+        return self._pool.count()
+
     async def async_send(
         self, req: UpstreamRequest, timeout: timedelta
     ) -> Result[UpstreamBody, PlatformError]:
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -103,6 +103,11 @@
         now = asyncio.get_running_loop().time()
         return any(now < until and _is_quiet(stream) for until, stream in self._idle)
 
+    def count(self) -> int:
+        """Return how many connections wait and are still sound."""
+        now = asyncio.get_running_loop().time()
+        return sum(now < until and _is_quiet(stream) for until, stream in self._idle)
+
     def close(self) -> None:
         """Close every connection that waits."""
         for _, stream in self._idle:
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -169,6 +169,10 @@
         """Tell whether a kept connection waits for the next request."""
         return False
 
+    def idle_connections(self) -> int:
+        """Return how many kept connections wait for a request."""
+        return int(self.connected())
+
 
 @attrs.frozen
 class EngineLoad:
--- a/cranberryline/slots/parts.py
+++ b/cranberryline/slots/parts.py
@@ -1,6 +1,6 @@
 """What a gateway provides to the client of slots."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
 
@@ -25,8 +25,8 @@
     is used directly where this gateway is the keeper. `peers` returns the peer address of each live
     gateway that is not stopping by VM id, this one included. `is_shared` returns whether the slots
     of a service are shared. `rates` returns the events per second of single texts that this gateway
-    measured lately, by upstream, and `connected` the upstreams of a service with an idle
-    connection. `count` counts an event for the metrics: "granted", "unshared", "keeper_silent" or
+    measured lately, by upstream, and `connected` the upstreams of a service, each as often as it has
+    idle connections. `count` counts an event for the metrics: "granted", "unshared", "keeper_silent" or
     "moved".
     """
 
@@ -39,5 +39,5 @@
     engines: Callable[[str], Sequence[EngineSlots]]
     is_shared: Callable[[str], bool]
     rates: Callable[[], Mapping[str, float]]
-    connected: Callable[[str], frozenset[str]]
+    connected: Callable[[str], Iterable[str]]
     count: Callable[[str], None] = _count_nothing
--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -1,7 +1,8 @@
 """Rows in which a gateway tells a keeper about its texts."""
 
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from cranberryline.helpers.clock import in_milliseconds
@@ -11,7 +12,7 @@
 from .messages import HeldSlot, WaitingText
 from .model import SlotNeed
 
-__all__ = ["held_row", "waiting_row"]
+__all__ = ["connected_names", "held_row", "waiting_row"]
 
 
 def waiting_row(ticket: int, need: SlotNeed, now: timedelta) -> WaitingText:
@@ -44,6 +45,13 @@
     )
 
 
+def connected_names(connections: Iterable[str]) -> tuple[str, ...]:
+    """Return the engines of idle connections; those over the limit are the most at one engine."""
+    counts = Counter(connections)
+    numbered = sorted((number, name) for name in counts for number in range(counts[name]))
+    return tuple(sorted(name for _, name in numbered[:MAX_NAMES]))
+
+
 def _due_ms(need: SlotNeed, now: timedelta) -> int:
     return max(-MAX_DUE_MS, min(in_milliseconds(need.due - now), MAX_DUE_MS))
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -13,7 +13,6 @@
     ACQUIRE_TIMEOUT,
     FORGET_AFTER,
     KEEPER_PAUSE,
-    MAX_NAMES,
     MAX_OPEN_EXCHANGES,
     MAX_ROWS,
     MAX_WAIT,
@@ -27,7 +26,7 @@
 from .parts import SlotClientParts
 from .ports import KeeperError, KeeperProblem
 from .route import KeeperRoute, Peer
-from .rows import held_row, waiting_row
+from .rows import connected_names, held_row, waiting_row
 
 __all__ = ["SessionScope", "SlotSession"]
 
@@ -224,7 +223,7 @@
         """Return all that the keeper is told; reports are told once."""
         now = self._parts.clock.monotonic()
         engines = self._scope.engines()
-        connected = self._parts.connected(self._scope.service) if self._waiting else frozenset()
+        connected = self._parts.connected(self._scope.service) if self._waiting else ()
         waiting = [waiting_row(each, waiter.need, now) for each, waiter in self._waiting.items()]
         held = [
             held_row(ticket, grant.upstream, grant.need, now)
@@ -244,7 +243,7 @@
             held=tuple(held[:MAX_ROWS]),
             rejected=rejected,
             rates=self._new_rates(peer, engines),
-            connected=tuple(sorted(engines.keys() & connected))[:MAX_NAMES],
+            connected=connected_names(name for name in connected if name in engines),
         )
 
     def _new_rates(
--- a/cranberryline/transport/link.py
+++ b/cranberryline/transport/link.py
@@ -58,6 +58,11 @@
         """Tell whether the next request would go out on a connection that waits for one."""
         return False
 
+    @property
+    def idle_connections(self) -> int:
+        """Return how many connections wait for a request."""
+        return int(self.connected)
+
     @abstractmethod
     def open(
         self,
