Place each text of a gateway on an idle connection of its own

Cause: up to eight texts were placed at an engine to which one connection was idle. Seven were opened, while connections to other engines expired.

Ruled out: preferring the engine with most idle connections. It overrides the most free slots for no connection saved.

Change: TextDemand names the gateway that asks, and place() takes the idle connections by gateway and engine. Among engines of equal speed, one with a connection that no placement of the call has taken comes first, then the one with most free slots. A grant that is not confirmed takes a connection, so that a second exchange does not count it again.

--- a/cranberryline/decisions/slot_allocation.py
+++ b/cranberryline/decisions/slot_allocation.py
@@ -12,7 +12,7 @@
 import attrs
 
 from .slot_model import EngineState, Placement, RunningText, TextDemand
-from .slot_supply import SlotSupply
+from .slot_supply import IdleConnections, SlotSupply
 
 __all__ = ["ArrivalOrder", "DemandOrder", "ShareOrder", "SlackOrder", "SlotAllocator"]
 
@@ -145,12 +145,15 @@
         running: Sequence[RunningText],
         engines: Sequence[EngineState],
         now: timedelta,
+        idle: IdleConnections | None = None,
     ) -> list[Placement]:
         """Return placements of as many demands as free slots can serve.
 
-        `engines` are all that accept texts, also those without a free slot.
+        `engines` are all that accept texts, also those without a free slot. `idle` counts the idle
+        connections by gateway and engine; each serves one placement. For a gateway that it does not
+        name, those that a demand tells are not counted.
         """
-        supply = SlotSupply(engines, running, self.caps)
+        supply = SlotSupply(engines, running, self.caps, idle)
         if supply.empty:
             return []
         placements = []
--- a/cranberryline/decisions/slot_model.py
+++ b/cranberryline/decisions/slot_model.py
@@ -28,7 +28,8 @@
     `trainer` is whose share the slot counts to, and `weight` the size of that share; texts of a
     lower `rank` come first. `due` is when its group is wanted. `events_left` are expected of this
     text, `group_events_left` of the longest incomplete text that is wanted together with it. `avoid` are
-    engines to use only if there is no other, `connected` those with an idle connection.
+    engines to use only if there is no other, `connected` those with an idle connection. `gateway`
+    is the one that asks.
     """
 
     key: Hashable
@@ -43,6 +44,7 @@
     weight: float = 1.0
     avoid: frozenset[str] = frozenset()
     connected: frozenset[str] = frozenset()
+    gateway: str = ""
 
 
 @attrs.frozen
--- a/cranberryline/decisions/slot_supply.py
+++ b/cranberryline/decisions/slot_supply.py
@@ -11,7 +11,10 @@
 
 from .slot_model import EngineState, RunningText, TextDemand
 
-__all__ = ["SlotSupply"]
+__all__ = ["IdleConnections", "SlotSupply"]
+
+# Idle connections by gateway and engine.
+IdleConnections = Mapping[str, Mapping[str, int]]
 
 # Engines whose speeds differ by less count as equal.
 EQUAL_SPEED_RATIO = 1.15
@@ -39,6 +42,7 @@
     """The free slots of engines, and how many slots each trainer uses, during one call.
 
     `caps` is the most slots that a trainer may use; trainers that it does not name have no limit.
+    `idle` counts the idle connections by gateway and engine; a slot that is taken uses up one.
     """
 
     def __init__(
@@ -46,6 +50,7 @@
         engines: Sequence[EngineState],
         running: Sequence[RunningText],
         caps: Mapping[str, int],
+        idle: IdleConnections | None = None,
     ) -> None:
         self._engines = engines
         self._free = {engine.id: engine.free for engine in engines if engine.free > 0}
@@ -53,6 +58,8 @@
         self._kinds: dict[tuple[str, int | None], _Kind] = {}
         self._caps = caps
         self._used = Counter(text.trainer for text in running)
+        self._idle = idle or {}
+        self._connections_used: Counter[tuple[str, str]] = Counter()
 
     @property
     def empty(self) -> bool:
@@ -75,6 +82,7 @@
         kind = self._kind(demand)
         chosen = self._choose(demand, kind)
         self._used[demand.trainer] += 1
+        self._connections_used[demand.gateway, chosen] += 1
         self._free[chosen] -= 1
         if not self._free[chosen]:
             self._remove(chosen)
@@ -116,7 +124,14 @@
             speed = self._slowest_in_time(demand, names, kind.fastest)
         low, high = speed / EQUAL_SPEED_RATIO, speed * EQUAL_SPEED_RATIO
         equal = [name for name in names if low <= self._speeds[name] <= high]
-        return max(equal, key=lambda name: (name in demand.connected, self._free[name]))
+        return max(equal, key=lambda name: (self._is_connected(demand, name), self._free[name]))
+
+    def _is_connected(self, demand: TextDemand, name: str) -> bool:
+        """Return whether an idle connection of the gateway that asks is left for a text."""
+        idle = self._idle.get(demand.gateway)
+        if idle is None:
+            return name in demand.connected
+        return idle.get(name, 0) > self._connections_used[demand.gateway, name]
 
     def _slowest_in_time(
         self, demand: TextDemand, names: Sequence[str], fastest_usable: float
--- a/cranberryline/slots/gateway_tickets.py
+++ b/cranberryline/slots/gateway_tickets.py
@@ -1,6 +1,7 @@
 """What one gateway told a keeper about its texts, and what it was granted since."""
 
-from collections.abc import Callable, Iterator
+from collections import Counter
+from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 
 import attrs
@@ -37,6 +38,7 @@
         self._received = timedelta()
         self._movable: frozenset[int] = frozenset()
         self._granted: dict[int, _Granted] = {}
+        self._idle: Mapping[str, int] = {}
 
     def accept(self, msg: SlotExchange, now: timedelta, weights: Callable[[str], float]) -> bool:
         """Replace all by an exchange; return False for one that is not newer."""
@@ -45,6 +47,7 @@
         self._number = msg.number
         self._received = now
         known = frozenset(msg.connected)
+        self._idle = _idle(msg)
         self.waiting = {row.ticket: self._demand(row, known, now, weights) for row in msg.waiting}
         self.held = {row.ticket: self._running(row, now) for row in msg.held}
         self._movable = frozenset(row.ticket for row in msg.held if row.may_move)
@@ -79,6 +82,11 @@
         yield from (text.engine for text in self.held.values())
         yield from (grant.text.engine for grant in self._granted.values())
 
+    def idle(self) -> Mapping[str, int]:
+        """Return the idle connections by engine that no grant takes which is not confirmed."""
+        taken = Counter(grant.text.engine for grant in self._granted.values())
+        return {engine: count - taken[engine] for engine, count in self._idle.items()}
+
     def grant(self, ticket: int, engine: str, now: timedelta) -> None:
         """Grant a slot of an engine to a waiting text."""
         self._granted[ticket] = _Granted(_granted_text(self.waiting[ticket], engine, now), False)
@@ -130,6 +138,7 @@
             weight=weights(row.trainer),
             avoid=frozenset(row.avoid),
             connected=connected.union(row.connected) if row.connected else connected,
+            gateway=self.node,
         )
 
     def _running(self, row: HeldSlot, now: timedelta) -> RunningText:
@@ -157,6 +166,12 @@
         return now
 
 
+def _idle(msg: SlotExchange) -> Mapping[str, int]:
+    """Return the idle connections by engine; one that only a text's row names counts once."""
+    idle = dict.fromkeys((name for row in msg.waiting for name in row.connected), 1)
+    return idle | Counter(msg.connected)
+
+
 def _granted_text(text: TextDemand, engine: str, now: timedelta) -> RunningText:
     """Return a waiting text as it uses the slot that it is granted."""
     return RunningText(
--- a/cranberryline/slots/shard_slots.py
+++ b/cranberryline/slots/shard_slots.py
@@ -187,14 +187,15 @@
         self, states: Sequence[EngineState], listening: Container[str], now: timedelta
     ) -> list[Placement]:
         """Return placements on free slots."""
-        gateways = (gateway for node, gateway in self._gateways.items() if node in listening)
+        gateways = [gateway for node, gateway in self._gateways.items() if node in listening]
         demands = [text for gateway in gateways for text in gateway.demands()]
         if not demands or not any(state.free for state in states):
             return []
         models = self._rejected_models(now)
         demands = [_with_version(text, models) for text in demands]
         running = [_with_version(text, models) for text in self._running()]
-        return self._allocator.place(demands, running, states, now)
+        idle = {gateway.node: gateway.idle() for gateway in gateways}
+        return self._allocator.place(demands, running, states, now, idle)
 
     def _move(self, states: Sequence[EngineState], now: timedelta) -> None:
         """Reserve slots that no waiting text could use for texts that run faster there."""
