Use each idle connection for one of the plain requests of a moment

Cause: short requests prefer upstreams with an idle connection. Until a request has taken it, the connection counted for each request that was routed: four requests of a turn chose two upstreams with one connection each, and two of them opened one. The keeper was told such connections as idle.

Ruled out: a larger discount. Requests are not spread while a connection waits among the upstreams that are weighed, and at equal rates own requests do not outweigh the discount below eight slots. Counting opened requests as sent: one that waits for its claim or for its task has taken none.

Change: where slots are shared, the idle connections of an upstream count less the reservations without a request and the requests that were not sent; the same number goes to the keeper. The fakes of ports in tests/gateway/test_links.py tell their idle connections.

--- a/cranberryline/dispatch/candidates.py
+++ b/cranberryline/dispatch/candidates.py
@@ -137,11 +137,13 @@
         return [] if home is None else [home]
 
     def _find_connected(self) -> list[str]:
-        """Return upstreams with an idle connection, those used last first."""
+        """Return upstreams with a spare idle connection, those used last first."""
         found: list[str] = []
+        counted = self._pool.counts_connections()
         for upstream in self._pool.recent():
             vm_id = upstream.id
-            if upstream.link.connected and vm_id in self._pool.free and self._is_candidate(vm_id):
+            connected = upstream.spare_connections if counted else upstream.link.connected
+            if connected and vm_id in self._pool.free and self._is_candidate(vm_id):
                 found.append(vm_id)
             if len(found) == _MAX_CONNECTED:
                 break
--- a/cranberryline/dispatch/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -84,6 +84,11 @@
         """Return how many idle connections are open that requests would reuse."""
         return self._idle_connections()
 
+    @property
+    def unsent(self) -> int:
+        """Return how many open requests have not taken a connection yet."""
+        return self.runner.unsent
+
     @property
     def outstanding(self) -> int:
         """Return the number of requests that have not finished, including orphaned ones.
--- a/cranberryline/dispatch/pool.py
+++ b/cranberryline/dispatch/pool.py
@@ -41,9 +41,16 @@
     Adding them up for each request takes time that grows with requests times upstreams: with
     thousands of upstreams a process would do little else. A change only marks its upstream;
     `update` counts the marked ones again, before anything is read.
+
+    `counts_connections` returns whether an idle connection is used by one request only; elsewhere
+    requests of the same moment may choose an upstream for the same one.
     """
 
-    def __init__(self, served_versions: Callable[[str], Mapping[str, int]]) -> None:
+    def __init__(
+        self,
+        served_versions: Callable[[str], Mapping[str, int]],
+        counts_connections: Callable[[], bool] = lambda: False,
+    ) -> None:
         self.usable_count = 0
         self.usable_slots = 0
         self.concurrency = 0
@@ -51,6 +58,7 @@
         self.failing: SampleSet[str] = SampleSet()
         self.homes = PrefixHomes()
         self._served_versions = served_versions
+        self.counts_connections = counts_connections
         self._upstreams: dict[str, Upstream] = {}
         self._counted: dict[str, _Counted] = {}
         self._free_by_version: dict[str, dict[int, SampleSet[str]]] = {}
--- a/cranberryline/dispatch/table.py
+++ b/cranberryline/dispatch/table.py
@@ -24,6 +24,7 @@
         self._served_versions = served_versions
         self._pools: dict[str, UpstreamPool] = {}
         self._services: dict[str, str] = {}
+        self._counts_connections: Callable[[], bool] = lambda: False
 
     def add(self, service: str, link: UpstreamLink, data_center: str) -> None:
         """Add an upstream of a service, or replace the one with the same VM id."""
@@ -47,9 +48,16 @@
         """Return the upstreams of a service; the pool stays the same object."""
         pool = self._pools.get(service)
         if pool is None:
-            pool = self._pools[service] = UpstreamPool(self._served_versions)
+            pool = self._pools[service] = UpstreamPool(self._served_versions, self._is_counting)
         return pool
 
+    def count_connections(self, counts: Callable[[], bool]) -> None:
+        """Use each idle connection for one request while `counts` returns True."""
+        self._counts_connections = counts
+
+    def _is_counting(self) -> bool:
+        return self._counts_connections()
+
     def usable(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
         return list(self.pool(service).iter_usable())
--- a/cranberryline/dispatch/upstreams.py
+++ b/cranberryline/dispatch/upstreams.py
@@ -43,6 +43,12 @@
         """Return whether it gets no requests except probes."""
         return _HEALTH.is_failing(self.health)
 
+    @property
+    def spare_connections(self) -> int:
+        """Return how many idle connections are left by the requests that are about to be sent."""
+        unopened = max(0, self._reserved_slots - self.link.outstanding)
+        return max(0, self.link.idle_connections - unopened - self.link.unsent)
+
     def has_free_slot(self, concurrency: int, now: timedelta) -> bool:
         """Return whether a slot is free for one more request, as far as this process knows.
 
--- a/cranberryline/execution/execution.py
+++ b/cranberryline/execution/execution.py
@@ -102,6 +102,7 @@
             send_not_run(msg.id, RunnerReason.NO_LONGER_WANTED.value, request.reply, self.metrics)
             return
         req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body)
+        request.sent = True
         sent = await self.upstream.async_send(req, self._time_left(request))
         if isinstance(sent, Err):
             await self._async_handle_send_error(request, sent.unwrap_err(), grant)
--- a/cranberryline/execution/model.py
+++ b/cranberryline/execution/model.py
@@ -23,7 +23,8 @@
 
     `deadline` is a reading of the monotonic clock. `is_eligible` is called directly before the
     request is sent to the upstream; False prevents that. `timer` ends the wait in the queue.
-    `aborted` means that the sender has been told of the end, before the task is cancelled.
+    `aborted` means that the sender has been told of the end, before the task is cancelled. `sent`
+    is set directly before the request is sent.
     """
 
     key: RequestKey
@@ -36,6 +37,7 @@
     timer: asyncio.TimerHandle | None = None
     task: asyncio.Task[None] | None = None
     aborted: bool = False
+    sent: bool = False
 
     def __lt__(self, other: "Held") -> bool:
         """Order by priority, then by arrival."""
--- a/cranberryline/execution/runner.py
+++ b/cranberryline/execution/runner.py
@@ -52,6 +52,11 @@
         """Return the total tokens of the requests that are queued or running."""
         return sum(request.msg.tokens for request in self._requests.values())
 
+    @property
+    def unsent(self) -> int:
+        """Return how many requests have not been sent to the upstream."""
+        return sum(not request.sent for request in self._requests.values())
+
     def set_concurrency(self, concurrency: int) -> None:
         """Change how many requests may run at once; running requests continue."""
         self.concurrency = concurrency
--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -60,13 +60,19 @@
         self._engines: dict[str, tuple[EngineSlots, ...]] = {}
         self._keeper: SlotKeeper | None = None
         self._client: SlotClient | None = None
-        directory.listen_versions(lambda _key: self._engines.clear())
-        directory.membership.listen(lambda _changed: self._engines.clear())
-        routes.listen(lambda _table: self._engines.clear())
+        self._most_models: int | None = None
+        directory.listen_versions(self._forget_engines)
+        directory.membership.listen(self._forget_engines)
+        routes.listen(self._forget_engines)
         if cfg.slot_sharing != SLOT_SHARING_OFF:
             self._open()
 
+    def _forget_engines(self, _changed: object) -> None:
+        self._engines.clear()
+        self._most_models = None
+
     def _open(self) -> None:
+        self._upstreams.count_connections(self.is_any_shared)
         self._keeper = keeper = SlotKeeper(self._clock, self.engines)
         self.source = self._client = SlotClient(
             SlotClientParts(
@@ -139,17 +145,28 @@
         """Return whether slots of a service are shared."""
         if self._cfg.slot_sharing == SLOT_SHARING_ON:
             return True
-        models = {model for engine in self.engines(service) for model in engine.versions}
-        return should_share(len(models), self._nodes.live_count)
+        return should_share(self._count_models(service), self._nodes.live_count)
+
+    def is_any_shared(self) -> bool:
+        """Return whether slots of any service are shared."""
+        if self._cfg.slot_sharing == SLOT_SHARING_ON:
+            return True
+        if self._most_models is None:
+            services = self._directory.engines()
+            self._most_models = max(map(self._count_models, services), default=0)
+        return should_share(self._most_models, self._nodes.live_count)
+
+    def _count_models(self, service: str) -> int:
+        return len({model for engine in self.engines(service) for model in engine.versions})
 
     def rates(self) -> Mapping[str, float]:
         """Return the events per second of single texts that were measured here lately."""
         return dict(self.paces.faster_than(0.0, self._clock.monotonic()))
 
     def connected(self, service: str) -> tuple[str, ...]:
-        """Return the upstreams of a service, each as often as it has idle connections."""
+        """Return the upstreams of a service, each as often as it has spare idle connections."""
         return tuple(
             upstream.id
             for upstream in self._upstreams.pool(service).recent()
-            for _ in range(upstream.link.idle_connections)
+            for _ in range(upstream.spare_connections)
         )
--- a/cranberryline/transport/link.py
+++ b/cranberryline/transport/link.py
@@ -63,6 +63,11 @@
         """Return how many connections wait for a request."""
         return int(self.connected)
 
+    @property
+    def unsent(self) -> int:
+        """Return how many open requests have not taken a connection yet."""
+        return 0
+
     @abstractmethod
     def open(
         self,
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -49,7 +49,7 @@
 
     def _connect(self, row: VmEntry) -> Any:
         self.connected.append(row)
-        return SimpleNamespace(connected=lambda: False)
+        return SimpleNamespace(connected=lambda: False, idle_connections=lambda: 0)
 
 
 def test_restarted_upstream_gets_a_new_link_without_earlier_failures() -> None:
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -24,12 +24,12 @@
 class Site:
     """A gateway's view of engines and gateways."""
 
-    def __init__(self) -> None:
+    def __init__(self, mode: str = "off") -> None:
         clock = SystemClock()
         self.directory = Directory(clock, StoreHealth(clock))
         self.routes = ActiveRoutes()
         self.routes.apply(RouteTable(1, services={"engines": EngineService(slots=6)}))
-        self.cfg = SimpleNamespace(vm_id="vm-1", peer="10.0.0.9:1", slot_sharing="off")
+        self.cfg = SimpleNamespace(vm_id="vm-1", peer="10.0.0.9:1", slot_sharing=mode)
         self.heartbeats: list[NodeHeartbeat] = []
         self.live: set[str] = set()
         self.nodes = SimpleNamespace(
@@ -137,6 +137,7 @@
     for number, model in enumerate(models):
         site.put(id=f"e-{number}", versions={model: 1})
     assert site.slots.is_shared("engines") is shared
+    assert site.slots.is_any_shared() is shared
 
 
 def test_rates_are_those_measured_lately() -> None:
@@ -153,7 +154,32 @@
     """The keeper places eight texts at an engine to which one connection is idle."""
     site = Site()
     for name, idle in (("e-1", 3), ("e-2", 0), ("e-3", 1)):
-        link = SimpleNamespace(vm_id=name, idle_connections=idle, listen=lambda _listener: None)
+        link = SimpleNamespace(
+            vm_id=name,
+            idle_connections=idle,
+            outstanding=0,
+            unsent=0,
+            listen=lambda _listener: None,
+        )
         site.upstreams.add("engines", cast(Any, link), "levis")
         site.upstreams.pool("engines").record_ended(name)
     assert Counter(site.slots.connected("engines")) == {"e-1": 3, "e-3": 1}
+
+
+def test_connections_are_counted_where_slots_are_shared() -> None:
+    """Plain requests are routed otherwise at gateways that share no slots."""
+    for mode, counted in (("off", False), ("auto", False), ("on", True)):
+        pool = Site(mode).upstreams.pool("files")
+        assert pool.counts_connections() is counted
+
+
+def test_counting_starts_and_ends_with_sharing() -> None:
+    """A gateway goes on as its engines were when it was first asked."""
+    site = Site("auto")
+    pool = site.upstreams.pool("files")
+    site.put()
+    assert not pool.counts_connections()
+    site.put(id="e-2", versions={"n": 1})
+    assert pool.counts_connections()
+    site.directory.remove("e-2")
+    assert not pool.counts_connections()
