Open one session of a shard when texts are handed over

Cause: a session of a new number of shards was stored only after those of the old number had handed their texts over. A handed text of the same shard opened a session of its own, which the outer one then displaced in the client without ending it. Both told the keeper "all" texts of the gateway in turn, so that its slots counted as free while they were used, and grants were lost. Ruled out: a lost exchange or late expiry of the old shards; the test looks 2 s after the change. Change: store the session first, then retire the others. Result: tests/slots/test_shards.py fails without it (1 and 12 of 21 texts known), passes with it; tests/slots/test_client.py passes.

--- a/cranberryline/slots/client.py
+++ b/cranberryline/slots/client.py
@@ -74,7 +74,6 @@
         return session
 
     def _open_session(self, service: str, shard: int, shards: int) -> SlotSession:
-        self._retire_divided_otherwise(service, shards)
         scope = SessionScope(
             service=service,
             shard=shard,
@@ -85,7 +84,9 @@
         )
         retire = partial(self._retire, service, shard, shards)
         session = SlotSession(self._parts, self._route, scope, retire)
+        # Texts that are handed over may belong to this shard, which needs one session only.
         self._sessions[service, shard, shards] = session
+        self._retire_divided_otherwise(service, shards)
         return session
 
     def _retire_divided_otherwise(self, service: str, shards: int) -> None:
