Treat an exchange that raises as a silent keeper

Cause: an exception in the exchange task (the keeper in this process, or the transport) was only reported when the task was collected; the session asked the same keeper again each 50 ms and each text waited its full 3 s. An exception while an exchange was built, for instance in a text's estimate, left the texts that wait just as long. Ruled out: letting the task end the session; others' slots would not be told any more. Change: an exception is logged and counts as a rejection by the keeper; one while building lets the texts choose by themselves for a second, as without a keeper. Result: two new tests in tests/slots/test_session.py take 3.0 s without it and fail, and pass with it.

--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
+from cranberryline.helpers.logging import get_logger
 
 from .const import (
     ACQUIRE_TIMEOUT,
@@ -31,7 +32,10 @@
 
 __all__ = ["SessionScope", "SlotSession"]
 
+_LOGGER = get_logger(__name__)
+
 _REPORTED = (RunEnd.REJECTED, RunEnd.FAILED)
+MAX_ERROR = 500
 
 
 @attrs.frozen(eq=False)
@@ -159,6 +163,14 @@
             self._pacing.request()
 
     def _send(self) -> None:
+        """Send an exchange; if that raises, texts choose by themselves as without a keeper."""
+        try:
+            self._send_if_due()
+        except Exception as exc:
+            self._log_fault(exc)
+            self._give_up()
+
+    def _send_if_due(self) -> None:
         """Send an exchange, unless the keepers are left alone or enough are under way."""
         if not self._scope.is_current():
             self._retire()
@@ -206,16 +218,25 @@
         self, peer: Peer, msg: SlotExchange, timeout: timedelta
     ) -> Result[SlotAnswer, KeeperError]:
         """Return the answer of a keeper, this gateway itself included."""
-        if peer.node == self._parts.node:
-            reply: Result[SlotAnswer, KeeperError] = Ok(
-                await self._parts.keeper.async_exchange(msg)
-            )
-        else:
-            reply = await self._parts.transport.async_exchange(peer.address, msg, timeout)
+        try:
+            if peer.node == self._parts.node:
+                reply: Result[SlotAnswer, KeeperError] = Ok(
+                    await self._parts.keeper.async_exchange(msg)
+                )
+            else:
+                reply = await self._parts.transport.async_exchange(peer.address, msg, timeout)
+        except Exception as exc:
+            self._log_fault(exc)
+            return Err(KeeperError(KeeperProblem.REJECTED, repr(exc)[:MAX_ERROR]))
         if isinstance(reply, Ok) and reply.ok_value.problem:
             return Err(KeeperError(KeeperProblem.REJECTED, reply.ok_value.problem))
         return reply
 
+    def _log_fault(self, exc: Exception) -> None:
+        _LOGGER.error(
+            "slot_exchange_failed", service=self._scope.service, error=repr(exc)[:MAX_ERROR]
+        )
+
     @property
     def _has_texts(self) -> bool:
         return bool(self._waiting or self._held)
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 import attrs
 from result import Err, Ok, Result
@@ -246,3 +247,36 @@
         assert len(bench.transport.sent) <= 62
 
     _run(async_test)
+
+
+def _fail(*args: object) -> Any:
+    raise RuntimeError("fault")
+
+
+def test_an_exchange_that_raises_counts_as_a_silent_keeper() -> None:
+    """A fault in a keeper or on the way to it does not hold each text for three seconds."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = _fail
+        began = asyncio.get_running_loop().time()
+        assert await bench.client.async_acquire(need()) is None
+        assert asyncio.get_running_loop().time() - began < 0.1
+        assert len({peer for peer, _ in bench.transport.sent}) == 2
+
+    _run(async_test)
+
+
+def test_a_text_that_cannot_be_told_holds_nobody() -> None:
+    """A fault in one text lets all choose by themselves, until exchanges go on without it."""
+
+    async def async_test(bench: _Bench) -> None:
+        faulty = bench.client.record_unshared(need(events_left=_fail), "e2")
+        began = asyncio.get_running_loop().time()
+        assert await bench.client.async_acquire(need()) is None
+        assert asyncio.get_running_loop().time() - began < 0.1
+        held = bench.client.record_unshared(need(), "e1")
+        faulty.release(RunEnd.DONE)
+        await asyncio.sleep(1.1)
+        assert [row.upstream for row in bench.transport.last.held] == [held.upstream]
+
+    _run(async_test)
