Raise a fault of an allocation in the exchanges that wait for it

Cause: an exception in the allocation, which runs as a callback of the loop, left its exchanges parked. Those of gateways whose texts only run have no timeout and were never answered; the others were answered after 100 ms without a grant, so that their gateways kept asking a keeper that grants nothing. Ruled out: answering without grants; the gateways would take the keeper for a sound one. Change: the exception is raised in all parked exchanges; a gateway takes it for a silent keeper. Result: the new test in tests/slots/test_keeper.py times out without it and passes with it.

--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -60,11 +60,22 @@
 
     def _allocate(self) -> None:
         self._scheduled = False
-        self.slots.place(self._parked, self._clock.elapsed())
+        try:
+            self.slots.place(self._parked, self._clock.elapsed())
+        except Exception as exc:
+            self._fail(exc)
+            return
         for node, parked in list(self._parked.items()):
             if not parked.until_news or self.slots.has_news(node):
                 self._release(node)
 
+    def _fail(self, exc: Exception) -> None:
+        """Raise a fault in all exchanges that wait, so that gateways ask another keeper."""
+        for parked in self._parked.values():
+            if not parked.fut.done():
+                parked.fut.set_exception(exc)
+        self._parked.clear()
+
     def _release(self, node: str) -> None:
         """Let the parked exchange of a gateway be answered."""
         parked = self._parked.pop(node, None)
--- a/tests/slots/test_keeper.py
+++ b/tests/slots/test_keeper.py
@@ -345,3 +345,24 @@
         return sorted(costs)[len(costs) // 2]
 
     assert run_virtual(async_test()) < 0.003
+
+
+def test_a_fault_in_an_allocation_is_told_to_all_that_wait_for_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Without it a gateway whose texts only run would never be answered, and others too late."""
+
+    def fail(*args: object) -> None:
+        raise RuntimeError("fault")
+
+    async def async_test() -> None:
+        bench = KeeperBench(engine("e1"))
+        with monkeypatch.context() as patched:
+            patched.setattr(ShardSlots, "place", fail)
+            rows = ({"held": (held(1, "e1"),)}, {"waiting": (waiting(1),)})
+            asks = [bench.async_ask(1, node=str(each), **row) for each, row in enumerate(rows)]
+            faults = await asyncio.wait_for(asyncio.gather(*asks, return_exceptions=True), 0.05)
+        assert [type(fault) for fault in faults] == [RuntimeError, RuntimeError]
+        assert await bench.async_ask(2, waiting=(waiting(1),)) == {1: "e1"}
+
+    run_virtual(async_test())
