Drop a move that its keeper may have forgotten

Cause: where a text should move was kept until the next answer. A gateway that was frozen for seconds moved its text to a slot that the keeper had granted to others since; the text was stopped at an engine that ran it and rejected, or queued, at the other. Ruled out: the order of the timers after a thaw decides which comes first, so a refresh before the text looks is not given. Grants of waiting texts were checked already. Change: a move counts until the keeper's time to forget has passed since its exchange was sent, on the clock that includes suspension. The session keeps the moves in place of a field of each grant.

--- a/cranberryline/slots/grants.py
+++ b/cranberryline/slots/grants.py
@@ -12,6 +12,10 @@
 class GrantHolder(abc.ABC):
     """Tells the keeper of the slots that this gateway's texts use."""
 
+    @abc.abstractmethod
+    def move_target(self, ticket: int) -> str:
+        """Return the upstream that has a slot reserved for a ticket's text now, or empty."""
+
     @abc.abstractmethod
     def drop(self, grant: "HeldGrant", end: RunEnd) -> None:
         """Handle that a slot is not used any more."""
@@ -22,22 +26,22 @@
 
 
 class HeldGrant(SlotGrant):
-    """A slot of `upstream` that the text of one ticket uses; `target` is where it should move."""
+    """A slot of `upstream` that the text of one ticket uses."""
 
     def __init__(self, holder: GrantHolder, ticket: int, need: SlotNeed, upstream: str) -> None:
         self.upstream = upstream
         self.holder = holder
         self.ticket = ticket
         self.need = need
-        self.target = ""
         self._released = False
 
     @property
     def move_to(self) -> str:
         """Return another upstream with a slot for this text, empty if it should stay."""
-        if self._released or self.target == self.upstream:
+        if self._released:
             return ""
-        return self.target
+        target = self.holder.move_target(self.ticket)
+        return "" if target == self.upstream else target
 
     def release(self, end: RunEnd) -> None:
         """Release the slot; a second time has no effect."""
@@ -48,9 +52,10 @@
 
     def move(self) -> SlotGrant:
         """Return the grant of the slot at `move_to`; this grant itself if there is none."""
-        if not self.move_to:
+        target = self.move_to
+        if not target:
             return self
-        moved = HeldGrant(self.holder, self.ticket, self.need, self.move_to)
+        moved = HeldGrant(self.holder, self.ticket, self.need, target)
         self._released = True
         self.holder.replace(moved)
         return moved
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -90,6 +90,8 @@
         self._told: Peer | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._newest = -1
+        self._moves: Mapping[int, str] = {}
+        self._moves_end = timedelta()
         self._failures = 0
         self._is_behind = False
         self._paused_until = timedelta()
@@ -130,6 +132,12 @@
         self._held[grant.ticket] = grant
         self._request()
 
+    def move_target(self, ticket: int) -> str:
+        """Return where the keeper reserves a slot for a text, empty once it may be forgotten."""
+        if self._parts.clock.elapsed() >= self._moves_end:
+            return ""
+        return self._moves.get(ticket, "")
+
     def drop(self, grant: HeldGrant, end: RunEnd) -> None:
         """Handle that a slot is not used any more."""
         self._held.pop(grant.ticket, None)
@@ -207,7 +215,7 @@
         reply = await self._async_ask(peer, msg, timeout)
         took = self._parts.clock.elapsed() - sent
         if isinstance(reply, Ok) and took < FORGET_AFTER:
-            self._take_answer(msg, reply.ok_value)
+            self._take_answer(msg, reply.ok_value, sent)
         elif took < timeout + REPLY_ALLOWANCE:
             self._handle_silence(peer)
         elif self._has_texts:
@@ -284,7 +292,7 @@
         self._told_rates |= new
         return tuple(new.items())
 
-    def _take_answer(self, msg: SlotExchange, answer: SlotAnswer) -> None:
+    def _take_answer(self, msg: SlotExchange, answer: SlotAnswer, sent: timedelta) -> None:
         self._failures = 0
         for row in answer.grants:
             waiter = self._waiting.pop(row.ticket, None)
@@ -292,7 +300,8 @@
                 self._take_grant(waiter, row.ticket, row.upstream)
         if msg.number > self._newest:
             self._newest = msg.number
-            self._set_moves({row.ticket: row.upstream for row in answer.moves})
+            self._moves = {row.ticket: row.upstream for row in answer.moves}
+            self._moves_end = sent + FORGET_AFTER
 
     def _take_grant(self, waiter: _Waiter, ticket: int, upstream: str) -> None:
         """Let a text use its slot; one that was cancelled in this turn gives it back itself."""
@@ -304,10 +313,6 @@
         self._parts.count("granted")
         waiter.fut.set_result(grant)
 
-    def _set_moves(self, moves: Mapping[int, str]) -> None:
-        for ticket, grant in self._held.items():
-            grant.target = moves.get(ticket, "")
-
     def _handle_silence(self, peer: Peer) -> None:
         """Ask the next gateway at once; after two were silent, leave all alone for a while."""
         if self._route.pass_over(peer):
@@ -324,7 +329,7 @@
         self._failures = 0
         self._paused_until = self._parts.clock.monotonic() + KEEPER_PAUSE
         self._parts.count("keeper_silent")
-        self._set_moves({})
+        self._moves = {}
         self._refuse_waiting()
         self._pacing.cancel()
         if self._held:
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -226,6 +226,25 @@
     _run(async_test)
 
 
+def test_a_move_from_before_a_pause_is_not_used() -> None:
+    """A gateway that was frozen does not take a slot that was granted to others meanwhile."""
+
+    async def async_test(bench: _Bench) -> None:
+        grant = bench.client.record_unshared(need(), "e1")
+        bench.transport.answer = lambda peer, msg: SlotAnswer(
+            msg.number, moves=(SlotGranted(1, "e2"),)
+        )
+        await asyncio.sleep(0.1)
+        assert grant.move_to == "e2"
+        asyncio.get_running_loop().jump(5)
+        assert not grant.move_to
+        assert grant.move() is grant
+        await asyncio.sleep(0.1)
+        assert grant.move_to == "e2"
+
+    _run(async_test)
+
+
 def test_a_keeper_that_rejects_is_passed_over() -> None:
     """A problem in an answer counts as a silent keeper."""
 
