Pass a gateway over for the shard that it rejects only

Cause: a gateway that rejects the exchanges of one service (it knows no engine of it yet, or another number of shards) was passed over for all services for 2 s. The gateways that had asked it about the one service then had another keeper for all others than the rest, and both granted the same slots. Ruled out: not passing it over at all; its texts would wait without a keeper. Change: a rejection counts for the shard that was asked about, silence and unreachability for all.

--- a/cranberryline/slots/route.py
+++ b/cranberryline/slots/route.py
@@ -29,23 +29,26 @@
         self._peers = peers
         self._ranked_peers: Mapping[str, str] = {}
         self._ranked: dict[str, list[str]] = {}
-        self._silent: dict[str, timedelta] = {}
+        self._passed_over: dict[tuple[str, str], timedelta] = {}
 
     def find(self, name: str) -> Peer | None:
-        """Return the keeper of a shard by its name; None if all gateways were silent lately."""
+        """Return the keeper of a shard by its name; None if all gateways are passed over."""
         now = self._clock.elapsed()
-        self._silent = {node: until for node, until in self._silent.items() if until > now}
+        self._passed_over = {key: until for key, until in self._passed_over.items() if until > now}
         for node in self._rank(name):
-            if node not in self._silent:
+            if (node, "") not in self._passed_over and (node, name) not in self._passed_over:
                 return Peer(node, self._ranked_peers[node])
         return None
 
-    def pass_over(self, peer: Peer) -> bool:
-        """Leave a gateway out for a while; return False if it is left out already."""
+    def pass_over(self, peer: Peer, name: str = "") -> bool:
+        """Leave a gateway out for a while, for one shard or, without a name, for all.
+
+        Return False if it is left out already.
+        """
         now = self._clock.elapsed()
-        if self._silent.get(peer.node, now) > now:
+        if self._passed_over.get((peer.node, name), now) > now:
             return False
-        self._silent[peer.node] = now + KEEPER_PASSED_OVER
+        self._passed_over[peer.node, name] = now + KEEPER_PASSED_OVER
         return True
 
     def _rank(self, name: str) -> list[str]:
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -217,7 +217,11 @@
         if isinstance(reply, Ok) and took < FORGET_AFTER:
             self._take_answer(msg, reply.ok_value, sent)
         elif took < timeout + REPLY_ALLOWANCE:
-            self._handle_silence(peer)
+            # A gateway that rejects this shard may well keep the slots of others.
+            is_rejected = (
+                isinstance(reply, Err) and reply.err_value.problem == KeeperProblem.REJECTED
+            )
+            self._handle_silence(peer, self._scope.name if is_rejected else "")
         elif self._has_texts:
             # This VM was paused, not the keeper; an answer from before does not stand any more.
             self._request()
@@ -313,9 +317,9 @@
         self._parts.count("granted")
         waiter.fut.set_result(grant)
 
-    def _handle_silence(self, peer: Peer) -> None:
+    def _handle_silence(self, peer: Peer, shard: str) -> None:
         """Ask the next gateway at once; after two were silent, leave all alone for a while."""
-        if self._route.pass_over(peer):
+        if self._route.pass_over(peer, shard):
             self._failures += 1
         if not self._has_texts:
             self._failures = 0
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -256,6 +256,29 @@
     _run(async_test)
 
 
+def test_a_keeper_that_rejects_one_service_is_asked_for_others() -> None:
+    """Another service would have two keepers that grant the same slots."""
+
+    async def async_test(bench: _Bench) -> None:
+        def answer(peer: str, msg: SlotExchange) -> SlotAnswer:
+            if msg.service == "other":
+                return SlotAnswer(msg.number, "no")
+            return bench.transport.grant_first(peer, msg)
+
+        bench.transport.answer = answer
+        assert await bench.client.async_acquire(need())
+        keeper = bench.transport.sent[0][0]
+        other = attrs.evolve(need(), service="other")
+        while keeper not in {peer for peer, msg in bench.transport.sent if msg.service == "other"}:
+            assert await bench.client.async_acquire(other) is None
+            await asyncio.sleep(1)
+        assert await bench.client.async_acquire(need())
+        told = [peer for peer, msg in bench.transport.sent if msg.service == SERVICE]
+        assert set(told) == {keeper}
+
+    _run(async_test)
+
+
 def test_a_keeper_without_waits_is_not_asked_all_the_time() -> None:
     """An answer that comes at once without a grant is not asked for again at once."""
 
