Tell long lists of texts less often

Cause: a gateway told its keeper all its rows at most each 5 ms, however many they were. The keeper handles a row in about 10 us, so a gateway with thousands of texts whose slots change all the time takes up more than a core of its keeper, whose answers to all gateways then come too late. Ruled out: fewer waiting rows; the keeper orders them, and the gateway cannot tell which come next. Change: the least gap between exchanges is 50 us a row, and 5 ms as before up to 100 rows.

--- a/cranberryline/slots/const.py
+++ b/cranberryline/slots/const.py
@@ -22,6 +22,7 @@
     "REFRESH_INTERVAL",
     "REJECTED_FOR",
     "REPLY_ALLOWANCE",
+    "ROW_GAP",
 ]
 
 # Keeper: how long a gateway, a rejection or a failure counts.
@@ -35,6 +36,8 @@
 # Gateway: how often it tells the keeper, and how long it waits for it.
 REFRESH_INTERVAL = timedelta(milliseconds=300)
 EXCHANGE_GAP = timedelta(milliseconds=5)
+# A few times what a keeper needs for a row, so that no gateway takes all of its time.
+ROW_GAP = timedelta(microseconds=50)
 POLL_GAP = timedelta(milliseconds=50)  # after an answer without a grant
 REPLY_ALLOWANCE = timedelta(milliseconds=200)
 KEEPER_PASSED_OVER = timedelta(seconds=2)
--- a/cranberryline/slots/pacing.py
+++ b/cranberryline/slots/pacing.py
@@ -6,13 +6,13 @@
 
 from cranberryline.helpers.clock import Clock
 
-from .const import EXCHANGE_GAP, REFRESH_INTERVAL
+from .const import REFRESH_INTERVAL
 
 __all__ = ["ExchangePacing"]
 
 
 class ExchangePacing:
-    """Calls `send` at the end of a turn, at most once in `EXCHANGE_GAP`, and to refresh."""
+    """Calls `send` at the end of a turn, at most once in a gap, and to refresh."""
 
     def __init__(self, clock: Clock, send: Callable[[], None]) -> None:
         self._clock = clock
@@ -21,7 +21,7 @@
         self._due = timedelta.max
         self._timer: asyncio.Handle | None = None
 
-    def request(self, gap: timedelta = EXCHANGE_GAP) -> None:
+    def request(self, gap: timedelta) -> None:
         """Send soon, but not within `gap` of the last time; an earlier time that is set stays."""
         due = max(self._clock.monotonic(), self._sent + gap)
         if due < self._due:
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -12,6 +12,7 @@
 
 from .const import (
     ACQUIRE_TIMEOUT,
+    EXCHANGE_GAP,
     FORGET_AFTER,
     KEEPER_PAUSE,
     MAX_NAMES,
@@ -20,6 +21,7 @@
     MAX_WAIT,
     POLL_GAP,
     REPLY_ALLOWANCE,
+    ROW_GAP,
 )
 from .grants import GrantHolder, HeldGrant
 from .messages import RejectedText, SlotAnswer, SlotExchange
@@ -108,7 +110,7 @@
         """Wait for the grant of a ticket; None if the keeper is silent or has no slot in time."""
         fut: asyncio.Future[HeldGrant | None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = _Waiter(need, fut)
-        self._pacing.request()
+        self._request()
         try:
             async with asyncio.timeout(ACQUIRE_TIMEOUT.total_seconds()):
                 return await fut
@@ -168,7 +170,13 @@
 
     def _request(self) -> None:
         if not self._closed:
-            self._pacing.request()
+            self._pacing.request(self._gap)
+
+    @property
+    def _gap(self) -> timedelta:
+        """Return the least time between exchanges, in which a keeper has handled all rows of one."""
+        rows = min(len(self._waiting), MAX_ROWS) + min(len(self._held), MAX_ROWS)
+        return max(EXCHANGE_GAP, rows * ROW_GAP)
 
     def _send(self) -> None:
         """Send an exchange; if that raises, texts choose by themselves as without a keeper."""
@@ -205,9 +213,9 @@
             return
         if self._is_behind:
             self._is_behind = False
-            self._pacing.request()
+            self._request()
         if self._waiting and not self._open:
-            self._pacing.request(POLL_GAP)
+            self._pacing.request(max(POLL_GAP, self._gap))
 
     async def _async_exchange(self, peer: Peer, msg: SlotExchange) -> None:
         sent = self._parts.clock.elapsed()
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import pytest
 from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
@@ -183,6 +184,22 @@
     _run(async_test)
 
 
+@pytest.mark.parametrize(("rows", "most"), [(20, 210), (2000, 12)])
+def test_long_lists_are_told_less_often(rows: int, most: int) -> None:
+    """A gateway with thousands of texts does not take up its keeper, which serves others, too."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number)
+        for _ in range(rows):
+            bench.client.record_unshared(need(), "e1")
+        for _ in range(1000):
+            bench.client.record_unshared(need(), "e1").release(RunEnd.DONE)
+            await asyncio.sleep(0.001)
+        assert most / 2 < len(bench.transport.sent) <= most
+
+    _run(async_test)
+
+
 def test_moves_come_from_the_newest_answer() -> None:
     """An answer that was overtaken does not bring an old move back."""
 
