Share the steps of two tests of moves

Cause: two tests begin with the same six lines. Ruled out: one test for both failures. Result: tests/slots/test_session.py passes.

--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -17,6 +17,7 @@
     SlotClient,
     SlotClientParts,
     SlotExchange,
+    SlotGrant,
     SlotKeeper,
     SlotTransport,
 )
@@ -226,16 +227,20 @@
     _run(async_test)
 
 
+async def _async_told_to_move(bench: _Bench) -> SlotGrant:
+    """Return the grant of a text that should move to another engine."""
+    grant = bench.client.record_unshared(need(), "e1")
+    bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number, moves=(SlotGranted(1, "e2"),))
+    await asyncio.sleep(0.1)
+    assert grant.move_to == "e2"
+    return grant
+
+
 def test_a_move_ends_with_the_keeper_that_reserved_it() -> None:
     """Once no keeper answers, nobody keeps the slot for the text."""
 
     async def async_test(bench: _Bench) -> None:
-        grant = bench.client.record_unshared(need(), "e1")
-        bench.transport.answer = lambda peer, msg: SlotAnswer(
-            msg.number, moves=(SlotGranted(1, "e2"),)
-        )
-        await asyncio.sleep(0.1)
-        assert grant.move_to == "e2"
+        grant = await _async_told_to_move(bench)
         bench.transport.answer = lambda peer, msg: None
         await asyncio.sleep(0.4)
         assert not grant.move_to
@@ -247,12 +252,7 @@
     """A gateway that was frozen does not take a slot that was granted to others meanwhile."""
 
     async def async_test(bench: _Bench) -> None:
-        grant = bench.client.record_unshared(need(), "e1")
-        bench.transport.answer = lambda peer, msg: SlotAnswer(
-            msg.number, moves=(SlotGranted(1, "e2"),)
-        )
-        await asyncio.sleep(0.1)
-        assert grant.move_to == "e2"
+        grant = await _async_told_to_move(bench)
         asyncio.get_running_loop().jump(5)
         assert not grant.move_to
         assert grant.move() is grant
