--- a/cranberryline/decisions/engine_speeds.py
+++ b/cranberryline/decisions/engine_speeds.py
@@ -13,7 +13,7 @@
 
 __all__ = ["EngineSpeeds"]
 
-# Reports that count together. With a longer time a slow engine would be found later than in a second.
+# Reports that count together. With a longer time a slow engine would be found too late.
 MERGE_TIME = timedelta(seconds=1)
 MAX_MERGED = 16
 # Age up to which the latest reports count. An engine that gets no texts would stay slow otherwise.
--- a/cranberryline/decisions/slot_allocation.py
+++ b/cranberryline/decisions/slot_allocation.py
@@ -1,6 +1,7 @@
 """Decide which waiting texts get the free slots of engines that several gateways share.
 
-Answers trainers whose steps arrive as groups of texts at once and ask for more slots than there are.
+Answers trainers whose steps arrive as groups of texts at once and ask for more slots than there
+are.
 """
 
 import abc
--- a/cranberryline/decisions/slot_model.py
+++ b/cranberryline/decisions/slot_model.py
@@ -27,8 +27,8 @@
 
     `trainer` is whose share the slot counts to, and `weight` the size of that share; texts of a
     lower `rank` come first. `due` is when its group is wanted. `events_left` are expected of this
-    text, `group_events_left` of the longest incomplete text that is wanted together with it. `avoid` are
-    engines to use only if there is no other, `connected` those with an idle connection.
+    text, `group_events_left` of the longest incomplete text that is wanted together with it.
+    `avoid` are engines to use only if there is no other, `connected` those with an idle connection.
     """
 
     key: Hashable
--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
+from functools import partial
 
 import attrs
 
@@ -155,7 +156,7 @@
         key = (msg.service, msg.shard, msg.shards)
         if key not in self._shards:
             slots = ShardSlots(
-                lambda: self._engines.engines(msg.service, msg.shard),
+                partial(self._engines.engines, msg.service, msg.shard),
                 self._service_speeds(msg.service),
                 self._weights,
             )
--- a/cranberryline/slots/messages.py
+++ b/cranberryline/slots/messages.py
@@ -57,8 +57,8 @@
     `start` identifies this run of the gateway's process and `number` grows with each exchange of
     it, so that a delayed one is recognized. `shard` of `shards` is the part of the service's
     engines that the keeper is asked about. `rates` are the events per second of single texts that
-    were measured since its previous exchange with this keeper. `wait_ms` is how long the answer may be
-    delayed until there is a grant. `connected` are the engines to which the gateway has an idle
+    were measured since its previous exchange with this keeper. `wait_ms` is how long the answer may
+    be delayed until there is a grant. `connected` are the engines to which the gateway has an idle
     connection, for all its texts.
     """
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -174,7 +174,7 @@
 
     @property
     def _gap(self) -> timedelta:
-        """Return the least time between exchanges, in which a keeper has handled all rows of one."""
+        """Return the least time between exchanges, more than a keeper needs for one."""
         rows = min(len(self._waiting), MAX_ROWS) + min(len(self._held), MAX_ROWS)
         return max(EXCHANGE_GAP, rows * ROW_GAP)
 
