Tell the keeper of the texts that come first where there are too many

Cause: of more waiting texts than an exchange may list, the 2,000 oldest were told. A text of a lower rank, or due sooner, that came after them was not told until they had given up, so that thousands of texts of one workspace kept another one's from the keeper. Ruled out: two exchanges; each replaces the other. Change: the first by rank and due time are told; up to 2,000 nothing changes. Result: the new test in tests/slots/test_session.py fails without it and passes with it.

--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -1,6 +1,7 @@
 """The texts of one gateway at one shard of a service, and its exchanges with the keeper."""
 
 import asyncio
+import heapq
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -266,7 +267,7 @@
         now = self._parts.clock.monotonic()
         engines = self._scope.engines()
         connected = self._parts.connected(self._scope.service) if self._waiting else frozenset()
-        waiting = [waiting_row(each, waiter.need, now) for each, waiter in self._waiting.items()]
+        waiting = [waiting_row(each, need, now) for each, need in self._first_needs()]
         held = [
             held_row(ticket, grant.upstream, grant.need, now)
             for ticket, grant in self._held.items()
@@ -281,13 +282,20 @@
             shard=self._scope.shard,
             shards=self._scope.shards,
             wait_ms=int(MAX_WAIT / timedelta(milliseconds=1)) if waiting else 0,
-            waiting=tuple(waiting[:MAX_ROWS]),
+            waiting=tuple(waiting),
             held=tuple(held[:MAX_ROWS]),
             rejected=rejected,
             rates=self._new_rates(peer, engines),
             connected=tuple(sorted(engines.keys() & connected))[:MAX_NAMES],
         )
 
+    def _first_needs(self) -> list[tuple[int, SlotNeed]]:
+        """Return the texts that wait by ticket; if they are too many, those that come first."""
+        needs = [(ticket, waiter.need) for ticket, waiter in self._waiting.items()]
+        if len(needs) <= MAX_ROWS:
+            return needs
+        return heapq.nsmallest(MAX_ROWS, needs, key=lambda row: (row[1].rank, row[1].due))
+
     def _new_rates(
         self, peer: Peer, engines: Mapping[str, EngineSlots]
     ) -> tuple[tuple[str, float], ...]:
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -21,6 +21,7 @@
     SlotKeeper,
     SlotTransport,
 )
+from cranberryline.slots.const import MAX_ROWS
 from cranberryline.slots.messages import SlotGranted
 
 from ..virtual_time import LoopClock, run_virtual
@@ -201,6 +202,22 @@
     _run(async_test)
 
 
+def test_of_too_many_texts_the_first_by_rank_are_told() -> None:
+    """Thousands of texts of a higher rank do not keep one of the lowest from the keeper."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number)
+        needs = [need(rank=1)] * MAX_ROWS + [need(seconds=1), need()]
+        tasks = [asyncio.create_task(bench.client.async_acquire(each)) for each in needs]
+        await asyncio.sleep(0.5)
+        rows = bench.transport.last.waiting
+        assert len(rows) == MAX_ROWS
+        assert [row.rank for row in rows].count(0) == 2
+        await asyncio.gather(*tasks)
+
+    _run(async_test)
+
+
 def test_moves_come_from_the_newest_answer() -> None:
     """An answer that was overtaken does not bring an old move back."""
 
