Cut names and numbers of callers' texts to what keepers accept

Cause: the model and the least version of a job come from its trainer without a limit. A model's name longer than 256 characters or a negative version made every keeper reject the whole exchange, so that one such job ended the sharing of all texts of its service at its gateway while it ran. Ruled out: a check where jobs are read; jobs that ran before would be rejected. Looser checks at the keeper; it keeps what it accepts. Change: rows are cut as due times and events are already. A text of a model whose name is cut gets no slot if it needs a version, and its gateway chooses by itself.

--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -1,30 +1,35 @@
-"""Rows in which a gateway tells a keeper about its texts."""
+"""Rows in which a gateway tells a keeper about its texts.
+
+Callers choose names and numbers of their jobs. A keeper rejects a whole exchange for one that is out
+of range, so they are cut to what it accepts.
+"""
 
 import math
 from collections.abc import Callable
 from datetime import timedelta
 
+from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.helpers.clock import in_milliseconds
 
-from .checks import MAX_DUE_MS, MAX_EVENTS
-from .const import MAX_NAMES
-from .messages import HeldSlot, WaitingText
+from .checks import MAX_DUE_MS, MAX_EVENTS, MAX_NUMBER
+from .const import MAX_NAME_LENGTH, MAX_NAMES
+from .messages import HeldSlot, RejectedText, WaitingText
 from .model import SlotNeed
 
-__all__ = ["held_row", "waiting_row"]
+__all__ = ["held_row", "rejected_row", "waiting_row"]
 
 
 def waiting_row(ticket: int, need: SlotNeed, now: timedelta) -> WaitingText:
     """Return the row of a text that waits; `now` is on the monotonic clock."""
     return WaitingText(
         ticket=ticket,
-        trainer=need.trainer,
+        trainer=need.trainer[:MAX_NAME_LENGTH],
         due_ms=_due_ms(need, now),
         events_left=_events(need.events_left),
         group_events_left=_events(need.group_events_left),
-        model=need.model,
-        min_version=need.min_version,
-        rank=need.rank,
+        model=need.model[:MAX_NAME_LENGTH],
+        min_version=_min_version(need),
+        rank=max(-MAX_NUMBER, min(need.rank, MAX_NUMBER)),
         avoid=tuple(sorted(need.avoid))[:MAX_NAMES],
     )
 
@@ -34,16 +39,27 @@
     return HeldSlot(
         ticket=ticket,
         upstream=upstream,
-        trainer=need.trainer,
+        trainer=need.trainer[:MAX_NAME_LENGTH],
         due_ms=_due_ms(need, now),
         events_left=_events(need.events_left),
         group_events_left=_events(need.group_events_left),
-        model=need.model,
-        min_version=need.min_version,
+        model=need.model[:MAX_NAME_LENGTH],
+        min_version=_min_version(need),
         may_move=need.may_move(),
     )
 
 
+def rejected_row(upstream: str, need: SlotNeed, end: RunEnd) -> RejectedText:
+    """Return the row of a text that an upstream did not run, or failed to."""
+    return RejectedText(upstream, need.model[:MAX_NAME_LENGTH], end)
+
+
+def _min_version(need: SlotNeed) -> int | None:
+    if need.min_version is None:
+        return None
+    return max(0, min(need.min_version, MAX_NUMBER))
+
+
 def _due_ms(need: SlotNeed, now: timedelta) -> int:
     return max(-MAX_DUE_MS, min(in_milliseconds(need.due - now), MAX_DUE_MS))
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -31,7 +31,7 @@
 from .parts import SlotClientParts
 from .ports import KeeperError, KeeperProblem
 from .route import KeeperRoute, Peer
-from .rows import held_row, waiting_row
+from .rows import held_row, rejected_row, waiting_row
 
 __all__ = ["SessionScope", "SlotSession"]
 
@@ -145,7 +145,7 @@
         """Handle that a slot is not used any more."""
         self._held.pop(grant.ticket, None)
         if end in _REPORTED and len(self._rejected) < MAX_ROWS:
-            self._rejected[RejectedText(grant.upstream, grant.need.model, end)] = None
+            self._rejected[rejected_row(grant.upstream, grant.need, end)] = None
         self._request()
 
     def replace(self, grant: HeldGrant) -> None:
