--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
+from functools import partial
 
 import attrs
 
@@ -60,11 +61,22 @@
 
     def _allocate(self) -> None:
         self._scheduled = False
-        self.slots.place(self._parked, self._clock.elapsed())
+        try:
+            self.slots.place(self._parked, self._clock.elapsed())
+        except Exception as exc:
+            self._fail(exc)
+            return
         for node, parked in list(self._parked.items()):
             if not parked.until_news or self.slots.has_news(node):
                 self._release(node)
 
+    def _fail(self, exc: Exception) -> None:
+        """Raise a fault in all exchanges that wait, so that gateways ask another keeper."""
+        for parked in self._parked.values():
+            if not parked.fut.done():
+                parked.fut.set_exception(exc)
+        self._parked.clear()
+
     def _release(self, node: str) -> None:
         """Let the parked exchange of a gateway be answered."""
         parked = self._parked.pop(node, None)
@@ -144,7 +156,7 @@
         key = (msg.service, msg.shard, msg.shards)
         if key not in self._shards:
             slots = ShardSlots(
-                lambda: self._engines.engines(msg.service, msg.shard),
+                partial(self._engines.engines, msg.service, msg.shard),
                 self._service_speeds(msg.service),
                 self._weights,
             )
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -1,6 +1,7 @@
 """The texts of one gateway at one shard of a service, and its exchanges with the keeper."""
 
 import asyncio
+import heapq
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -8,9 +9,11 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
+from cranberryline.helpers.logging import get_logger
 
 from .const import (
     ACQUIRE_TIMEOUT,
+    EXCHANGE_GAP,
     FORGET_AFTER,
     KEEPER_PAUSE,
     MAX_OPEN_EXCHANGES,
@@ -18,6 +21,7 @@
     MAX_WAIT,
     POLL_GAP,
     REPLY_ALLOWANCE,
+    ROW_GAP,
 )
 from .grants import GrantHolder, HeldGrant
 from .messages import RejectedText, SlotAnswer, SlotExchange
@@ -26,11 +30,14 @@
 from .parts import SlotClientParts
 from .ports import KeeperError, KeeperProblem
 from .route import KeeperRoute, Peer
-from .rows import connected_names, held_row, waiting_row
+from .rows import connected_names, held_row, rejected_row, waiting_row
 
 __all__ = ["SessionScope", "SlotSession"]
 
+_LOGGER = get_logger(__name__)
+
 _REPORTED = (RunEnd.REJECTED, RunEnd.FAILED)
+MAX_ERROR = 500
 
 
 @attrs.frozen(eq=False)
@@ -85,6 +92,8 @@
         self._told: Peer | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._newest = -1
+        self._moves: Mapping[int, str] = {}
+        self._moves_end = timedelta()
         self._failures = 0
         self._is_behind = False
         self._paused_until = timedelta()
@@ -101,7 +110,7 @@
         """Wait for the grant of a ticket; None if the keeper is silent or has no slot in time."""
         fut: asyncio.Future[HeldGrant | None] = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = _Waiter(need, fut)
-        self._pacing.request()
+        self._request()
         try:
             async with asyncio.timeout(ACQUIRE_TIMEOUT.total_seconds()):
                 return await fut
@@ -125,11 +134,17 @@
         self._held[grant.ticket] = grant
         self._request()
 
+    def move_target(self, ticket: int) -> str:
+        """Return where the keeper reserves a slot for a text, empty once it may be forgotten."""
+        if self._parts.clock.elapsed() >= self._moves_end:
+            return ""
+        return self._moves.get(ticket, "")
+
     def drop(self, grant: HeldGrant, end: RunEnd) -> None:
         """Handle that a slot is not used any more."""
         self._held.pop(grant.ticket, None)
         if end in _REPORTED and len(self._rejected) < MAX_ROWS:
-            self._rejected[RejectedText(grant.upstream, grant.need.model, end)] = None
+            self._rejected[rejected_row(grant.upstream, grant.need, end)] = None
         self._request()
 
     def replace(self, grant: HeldGrant) -> None:
@@ -155,9 +170,23 @@
 
     def _request(self) -> None:
         if not self._closed:
-            self._pacing.request()
+            self._pacing.request(self._gap)
+
+    @property
+    def _gap(self) -> timedelta:
+        """Return the least time between exchanges, more than a keeper needs for one."""
+        rows = min(len(self._waiting), MAX_ROWS) + min(len(self._held), MAX_ROWS)
+        return max(EXCHANGE_GAP, rows * ROW_GAP)
 
     def _send(self) -> None:
+        """Send an exchange; if that raises, texts choose by themselves as without a keeper."""
+        try:
+            self._send_if_due()
+        except Exception as exc:
+            self._log_fault(exc)
+            self._give_up()
+
+    def _send_if_due(self) -> None:
         """Send an exchange, unless the keepers are left alone or enough are under way."""
         if not self._scope.is_current():
             self._retire()
@@ -184,9 +213,9 @@
             return
         if self._is_behind:
             self._is_behind = False
-            self._pacing.request()
+            self._request()
         if self._waiting and not self._open:
-            self._pacing.request(POLL_GAP)
+            self._pacing.request(max(POLL_GAP, self._gap))
 
     async def _async_exchange(self, peer: Peer, msg: SlotExchange) -> None:
         sent = self._parts.clock.elapsed()
@@ -194,9 +223,13 @@
         reply = await self._async_ask(peer, msg, timeout)
         took = self._parts.clock.elapsed() - sent
         if isinstance(reply, Ok) and took < FORGET_AFTER:
-            self._take_answer(msg, reply.ok_value)
+            self._take_answer(msg, reply.ok_value, sent)
         elif took < timeout + REPLY_ALLOWANCE:
-            self._handle_silence(peer)
+            # A gateway that rejects this shard may well keep the slots of others.
+            is_rejected = (
+                isinstance(reply, Err) and reply.err_value.problem == KeeperProblem.REJECTED
+            )
+            self._handle_silence(peer, self._scope.name if is_rejected else "")
         elif self._has_texts:
             # This VM was paused, not the keeper; an answer from before does not stand any more.
             self._request()
@@ -205,16 +238,25 @@
         self, peer: Peer, msg: SlotExchange, timeout: timedelta
     ) -> Result[SlotAnswer, KeeperError]:
         """Return the answer of a keeper, this gateway itself included."""
-        if peer.node == self._parts.node:
-            reply: Result[SlotAnswer, KeeperError] = Ok(
-                await self._parts.keeper.async_exchange(msg)
-            )
-        else:
-            reply = await self._parts.transport.async_exchange(peer.address, msg, timeout)
+        try:
+            if peer.node == self._parts.node:
+                reply: Result[SlotAnswer, KeeperError] = Ok(
+                    await self._parts.keeper.async_exchange(msg)
+                )
+            else:
+                reply = await self._parts.transport.async_exchange(peer.address, msg, timeout)
+        except Exception as exc:
+            self._log_fault(exc)
+            return Err(KeeperError(KeeperProblem.REJECTED, repr(exc)[:MAX_ERROR]))
         if isinstance(reply, Ok) and reply.ok_value.problem:
             return Err(KeeperError(KeeperProblem.REJECTED, reply.ok_value.problem))
         return reply
 
+    def _log_fault(self, exc: Exception) -> None:
+        _LOGGER.error(
+            "slot_exchange_failed", service=self._scope.service, error=repr(exc)[:MAX_ERROR]
+        )
+
     @property
     def _has_texts(self) -> bool:
         return bool(self._waiting or self._held)
@@ -224,7 +266,7 @@
         now = self._parts.clock.monotonic()
         engines = self._scope.engines()
         connected = self._parts.connected(self._scope.service) if self._waiting else ()
-        waiting = [waiting_row(each, waiter.need, now) for each, waiter in self._waiting.items()]
+        waiting = [waiting_row(each, need, now) for each, need in self._first_needs()]
         held = [
             held_row(ticket, grant.upstream, grant.need, now)
             for ticket, grant in self._held.items()
@@ -239,13 +281,20 @@
             shard=self._scope.shard,
             shards=self._scope.shards,
             wait_ms=int(MAX_WAIT / timedelta(milliseconds=1)) if waiting else 0,
-            waiting=tuple(waiting[:MAX_ROWS]),
+            waiting=tuple(waiting),
             held=tuple(held[:MAX_ROWS]),
             rejected=rejected,
             rates=self._new_rates(peer, engines),
             connected=connected_names(name for name in connected if name in engines),
         )
 
+    def _first_needs(self) -> list[tuple[int, SlotNeed]]:
+        """Return the texts that wait by ticket; if they are too many, those that come first."""
+        needs = [(ticket, waiter.need) for ticket, waiter in self._waiting.items()]
+        if len(needs) <= MAX_ROWS:
+            return needs
+        return heapq.nsmallest(MAX_ROWS, needs, key=lambda row: (row[1].rank, row[1].due))
+
     def _new_rates(
         self, peer: Peer, engines: Mapping[str, EngineSlots]
     ) -> tuple[tuple[str, float], ...]:
@@ -262,7 +311,7 @@
         self._told_rates |= new
         return tuple(new.items())
 
-    def _take_answer(self, msg: SlotExchange, answer: SlotAnswer) -> None:
+    def _take_answer(self, msg: SlotExchange, answer: SlotAnswer, sent: timedelta) -> None:
         self._failures = 0
         for row in answer.grants:
             waiter = self._waiting.pop(row.ticket, None)
@@ -270,7 +319,8 @@
                 self._take_grant(waiter, row.ticket, row.upstream)
         if msg.number > self._newest:
             self._newest = msg.number
-            self._set_moves({row.ticket: row.upstream for row in answer.moves})
+            self._moves = {row.ticket: row.upstream for row in answer.moves}
+            self._moves_end = sent + FORGET_AFTER
 
     def _take_grant(self, waiter: _Waiter, ticket: int, upstream: str) -> None:
         """Let a text use its slot; one that was cancelled in this turn gives it back itself."""
@@ -282,13 +332,9 @@
         self._parts.count("granted")
         waiter.fut.set_result(grant)
 
-    def _set_moves(self, moves: Mapping[int, str]) -> None:
-        for ticket, grant in self._held.items():
-            grant.target = moves.get(ticket, "")
-
-    def _handle_silence(self, peer: Peer) -> None:
+    def _handle_silence(self, peer: Peer, shard: str) -> None:
         """Ask the next gateway at once; after two were silent, leave all alone for a while."""
-        if self._route.pass_over(peer):
+        if self._route.pass_over(peer, shard):
             self._failures += 1
         if not self._has_texts:
             self._failures = 0
@@ -302,7 +348,7 @@
         self._failures = 0
         self._paused_until = self._parts.clock.monotonic() + KEEPER_PAUSE
         self._parts.count("keeper_silent")
-        self._set_moves({})
+        self._moves = {}
         self._refuse_waiting()
         self._pacing.cancel()
         if self._held:
--- a/tests/slots/test_session.py
+++ b/tests/slots/test_session.py
@@ -3,8 +3,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
+from typing import Any
 
 import attrs
+import pytest
 from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
@@ -15,9 +17,11 @@
     SlotClient,
     SlotClientParts,
     SlotExchange,
+    SlotGrant,
     SlotKeeper,
     SlotTransport,
 )
+from cranberryline.slots.const import MAX_ROWS
 from cranberryline.slots.messages import SlotGranted
 
 from ..virtual_time import LoopClock, run_virtual
@@ -182,6 +186,38 @@
     _run(async_test)
 
 
+@pytest.mark.parametrize(("rows", "most"), [(20, 210), (2000, 12)])
+def test_long_lists_are_told_less_often(rows: int, most: int) -> None:
+    """A gateway with thousands of texts does not take up its keeper, which serves others, too."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number)
+        for _ in range(rows):
+            bench.client.record_unshared(need(), "e1")
+        for _ in range(1000):
+            bench.client.record_unshared(need(), "e1").release(RunEnd.DONE)
+            await asyncio.sleep(0.001)
+        assert most / 2 < len(bench.transport.sent) <= most
+
+    _run(async_test)
+
+
+def test_of_too_many_texts_the_first_by_rank_are_told() -> None:
+    """Thousands of texts of a higher rank do not keep one of the lowest from the keeper."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number)
+        needs = [need(rank=1)] * MAX_ROWS + [need(seconds=1), need()]
+        tasks = [asyncio.create_task(bench.client.async_acquire(each)) for each in needs]
+        await asyncio.sleep(0.5)
+        rows = bench.transport.last.waiting
+        assert len(rows) == MAX_ROWS
+        assert [row.rank for row in rows].count(0) == 2
+        await asyncio.gather(*tasks)
+
+    _run(async_test)
+
+
 def test_moves_come_from_the_newest_answer() -> None:
     """An answer that was overtaken does not bring an old move back."""
 
@@ -208,16 +244,20 @@
     _run(async_test)
 
 
+async def _async_told_to_move(bench: _Bench) -> SlotGrant:
+    """Return the grant of a text that should move to another engine."""
+    grant = bench.client.record_unshared(need(), "e1")
+    bench.transport.answer = lambda peer, msg: SlotAnswer(msg.number, moves=(SlotGranted(1, "e2"),))
+    await asyncio.sleep(0.1)
+    assert grant.move_to == "e2"
+    return grant
+
+
 def test_a_move_ends_with_the_keeper_that_reserved_it() -> None:
     """Once no keeper answers, nobody keeps the slot for the text."""
 
     async def async_test(bench: _Bench) -> None:
-        grant = bench.client.record_unshared(need(), "e1")
-        bench.transport.answer = lambda peer, msg: SlotAnswer(
-            msg.number, moves=(SlotGranted(1, "e2"),)
-        )
-        await asyncio.sleep(0.1)
-        assert grant.move_to == "e2"
+        grant = await _async_told_to_move(bench)
         bench.transport.answer = lambda peer, msg: None
         await asyncio.sleep(0.4)
         assert not grant.move_to
@@ -225,6 +265,20 @@
     _run(async_test)
 
 
+def test_a_move_from_before_a_pause_is_not_used() -> None:
+    """A gateway that was frozen does not take a slot that was granted to others meanwhile."""
+
+    async def async_test(bench: _Bench) -> None:
+        grant = await _async_told_to_move(bench)
+        asyncio.get_running_loop().jump(5)
+        assert not grant.move_to
+        assert grant.move() is grant
+        await asyncio.sleep(0.1)
+        assert grant.move_to == "e2"
+
+    _run(async_test)
+
+
 def test_a_keeper_that_rejects_is_passed_over() -> None:
     """A problem in an answer counts as a silent keeper."""
 
@@ -236,6 +290,29 @@
     _run(async_test)
 
 
+def test_a_keeper_that_rejects_one_service_is_asked_for_others() -> None:
+    """Another service would have two keepers that grant the same slots."""
+
+    async def async_test(bench: _Bench) -> None:
+        def answer(peer: str, msg: SlotExchange) -> SlotAnswer:
+            if msg.service == "other":
+                return SlotAnswer(msg.number, "no")
+            return bench.transport.grant_first(peer, msg)
+
+        bench.transport.answer = answer
+        assert await bench.client.async_acquire(need())
+        keeper = bench.transport.sent[0][0]
+        other = attrs.evolve(need(), service="other")
+        while keeper not in {peer for peer, msg in bench.transport.sent if msg.service == "other"}:
+            assert await bench.client.async_acquire(other) is None
+            await asyncio.sleep(1)
+        assert await bench.client.async_acquire(need())
+        told = [peer for peer, msg in bench.transport.sent if msg.service == SERVICE]
+        assert set(told) == {keeper}
+
+    _run(async_test)
+
+
 def test_a_keeper_without_waits_is_not_asked_all_the_time() -> None:
     """An answer that comes at once without a grant is not asked for again at once."""
 
@@ -246,3 +323,36 @@
         assert len(bench.transport.sent) <= 62
 
     _run(async_test)
+
+
+def _fail(*args: object) -> Any:
+    raise RuntimeError("fault")
+
+
+def test_an_exchange_that_raises_counts_as_a_silent_keeper() -> None:
+    """A fault in a keeper or on the way to it does not hold each text for three seconds."""
+
+    async def async_test(bench: _Bench) -> None:
+        bench.transport.answer = _fail
+        began = asyncio.get_running_loop().time()
+        assert await bench.client.async_acquire(need()) is None
+        assert asyncio.get_running_loop().time() - began < 0.1
+        assert len({peer for peer, _ in bench.transport.sent}) == 2
+
+    _run(async_test)
+
+
+def test_a_text_that_cannot_be_told_holds_nobody() -> None:
+    """A fault in one text lets all choose by themselves, until exchanges go on without it."""
+
+    async def async_test(bench: _Bench) -> None:
+        faulty = bench.client.record_unshared(need(events_left=_fail), "e2")
+        began = asyncio.get_running_loop().time()
+        assert await bench.client.async_acquire(need()) is None
+        assert asyncio.get_running_loop().time() - began < 0.1
+        held = bench.client.record_unshared(need(), "e1")
+        faulty.release(RunEnd.DONE)
+        await asyncio.sleep(1.1)
+        assert [row.upstream for row in bench.transport.last.held] == [held.upstream]
+
+    _run(async_test)
