Pause after a text that an engine answered with an error; 4xx is not the engine's fault

Cause: an answer of another status than 200 counted as a failure of the engine, and the next slot was asked for at once. An item that every engine refuses with a status of 4xx ran through all engines without a pause until its job ended, and each of them got no texts of any trainer for 0.5 to 4 s. One that is answered with 500 used up its attempts within some 30 ms. Ruled out: 5xx counts as no failure either; an engine that answers all texts so is always free, and would be granted to every text, which has only max_attempts. Change: 4xx ends the slot as done; after any answered error the text backs off, as it does where slots are not shared.

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -62,6 +62,7 @@
         self._failed_runs = 0
         self._moves = 0
         self._retry_at_once = False
+        self._answered_error = False
         self._left_upstream = ""
         self._pieces = PieceBuilder(state.head.id, index)
         self._retry_delay = _MIN_RETRY_DELAY
@@ -194,6 +195,7 @@
         context, shared = self.context, self.context.slots.is_shared(service)
         need = self._make_slot_need(route, service) if shared else None
         slot = TextSlot(context.slots, need, context.clock, context.metrics)
+        self._answered_error = False
         try:
             if not await slot.async_acquire(self._is_needed):
                 return None
@@ -210,9 +212,12 @@
         """Return whether the next slot may be asked for without a delay.
 
         The keeper passes over an engine that has just failed a text. Without a delay, a second
-        failure of the same engine could be followed by any number of them.
+        failure of the same engine could be followed by any number of them, and a text that engines
+        answer with an error would use up its attempts within milliseconds.
         """
         previous, self._left_upstream = self._left_upstream, slot.upstream
+        if self._answered_error:
+            return False
         return slot.end is not RunEnd.UNUSED and slot.upstream not in ("", previous)
 
     def _make_slot_need(self, route: Route, service: str) -> SlotNeed:
@@ -255,6 +260,7 @@
         complete = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.complete
         self.text_ended_at = self.context.clock.monotonic()
         self.phases.run_ended(self.text_ended_at, complete)
+        self._answered_error = isinstance(outcome, Ok) and sink.status != STATUS_OK
         up_to_date = self.context.freshness.is_fresh(self.state.job.id)
         slot.end = run.end(outcome, complete, up_to_date and self._is_needed())
         if complete:
@@ -262,7 +268,6 @@
             self.context.texts.complete(self.state, self.index)
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_UNPROCESSABLE:
-            slot.end = RunEnd.DONE
             return True
         if isinstance(outcome, Ok) and sink.status == STATUS_SERVER_ERROR:
             self._failed_runs += 1
--- a/cranberryline/jobs/text_run.py
+++ b/cranberryline/jobs/text_run.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.dispatch.errors import Ran, Refusal, RefusalReason
@@ -25,6 +25,9 @@
 _LOGGER = get_logger(__name__)
 
 _WATCH_INTERVAL = timedelta(milliseconds=250)
+# Statuses from the first one up to the second are due to the request; any engine would answer so.
+_MIN_REQUEST_ERROR = 400
+_MIN_SERVER_ERROR = 500
 _ABANDONED = Refusal(RefusalReason.UPSTREAM_FAILED)
 
 
@@ -121,6 +124,8 @@
             return RunEnd.UNUSED
         if complete or self._sink.abort_reason in _HARMLESS_REASONS:
             return RunEnd.DONE
+        if isinstance(outcome, Ok) and _MIN_REQUEST_ERROR <= self._sink.status < _MIN_SERVER_ERROR:
+            return RunEnd.DONE
         refusal = outcome.err()
         if self._sink.abort_reason or refusal is None or refusal.ran is not Ran.NO:
             return RunEnd.FAILED
--- /dev/null
+++ b/tests/jobs/test_slot_failures.py
@@ -0,0 +1,106 @@
+"""Texts that engines answer with errors, reject in turn, or that can't be sent where granted."""
+
+import asyncio
+import itertools
+from typing import Any, cast
+
+import attrs
+import pytest
+from result import Ok
+
+from cranberryline.jobs.model import ItemState
+from cranberryline.ports.model import UpstreamHead
+from tests.jobs.engine_harness import FIRST, EngineHarness
+from tests.jobs.slots_fake import FakeSlots
+from tests.virtual_time import run_virtual
+
+NAMES = ("e-1", "e-2", "e-3")
+KEYS = tuple(f"{name}@100" for name in NAMES)
+
+
+class _Scene(EngineHarness):
+    def __init__(self, slots: FakeSlots) -> None:
+        super().__init__()
+        self.context.slots = self.slots = slots
+        self.started = [self.add(attrs.evolve(FIRST, id=name)) for name in NAMES]
+
+    def answer_all(self, status: int) -> None:
+        """Let all engines answer each text with a status."""
+
+        async def async_send(*_args: Any) -> Any:
+            await asyncio.sleep(0.01)
+            return Ok(_Answer(status))
+
+        for engine in self.started:
+            cast(Any, engine).async_send = async_send
+
+
+class _Answer:
+    def __init__(self, status: int) -> None:
+        self.head = UpstreamHead(status, ())
+
+    async def chunks(self) -> Any:
+        """Yield a body that is no text."""
+        yield b"{}"
+
+    async def async_close(self) -> None:
+        """Do nothing."""
+
+
+async def _async_count_runs(scene: _Scene, seconds: float) -> int:
+    """Return how many requests an item sends within a time."""
+    run = scene.make_run()
+    task = asyncio.ensure_future(run.async_run())
+    await asyncio.sleep(seconds)
+    assert not task.done()
+    task.cancel()
+    await asyncio.wait((task,))
+    assert not scene.slots.held
+    return run.runs
+
+
+@pytest.mark.parametrize(("status", "end"), [(400, "done"), (404, "done"), (502, "failed")])
+def test_error_of_the_request_does_not_fail_the_engine(status: int, end: str) -> None:
+    """A bad item that every engine refuses to run would take them from all trainers."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS * 200))
+        scene.answer_all(status)
+        task = asyncio.ensure_future(scene.make_run().async_run())
+        await asyncio.sleep(4)
+        task.cancel()
+        await asyncio.wait((task,))
+        # The last request may be cut while it runs.
+        assert {ended for _, ended in scene.slots.ends[:-1]} == {end}
+        assert not scene.slots.held
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("status", [400, 502])
+def test_item_that_every_engine_answers_with_an_error_is_sent_with_pauses(status: int) -> None:
+    """Without a delay it would run through all engines again and again until its job ends."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS * 200))
+        scene.answer_all(status)
+        assert 5 < await _async_count_runs(scene, 4) < 60
+
+    run_virtual(scenario())
+
+
+def test_item_that_every_engine_fails_is_sent_as_often_as_its_route_allows() -> None:
+    """It must not be sent on and on, nor use up its attempts before engines can recover."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS * 200))
+        scene.answer_all(500)
+        run = scene.make_run()
+        result = await run.async_run()
+        assert result is not None and result.state is ItemState.DEAD
+        route = scene.context.routes.table.match("h.example", "/p/x")  # type: ignore[union-attr]
+        assert route is not None and run.runs == route.max_attempts == len(scene.slots.ends)
+        waits = [after - before for before, after in itertools.pairwise(scene.slots.asked_at)]
+        assert min(waits) >= 0.03
+
+    run_virtual(scenario())
