Pause before a text goes back to an engine that it left without a delay

Cause: a delay was skipped unless the slot was at the same engine as the one before. Two engines that reject or fail a text in turn were each another one than the last, so the text went back and forth between them without a pause. The keeper passes over them for a while, but a report is told once and may get lost with its exchange or with the keeper. Ruled out: a delay after every failure; the first rejection at each engine would cost the text 40 ms and more, which sharing slots is to save. Change: each engine is left without a delay once, until the text gets events. Result: tests/jobs and tests/test_layers.py pass; without the change the new test counts some 400 requests in 4 s where it allows 60.

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -63,7 +63,8 @@
         self._moves = 0
         self._retry_at_once = False
         self._answered_error = False
-        self._left_upstream = ""
+        # Granted upstreams that were left without a delay since the text last got events.
+        self._left_upstreams: frozenset[str] = frozenset()
         self._pieces = PieceBuilder(state.head.id, index)
         self._retry_delay = _MIN_RETRY_DELAY
         self._avoided_upstreams: frozenset[str] = frozenset()
@@ -211,14 +212,16 @@
     def _may_retry_at_once(self, slot: TextSlot) -> bool:
         """Return whether the next slot may be asked for without a delay.
 
-        The keeper passes over an engine that has just failed a text. Without a delay, a second
-        failure of the same engine could be followed by any number of them, and a text that engines
-        answer with an error would use up its attempts within milliseconds.
+        The keeper passes over an engine that has just failed a text. Without a delay, engines that
+        fail in turn could be granted any number of times, and a text that engines answer with an
+        error would use up its attempts within milliseconds.
         """
-        previous, self._left_upstream = self._left_upstream, slot.upstream
-        if self._answered_error:
+        if not slot.upstream or slot.end is RunEnd.UNUSED or self._answered_error:
             return False
-        return slot.end is not RunEnd.UNUSED and slot.upstream not in ("", previous)
+        if slot.upstream in self._left_upstreams:
+            return False
+        self._left_upstreams |= {slot.upstream}
+        return True
 
     def _make_slot_need(self, route: Route, service: str) -> SlotNeed:
         context, state, job = self.context, self.state, self.state.job
@@ -257,6 +260,7 @@
             self._avoided_upstreams = next_excluded(self._avoided_upstreams, sink.upstream)
         if len(self.text.events) > events_before:
             self._retry_delay = _MIN_RETRY_DELAY
+            self._left_upstreams &= {slot.upstream}
         complete = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.complete
         self.text_ended_at = self.context.clock.monotonic()
         self.phases.run_ended(self.text_ended_at, complete)
--- a/tests/jobs/test_slot_failures.py
+++ b/tests/jobs/test_slot_failures.py
@@ -6,9 +6,10 @@
 
 import attrs
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from cranberryline.jobs.model import ItemState
+from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.model import UpstreamHead
 from tests.jobs.engine_harness import FIRST, EngineHarness
 from tests.jobs.slots_fake import FakeSlots
@@ -34,6 +35,16 @@
         for engine in self.started:
             cast(Any, engine).async_send = async_send
 
+    def reject_all(self) -> None:
+        """Let all engines reject each text."""
+
+        async def async_send(*_args: Any) -> Any:
+            await asyncio.sleep(0.01)
+            return Err(PlatformError(PlatformReason.REFUSED, "full", 429, may_have_run=False))
+
+        for engine in self.started:
+            cast(Any, engine).async_send = async_send
+
 
 class _Answer:
     def __init__(self, status: int) -> None:
@@ -104,3 +115,14 @@
         assert min(waits) >= 0.03
 
     run_virtual(scenario())
+
+
+def test_engines_that_reject_a_text_in_turn_are_asked_with_pauses() -> None:
+    """Each of two engines is another one than the last; without a delay, they would spin."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS[:2] * 400))
+        scene.reject_all()
+        assert 5 < await _async_count_runs(scene, 4) < 60
+
+    run_virtual(scenario())
