Avoid a granted upstream that gets no request here at the next need

Cause: a slot that this gateway could not use, because the upstream is draining, cordoned, failing or full as only it knows, was released as unused, which tells the keeper nothing, and the text asked again with the same engines to avoid. The keeper granted the same engine on and on while others were free; the text did not run until its wait was over. Ruled out: releasing it as rejected; the keeper would keep the engine from the texts of all gateways for what one of them sees. Change: such an upstream is avoided like one that failed the text. Only the keeper's choice is in the test: the fake grants what is not avoided.

--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -256,8 +256,11 @@
             self.context, self.item, self.text, req, sink, slot, self._may_move, self._record_cut
         )
         outcome = await run.async_run()
-        if sink.upstream:
-            self._avoided_upstreams = next_excluded(self._avoided_upstreams, sink.upstream)
+        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
+        # A grant of an upstream that gets no request here would be repeated: only this gateway knows.
+        tried = sink.upstream or (slot.upstream if up_to_date else "")
+        if tried:
+            self._avoided_upstreams = next_excluded(self._avoided_upstreams, tried)
         if len(self.text.events) > events_before:
             self._retry_delay = _MIN_RETRY_DELAY
             self._left_upstreams &= {slot.upstream}
@@ -265,7 +268,6 @@
         self.text_ended_at = self.context.clock.monotonic()
         self.phases.run_ended(self.text_ended_at, complete)
         self._answered_error = isinstance(outcome, Ok) and sink.status != STATUS_OK
-        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
         slot.end = run.end(outcome, complete, up_to_date and self._is_needed())
         if complete:
             self.context.lengths.record_completed(self.item.told_tokens, len(self.text.events))
--- a/tests/jobs/test_slot_failures.py
+++ b/tests/jobs/test_slot_failures.py
@@ -8,17 +8,29 @@
 import pytest
 from result import Err, Ok
 
+from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.jobs.model import ItemState
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.model import UpstreamHead
+from cranberryline.slots import SlotGrant, SlotNeed
 from tests.jobs.engine_harness import FIRST, EngineHarness
-from tests.jobs.slots_fake import FakeSlots
+from tests.jobs.slots_fake import FakeGrant, FakeSlots
 from tests.virtual_time import run_virtual
 
 NAMES = ("e-1", "e-2", "e-3")
 KEYS = tuple(f"{name}@100" for name in NAMES)
 
 
+class _KeeperThatAvoids(FakeSlots):
+    """Grants the first upstream that a text need not avoid, else the first."""
+
+    async def async_acquire(self, need: SlotNeed) -> SlotGrant | None:
+        """Grant a slot at once."""
+        self.asked.append(need)
+        choice = [upstream for upstream in self.upstreams if upstream not in need.avoid]
+        return FakeGrant(self, (choice or self.upstreams)[0])
+
+
 class _Scene(EngineHarness):
     def __init__(self, slots: FakeSlots) -> None:
         super().__init__()
@@ -126,3 +138,16 @@
         assert 5 < await _async_count_runs(scene, 4) < 60
 
     run_virtual(scenario())
+
+
+def test_upstream_that_gets_no_request_here_is_avoided_by_the_next_need() -> None:
+    """Only this gateway knows of it; the keeper would grant it on and on, while others are free."""
+
+    async def scenario() -> None:
+        scene = _Scene(_KeeperThatAvoids(list(KEYS)))
+        scene.directory.put(attrs.evolve(FIRST, id=NAMES[0], draining=True)).unwrap()
+        async with asyncio.timeout(5):
+            await scene.async_run_item()
+        assert scene.slots.ends == [(KEYS[0], RunEnd.UNUSED), (KEYS[1], RunEnd.DONE)]
+
+    run_virtual(scenario())
