--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -62,7 +62,9 @@
         self._failed_runs = 0
         self._moves = 0
         self._retry_at_once = False
-        self._left_upstream = ""
+        self._answered_error = False
+        # Granted upstreams that were left without a delay since the text last got events.
+        self._left_upstreams: frozenset[str] = frozenset()
         self._pieces = PieceBuilder(state.head.id, index)
         self._retry_delay = _MIN_RETRY_DELAY
         self._avoided_upstreams: frozenset[str] = frozenset()
@@ -194,6 +196,7 @@
         context, shared = self.context, self.context.slots.is_shared(service)
         need = self._make_slot_need(route, service) if shared else None
         slot = TextSlot(context.slots, need, context.clock, context.metrics)
+        self._answered_error = False
         try:
             if not await slot.async_acquire(self._is_needed):
                 return None
@@ -209,11 +212,16 @@
     def _may_retry_at_once(self, slot: TextSlot) -> bool:
         """Return whether the next slot may be asked for without a delay.
 
-        The keeper passes over an engine that has just failed a text. Without a delay, a second
-        failure of the same engine could be followed by any number of them.
+        The keeper passes over an engine that has just failed a text. Without a delay, engines that
+        fail in turn could be granted any number of times, and a text that engines answer with an
+        error would use up its attempts within milliseconds.
         """
-        previous, self._left_upstream = self._left_upstream, slot.upstream
-        return slot.end is not RunEnd.UNUSED and slot.upstream not in ("", previous)
+        if not slot.upstream or slot.end is RunEnd.UNUSED or self._answered_error:
+            return False
+        if slot.upstream in self._left_upstreams:
+            return False
+        self._left_upstreams |= {slot.upstream}
+        return True
 
     def _make_slot_need(self, route: Route, service: str) -> SlotNeed:
         context, state, job = self.context, self.state, self.state.job
@@ -248,21 +256,24 @@
             self.context, self.item, self.text, req, sink, slot, self._may_move, self._record_cut
         )
         outcome = await run.async_run()
-        if sink.upstream:
-            self._avoided_upstreams = next_excluded(self._avoided_upstreams, sink.upstream)
+        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
+        # A grant of an upstream that gets no request here would be repeated: only this gateway knows.
+        tried = sink.upstream or (slot.upstream if up_to_date else "")
+        if tried:
+            self._avoided_upstreams = next_excluded(self._avoided_upstreams, tried)
         if len(self.text.events) > events_before:
             self._retry_delay = _MIN_RETRY_DELAY
+            self._left_upstreams &= {slot.upstream}
         complete = isinstance(outcome, Ok) and sink.status == STATUS_OK and sink.complete
         self.text_ended_at = self.context.clock.monotonic()
         self.phases.run_ended(self.text_ended_at, complete)
-        up_to_date = self.context.freshness.is_fresh(self.state.job.id)
+        self._answered_error = isinstance(outcome, Ok) and sink.status != STATUS_OK
         slot.end = run.end(outcome, complete, up_to_date and self._is_needed())
         if complete:
             self.context.lengths.record_completed(self.item.told_tokens, len(self.text.events))
             self.context.texts.complete(self.state, self.index)
             return False
         if isinstance(outcome, Ok) and sink.status == STATUS_UNPROCESSABLE:
-            slot.end = RunEnd.DONE
             return True
         if isinstance(outcome, Ok) and sink.status == STATUS_SERVER_ERROR:
             self._failed_runs += 1
