Store what the keepers of slots learned, for gateways that start

Cause: SlotMemory was built and tested but nothing started it, so after a stop of all gateways the speeds of engines and the tokens per event were unknown again.

Ruled out: waiting for the record at the start. A store that does not answer for this topic would delay callers; the record is read beside the configuration. An estimator of its own for the memory would have learned nothing, as texts complete in the runner: both share one, as with event rates.

Change: gateway/slots.py runs SlotMemory where sharing is not off. What is stored are the speeds of listed engines of services that this gateway's keeper served within 5 s, and the tokens per event of its own completed texts. A keeper whose gateway completed no text with an estimate stores 0, which is not restored. Samplers of the stand-in have a pause of their own.

Result: tests/platform/test_slots.py, tests/gateway, tests/slots, tests/stand_ins, tests/jobs/test_runner.py, tests/jobs/test_text_slots.py and tests/test_layers.py pass. The test over a stop of all fails without the restored lengths and without the stored speeds.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from result import Err
-from tornado.web import Application
 
 from cranberryline.decisions.read_budget import ReadBudget
 from cranberryline.dispatch.direct import DirectUpstreams
@@ -44,9 +43,9 @@
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
 from .relay_calls import Redaction
-from .slots import GatewaySlots
+from .slots import GatewaySlots, SlotStore
 from .stop import StopParts, async_stop_gateway
-from .tasks import leave_log_to_handlers, log_task_failure, run_soon
+from .tasks import log_task_failure, make_application, run_soon
 from .usage import GatewayUsage
 from .version_needs import VersionNeeds
 
@@ -147,7 +146,14 @@
             self._live_nodes,
         )
         self.slots = GatewaySlots(
-            cfg, clock, self.metrics, self.directory, self.routes, self.upstreams, self.nodes
+            cfg,
+            clock,
+            self.metrics,
+            self.directory,
+            self.routes,
+            self.upstreams,
+            self.nodes,
+            SlotStore(self.store, platform.topic_slots, self.health),
         )
         self.runner = JobRunner(
             RunnerDependencies(
@@ -164,6 +170,7 @@
                 self.slots.paces,
                 self.slots.source,
                 self.controls.may_start,
+                self.slots.lengths,
             )
         )
         self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
@@ -237,24 +244,20 @@
         limits = self._limits = InputLimits(
             self._cfg.max_body_bytes, self._cfg.max_header_bytes, self._cfg.slow_sender_timeout
         )
-        app = Application(
-            [(r".*", IngressHandler, {"context": context})], log_function=leave_log_to_handlers
-        )
+        app = make_application([(r".*", IngressHandler, {"context": context})])
         self._caller_server = open_http_server(app, self._cfg.listen, limits, self.metrics)
-        status = Application(
+        status = make_application(
             [
                 (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
                 (PATH_HOLDS, HoldsHandler, {"quarantine": self.quarantine}),
                 *self.slots.status_handlers,
                 *self.controls.handlers(),
                 (r".*", ReadyHandler, {"ready": lambda: self.ready}),
-            ],
-            log_function=leave_log_to_handlers,
+            ]
         )
         self._admin_server = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
-        relay = Application(
-            [(PATH_RELAY, RelayHandler, {"log": self.store}), *self.slots.peer_handlers],
-            log_function=leave_log_to_handlers,
+        relay = make_application(
+            [(PATH_RELAY, RelayHandler, {"log": self.store}), *self.slots.peer_handlers]
         )
         self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
@@ -269,7 +272,7 @@
         self._start_task(self.lease.async_run())
         self._start_task(self.version_scheduler.async_run())
         self._start_task(self._async_expire_registrations())
-        for coroutine in (*self.usage.tasks(), *self.controls.tasks()):
+        for coroutine in (*self.usage.tasks(), *self.controls.tasks(), *self.slots.tasks()):
             self._start_task(coroutine)
         _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
 
@@ -327,11 +330,7 @@
         return self.nodes.live_nodes(self._clock.monotonic())
 
     def _relay_peers(self) -> list[str]:
-        return [
-            heartbeat.peer
-            for heartbeat in self.nodes.heartbeats()
-            if heartbeat.peer and not heartbeat.stopping and heartbeat.node != self._cfg.vm_id
-        ]
+        return self.nodes.relay_peers()
 
     def _make_tail(self, topic: str, on_key: Any, poll_pause: timedelta = timedelta()) -> KeyedTail:
         return KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause)
--- a/cranberryline/gateway/nodes.py
+++ b/cranberryline/gateway/nodes.py
@@ -138,6 +138,14 @@
         """Return the last heartbeat of each known node, which may be dead by now."""
         return [state.heartbeat for state in self._states.values()]
 
+    def relay_peers(self) -> list[str]:
+        """Return the peer addresses of the other known nodes that are not stopping."""
+        return [
+            heartbeat.peer
+            for heartbeat in self.heartbeats()
+            if heartbeat.peer and not heartbeat.stopping and heartbeat.node != self._heartbeat.node
+        ]
+
     def apply_record(self, record: KeyedRecord) -> None:
         """Apply a heartbeat from the store; an empty value removes the node.
 
--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -1,20 +1,26 @@
 """Slot sharing of a gateway: its keeper, its client, and how they are reached."""
 
 import uuid
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
+import attrs
+
+from cranberryline.decisions.lengths import TextLengthEstimator
 from cranberryline.decisions.moving import EngineRates
 from cranberryline.decisions.slot_sharing import should_share
 from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
+from cranberryline.helpers.store_health import StoreHealth
+from cranberryline.ports.store import SharedLog
 from cranberryline.routes import ActiveRoutes
 from cranberryline.settings import GatewaySettings
 from cranberryline.settings.const import SLOT_SHARING_OFF, SLOT_SHARING_ON
 from cranberryline.slots import EngineSlots, NoSlotSharing, SlotSource
 from cranberryline.slots.client import SlotClient, SlotClientParts
 from cranberryline.slots.keeper import SlotKeeper
+from cranberryline.slots.memory import Learned, SlotMemory
 from cranberryline.upstreams.directory import Directory, Registration
 
 from .nodes import NodeRegistry
@@ -25,15 +31,24 @@
     SlotStatusHandler,
 )
 
-__all__ = ["GatewaySlots"]
+__all__ = ["GatewaySlots", "SlotStore"]
 
 _Handlers = list[tuple[str, type, dict[str, Any]]]
 
 
+@attrs.frozen
+class SlotStore:
+    """Where the keepers store what they have learned."""
+
+    log: SharedLog
+    topic: str
+    health: StoreHealth
+
+
 class GatewaySlots:
     """Slots that this gateway grants as a keeper, and the `source` of those that it needs.
 
-    `paces` are the event rates that its texts measure.
+    `paces` are the event rates that its texts measure, `lengths` the estimates of their lengths.
     """
 
     def __init__(
@@ -45,9 +60,11 @@
         routes: ActiveRoutes,
         upstreams: UpstreamTable,
         nodes: NodeRegistry,
+        store: SlotStore,
     ) -> None:
         self.source: SlotSource = NoSlotSharing()
         self.paces = EngineRates()
+        self.lengths = TextLengthEstimator()
         self._cfg = cfg
         self._clock = clock
         self._metrics = metrics
@@ -55,6 +72,7 @@
         self._routes = routes
         self._upstreams = upstreams
         self._nodes = nodes
+        self._store = store
         self._transport = HttpSlotTransport()
         self._is_open = True
         self._engines: dict[str, tuple[EngineSlots, ...]] = {}
@@ -99,6 +117,16 @@
             return []
         return [(PATH_SLOTS, SlotStatusHandler, {"describe": self._keeper.describe})]
 
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what runs until the process stops."""
+        if self._keeper is None:
+            return []
+        store = self._store
+        memory = SlotMemory(
+            store.log, store.topic, self._clock, store.health, self._learned, self._restore
+        )
+        return [memory.async_run()]
+
     def stop_answering(self) -> None:
         """Reject the exchanges of peers from now on; they have another keeper by then."""
         self._is_open = False
@@ -150,3 +178,22 @@
         """Return the upstreams of a service with an idle connection."""
         recent = self._upstreams.pool(service).recent()
         return frozenset(upstream.id for upstream in recent if upstream.link.connected)
+
+    def _learned(self) -> dict[str, Learned]:
+        """Return what is known of the services that this gateway keeps the slots of."""
+        assert self._keeper is not None
+        tokens_per_event = self.lengths.tokens_per_event or 0.0
+        return {
+            service: Learned(self._listed_speeds(self._keeper, service), tokens_per_event)
+            for service in self._keeper.served()
+        }
+
+    def _listed_speeds(self, keeper: SlotKeeper, service: str) -> dict[str, float]:
+        listed = {engine.id for engine in self.engines(service)}
+        known = keeper.known_speeds(service)
+        return {engine: rate for engine, rate in known.items() if engine in listed}
+
+    def _restore(self, service: str, learned: Learned) -> None:
+        assert self._keeper is not None
+        self._keeper.restore_speeds(service, learned.rates)
+        self.lengths.restore(learned.tokens_per_event)
--- a/cranberryline/gateway/tasks.py
+++ b/cranberryline/gateway/tasks.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from tornado.web import Application
+
 from cranberryline.helpers.logging import get_logger
 
-__all__ = ["leave_log_to_handlers", "log_task_failure", "run_soon"]
+__all__ = ["log_task_failure", "make_application", "run_soon"]
 
 _LOGGER = get_logger(__name__)
 
@@ -19,8 +21,9 @@
     asyncio.get_running_loop().call_soon(callback)
 
 
-def leave_log_to_handlers(_handler: object) -> None:
-    """Log nothing; used as tornado's `log_function`, since handlers log their own requests."""
+def make_application(handlers: list[tuple[str, Any, dict[str, Any]]]) -> Application:
+    """Return an application that logs no requests, since its handlers log their own."""
+    return Application([*handlers], log_function=lambda _handler: None)
 
 
 def log_task_failure(task: "asyncio.Future[Any]") -> None:
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from cranberryline.decisions.lengths import TextLengthEstimator
 from cranberryline.decisions.moving import EngineRates
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.helpers.clock import Clock, in_milliseconds
@@ -64,6 +65,7 @@
     slots: SlotSource = attrs.field(factory=NoSlotSharing)
     # Returns whether this node starts items of a job that it first saw at a monotonic time.
     may_start: Callable[[timedelta], bool] = lambda _since: True
+    lengths: TextLengthEstimator = attrs.field(factory=TextLengthEstimator)
 
 
 @attrs.frozen(eq=False)
@@ -122,6 +124,7 @@
             dependencies.jobs.book.find_partial_text,
             dependencies.jobs.texts.async_read,
             dependencies.async_confirm_routes,
+            lengths=dependencies.lengths,
             paces=dependencies.paces,
             slots=dependencies.slots,
         )
--- a/cranberryline/slots/const.py
+++ b/cranberryline/slots/const.py
@@ -22,15 +22,18 @@
     "REFRESH_INTERVAL",
     "REJECTED_FOR",
     "REPLY_ALLOWANCE",
+    "SERVED_FOR",
 ]
 
-# Keeper: how long a gateway, a rejection or a failure counts.
+# Keeper: how long a gateway, a rejection or a failure counts, and how long it is the keeper of a
+# service after an exchange.
 FORGET_AFTER = timedelta(milliseconds=1200)
 MAX_WAIT = timedelta(milliseconds=100)
 REJECTED_FOR = timedelta(milliseconds=250)
 FAILED_SHORTEST = timedelta(milliseconds=500)
 FAILED_LONGEST = timedelta(seconds=4)
 MOVE_INTERVAL = timedelta(milliseconds=250)
+SERVED_FOR = timedelta(seconds=5)
 
 # Gateway: how often it tells the keeper, and how long it waits for it.
 REFRESH_INTERVAL = timedelta(milliseconds=300)
--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -10,7 +10,7 @@
 from cranberryline.helpers.clock import Clock
 
 from .checks import find_problem, is_rate
-from .const import FORGET_AFTER, MAX_NAME_LENGTH, MAX_ROWS, MAX_WAIT
+from .const import FORGET_AFTER, MAX_NAME_LENGTH, MAX_ROWS, MAX_WAIT, SERVED_FOR
 from .messages import SlotAnswer, SlotExchange
 from .model import EngineSlots
 from .shard_slots import ShardSlots
@@ -90,6 +90,7 @@
         self._weights = weights
         self._speeds: dict[str, EngineSpeeds] = {}
         self._shards: dict[tuple[str, int, int], _Shard] = {}
+        self._served: dict[str, timedelta] = {}
         self._swept = clock.elapsed()
 
     async def async_exchange(self, msg: SlotExchange) -> SlotAnswer:
@@ -103,10 +104,16 @@
         problem = shard.slots.accept(msg, now)
         if problem:
             return SlotAnswer(msg.number, problem)
+        self._served[msg.service] = now
         if shard.slots.is_newest(msg):
             await shard.async_park(msg.node, _wait(msg))
         return shard.slots.answer(msg)
 
+    def served(self) -> frozenset[str]:
+        """Return the services of which an exchange was accepted within the last `SERVED_FOR`."""
+        oldest = self._clock.elapsed() - SERVED_FOR
+        return frozenset(service for service, at in self._served.items() if at >= oldest)
+
     def describe(self) -> dict[str, object]:
         """Return by service what the texts of trainers hold and wait for, and what engines run."""
         now = self._clock.elapsed()
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -52,6 +52,8 @@
     hang_after: int = 0
     seal: bool = True
     spoil_id: int = 0
+    # Seconds before each event of a text.
+    pause_s: float = EVENT_PAUSE
     # Answers are this many bytes long at least.
     length: int = 0
     runs: list[Run] = attrs.field(factory=list)
@@ -238,7 +240,7 @@
         first = int(self.request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {name}.{number}\n\n".encode()
-            await asyncio.sleep(EVENT_PAUSE)
+            await asyncio.sleep(self.sampler.pause_s)
             if first == 1 and 0 < self.sampler.cut_after < number:
                 self.write(event[:7])
                 await self.flush()
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -1,5 +1,6 @@
 """What a gateway tells the client and the keeper of slots about engines and other gateways."""
 
+import asyncio
 from datetime import timedelta
 from types import SimpleNamespace
 from typing import Any, cast
@@ -9,13 +10,15 @@
 
 from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.gateway.nodes import NodeHeartbeat
-from cranberryline.gateway.slots import GatewaySlots
+from cranberryline.gateway.slots import GatewaySlots, SlotStore
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.routes import ActiveRoutes, EngineService, RouteTable
-from cranberryline.slots import EngineSlots, NoSlotSharing
+from cranberryline.slots import EngineSlots, NoSlotSharing, SlotExchange
+from cranberryline.slots.memory import Learned
 from cranberryline.upstreams.directory import Directory, Registration
+from tests.store_fake import FakeStore, StoreLink
 
 ENGINE = Registration("e-1", "engines", "10.0.0.1:80", "levis", 4, False, {"m": 3}, 100)
 
@@ -23,12 +26,13 @@
 class Site:
     """A gateway's view of engines and gateways."""
 
-    def __init__(self) -> None:
+    def __init__(self, slot_sharing: str = "off") -> None:
         clock = SystemClock()
-        self.directory = Directory(clock, StoreHealth(clock))
+        health = StoreHealth(clock)
+        self.directory = Directory(clock, health)
         self.routes = ActiveRoutes()
         self.routes.apply(RouteTable(1, services={"engines": EngineService(slots=6)}))
-        self.cfg = SimpleNamespace(vm_id="vm-1", peer="10.0.0.9:1", slot_sharing="off")
+        self.cfg = SimpleNamespace(vm_id="vm-1", peer="10.0.0.9:1", slot_sharing=slot_sharing)
         self.heartbeats: list[NodeHeartbeat] = []
         self.live: set[str] = set()
         self.nodes = SimpleNamespace(
@@ -45,6 +49,7 @@
             self.routes,
             UpstreamTable(),
             cast(Any, self.nodes),
+            SlotStore(StoreLink(FakeStore()), "keyed.slots", health),
         )
 
     def put(self, **fields: Any) -> None:
@@ -61,6 +66,7 @@
     slots = Site().slots
     assert isinstance(slots.source, NoSlotSharing)
     assert (slots.peer_handlers, slots.status_handlers) == ([], [])
+    assert slots.tasks() == []
 
 
 def test_engines_are_those_that_accept_texts() -> None:
@@ -145,3 +151,18 @@
         site.slots.paces.record("e-1@100", 5, timedelta(milliseconds=200), now)
     rates = site.slots.rates()
     assert list(rates) == ["e-1@100"] and rates["e-1@100"] == pytest.approx(25, rel=0.05)
+
+
+def test_only_listed_engines_of_kept_services_are_stored() -> None:
+    """Engines are replaced all day, and the record of a service would grow with those long gone."""
+
+    async def scene() -> None:
+        site = Site(slot_sharing="on")
+        site.put()
+        slots = site.slots
+        slots._restore("engines", Learned({"e-1@100": 32.0, "gone@1": 9.0}, 5.0))
+        assert slots._learned() == {}
+        await slots._keeper.async_exchange(SlotExchange("vm-1", "s", 1, "engines", 0, 1, 0))
+        assert slots._learned() == {"engines": Learned({"e-1@100": 32.0}, 5.0)}
+
+    asyncio.run(scene())
