Apply operators' weights and caps at the keeper of slots

Cause: controls were read by every gateway but the keeper gave all trainers the same share and knew no caps, and a text did not tell its workspace.

Ruled out: one weight of a trainer or else its workspace, as Controls.weight returns it: a trainer's weight would replace its workspace's. Caps when a text is asked for would differ between gateways; the keeper reads what is in force at each allocation.

Change: WaitingText, HeldSlot and the decisions' texts carry the workspace, empty by default and as the last field. A text's weight is its trainer's times its workspace's; caps bound both. A text that waits for its own cap only would have left the keeper after 3 s and taken a slot beyond the cap: the answer names such tickets (`capped`, last field, empty by default), and their texts wait on. Samplers of the stand-in count the texts that they hold, and turn texts away where a queue is set.

ShardSlots takes SlotShares in place of a function of weights, and an order in place of an allocator; tests/slots/test_moves.py passes it the same shares of 1 as before.

A cap holds per keeper: a service of more than 64 engines has several.

--- a/cranberryline/controls/controls.py
+++ b/cranberryline/controls/controls.py
@@ -1,6 +1,6 @@
 """Controls in force at this gateway: shares of trainers, and cordons."""
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from datetime import timedelta
 
 import attrs
@@ -97,6 +97,7 @@
         self._refresh_scheduled = False
         self._controls: dict[str, _Control] = {}
         self._active: dict[str, ControlRecord] = {}
+        self._caps: dict[ControlKind, dict[str, int]] = {}
         self._applied = AppliedCordons()
         # Upstreams by id and by VM id: all that are usable, and the cordoned ones.
         self._known_upstreams: frozenset[str] = frozenset()
@@ -126,6 +127,15 @@
         record = self._active.get(control_key(ControlKind.WORKSPACE, workspace))
         return None if record is None else record.cap
 
+    def workspace_weight(self, workspace: str) -> float:
+        """Return the weight of a workspace, else 1."""
+        record = self._active.get(control_key(ControlKind.WORKSPACE, workspace))
+        return DEFAULT_WEIGHT if record is None or record.weight is None else record.weight
+
+    def caps(self, kind: ControlKind) -> Mapping[str, int]:
+        """Return the caps in force by the name of a trainer or a workspace."""
+        return self._caps.get(kind, {})
+
     def is_cordoned(self, upstream_id: str, data_center: str) -> bool:
         """Return whether an upstream, by its id or its VM id, gets no new requests."""
         if upstream_id in self._known_upstreams:
@@ -181,6 +191,7 @@
         self._refresh_scheduled = False
         before, excluded = self._active, self._applied.excluded
         self._active = self._find_active()
+        self._caps = self._find_caps()
         for key in sorted(before.keys() & self._controls.keys() - self._active.keys()):
             _LOGGER.info("control_ended", key=key)
         self._refresh_vms()
@@ -218,6 +229,15 @@
             if control.record.until is None or now < control.record.until
         }
 
+    def _find_caps(self) -> dict[ControlKind, dict[str, int]]:
+        """Return the caps in force by kind and name."""
+        caps: dict[ControlKind, dict[str, int]] = {}
+        for key, record in self._active.items():
+            if record.cap is not None:
+                control = self._controls[key]
+                caps.setdefault(control.kind, {})[control.name] = record.cap
+        return caps
+
     def _shares(self, trainer: str, workspace: str) -> list[ControlRecord]:
         keys = (
             control_key(ControlKind.TRAINER, trainer),
--- a/cranberryline/decisions/slot_allocation.py
+++ b/cranberryline/decisions/slot_allocation.py
@@ -133,11 +133,13 @@
 class SlotAllocator:
     """Places waiting texts on free slots.
 
-    `caps` is the most slots of a trainer at once; trainers that it does not name have no limit.
+    `caps` is the most slots of a trainer at once, `workspace_caps` that of a workspace; who is not
+    named has no limit.
     """
 
     order: DemandOrder = attrs.field(factory=ShareOrder)
     caps: Mapping[str, int] = attrs.field(factory=dict)
+    workspace_caps: Mapping[str, int] = attrs.field(factory=dict)
 
     def place(
         self,
@@ -150,7 +152,7 @@
 
         `engines` are all that accept texts, also those without a free slot.
         """
-        supply = SlotSupply(engines, running, self.caps)
+        supply = SlotSupply(engines, running, self.caps, self.workspace_caps)
         if supply.empty:
             return []
         placements = []
@@ -162,3 +164,12 @@
             if supply.empty:
                 break
         return placements
+
+    def capped(
+        self, demands: Iterable[TextDemand], running: Sequence[RunningText]
+    ) -> list[TextDemand]:
+        """Return the demands that wait because the slots of their trainer or workspace are limited."""
+        if not self.caps and not self.workspace_caps:
+            return []
+        supply = SlotSupply([], running, self.caps, self.workspace_caps)
+        return [demand for demand in demands if supply.is_capped(demand)]
--- a/cranberryline/decisions/slot_model.py
+++ b/cranberryline/decisions/slot_model.py
@@ -28,7 +28,8 @@
     `trainer` is whose share the slot counts to, and `weight` the size of that share; texts of a
     lower `rank` come first. `due` is when its group is wanted. `events_left` are expected of this
     text, `group_events_left` of the longest incomplete text that is wanted together with it. `avoid` are
-    engines to use only if there is no other, `connected` those with an idle connection.
+    engines to use only if there is no other, `connected` those with an idle connection. `workspace`
+    is the trainer's, empty if unknown.
     """
 
     key: Hashable
@@ -43,6 +44,7 @@
     weight: float = 1.0
     avoid: frozenset[str] = frozenset()
     connected: frozenset[str] = frozenset()
+    workspace: str = ""
 
 
 @attrs.frozen
@@ -58,6 +60,7 @@
     group_events_left: float
     model: str = ""
     min_version: int | None = None
+    workspace: str = ""
 
 
 @attrs.frozen
--- a/cranberryline/decisions/slot_supply.py
+++ b/cranberryline/decisions/slot_supply.py
@@ -36,9 +36,10 @@
 
 
 class SlotSupply:
-    """The free slots of engines, and how many slots each trainer uses, during one call.
+    """The free slots of engines, and how many slots are used, during one call.
 
-    `caps` is the most slots that a trainer may use; trainers that it does not name have no limit.
+    `caps` is the most slots that a trainer may use, `workspace_caps` those of all texts of a
+    workspace; who is not named has no limit.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         engines: Sequence[EngineState],
         running: Sequence[RunningText],
         caps: Mapping[str, int],
+        workspace_caps: Mapping[str, int] | None = None,
     ) -> None:
         self._engines = engines
         self._free = {engine.id: engine.free for engine in engines if engine.free > 0}
@@ -53,6 +55,8 @@
         self._kinds: dict[tuple[str, int | None], _Kind] = {}
         self._caps = caps
         self._used = Counter(text.trainer for text in running)
+        self._workspace_caps = workspace_caps or {}
+        self._used_by_workspace = Counter(text.workspace for text in running)
 
     @property
     def empty(self) -> bool:
@@ -65,16 +69,22 @@
 
     def has_room(self, demand: TextDemand) -> bool:
         """Return whether a text may get a slot."""
+        return not self.is_capped(demand) and bool(self._kind(demand).engines)
+
+    def is_capped(self, demand: TextDemand) -> bool:
+        """Return whether the trainer or the workspace of a text uses as many slots as it may."""
         cap = self._caps.get(demand.trainer)
         if cap is not None and self._used[demand.trainer] >= cap:
-            return False
-        return bool(self._kind(demand).engines)
+            return True
+        cap = self._workspace_caps.get(demand.workspace)
+        return cap is not None and self._used_by_workspace[demand.workspace] >= cap
 
     def take(self, demand: TextDemand) -> str:
         """Take a free slot for a text that there is room for, and return its engine."""
         kind = self._kind(demand)
         chosen = self._choose(demand, kind)
         self._used[demand.trainer] += 1
+        self._used_by_workspace[demand.workspace] += 1
         self._free[chosen] -= 1
         if not self._free[chosen]:
             self._remove(chosen)
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -154,6 +154,7 @@
             self.upstreams,
             self.nodes,
             SlotStore(self.store, platform.topic_slots, self.health),
+            self.controls.controls,
         )
         self.runner = JobRunner(
             RunnerDependencies(
--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from cranberryline.controls import Controls
+from cranberryline.controls.records import ControlKind
 from cranberryline.decisions.lengths import TextLengthEstimator
 from cranberryline.decisions.moving import EngineRates
 from cranberryline.decisions.slot_sharing import should_share
@@ -61,6 +63,7 @@
         upstreams: UpstreamTable,
         nodes: NodeRegistry,
         store: SlotStore,
+        controls: Controls | None = None,
     ) -> None:
         self.source: SlotSource = NoSlotSharing()
         self.paces = EngineRates()
@@ -73,6 +76,7 @@
         self._upstreams = upstreams
         self._nodes = nodes
         self._store = store
+        self._controls = controls
         self._transport = HttpSlotTransport()
         self._is_open = True
         self._engines: dict[str, tuple[EngineSlots, ...]] = {}
@@ -85,7 +89,7 @@
             self._open()
 
     def _open(self) -> None:
-        self._keeper = keeper = SlotKeeper(self._clock, self.engines)
+        self._keeper = keeper = self._make_keeper()
         self.source = self._client = SlotClient(
             SlotClientParts(
                 self._cfg.vm_id,
@@ -102,6 +106,19 @@
             )
         )
 
+    def _make_keeper(self) -> SlotKeeper:
+        controls = self._controls
+        if controls is None:
+            return SlotKeeper(self._clock, self.engines)
+        return SlotKeeper(
+            self._clock,
+            self.engines,
+            weights=controls.weight,
+            caps=lambda: controls.caps(ControlKind.TRAINER),
+            workspace_weights=controls.workspace_weight,
+            workspace_caps=lambda: controls.caps(ControlKind.WORKSPACE),
+        )
+
     @property
     def peer_handlers(self) -> _Handlers:
         """Return the handlers for other gateways."""
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -231,6 +231,7 @@
             avoid=self._avoided_upstreams,
             prompt=self.item.prefix,
             may_move=self._may_move,
+            workspace=job.workspace,
         )
 
     async def _async_run_request(self, route: Route, service: str, slot: TextSlot) -> bool | None:
--- a/cranberryline/slots/checks.py
+++ b/cranberryline/slots/checks.py
@@ -90,6 +90,7 @@
         and (row.min_version is None or 0 <= row.min_version <= MAX_NUMBER)
         and len(row.trainer) <= MAX_NAME_LENGTH
         and len(row.model) <= MAX_NAME_LENGTH
+        and len(row.workspace) <= MAX_NAME_LENGTH
     )
 
 
--- a/cranberryline/slots/gateway_tickets.py
+++ b/cranberryline/slots/gateway_tickets.py
@@ -38,7 +38,9 @@
         self._movable: frozenset[int] = frozenset()
         self._granted: dict[int, _Granted] = {}
 
-    def accept(self, msg: SlotExchange, now: timedelta, weights: Callable[[str], float]) -> bool:
+    def accept(
+        self, msg: SlotExchange, now: timedelta, weights: Callable[[str, str], float]
+    ) -> bool:
         """Replace all by an exchange; return False for one that is not newer."""
         if msg.number <= self._number:
             return False
@@ -113,7 +115,7 @@
         row: WaitingText,
         connected: frozenset[str],
         now: timedelta,
-        weights: Callable[[str], float],
+        weights: Callable[[str, str], float],
     ) -> TextDemand:
         """Return a waiting text in the keeper's time."""
         known = self.waiting.get(row.ticket)
@@ -127,9 +129,10 @@
             model=row.model,
             min_version=row.min_version,
             rank=row.rank,
-            weight=weights(row.trainer),
+            weight=weights(row.trainer, row.workspace),
             avoid=frozenset(row.avoid),
             connected=connected.union(row.connected) if row.connected else connected,
+            workspace=row.workspace,
         )
 
     def _running(self, row: HeldSlot, now: timedelta) -> RunningText:
@@ -144,6 +147,7 @@
             group_events_left=row.group_events_left,
             model=row.model,
             min_version=row.min_version,
+            workspace=row.workspace,
         )
 
     def _since(self, row: HeldSlot, now: timedelta) -> timedelta:
@@ -169,4 +173,5 @@
         group_events_left=text.group_events_left,
         model=text.model,
         min_version=text.min_version,
+        workspace=text.workspace,
     )
--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -15,6 +15,7 @@
 from .model import EngineSlots
 from .shard_slots import ShardSlots
 from .shards import EngineShards
+from .shares import SlotShares
 
 __all__ = ["SlotKeeper"]
 
@@ -76,7 +77,8 @@
     """Grants the slots of engines to the texts of all gateways that ask this one.
 
     `engines` returns the engines of a service that accept texts now, `weights` the size of a
-    trainer's share. All state is what gateways told within the last `FORGET_AFTER`.
+    trainer's share, `caps` the most slots of trainers at once, and the other two the same of
+    workspaces. All state is what gateways told within the last `FORGET_AFTER`.
     """
 
     def __init__(
@@ -84,10 +86,13 @@
         clock: Clock,
         engines: Callable[[str], Sequence[EngineSlots]],
         weights: Callable[[str], float] = lambda trainer: 1.0,
+        caps: Callable[[], Mapping[str, int]] = dict,
+        workspace_weights: Callable[[str], float] = lambda workspace: 1.0,
+        workspace_caps: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._clock = clock
         self._engines = EngineShards(engines)
-        self._weights = weights
+        self._shares = SlotShares(weights, caps, workspace_weights, workspace_caps)
         self._speeds: dict[str, EngineSpeeds] = {}
         self._shards: dict[tuple[str, int, int], _Shard] = {}
         self._served: dict[str, timedelta] = {}
@@ -153,7 +158,7 @@
             slots = ShardSlots(
                 lambda: self._engines.engines(msg.service, msg.shard),
                 self._service_speeds(msg.service),
-                self._weights,
+                self._shares,
             )
             self._shards[key] = _Shard(slots, self._clock)
         return self._shards[key]
--- a/cranberryline/slots/messages.py
+++ b/cranberryline/slots/messages.py
@@ -27,6 +27,7 @@
     rank: int = 0
     avoid: tuple[str, ...] = ()
     connected: tuple[str, ...] = ()
+    workspace: str = ""
 
 
 class HeldSlot(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -41,6 +42,7 @@
     model: str = ""
     min_version: int | None = None
     may_move: bool = False
+    workspace: str = ""
 
 
 class RejectedText(msgspec.Struct, array_like=True, frozen=True, gc=False):
@@ -87,7 +89,8 @@
     """The grants that stand for the gateway's tickets when the exchange is answered.
 
     `problem` is empty, or says why the exchange was not accepted. `waits` is, by trainer, how many
-    texts of all gateways wait and how many slots they hold.
+    texts of all gateways wait and how many slots they hold. `capped` are the
+    tickets that wait because the slots of their trainer or workspace are limited.
     """
 
     number: int
@@ -95,6 +98,7 @@
     grants: tuple[SlotGranted, ...] = ()
     moves: tuple[SlotGranted, ...] = ()
     waits: tuple[tuple[str, int, int], ...] = ()
+    capped: tuple[int, ...] = ()
 
 
 EXCHANGES = msgspec.msgpack.Decoder(SlotExchange)
--- a/cranberryline/slots/model.py
+++ b/cranberryline/slots/model.py
@@ -41,6 +41,7 @@
     avoid: frozenset[str] = frozenset()
     prompt: str = ""
     may_move: Callable[[], bool] = lambda: False
+    workspace: str = ""
 
 
 class SlotGrant(abc.ABC):
--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -26,6 +26,7 @@
         min_version=need.min_version,
         rank=need.rank,
         avoid=tuple(sorted(need.avoid))[:MAX_NAMES],
+        workspace=need.workspace,
     )
 
 
@@ -41,6 +42,7 @@
         model=need.model,
         min_version=need.min_version,
         may_move=need.may_move(),
+        workspace=need.workspace,
     )
 
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -86,6 +86,7 @@
         self._told: Peer | None = None
         self._open: set[asyncio.Task[None]] = set()
         self._newest = -1
+        self._capped: frozenset[int] = frozenset()
         self._failures = 0
         self._is_behind = False
         self._paused_until = timedelta()
@@ -104,17 +105,24 @@
         self._waiting[ticket] = _Waiter(need, fut)
         self._pacing.request()
         try:
-            async with asyncio.timeout(ACQUIRE_TIMEOUT.total_seconds()):
-                return await fut
-        except TimeoutError:
-            self._give_back(fut)
-            return None
+            return await self._async_grant(ticket, fut)
         except asyncio.CancelledError:
             self._give_back(fut)
             raise
         finally:
             self.forget(ticket)
 
+    async def _async_grant(
+        self, ticket: int, fut: asyncio.Future[HeldGrant | None]
+    ) -> SlotGrant | None:
+        """Return the grant, or None after `ACQUIRE_TIMEOUT`; a capped text waits on."""
+        while True:
+            done, _ = await asyncio.wait((fut,), timeout=ACQUIRE_TIMEOUT.total_seconds())
+            if done:
+                return fut.result()
+            if ticket not in self._capped:
+                return None
+
     def forget(self, ticket: int) -> None:
         """Do not wait for a ticket any more."""
         if self._waiting.pop(ticket, None) is not None:
@@ -272,6 +280,7 @@
         if msg.number > self._newest:
             self._newest = msg.number
             self._set_moves({row.ticket: row.upstream for row in answer.moves})
+            self._capped = frozenset(answer.capped)
 
     def _take_grant(self, waiter: _Waiter, ticket: int, upstream: str) -> None:
         """Let a text use its slot; one that was cancelled in this turn gives it back itself."""
--- a/cranberryline/slots/shard_slots.py
+++ b/cranberryline/slots/shard_slots.py
@@ -8,7 +8,7 @@
 import attrs
 
 from cranberryline.decisions.engine_speeds import EngineSpeeds
-from cranberryline.decisions.slot_allocation import SlotAllocator
+from cranberryline.decisions.slot_allocation import DemandOrder, ShareOrder, SlotAllocator
 from cranberryline.decisions.slot_model import (
     EngineState,
     Placement,
@@ -24,6 +24,7 @@
 from .messages import SlotAnswer, SlotExchange
 from .model import EngineSlots
 from .outages import EngineOutages
+from .shares import SlotShares
 
 __all__ = ["ShardSlots"]
 
@@ -45,20 +46,21 @@
         self,
         engines: Callable[[], Mapping[str, EngineSlots]],
         speeds: EngineSpeeds,
-        weights: Callable[[str], float],
-        allocator: SlotAllocator | None = None,
+        shares: SlotShares,
+        order: DemandOrder | None = None,
         policy: MovePolicy | None = None,
     ) -> None:
         self._engines = engines
         self._speeds = speeds
-        self._weights = weights
-        self._allocator = allocator or SlotAllocator()
+        self._shares = shares
+        self._base = SlotAllocator(order or ShareOrder())
         self._policy = policy or MovePolicy()
         self._budget = MoveBudget()
         self._outages = EngineOutages()
         self._gateways: dict[str, GatewayTickets] = {}
         self._moves_chosen = timedelta()
         self._waits: tuple[tuple[str, int, int], ...] = ()
+        self._capped: list[tuple[str, int]] = []
 
     @property
     def is_idle(self) -> bool:
@@ -81,7 +83,7 @@
         elif gateway.start != msg.start:
             gateway = GatewayTickets(msg, (*gateway.replaced, gateway.start))
         self._gateways[msg.node] = gateway
-        if gateway.accept(msg, now, self._weights):
+        if gateway.accept(msg, now, self._shares.weight):
             self._record_reports(msg, now)
         return ""
 
@@ -101,13 +103,16 @@
         engines = self._engines()
         self._outages.forget_except(frozenset(engines))
         states = self._states(engines, now)
-        placed = self._place(states, listening, now)
+        allocator = self._allocator()
+        placed = self._place(allocator, states, listening, now)
         for text in placed:
             node, ticket = text.key
             self._gateways[node].grant(ticket, text.engine, now)
             self._budget.earn()
         self._move(_less(states, placed), now)
         self._waits = self._count_waits()
+        capped = allocator.capped(self._demands(), list(self._running()))
+        self._capped = [text.key for text in capped]
 
     def has_news(self, node: str) -> bool:
         """Return whether a gateway should be answered at once."""
@@ -120,7 +125,8 @@
         if gateway is None or gateway.start != msg.start:
             return SlotAnswer(msg.number, waits=self._waits)
         grants, moves = gateway.tell()
-        return SlotAnswer(msg.number, grants=grants, moves=moves, waits=self._waits)
+        capped = tuple(ticket for node, ticket in self._capped if node == msg.node)
+        return SlotAnswer(msg.number, "", grants, moves, self._waits, capped)
 
     def describe_trainers(self, now: timedelta) -> dict[str, dict[str, int]]:
         """Return by trainer how many texts wait and run, and the longest wait in milliseconds."""
@@ -183,8 +189,18 @@
             return 0
         return max(0, engine.slots - occupied)
 
+    def _allocator(self) -> SlotAllocator:
+        """Return the allocator with the caps in force now."""
+        return attrs.evolve(
+            self._base, caps=self._shares.caps(), workspace_caps=self._shares.workspace_caps()
+        )
+
     def _place(
-        self, states: Sequence[EngineState], listening: Container[str], now: timedelta
+        self,
+        allocator: SlotAllocator,
+        states: Sequence[EngineState],
+        listening: Container[str],
+        now: timedelta,
     ) -> list[Placement]:
         """Return placements on free slots."""
         gateways = (gateway for node, gateway in self._gateways.items() if node in listening)
@@ -194,7 +210,7 @@
         models = self._rejected_models(now)
         demands = [_with_version(text, models) for text in demands]
         running = [_with_version(text, models) for text in self._running()]
-        return self._allocator.place(demands, running, states, now)
+        return allocator.place(demands, running, states, now)
 
     def _move(self, states: Sequence[EngineState], now: timedelta) -> None:
         """Reserve slots that no waiting text could use for texts that run faster there."""
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -52,6 +52,12 @@
     hang_after: int = 0
     seal: bool = True
     spoil_id: int = 0
+    # Texts that run at once and that wait at most; without a queue, any number runs.
+    slots: int = 4
+    queue: int | None = None
+    held: int = 0
+    most_held: int = 0
+    full: int = 0
     # Seconds before each event of a text.
     pause_s: float = EVENT_PAUSE
     # Answers are this many bytes long at least.
@@ -129,7 +135,7 @@
             "address": self.address,
             "zone": "levis",
             "version": "1",
-            "slots": 4,
+            "slots": self.slots,
             "cold_left_ms": 0,
             "state": state,
             "models": models,
@@ -173,10 +179,11 @@
 
 
 class _Serve(_Handler):
+    _holds = False
     SUPPORTED_METHODS = ("GET", "POST", "PUT", "DELETE")
 
     async def serve(self) -> None:
-        """Run a request as the fields say."""
+        """Run a request as the fields say, or turn it away."""
         made, headers = self.sampler, self.request.headers
         if made.watch is not None:
             caller = self.request.connection.context.address  # type: ignore[union-attr]
@@ -190,6 +197,37 @@
             self.set_status(503)
             self.set_header("Not-Run", "1")
             return
+        if not self._hold():
+            self.set_status(503)
+            self.set_header("Not-Run", "1")
+            return
+        try:
+            await self._async_run()
+        finally:
+            self._leave()
+
+    def _hold(self) -> bool:
+        """Take the text in, unless all slots and the queue are full."""
+        made = self.sampler
+        if made.queue is not None and made.held >= made.slots + made.queue:
+            made.full += 1
+            return False
+        self._holds = True
+        made.held += 1
+        made.most_held = max(made.most_held, made.held)
+        return True
+
+    def _leave(self) -> None:
+        if self._holds:
+            self._holds = False
+            self.sampler.held -= 1
+
+    def on_connection_close(self) -> None:
+        """Give up the slot of a text whose caller is gone."""
+        self._leave()
+
+    async def _async_run(self) -> None:
+        made, headers = self.sampler, self.request.headers
         name = headers["Attempt-Id"]
         run = Run(name, self.request.uri or "", self.request.body, dict(headers.get_all()))
         made.runs.append(run)
--- a/tests/decisions/test_slot_allocation.py
+++ b/tests/decisions/test_slot_allocation.py
@@ -275,3 +275,20 @@
     for demand in demands:
         idle = any(engine.serves(demand.model, demand.min_version) for engine in left)
         assert demand.key in placed or not idle
+
+
+def test_workspace_cap_bounds_the_slots_of_all_its_trainers() -> None:
+    """Two trainers of a workspace would use the cap each."""
+    demands = _burst("a", 0, 5, workspace="w") + _burst("b", 5, 5, workspace="w")
+    demands += _burst("c", 10, 2)
+    running = [attrs.evolve(text, workspace="w") for text in _running("a", 1)]
+    got = _trainers(demands, _engine(9), running=running, workspace_caps={"w": 4})
+    assert (got["a"] + got["b"], got["c"]) == (3, 2)
+
+
+def test_capped_are_those_that_wait_for_their_own_cap() -> None:
+    """A text that waits for a cap would leave the keeper, as one does that waits for long."""
+    demands = [_demand(1, "a"), _demand(2, "b", workspace="w"), _demand(3, "b"), _demand(4, "c")]
+    running = [attrs.evolve(text, workspace="w") for text in _running("a", 2)]
+    allocator = SlotAllocator(caps={"a": 2, "c": 1}, workspace_caps={"w": 2})
+    assert [text.key for text in allocator.capped(demands, running)] == [1, 2]
--- a/tests/platform/test_controls.py
+++ b/tests/platform/test_controls.py
@@ -10,7 +10,7 @@
 from cranberryline.gateway.app import GatewayProcess
 from cranberryline.helpers.clock import SystemClock
 
-from .conftest import Platform, async_platform, async_until, job, play
+from .conftest import MODEL, Platform, async_platform, async_until, job, play
 
 
 async def _async_platform(gateways: int = 2, enabled: bool = True) -> Platform:
@@ -102,6 +102,46 @@
     gateway.runner._start_item = noted  # type: ignore[method-assign]
 
 
+def test_cap_of_a_trainer_bounds_its_slots_at_both_gateways() -> None:
+    """The keeper would not know of what operators set at any gateway."""
+
+    async def scene() -> None:
+        platform = await async_platform(gateways=0)
+        platform.more |= {"operator_controls": True, "slot_sharing": "on"}
+        for _ in range(2):
+            gateway = await platform.async_add_gateway()
+        first = platform.gateways[0]
+        await async_until(lambda: len(first.nodes.heartbeats()) == 2)
+        body = msgspec.json.encode({"cap": 1, "weight": 2})
+        await _async_controls(platform, 0, "PUT", f"/trainer/{MODEL}", body)
+        for gateway in platform.gateways:
+            shares = gateway.slots._keeper._shares
+            await async_until(lambda of=shares: of.caps() == {MODEL: 1})
+            assert shares.weight(MODEL, "w") == 2
+        assert await _async_most_texts(platform, "j1") == 1
+        await _async_controls(platform, 0, "DELETE", f"/trainer/{MODEL}")
+        await async_until(lambda: not shares.caps())
+        assert await _async_most_texts(platform, "j2") > 1
+
+    play(scene())
+
+
+async def _async_most_texts(platform: Platform, job_id: str) -> int:
+    """Run a job, and return how many of its texts ran at once at most."""
+    body = job(8)
+    for item in body["items"]:
+        item["id"] = f"{job_id}{item['id']}"
+    await platform.async_call("POST", f"/jobs/{job_id}", 0, body=body, Attempt_Id=job_id)
+    results = asyncio.ensure_future(platform.async_results(job_id, 8))
+    most = 0
+    while not results.done():
+        running = sum(sampler.held for sampler in platform.samplers if sampler.model)
+        most = max(most, running)
+        await asyncio.sleep(0.005)
+    assert len(await results) == 8
+    return most
+
+
 def test_gateway_that_cannot_read_the_controls_serves_all_the_same() -> None:
     """The store is out for that topic alone: callers wait for two seconds after a start."""
 
--- a/tests/slots/site.py
+++ b/tests/slots/site.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 from result import Err, Ok, Result
@@ -136,7 +137,7 @@
         self.events: Counter[str] = Counter()
         self.rates: dict[str, float] = {}
         self.connected: frozenset[str] = frozenset()
-        self.keeper = SlotKeeper(LoopClock(), lambda service: site.engines)
+        self.keeper = SlotKeeper(LoopClock(), lambda service: site.engines, **site.shares)
         self.client = SlotClient(
             SlotClientParts(
                 node=node,
@@ -155,9 +156,13 @@
 
 
 class Site:
-    """Gateways and the engines that they share; `held` are the slots that texts use."""
+    """Gateways and the engines that they share; `held` are the slots that texts use.
 
-    def __init__(self, nodes: Sequence[str], engines: Sequence[EngineSlots]) -> None:
+    `shares` are the weights and caps that each keeper is given.
+    """
+
+    def __init__(self, nodes: Sequence[str], engines: Sequence[EngineSlots], **shares: Any) -> None:
+        self.shares = shares
         self.engines = tuple(engines)
         self.network = Network()
         self.peers: dict[str, str] = {}
--- a/tests/slots/test_moves.py
+++ b/tests/slots/test_moves.py
@@ -10,6 +10,7 @@
 from cranberryline.decisions.slot_model import EngineState, Placement, RunEnd, RunningText
 from cranberryline.decisions.text_moves import MoveBudget, MovePolicy
 from cranberryline.slots.shard_slots import ShardSlots
+from cranberryline.slots.shares import SlotShares
 
 from ..virtual_time import run_virtual
 from .exchanges import SECOND, exchange, held, waiting
@@ -39,9 +40,7 @@
     def __init__(self, *names: str) -> None:
         engines = {name: engine(name, slots=1) for name in names}
         self.policy = _MoveToFree()
-        self.slots = ShardSlots(
-            lambda: engines, EngineSpeeds(), lambda trainer: 1.0, policy=self.policy
-        )
+        self.slots = ShardSlots(lambda: engines, EngineSpeeds(), SlotShares(), policy=self.policy)
         self.now = SECOND
 
     def tell(self, number: int, node: str = "a", after: float = 0.3, **fields: object) -> dict:
