--- a/cranberryline/decisions/slot_model.py
+++ b/cranberryline/decisions/slot_model.py
@@ -29,7 +29,7 @@
     lower `rank` come first. `due` is when its group is wanted. `events_left` are expected of this
     text, `group_events_left` of the longest incomplete text that is wanted together with it.
     `avoid` are engines to use only if there is no other, `connected` those with an idle connection.
-    `gateway` is the one that asks.
+    `gateway` is the one that asks, `workspace` the trainer's, empty if unknown.
     """
 
     key: Hashable
@@ -45,6 +45,7 @@
     avoid: frozenset[str] = frozenset()
     connected: frozenset[str] = frozenset()
     gateway: str = ""
+    workspace: str = ""
 
 
 @attrs.frozen
@@ -60,6 +61,7 @@
     group_events_left: float
     model: str = ""
     min_version: int | None = None
+    workspace: str = ""
 
 
 @attrs.frozen
--- a/cranberryline/slots/gateway_tickets.py
+++ b/cranberryline/slots/gateway_tickets.py
@@ -40,7 +40,9 @@
         self._granted: dict[int, _Granted] = {}
         self._idle: Mapping[str, int] = {}
 
-    def accept(self, msg: SlotExchange, now: timedelta, weights: Callable[[str], float]) -> bool:
+    def accept(
+        self, msg: SlotExchange, now: timedelta, weights: Callable[[str, str], float]
+    ) -> bool:
         """Replace all by an exchange; return False for one that is not newer."""
         if msg.number <= self._number:
             return False
@@ -121,7 +123,7 @@
         row: WaitingText,
         connected: frozenset[str],
         now: timedelta,
-        weights: Callable[[str], float],
+        weights: Callable[[str, str], float],
     ) -> TextDemand:
         """Return a waiting text in the keeper's time."""
         known = self.waiting.get(row.ticket)
@@ -135,10 +137,11 @@
             model=row.model,
             min_version=row.min_version,
             rank=row.rank,
-            weight=weights(row.trainer),
+            weight=weights(row.trainer, row.workspace),
             avoid=frozenset(row.avoid),
             connected=connected.union(row.connected) if row.connected else connected,
             gateway=self.node,
+            workspace=row.workspace,
         )
 
     def _running(self, row: HeldSlot, now: timedelta) -> RunningText:
@@ -153,6 +156,7 @@
             group_events_left=row.group_events_left,
             model=row.model,
             min_version=row.min_version,
+            workspace=row.workspace,
         )
 
     def _since(self, row: HeldSlot, now: timedelta) -> timedelta:
@@ -184,4 +188,5 @@
         group_events_left=text.group_events_left,
         model=text.model,
         min_version=text.min_version,
+        workspace=text.workspace,
     )
--- a/cranberryline/slots/keeper.py
+++ b/cranberryline/slots/keeper.py
@@ -11,11 +11,12 @@
 from cranberryline.helpers.clock import Clock
 
 from .checks import find_problem, is_rate
-from .const import FORGET_AFTER, MAX_NAME_LENGTH, MAX_ROWS, MAX_WAIT
+from .const import FORGET_AFTER, MAX_NAME_LENGTH, MAX_ROWS, MAX_WAIT, SERVED_FOR
 from .messages import SlotAnswer, SlotExchange
 from .model import EngineSlots
 from .shard_slots import ShardSlots
 from .shards import EngineShards
+from .shares import SlotShares
 
 __all__ = ["SlotKeeper"]
 
@@ -88,7 +89,8 @@
     """Grants the slots of engines to the texts of all gateways that ask this one.
 
     `engines` returns the engines of a service that accept texts now, `weights` the size of a
-    trainer's share. All state is what gateways told within the last `FORGET_AFTER`.
+    trainer's share, `caps` the most slots of trainers at once, and the other two the same of
+    workspaces. All state is what gateways told within the last `FORGET_AFTER`.
     """
 
     def __init__(
@@ -96,12 +98,16 @@
         clock: Clock,
         engines: Callable[[str], Sequence[EngineSlots]],
         weights: Callable[[str], float] = lambda trainer: 1.0,
+        caps: Callable[[], Mapping[str, int]] = dict,
+        workspace_weights: Callable[[str], float] = lambda workspace: 1.0,
+        workspace_caps: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._clock = clock
         self._engines = EngineShards(engines)
-        self._weights = weights
+        self._shares = SlotShares(weights, caps, workspace_weights, workspace_caps)
         self._speeds: dict[str, EngineSpeeds] = {}
         self._shards: dict[tuple[str, int, int], _Shard] = {}
+        self._served: dict[str, timedelta] = {}
         self._swept = clock.elapsed()
 
     async def async_exchange(self, msg: SlotExchange) -> SlotAnswer:
@@ -115,10 +121,16 @@
         problem = shard.slots.accept(msg, now)
         if problem:
             return SlotAnswer(msg.number, problem)
+        self._served[msg.service] = now
         if shard.slots.is_newest(msg):
             await shard.async_park(msg.node, _wait(msg))
         return shard.slots.answer(msg)
 
+    def served(self) -> frozenset[str]:
+        """Return the services of which an exchange was accepted within the last `SERVED_FOR`."""
+        oldest = self._clock.elapsed() - SERVED_FOR
+        return frozenset(service for service, at in self._served.items() if at >= oldest)
+
     def describe(self) -> dict[str, object]:
         """Return by service what the texts of trainers hold and wait for, and what engines run."""
         now = self._clock.elapsed()
@@ -158,7 +170,7 @@
             slots = ShardSlots(
                 partial(self._engines.engines, msg.service, msg.shard),
                 self._service_speeds(msg.service),
-                self._weights,
+                self._shares,
             )
             self._shards[key] = _Shard(slots, self._clock)
         return self._shards[key]
--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -32,6 +32,7 @@
         min_version=_min_version(need),
         rank=max(-MAX_NUMBER, min(need.rank, MAX_NUMBER)),
         avoid=tuple(sorted(need.avoid))[:MAX_NAMES],
+        workspace=need.workspace[:MAX_NAME_LENGTH],
     )
 
 
@@ -47,6 +48,7 @@
         model=need.model[:MAX_NAME_LENGTH],
         min_version=_min_version(need),
         may_move=need.may_move(),
+        workspace=need.workspace[:MAX_NAME_LENGTH],
     )
 
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -94,6 +94,7 @@
         self._newest = -1
         self._moves: Mapping[int, str] = {}
         self._moves_end = timedelta()
+        self._capped: frozenset[int] = frozenset()
         self._failures = 0
         self._is_behind = False
         self._paused_until = timedelta()
@@ -112,17 +113,24 @@
         self._waiting[ticket] = _Waiter(need, fut)
         self._request()
         try:
-            async with asyncio.timeout(ACQUIRE_TIMEOUT.total_seconds()):
-                return await fut
-        except TimeoutError:
-            self._give_back(fut)
-            return None
+            return await self._async_grant(ticket, fut)
         except asyncio.CancelledError:
             self._give_back(fut)
             raise
         finally:
             self.forget(ticket)
 
+    async def _async_grant(
+        self, ticket: int, fut: asyncio.Future[HeldGrant | None]
+    ) -> SlotGrant | None:
+        """Return the grant, or None after `ACQUIRE_TIMEOUT`; a capped text waits on."""
+        while True:
+            done, _ = await asyncio.wait((fut,), timeout=ACQUIRE_TIMEOUT.total_seconds())
+            if done:
+                return fut.result()
+            if ticket not in self._capped:
+                return None
+
     def forget(self, ticket: int) -> None:
         """Do not wait for a ticket any more."""
         if self._waiting.pop(ticket, None) is not None:
@@ -321,6 +329,7 @@
             self._newest = msg.number
             self._moves = {row.ticket: row.upstream for row in answer.moves}
             self._moves_end = sent + FORGET_AFTER
+            self._capped = frozenset(answer.capped)
 
     def _take_grant(self, waiter: _Waiter, ticket: int, upstream: str) -> None:
         """Let a text use its slot; one that was cancelled in this turn gives it back itself."""
