Log a change of keeper where this gateway keeps slots, and count why texts go without

Cause: slot_keeper_changed was logged by the transport, which is not used where this gateway is the keeper itself, and `unshared` told nothing of its cause: full engines looked like a silent keeper.

Ruled out: logging in the keeper when a shard is first asked about. A shard without load is forgotten after 1.2 s, so that each pause would be told as a change.

Change: the session logs the change, once, with whether this gateway becomes (`keeps`) or ceases to be (`kept`) the keeper. A keeper that has no texts of its own does not log that it is one; the gateways that ask it do.

--- a/cranberryline/gateway/slot_calls.py
+++ b/cranberryline/gateway/slot_calls.py
@@ -11,7 +11,6 @@
 from tornado.web import RequestHandler
 
 from cranberryline.helpers.decode import decode_msgpack
-from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.problem import ProblemHandler
 from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
 from cranberryline.ports.http import HttpOrigin, KeptStreams, async_exchange
@@ -32,7 +31,6 @@
     "SlotStatusHandler",
 ]
 
-_LOGGER = get_logger(__name__)
 
 PATH_SLOTS = "/slots"
 
@@ -54,13 +52,11 @@
 
     def __init__(self) -> None:
         self._streams: OrderedDict[str, KeptStreams] = OrderedDict()
-        self._keepers: dict[tuple[str, int], str] = {}
 
     async def async_exchange(
         self, peer: str, msg: SlotExchange, timeout: timedelta
     ) -> Result[SlotAnswer, KeeperError]:
         """Send an exchange to the gateway whose peer address is HOST:PORT."""
-        self._log_change(peer, msg)
         give_up_at = asyncio.get_running_loop().time() + timeout.total_seconds()
         try:
             origin = HttpOrigin(f"http://{peer}")
@@ -98,20 +94,6 @@
             self._streams.popitem(last=False)[1].close()
         return streams
 
-    def _log_change(self, peer: str, msg: SlotExchange) -> None:
-        """Log another keeper of a shard than the one that was asked last."""
-        key = (msg.service, msg.shard)
-        previous = self._keepers.get(key, "")
-        if previous != peer:
-            self._keepers[key] = peer
-            _LOGGER.info(
-                "slot_keeper_changed",
-                service=msg.service,
-                shard=msg.shard,
-                keeper=peer,
-                previous=previous,
-            )
-
 
 def _keeper_error(error: PlatformError) -> KeeperError:
     return KeeperError(_PROBLEMS.get(error.reason, KeeperProblem.UNREACHABLE), error.detail)
--- a/cranberryline/slots/client.py
+++ b/cranberryline/slots/client.py
@@ -37,12 +37,9 @@
             return None
         session = self._session(need.service, need.prompt or need.trainer)
         if not session.is_open_for_needs:
-            self._parts.count("unshared")
+            self._parts.count(session.why_closed)
             return None
-        grant = await session.async_wait(next(self._tickets), need)
-        if grant is None:
-            self._parts.count("unshared")
-        return grant
+        return await session.async_wait(next(self._tickets), need)
 
     def record_unshared(self, need: SlotNeed, upstream: str) -> SlotGrant:
         """Record that a text uses a slot that this gateway chose by itself."""
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.decisions.slot_model import RunEnd
+from cranberryline.helpers.logging import get_logger
 
 from .const import (
     ACQUIRE_TIMEOUT,
@@ -31,6 +32,13 @@
 
 __all__ = ["SessionScope", "SlotSession"]
 
+_LOGGER = get_logger(__name__)
+
+# Events of texts whose engine this gateway chooses by itself.
+_UNSHARED_SILENT = "unshared_silent"
+_UNSHARED_NO_GRANT = "unshared_no_grant"
+_UNSHARED_OFF = "unshared_off"
+
 _REPORTED = (RunEnd.REJECTED, RunEnd.FAILED)
 
 
@@ -87,6 +95,8 @@
         self._open: set[asyncio.Task[None]] = set()
         self._newest = -1
         self._capped: frozenset[int] = frozenset()
+        self._refusal = _UNSHARED_OFF
+        self._keeper = ""
         self._failures = 0
         self._is_behind = False
         self._paused_until = timedelta()
@@ -95,9 +105,16 @@
     @property
     def is_open_for_needs(self) -> bool:
         """Return whether a keeper may be asked for slots now."""
-        if self._closed or self._parts.clock.monotonic() < self._paused_until:
-            return False
-        return bool(self._scope.engines())
+        return not self._closed and not self._is_paused and bool(self._scope.engines())
+
+    @property
+    def why_closed(self) -> str:
+        """Return the event to count for a text that is not asked for."""
+        return _UNSHARED_SILENT if self._is_paused else _UNSHARED_OFF
+
+    @property
+    def _is_paused(self) -> bool:
+        return self._parts.clock.monotonic() < self._paused_until
 
     async def async_wait(self, ticket: int, need: SlotNeed) -> SlotGrant | None:
         """Wait for the grant of a ticket; None if the keeper is silent or has no slot in time."""
@@ -118,9 +135,12 @@
         """Return the grant, or None after `ACQUIRE_TIMEOUT`; a capped text waits on."""
         while True:
             done, _ = await asyncio.wait((fut,), timeout=ACQUIRE_TIMEOUT.total_seconds())
+            if done and fut.result() is None:
+                self._parts.count(self._refusal)
             if done:
                 return fut.result()
             if ticket not in self._capped:
+                self._parts.count(_UNSHARED_NO_GRANT)
                 return None
 
     def forget(self, ticket: int) -> None:
@@ -157,7 +177,7 @@
         """Stop at once, let the texts that wait choose by themselves; return what is cancelled."""
         self._closed = True
         self._pacing.cancel()
-        self._refuse_waiting()
+        self._refuse_waiting(_UNSHARED_OFF)
         for task in self._open:
             task.cancel()
         return list(self._open)
@@ -171,7 +191,7 @@
         if not self._scope.is_current():
             self._retire()
             return
-        if self._parts.clock.monotonic() < self._paused_until:
+        if self._is_paused:
             self._pacing.delay(self._paused_until)
             return
         if len(self._open) >= MAX_OPEN_EXCHANGES:
@@ -181,11 +201,27 @@
         if peer is None:
             self._give_up()
             return
+        self._log_keeper(peer)
         self._pacing.record_sent(refresh=self._has_texts)
         task = asyncio.create_task(self._async_exchange(peer, self._exchange(peer)))
         self._open.add(task)
         task.add_done_callback(self._ended)
 
+    def _log_keeper(self, peer: Peer) -> None:
+        """Log another keeper than the one that was asked last, this gateway itself included."""
+        if peer.node == self._keeper:
+            return
+        previous, self._keeper = self._keeper, peer.node
+        _LOGGER.info(
+            "slot_keeper_changed",
+            service=self._scope.service,
+            shard=self._scope.shard,
+            keeper=peer.node,
+            previous=previous,
+            keeps=peer.node == self._parts.node,
+            kept=previous == self._parts.node,
+        )
+
     def _ended(self, task: asyncio.Task[None]) -> None:
         """Keep one exchange open while texts wait, so that a grant comes without delay."""
         self._open.discard(task)
@@ -313,12 +349,13 @@
         self._paused_until = self._parts.clock.monotonic() + KEEPER_PAUSE
         self._parts.count("keeper_silent")
         self._set_moves({})
-        self._refuse_waiting()
+        self._refuse_waiting(_UNSHARED_SILENT)
         self._pacing.cancel()
         if self._held:
             self._pacing.delay(self._paused_until)
 
-    def _refuse_waiting(self) -> None:
+    def _refuse_waiting(self, event: str) -> None:
+        self._refusal = event
         for waiter in self._waiting.values():
             if not waiter.fut.done():
                 waiter.fut.set_result(None)
