--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -195,7 +195,7 @@
     """Engines are replaced all day, and the record of a service would grow with those long gone."""
 
     async def scene() -> None:
-        site = Site(slot_sharing="on")
+        site = Site("on")
         site.put()
         slots = site.slots
         slots._restore("engines", Learned({"e-1@100": 32.0, "gone@1": 9.0}, 5.0))
