Free a reserved slot when the text that should move there may not any more

Cause: a slot that the keeper reserved for a running text stood until the text had moved or ended. One that may not move any more, because its request was begun anew, blocked the slot for all others until it was complete. Ruled out: a time limit of reservations; the gateway tells whether the text may move in each exchange. Change: a move stands while its text is told to be movable. Result: tests/slots pass; without the change the new test fails.

--- a/cranberryline/slots/gateway_tickets.py
+++ b/cranberryline/slots/gateway_tickets.py
@@ -106,7 +106,9 @@
         if not grant.is_move:
             return ticket in self.waiting
         held = self.held.get(ticket)
-        return held is not None and held.engine != grant.text.engine
+        if held is None or ticket not in self._movable:
+            return False
+        return held.engine != grant.text.engine
 
     def _demand(
         self,
--- a/tests/slots/test_moves.py
+++ b/tests/slots/test_moves.py
@@ -183,3 +183,13 @@
         await site.async_close()
 
     run_virtual(async_test())
+
+
+def test_reserved_slot_is_free_again_when_its_text_may_not_move_any_more() -> None:
+    """A text that stays would block the slot for all others until it is complete."""
+    shard = _Shard("e-1", "e-2")
+    row = held(1, "e-1", may_move=True)
+    assert shard.tell(1, held=(row,)) == {1: "e-2"}
+    assert shard.held() == {"e-1": 1, "e-2": 1}
+    assert shard.tell(2, held=(held(1, "e-1", may_move=False),)) == {}
+    assert shard.held() == {"e-1": 1, "e-2": 0}
