Keep a text where it runs if it can't go on where it should move

Cause: a text left its engine for the one that the keeper named without a look at what this gateway knows of it. Ruled out: more fields for the keeper; engines change versions one after the other, and the gateway that runs the text hears of it first. Change: before the cut, the target has to be usable, of an allowed version, and of the text's version on such routes; else the text stays and is told to be unmovable. A text that is being cut counts as movable.

--- a/cranberryline/jobs/sink.py
+++ b/cranberryline/jobs/sink.py
@@ -55,6 +55,13 @@
         """Return whether the stream ended after a complete event."""
         return self._reader.at_event_boundary
 
+    def may_go_on_at(self, upstream: str) -> bool:
+        """Return whether events of an upstream's version may follow those of the text."""
+        if not self._single_version:
+            return True
+        version = self._context.versions.version(upstream, self._state.job.model)
+        return all(known == version for known in self._text.versions)
+
     def dispatched(self, upstream: str) -> None:
         """Record the upstream of the request, and start its silence timeout."""
         self.upstream = upstream
--- a/cranberryline/jobs/text_run.py
+++ b/cranberryline/jobs/text_run.py
@@ -94,6 +94,8 @@
             return CutCause.STALLED
         if not self._may_move():
             return None
+        if self._slot.move_to and not self._may_go_on_at(self._slot.move_to):
+            self._slot.stay()
         if self._slot.move_to:
             self._slot.moving = True
             return CutCause.MOVED
@@ -101,6 +103,15 @@
             return CutCause.SLOW
         return None
 
+    def _may_go_on_at(self, upstream: str) -> bool:
+        """Return whether this gateway can send the rest of the text to an upstream."""
+        req, dispatcher = self._req, self._context.dispatcher
+        return (
+            dispatcher.has_free_slot(req.service, upstream)
+            and (req.eligible is None or req.eligible(upstream))
+            and self._sink.may_go_on_at(upstream)
+        )
+
     def _cut(self, cause: CutCause) -> None:
         """Record that this gateway leaves the response; a queued request is none yet."""
         sink = self._sink
--- a/cranberryline/jobs/text_slot.py
+++ b/cranberryline/jobs/text_slot.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import attrs
+
 from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
@@ -29,15 +31,24 @@
         self.upstream = ""
         self.moving = False
         self._source = source
-        self._need = need
+        self._need = None if need is None else attrs.evolve(need, may_move=self._may_move(need))
+        self._stays = False
         self._clock = clock
         self._metrics = metrics
         self._grant: SlotGrant | None = None
 
+    def _may_move(self, need: SlotNeed) -> Callable[[], bool]:
+        # A text that is just leaving its engine counts as movable, or its new slot would be withdrawn.
+        return lambda: self.moving or (not self._stays and need.may_move())
+
+    def stay(self) -> None:
+        """Do not move any more; the keeper is told, and needs no slot elsewhere for the text."""
+        self._stays = True
+
     @property
     def move_to(self) -> str:
         """Return the upstream that the text should move to, empty if it should stay."""
-        return "" if self._grant is None else self._grant.move_to
+        return "" if self._grant is None or self._stays else self._grant.move_to
 
     async def async_acquire(self, is_needed: Callable[[], bool]) -> bool:
         """Wait for a grant, or for the keeper to leave the choice to this gateway.
--- a/tests/jobs/test_slot_failures.py
+++ b/tests/jobs/test_slot_failures.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from datetime import timedelta
 from typing import Any, cast
 
 import attrs
@@ -10,10 +11,11 @@
 
 from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.jobs.model import ItemState
+from cranberryline.jobs.text_slot import TextSlot
 from cranberryline.ports.errors import PlatformError, PlatformReason
 from cranberryline.ports.model import UpstreamHead
 from cranberryline.slots import SlotGrant, SlotNeed
-from tests.jobs.engine_harness import FIRST, EngineHarness
+from tests.jobs.engine_harness import FIRST, MODEL, EngineHarness
 from tests.jobs.slots_fake import FakeGrant, FakeSlots
 from tests.virtual_time import run_virtual
 
@@ -151,3 +153,49 @@
         assert scene.slots.ends == [(KEYS[0], RunEnd.UNUSED), (KEYS[1], RunEnd.DONE)]
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize("cause", ["gone", "old", "other"])
+def test_text_stays_if_it_cannot_go_on_where_it_should_move(cause: str) -> None:
+    """It would lose its engine, or with an answer of one version all of its events, for nothing."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS))
+        scene.started[0].events, scene.started[0].event_s = 20, 0.1
+        if cause == "gone":
+            scene.directory.put(attrs.evolve(FIRST, id=NAMES[1], draining=True)).unwrap()
+        if cause == "old":
+            scene.directory.record_version(KEYS[1], MODEL, 0)
+        if cause == "other":
+            route = scene.context.routes.table.match("h.example", "/p/x")  # type: ignore[union-attr]
+            cast(Any, route).single_version = True
+            scene.directory.record_version(KEYS[1], MODEL, 2)
+        offered: list[bool] = []
+        loop = asyncio.get_running_loop()
+        for at in (0.5, 1.5):
+            loop.call_later(at, lambda: offered.append(scene.slots.asked[0].may_move()))
+        loop.call_later(0.6, setattr, scene.slots, "move_to", KEYS[1])
+        run = scene.make_run()
+        result = await run.async_run()
+        assert result is not None and result.text.count("v1.") == 20
+        assert run.cuts == [] and run.runs == 1
+        assert scene.slots.ends == [(KEYS[0], RunEnd.DONE)]
+        assert offered[0] and not offered[-1]
+
+    run_virtual(scenario())
+
+
+def test_text_on_its_last_move_is_not_told_to_be_unmovable() -> None:
+    """The keeper would withdraw the new slot while the request at the old one is being cancelled."""
+
+    async def scenario() -> None:
+        scene = _Scene(FakeSlots.granting(KEYS))
+        need = SlotNeed("engines", MODEL, timedelta(), lambda: 1.0, lambda: 1.0)
+        slot = TextSlot(scene.slots, need, scene.context.clock, scene.context.metrics)
+        assert await slot.async_acquire(lambda: True)
+        assert not scene.slots.asked[0].may_move()
+        slot.moving = True
+        assert scene.slots.asked[0].may_move()
+        slot.release()
+
+    run_virtual(scenario())
