--- a/cranberryline/slots/grants.py
+++ b/cranberryline/slots/grants.py
@@ -33,6 +33,7 @@
         self.holder = holder
         self.ticket = ticket
         self.need = need
+        self.is_sent = False
         self._released = False
 
     @property
@@ -43,6 +44,10 @@
         target = self.holder.move_target(self.ticket)
         return "" if target == self.upstream else target
 
+    def record_sent(self) -> None:
+        """Record that a request for the text is on its way to the upstream."""
+        self.is_sent = True
+
     def release(self, end: RunEnd) -> None:
         """Release the slot; a second time has no effect."""
         if self._released:
--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -4,20 +4,28 @@
 of range, so they are cut to what it accepts.
 """
 
+import heapq
 import math
-from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
 from cranberryline.decisions.slot_model import RunEnd
 from cranberryline.helpers.clock import in_milliseconds
 
 from .checks import MAX_DUE_MS, MAX_EVENTS, MAX_NUMBER
-from .const import MAX_NAME_LENGTH, MAX_NAMES
+from .const import MAX_NAME_LENGTH, MAX_NAMES, MAX_ROWS
 from .messages import HeldSlot, RejectedText, WaitingText
 from .model import SlotNeed
 
-__all__ = ["connected_names", "held_row", "rejected_row", "waiting_row"]
+__all__ = ["connected_names", "first_needs", "held_row", "rejected_row", "waiting_row"]
+
+
+def first_needs(needs: Iterable[tuple[int, SlotNeed]]) -> list[tuple[int, SlotNeed]]:
+    """Return the texts that wait by ticket; if they are too many, those that come first."""
+    rows = list(needs)
+    if len(rows) <= MAX_ROWS:
+        return rows
+    return heapq.nsmallest(MAX_ROWS, rows, key=lambda row: (row[1].rank, row[1].due))
 
 
 def waiting_row(ticket: int, need: SlotNeed, now: timedelta) -> WaitingText:
@@ -52,9 +60,8 @@
     )
 
 
-def connected_names(connections: Iterable[str]) -> tuple[str, ...]:
-    """Return the engines of idle connections; those over the limit are the most at one engine."""
-    counts = Counter(connections)
+def connected_names(counts: Mapping[str, int]) -> tuple[str, ...]:
+    """Return each engine once for an idle connection; of too many, the most at one are left out."""
     numbered = sorted((number, name) for name in counts for number in range(counts[name]))
     return tuple(sorted(name for _, name in numbered[:MAX_NAMES]))
 
--- a/cranberryline/slots/session.py
+++ b/cranberryline/slots/session.py
@@ -1,7 +1,7 @@
 """The texts of one gateway at one shard of a service, and its exchanges with the keeper."""
 
 import asyncio
-import heapq
+from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 
@@ -30,7 +30,7 @@
 from .parts import SlotClientParts
 from .ports import KeeperError, KeeperProblem
 from .route import KeeperRoute, Peer
-from .rows import connected_names, held_row, rejected_row, waiting_row
+from .rows import connected_names, first_needs, held_row, rejected_row, waiting_row
 from .scope import SessionScope
 
 __all__ = ["SlotSession"]
@@ -286,8 +286,8 @@
         """Return all that the keeper is told; reports are told once."""
         now = self._parts.clock.monotonic()
         engines = self._scope.engines()
-        connected = self._parts.connected(self._scope.service) if self._waiting else ()
-        waiting = [waiting_row(each, need, now) for each, need in self._first_needs()]
+        needs = first_needs((ticket, waiter.need) for ticket, waiter in self._waiting.items())
+        waiting = [waiting_row(each, need, now) for each, need in needs]
         held = [
             held_row(ticket, grant.upstream, grant.need, now)
             for ticket, grant in self._held.items()
@@ -306,15 +306,16 @@
             held=tuple(held[:MAX_ROWS]),
             rejected=rejected,
             rates=self._new_rates(peer, engines),
-            connected=connected_names(name for name in connected if name in engines),
+            connected=self._connected(engines),
         )
 
-    def _first_needs(self) -> list[tuple[int, SlotNeed]]:
-        """Return the texts that wait by ticket; if they are too many, those that come first."""
-        needs = [(ticket, waiter.need) for ticket, waiter in self._waiting.items()]
-        if len(needs) <= MAX_ROWS:
-            return needs
-        return heapq.nsmallest(MAX_ROWS, needs, key=lambda row: (row[1].rank, row[1].due))
+    def _connected(self, engines: Mapping[str, EngineSlots]) -> tuple[str, ...]:
+        """Return the engines of idle connections, without those that granted texts will take."""
+        if not self._waiting:
+            return ()
+        idle = Counter(self._parts.connected(self._scope.service))
+        idle.subtract(grant.upstream for grant in self._held.values() if not grant.is_sent)
+        return connected_names({name: idle[name] for name in engines if idle[name] > 0})
 
     def _new_rates(
         self, peer: Peer, engines: Mapping[str, EngineSlots]
