Share slots in half of the soak's seeds

Cause: the soak played gateways that choose engines by themselves only, so no fault met a keeper.

Ruled out: an engine that takes any number of texts. Slots that are granted twice would leave no trace, so engines of these seeds run four texts, queue four, turn the others away, and end the text of a caller that is gone. As they turn texts away themselves, the check of what they held at most guards the stand-in; the counts `engine_full` and `engine_most_held` tell what came of the grants.

Change: odd seeds start the gateways with slot_sharing on and three engines whose events are 10, 17 and 27 ms apart. At the end no engine may have held more than its slots and its queue, and no gateway may tell of a text that holds or waits for a slot for longer than 2 s. Nothing else is checked less.

--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -14,6 +14,7 @@
 from .keys import KeyCallers
 from .model import Book, SoakPlan
 from .poison import Poisoner
+from .shared_slots import async_check_slots
 from .world import World
 
 __all__ = ["async_soak", "main"]
@@ -50,6 +51,7 @@
         callers.stopping = poisoner.stopping = keys.stopping = world.reports.stopping = True
         await asyncio.gather(faults, *load)
         await asyncio.sleep(_AFTER_S)
+        await async_check_slots(world, plan, book)
         await callers.async_read_all_again()
         await poisoner.async_check()
         callers.check_runs()
--- a/bench/soak/model.py
+++ b/bench/soak/model.py
@@ -49,6 +49,11 @@
     fault_every_s: float = 2.5
     callers: int = 4
 
+    @property
+    def shares_slots(self) -> bool:
+        """Return whether its gateways share the slots of engines."""
+        return self.seed % 2 == 1
+
     def luck(self, of: str) -> Random:
         """Return one party's own luck, so that what it draws hangs on the seed and not on the others' pace."""
         return Random(f"{self.seed} {of}")
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -1,6 +1,7 @@
 """The processes and stand-ins of a soak."""
 
 import asyncio
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
@@ -29,6 +30,9 @@
 _KILL_S = 1.0
 _LOOK_S = 0.3
 _CRASHED_FOR_S = (0.5, 2.0)
+# Engines whose slots are shared.
+_QUEUE = 4
+_EVENT_PAUSES_S = (0.01, 0.017, 0.027)
 
 
 class World:
@@ -55,6 +59,7 @@
         self.reports = Reports(plan, self._book)
         self._config = 0
         self._plan = plan
+        self._pauses = itertools.cycle(_EVENT_PAUSES_S)
         self._folder = folder
 
     async def async_start(self) -> None:
@@ -96,6 +101,8 @@
 
     def add_sampler(self, service: str, model: str) -> None:
         """Start a sampler with the newest version."""
+        shared = self._plan.shares_slots and service == ENGINES
+        engine = {"queue": _QUEUE, "pause_s": next(self._pauses)} if shared else {}
         sampler = PlatformSampler(
             service,
             model,
@@ -103,6 +110,7 @@
             watch=self.judge.reached,
             crash_on=POISON.encode(),
             crashed=self._on_crash,
+            **engine,
         )
         sampler.start()
         self.samplers.append(sampler)
@@ -258,6 +266,8 @@
             "report_window_seconds": WINDOW_S,
             "report_late_seconds": LATE_S,
         }
+        if self._plan.shares_slots:
+            settings["slot_sharing"] = "on"
         file = self._folder / f"front-{number}.yaml"
         file.write_text(yaml.safe_dump(settings))
         args = ["cranberryline", "gateway", str(file)]
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -74,8 +74,13 @@
     reset_on: bytes = b""
     crashed: "Callable[[PlatformSampler], None] | None" = None
     ending: "asyncio.Future[None] | None" = None
+    turns: asyncio.Semaphore = attrs.field(init=False)
     _server: HTTPServer | None = None
 
+    def __attrs_post_init__(self) -> None:
+        """Let as many texts run at once as there are slots."""
+        self.turns = asyncio.Semaphore(self.slots)
+
     def start(self) -> None:
         """Listen on a free port of loopback, or at the address given."""
         sampler = {"sampler": self}
@@ -121,6 +126,9 @@
             "crashed": self.crashed,
             "address": address,
             "watch": self.watch,
+            "slots": self.slots,
+            "queue": self.queue,
+            "pause_s": self.pause_s,
             **fields,
         }
         again = PlatformSampler(self.service, **told)
@@ -180,6 +188,7 @@
 
 class _Serve(_Handler):
     _holds = False
+    _run: "asyncio.Future[None] | None" = None
     SUPPORTED_METHODS = ("GET", "POST", "PUT", "DELETE")
 
     async def serve(self) -> None:
@@ -201,10 +210,19 @@
             self.set_status(503)
             self.set_header("Not-Run", "1")
             return
-        try:
+        self._run = asyncio.ensure_future(self._async_run_in_turn())
+        await asyncio.wait((self._run,))
+        self._leave()
+        if not self._run.cancelled():
+            self._run.result()
+
+    async def _async_run_in_turn(self) -> None:
+        """Run a text once a slot is free, where a queue is set."""
+        if self.sampler.queue is None:
+            await self._async_run()
+            return
+        async with self.sampler.turns:
             await self._async_run()
-        finally:
-            self._leave()
 
     def _hold(self) -> bool:
         """Take the text in, unless all slots and the queue are full."""
@@ -223,8 +241,10 @@
             self.sampler.held -= 1
 
     def on_connection_close(self) -> None:
-        """Give up the slot of a text whose caller is gone."""
+        """Give up the slot of a text whose caller is gone; an engine with a queue ends it."""
         self._leave()
+        if self.sampler.queue is not None and self._run is not None:
+            self._run.cancel()
 
     async def _async_run(self) -> None:
         made, headers = self.sampler, self.request.headers
