Keep cordoned engines out of the slots that are granted

Cause: found in review. The keeper granted slots of engines that an operator had taken out of the choice; each text asked again after a pause. Ruled out: leaving it to the gateways, which avoid such an engine one text at a time. Change: cordoned engines are not among those with slots, from the change of a control on. Result: a new test fails before; tests of controls and slots pass.

--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -86,6 +86,8 @@
         directory.listen_versions(self._forget_engines)
         directory.membership.listen(self._forget_engines)
         routes.listen(self._forget_engines)
+        if controls is not None:
+            controls.listen(self._forget_engines)
         if cfg.slot_sharing != SLOT_SHARING_OFF:
             self._open()
 
@@ -165,10 +167,20 @@
         engines = self._engines.get(service)
         if engines is None:
             registrations = self._directory.engines().get(service, ())
-            engines = tuple(self._engine_slots(registration) for registration in registrations)
+            engines = tuple(
+                self._engine_slots(registration)
+                for registration in registrations
+                if not self._is_cordoned(registration)
+            )
             self._engines[service] = engines
         return engines
 
+    def _is_cordoned(self, registration: Registration) -> bool:
+        controls = self._controls
+        return controls is not None and controls.is_cordoned(
+            registration.key, registration.data_center
+        )
+
     def _engine_slots(self, registration: Registration) -> EngineSlots:
         slots = registration.slots or self._routes.spec(registration.service).concurrency
         versions = self._directory.served_versions(registration.key)
--- a/tests/gateway/test_slots.py
+++ b/tests/gateway/test_slots.py
@@ -27,7 +27,7 @@
 class Site:
     """A gateway's view of engines and gateways."""
 
-    def __init__(self, mode: str = "off") -> None:
+    def __init__(self, mode: str = "off", controls: Any = None) -> None:
         clock = SystemClock()
         health = StoreHealth(clock)
         self.directory = Directory(clock, health)
@@ -52,6 +52,7 @@
             self.upstreams,
             cast(Any, self.nodes),
             SlotStore(StoreLink(FakeStore()), "keyed.slots", health),
+            controls,
         )
 
     def put(self, **fields: Any) -> None:
@@ -63,6 +64,22 @@
         return [engine.id for engine in self.slots.engines("engines")]
 
 
+def test_cordoned_engines_are_not_granted() -> None:
+    """A keeper that grants slots of a cordoned engine makes each text ask again."""
+    cordoned: set[str] = set()
+    listeners: list[Any] = []
+    controls = SimpleNamespace(
+        listen=listeners.append, is_cordoned=lambda key, _data_center: key in cordoned
+    )
+    site = Site(controls=controls)
+    site.put()
+    site.put(id="e-2")
+    assert len(site.ids()) == 2
+    cordoned.add(site.ids()[0])
+    listeners[0](cordoned)
+    assert len(site.ids()) == 1 and cordoned.isdisjoint(site.ids())
+
+
 def test_off_opens_nothing() -> None:
     """Where it is off, peers find no keeper here and no text asks for a slot."""
     slots = Site().slots
