--- a/cranberryline/controls/writer.py
+++ b/cranberryline/controls/writer.py
@@ -18,7 +18,7 @@
 
 
 class ControlWriter:
-    """Appends a record for each change; `async_sync` reads the topic, and returns whether to its end.
+    """Appends a record a change; `async_sync` reads the topic and returns whether to its end.
 
     A failed append is not repeated: a late copy would replace what another operator set in between.
     """
--- a/cranberryline/decisions/lengths.py
+++ b/cranberryline/decisions/lengths.py
@@ -16,7 +16,7 @@
 # Expected remainder of a text that is longer than estimated, as a fraction of the length so far.
 # It is the mean excess where one estimate in three is off by half to double.
 OVERRUN_FRACTION = 0.35
-# Number of completed texts in the mean excess over a length, and the fewest that a mean is taken of.
+# Completed texts in the mean excess over a length, and the fewest that a mean is taken of.
 EXCESS_WINDOW = 256
 MIN_EXCESS_SAMPLES = 8
 # Fewest events left that are estimated. A text this short is never worth moving to another engine.
--- a/cranberryline/decisions/slot_allocation.py
+++ b/cranberryline/decisions/slot_allocation.py
@@ -172,7 +172,7 @@
     def capped(
         self, demands: Iterable[TextDemand], running: Sequence[RunningText]
     ) -> list[TextDemand]:
-        """Return the demands that wait because the slots of their trainer or workspace are limited."""
+        """Return the demands that wait because of the cap of their trainer or workspace."""
         if not self.caps and not self.workspace_caps:
             return []
         supply = SlotSupply([], running, self.caps, workspace_caps=self.workspace_caps)
--- a/cranberryline/gateway/links.py
+++ b/cranberryline/gateway/links.py
@@ -32,7 +32,7 @@
         self._links: dict[str, tuple[VmEntry, DirectUpstream]] = {}
 
     def apply(self, members: Membership, changed: Collection[str]) -> None:
-        """Drain the links of removed, cordoned and changed upstreams, and add links to new and changed ones.
+        """Drain the links of removed, cordoned and changed upstreams, and add links to new ones.
 
         `changed` are the ids of the VMs to look at. A drained link gets no new requests; those that
         run on it finish.
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -258,7 +258,7 @@
         )
         outcome = await run.async_run()
         up_to_date = self.context.freshness.is_fresh(self.state.job.id)
-        # A grant of an upstream that gets no request here would be repeated: only this gateway knows.
+        # The keeper does not know that the upstream gets no request here, and would grant it again.
         tried = sink.upstream or (slot.upstream if up_to_date else "")
         if tried:
             self._avoided_upstreams = next_excluded(self._avoided_upstreams, tried)
--- a/cranberryline/jobs/run_monitor.py
+++ b/cranberryline/jobs/run_monitor.py
@@ -41,7 +41,7 @@
             self._context.last_received_at.get(self._sink.upstream, last_received_at),
             last_received_at,
         )
-        # A text that was granted a slot is not queued, so its engine lost the request or its answer.
+        # A text in a granted slot is not queued, so its engine lost the request or its answer.
         stall_timeout = SILENCE_TIMEOUT if self._req.upstream else STALL_TIMEOUT
         return now - upstream_active_at > SILENCE_TIMEOUT or now - last_received_at > stall_timeout
 
--- a/cranberryline/jobs/text_slot.py
+++ b/cranberryline/jobs/text_slot.py
@@ -38,7 +38,7 @@
         self._grant: SlotGrant | None = None
 
     def _may_move(self, need: SlotNeed) -> Callable[[], bool]:
-        # A text that is just leaving its engine counts as movable, or its new slot would be withdrawn.
+        # A text that is just leaving its engine counts as movable; else its new slot is withdrawn.
         return lambda: self.moving or (not self._stays and need.may_move())
 
     def stay(self) -> None:
--- a/cranberryline/slots/memory.py
+++ b/cranberryline/slots/memory.py
@@ -70,10 +70,10 @@
 
 
 class SlotMemory:
-    """Writes what this gateway has learned as a keeper, and restores what others wrote at its start.
+    """Writes what this gateway learns as a keeper, and restores what others wrote at its start.
 
-    After a stop of all gateways nothing is known of the engines, and long texts start on the slowest
-    of them, in the very steps that are late already. `learned` returns what is worth keeping by
+    After a stop of all gateways nothing is known of the engines, and long texts start on the
+    slowest of them, in the very steps that are late already. `learned` returns what is worth keeping by
     service, which is empty at a gateway that keeps no slots; `restore` is called once a service.
     """
 
--- a/cranberryline/slots/parts.py
+++ b/cranberryline/slots/parts.py
@@ -25,8 +25,8 @@
     is used directly where this gateway is the keeper. `peers` returns the peer address of each live
     gateway that is not stopping by VM id, this one included. `is_shared` returns whether the slots
     of a service are shared. `rates` returns the events per second of single texts that this gateway
-    measured lately, by upstream, and `connected` the upstreams of a service, each as often as it has
-    idle connections. `count` counts an event for the metrics: "granted", "keeper_silent", "moved",
+    measured lately, by upstream, and `connected` the upstreams of a service, each as often as it
+    has idle connections. `count` counts an event for the metrics: "granted", "keeper_silent", "moved",
     and for a text that this gateway has to choose an engine for, "unshared_silent",
     "unshared_no_grant" or "unshared_off".
     """
--- a/cranberryline/slots/rows.py
+++ b/cranberryline/slots/rows.py
@@ -1,7 +1,7 @@
 """Rows in which a gateway tells a keeper about its texts.
 
-Callers choose names and numbers of their jobs. A keeper rejects a whole exchange for one that is out
-of range, so they are cut to what it accepts.
+Callers choose names and numbers of their jobs. A keeper rejects a whole exchange for one that is
+out of range, so they are cut to what it accepts.
 """
 
 import heapq
