Count models and sort lengths only when they are asked for

Whether slots are shared was found by a set over all engines, some three times a text; lengths of completed texts were sorted at each completion, also where no slots are shared. Ruled out: dropping the fields of messages that nothing reads (waits of an answer, connected of a waiting text), as tests assert what they hold. Change: the models of a service are counted once until its engines change, as the engines themselves are kept; lengths are sorted at the next question. A comment told of an older search. Behaviour is the same.

--- a/cranberryline/decisions/lengths.py
+++ b/cranberryline/decisions/lengths.py
@@ -96,15 +96,19 @@
         self._lengths: deque[int] = deque(maxlen=EXCESS_WINDOW)
         self._sorted: list[int] = []
         self._sums: list[int] = [0]
+        self._is_sorted = True
 
     def record_completed(self, events: int) -> None:
         """Record the length of a completed text in events."""
         self._lengths.append(events)
-        self._sorted = sorted(self._lengths)
-        self._sums = [0, *accumulate(self._sorted)]
+        self._is_sorted = False
 
     def events_left(self, events: int) -> float:
         """Return how many more events texts longer than `events` had, 0 if too few were."""
+        if not self._is_sorted:
+            self._sorted = sorted(self._lengths)
+            self._sums = [0, *accumulate(self._sorted)]
+            self._is_sorted = True
         first = bisect_right(self._sorted, events)
         longer = len(self._sorted) - first
         if longer < MIN_EXCESS_SAMPLES:
--- a/cranberryline/gateway/slots.py
+++ b/cranberryline/gateway/slots.py
@@ -80,6 +80,7 @@
         self._transport = HttpSlotTransport()
         self._is_open = True
         self._engines: dict[str, tuple[EngineSlots, ...]] = {}
+        self._model_counts: dict[str, int] = {}
         self._keeper: SlotKeeper | None = None
         self._client: SlotClient | None = None
         self._most_models: int | None = None
@@ -93,6 +94,7 @@
 
     def _forget_engines(self, _changed: object) -> None:
         self._engines.clear()
+        self._model_counts.clear()
         self._most_models = None
 
     def _open(self) -> None:
@@ -214,7 +216,12 @@
         return should_share(self._most_models, self._nodes.live_count)
 
     def _count_models(self, service: str) -> int:
-        return len({model for engine in self.engines(service) for model in engine.versions})
+        """Return how many models the engines of a service serve; asked for each text."""
+        count = self._model_counts.get(service)
+        if count is None:
+            models = {model for engine in self.engines(service) for model in engine.versions}
+            count = self._model_counts[service] = len(models)
+        return count
 
     def rates(self) -> Mapping[str, float]:
         """Return the events per second of single texts that were measured here lately."""
--- a/cranberryline/jobs/running_texts.py
+++ b/cranberryline/jobs/running_texts.py
@@ -13,7 +13,7 @@
 __all__ = ["RunningTexts"]
 
 _Key = tuple[str, int]
-# How long the longest text of a job stays known; looking for it reads all texts of the job.
+# How long the longest text of a job stays known; a search passes over all that have no result.
 _LONGEST_TTL = timedelta(milliseconds=100)
 
 
