Check whose answer it is before trusting that a request was not run

Cause: a sampler may send an answer a second time, late, in front of the next answer on its connection. `_check` looked at the status 421 and at `Not-Run` before it compared the echoed id, so the late copy of an earlier refusal said "not run" for the request that was sent since, which was at work.

Ruled out: the retry decision and the withdrawal. Orders to engines share a connection with reports and carry no id; a wrong answer there cannot mislead, since only the next report says what an engine serves and each order names the sequence number that it expects.

Change: the id is compared first. An answer with another id, or with none, says nothing of this request, which counts as one that may have run. Items and scoring requests use the same client.

The stand-in's refusals now echo the id, as samplers do on the users' platform.

--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -279,17 +279,21 @@
 
 
 def _check(body: UpstreamBody, request_id: str | None) -> PlatformError | None:
-    """Tell what is wrong with an answer's head, if anything."""
+    """Tell what is wrong with an answer's head, if anything.
+
+    A late answer to an earlier request on the connection may say that it was not run. That says
+    nothing of this request, so the id goes before all else that the head tells.
+    """
     head = body.head
+    echoed = _find(head.headers, HEADER_REQUEST_ID)
+    if request_id is not None and echoed != request_id:
+        return PlatformError(PlatformReason.BAD_ANSWER, "answer to another request", head.status)
     if head.status == STATUS_MISDIRECTED:
         return PlatformError(
             PlatformReason.START_OVER, "another process", head.status, may_have_run=False
         )
     if _find(head.headers, HEADER_NOT_RUN) is not None:
         return PlatformError(PlatformReason.REFUSED, "not run", head.status, may_have_run=False)
-    echoed = _find(head.headers, HEADER_REQUEST_ID)
-    if request_id is not None and echoed != request_id:
-        return PlatformError(PlatformReason.BAD_ANSWER, "answer to another request", head.status)
     if head.status in _SUCCESS and not _find(head.headers, HEADER_SIGNATURE):
         return PlatformError(PlatformReason.BAD_ANSWER, "success without signature", head.status)
     return None
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -197,6 +197,8 @@
         if made.watch is not None:
             caller = self.request.connection.context.address  # type: ignore[union-attr]
             made.watch(made, headers.get("Attempt-Id", ""), caller[1])
+        if "Attempt-Id" in headers:
+            self.set_header("Attempt-Id", headers["Attempt-Id"])
         if headers.get("Target-Instance") not in (None, made.id):
             self.set_status(421)
             self.set_header("Instance-Id", made.id)
