Read on to the own answer behind a late one of another request

A request whose sampler sent a late copy of an earlier answer in front of its own ended as failed (502 for a route that may run once), although it was served. The connection was also given to the next request when the late answer was short, so one late copy could shift the answers of all later requests on it.

Cause: an answer with another id ended the exchange. `_HttpBody.async_close` leaves a connection alone whose answer has been read to its end, since it may serve another request by then; the answer that had been read was the wrong one.

Change: the exchange takes a function that tells which request an answer belongs to. Answers to another request are passed over, two at most; after an answer that names no request the connection is closed. Either way the connection is kept only after this request's own answer.

--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from ipaddress import IPv6Address
 from typing import Annotated, Any
 
@@ -11,8 +12,14 @@
 
 from cranberryline.helpers.clock import in_milliseconds
 from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
-from cranberryline.ports.http import HttpOrigin, KeptStreams, async_exchange
-from cranberryline.ports.model import PlainServicePort, UpstreamBody, UpstreamRequest, VmEntry
+from cranberryline.ports.http import AnswerTo, HttpOrigin, KeptStreams, async_exchange
+from cranberryline.ports.model import (
+    PlainServicePort,
+    UpstreamBody,
+    UpstreamHead,
+    UpstreamRequest,
+    VmEntry,
+)
 from cranberryline.ports.orders import EngineReport, OrderOutcome, OrderPort, VersionOrder
 from cranberryline.upstreams.const import MAX_TEXT_LENGTH
 from cranberryline.upstreams.directory import Registration
@@ -172,11 +179,12 @@
             UpstreamRequest(req.method, req.path, tuple(headers), req.body, host),
             timeout,
             self._pool,
+            match=partial(_match, _find(req.headers, HEADER_REQUEST_ID)),
         )
         if isinstance(sent, Err):
             return sent
         body = sent.unwrap()
-        problem = _check(body, _find(req.headers, HEADER_REQUEST_ID))
+        problem = _check(body)
         if problem is None:
             return Ok(body)
         if problem.may_have_run:
@@ -278,16 +286,21 @@
             self._pools.pop(upstream).close()
 
 
-def _check(body: UpstreamBody, request_id: str | None) -> PlatformError | None:
-    """Tell what is wrong with an answer's head, if anything.
+def _match(request_id: str | None, head: UpstreamHead) -> AnswerTo:
+    """Tell whether an answer is to this request.
 
-    A late answer to an earlier request on the connection may say that it was not run. That says
-    nothing of this request, so the id goes before all else that the head tells.
+    A late copy of an earlier answer on the connection may say anything, also that its request was
+    not run, which says nothing of this one.
     """
-    head = body.head
     echoed = _find(head.headers, HEADER_REQUEST_ID)
-    if request_id is not None and echoed != request_id:
-        return PlatformError(PlatformReason.BAD_ANSWER, "answer to another request", head.status)
+    if request_id is None or echoed == request_id:
+        return AnswerTo.THIS
+    return AnswerTo.UNKNOWN if echoed is None else AnswerTo.ANOTHER
+
+
+def _check(body: UpstreamBody) -> PlatformError | None:
+    """Tell what is wrong with an answer's head, if anything."""
+    head = body.head
     if head.status == STATUS_MISDIRECTED:
         return PlatformError(
             PlatformReason.START_OVER, "another process", head.status, may_have_run=False
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -8,9 +8,10 @@
 """
 
 import asyncio
+import enum
 import re
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from urllib.parse import urlsplit
 
@@ -36,7 +37,7 @@
 from .errors import PlatformError, PlatformReason, UpstreamCut
 from .model import UpstreamBody, UpstreamHead, UpstreamRequest
 
-__all__ = ["HttpOrigin", "KeptStreams", "async_exchange"]
+__all__ = ["AnswerTo", "HttpOrigin", "KeptStreams", "async_exchange"]
 
 _HOP_HEADERS = frozenset(
     ("connection", "content-length", "host", "keep-alive", "transfer-encoding", "upgrade", "te")
@@ -61,6 +62,18 @@
 _KEPT_SHARE = 0.7
 _KEPT_MARGIN = 1.0
 _KEPT_SECONDS = re.compile(r"timeout=(\d+)")
+_MAX_STRAY_ANSWERS = 2
+
+
+class AnswerTo(enum.Enum):
+    """Which request on a connection an answer belongs to."""
+
+    THIS = enum.auto()
+    ANOTHER = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+MatchAnswer = Callable[[UpstreamHead], AnswerTo]
 
 
 class KeptStreams:
@@ -147,9 +160,16 @@
 
 
 class _Receiver(HTTPMessageDelegate):
-    """Turn tornado's callbacks into a head and a bounded queue of chunks."""
+    """Turn tornado's callbacks into a head and a bounded queue of chunks.
 
-    def __init__(self) -> None:
+    `match` tells which request an answer belongs to; only this one's is handed on. `answer_to` is what
+    it told of the last answer, and `strays` counts the answers to other requests.
+    """
+
+    def __init__(self, match: MatchAnswer | None = None) -> None:
+        self._match = match
+        self.answer_to = AnswerTo.THIS
+        self.strays = 0
         self.head: asyncio.Future[UpstreamHead] = asyncio.get_running_loop().create_future()
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         self.whole = False
@@ -161,17 +181,28 @@
         """Take the head, passing over interim answers."""
         if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:  # noqa: PLR2004
             return
+        head = UpstreamHead(start_line.code, tuple(headers.get_all()))
+        if self._match is not None:
+            self.answer_to = self._match(head)
+        if self.answer_to is not AnswerTo.THIS:
+            self.strays += 1
+            return
         self.headers = headers
         if not self.head.done():
-            self.head.set_result(UpstreamHead(start_line.code, tuple(headers.get_all())))
+            self.head.set_result(head)
 
     async def data_received(self, chunk: bytes) -> None:
         """Queue a chunk; waiting for room is what slows the sender down."""
-        await self.queue.put(chunk)
+        if self.answer_to is AnswerTo.THIS:
+            await self.queue.put(chunk)
 
     def finish(self) -> None:
         """Note that the answer reached its own declared end."""
-        self.whole = True
+        self.whole = self.answer_to is AnswerTo.THIS
+
+    def expects_more(self) -> bool:
+        """Tell whether the answer may still follow on the connection."""
+        return self.answer_to is AnswerTo.ANOTHER and self.strays <= _MAX_STRAY_ANSWERS
 
     def abandon(self) -> None:
         """Wake a reader that still waits, so that it does not wait for the time limit."""
@@ -238,6 +269,8 @@
     reusable = False
     try:
         reusable = await conn.read_response(receiver)
+        while reusable and receiver.expects_more():
+            reusable = await conn.read_response(receiver)
     except StreamClosedError:
         pass
     finally:
@@ -298,8 +331,12 @@
     timeout: timedelta,
     pool: KeptStreams | None = None,
     connect: timedelta = DEFAULT_CONNECT_TIMEOUT,
+    match: MatchAnswer | None = None,
 ) -> Result[UpstreamBody, PlatformError]:
-    """Send a request and return once its answer's head is there; `timeout` bounds it all."""
+    """Send a request and return once its answer's head is there; `timeout` bounds it all.
+
+    Where `match` is given, answers to other requests that stand before this one's are passed over.
+    """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout.total_seconds()
     stream = None if pool is None else pool.take()
@@ -312,7 +349,7 @@
                 pass
     params = _PARAMS if pool is None else _KEPT_PARAMS
     conn = HTTP1Connection(stream, is_client=True, params=params)
-    receiver = _Receiver()
+    receiver = _Receiver(match)
     try:
         start = RequestStartLine(req.method, origin.base_path + req.path, "")
         conn.write_headers(start, _headers(origin, req, pool is not None), req.body or None)
@@ -339,6 +376,8 @@
         return Err(PlatformError(PlatformReason.TIMEOUT, "no answer within the time allowed"))
     except UpstreamCut as exc:
         await body.async_close()
+        if receiver.answer_to is not AnswerTo.THIS:
+            return Err(PlatformError(PlatformReason.BAD_ANSWER, "answer to another request"))
         return Err(PlatformError(PlatformReason.CUT, str(exc)))
     except asyncio.CancelledError:
         await body.async_close()
--- a/tests/platform/test_late_answers.py
+++ b/tests/platform/test_late_answers.py
@@ -80,3 +80,34 @@
             assert sampler.ran == ["r2"]
 
     asyncio.run(scene())
+
+
+def test_the_answer_behind_a_late_one_of_another_request_is_the_callers() -> None:
+    """Guards against a request that was served ending as failed because a late answer stood before its own."""
+
+    async def scene() -> None:
+        sampler = Sampler(SERVED.format("r1"), work_s=0.05)
+        async with async_client(sampler) as client:
+            await (await client.async_send(_request("r1"), TIMEOUT)).unwrap().async_whole()
+            for request_id in ("r2", "r3"):
+                answer = (await client.async_send(_request(request_id), TIMEOUT)).unwrap()
+                assert await answer.async_whole() == request_id.encode()
+            assert (sampler.ran, sampler.channels) == (["r2", "r3"], 1)
+
+    asyncio.run(scene())
+
+
+def test_a_connection_is_closed_after_an_answer_that_names_no_request() -> None:
+    """Guards against each later request on the connection getting the answer to the one before."""
+
+    async def scene() -> None:
+        sampler = Sampler(SERVED.format("r1").replace("Attempt-Id: r1\r\n", ""))
+        async with async_client(sampler) as client:
+            assert (await client.async_send(_request("r1"), TIMEOUT)).unwrap_err().may_have_run
+            assert client.idle_connections() == 0
+            assert (await client.async_send(_request("r2"), TIMEOUT)).unwrap_err().may_have_run
+            answer = (await client.async_send(_request("r3"), TIMEOUT)).unwrap()
+            assert await answer.async_whole() == b"r3"
+            assert sampler.channels == 3
+
+    asyncio.run(scene())
