Count the grace of expired registrations from the store's return

Cause: two things together. A removed entry was kept for 2.4 s counted from its removal, which alone is longer than drain_ms. And it was kept where any call to the store had failed within the last 3 s by the time of the failure: a call that is made to a silent store fails up to 2.5 s later, so the span reached to 5.5 s after the store's return.

Ruled out: the list being read late. The removals are followed within the poll, and runs stop 2.4 s after the removal each time.

Change: the store's health keeps the last outage of each partition that is read: when the last failed call was made, and when the store first answered again a partition that had failed. Expired entries are back within about two seconds of that return, so the grace ends 2.4 s after it, whenever the removal is read. An outage of other partitions is none of the registrations'.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -19,7 +19,8 @@
 from cranberryline.helpers.logging import Level, get_logger, set_level
 from cranberryline.helpers.metrics import Metrics, MetricsHandler
 from cranberryline.helpers.shutdown import StopOutcome
-from cranberryline.helpers.tail import KeyedTail, PartitionTail, StoreHealth
+from cranberryline.helpers.store_health import StoreHealth, source_name
+from cranberryline.helpers.tail import KeyedTail, PartitionTail
 from cranberryline.jobs.mark_keeper import MarkManager
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
@@ -93,7 +94,9 @@
             self.metrics,
             Redaction(platform.topic_operator, platform.without_secrets),
         )
-        self.directory = Directory(clock, self.health, run_soon)
+        self.directory = Directory(
+            clock, self.health, run_soon, source_name(platform.topic_upstreams)
+        )
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.upstreams = UpstreamTable(self.directory.served_versions)
         self.direct_upstreams = DirectUpstreams(
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -13,7 +13,7 @@
 from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
 
 from .clock import Clock
-from .store_health import StoreHealth
+from .store_health import StoreHealth, source_name
 
 __all__ = ["KeyedTail", "PartitionTail", "ReadTurns", "StoreHealth", "TimedRead"]
 
@@ -70,6 +70,7 @@
     ) -> None:
         self.topic = topic
         self.part = part
+        self.source = source_name(topic, part)
         self.loaded = asyncio.Event()
         self.at_end = False
         self.current_at: timedelta | None = None
@@ -84,12 +85,13 @@
     async def async_run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
+            asked_at = self._clock.monotonic()
             error = await self._async_step()
             if error is None:
-                self._health.succeeded()
+                self._health.succeeded(self.source)
                 self._backoff = _FIRST_BACKOFF
                 continue
-            self._health.failed(error, f"{self.topic}/{self.part}")
+            self._health.failed(error, self.source, asked_at)
             await self._clock.async_sleep(self._backoff * (0.5 + random.random()))
             self._backoff = min(self._backoff * 2, _MAX_BACKOFF)
 
--- a/cranberryline/upstreams/directory.py
+++ b/cranberryline/upstreams/directory.py
@@ -22,9 +22,9 @@
 _LOGGER = get_logger(__name__)
 
 # Registrations that expired because the store was unavailable are renewed within two seconds of its
-# recovery. Removing them at once would leave a service without upstreams although all are healthy.
+# return. Removing them at once would leave a service without upstreams although all are healthy. One that
+# is missing later than that belongs to an upstream that has left.
 _LAPSE_GRACE = timedelta(milliseconds=2400)
-_RECENT_FAILURE_WINDOW = timedelta(seconds=3)
 # Each rejected entry is counted, but heartbeats repeat it about every second. It is logged only if
 # no entry was rejected within this time before.
 _REJECTION_QUIET_PERIOD = timedelta(seconds=10)
@@ -63,7 +63,8 @@
 
     Registrations are addressed by upstream id, all other methods and listeners by incarnation key.
     `call_later` schedules one callback soon, so that N entries that are read at once are published
-    once, and listeners of the membership do the work of a change once.
+    once, and listeners of the membership do the work of a change once. `source` names the partition
+    of the store that the registrations are read from.
     """
 
     def __init__(
@@ -71,7 +72,9 @@
         clock: Clock,
         health: StoreHealth,
         call_later: Callable[[Callable[[], None]], object] | None = None,
+        source: str = "",
     ) -> None:
+        self._source = source
         self.membership = Membership(may_be_empty=True)
         self._clock = clock
         self._health = health
@@ -138,17 +141,16 @@
         return Ok(None)
 
     def remove(self, upstream_id: str) -> None:
-        """Remove a registration, after `_LAPSE_GRACE` if the store failed recently.
+        """Remove a registration, after a grace period if it may have expired in an outage.
 
         A draining upstream is removed at once, since its end was announced.
         """
         key = self._key_by_id.get(upstream_id)
         if key is None:
             return
-        if not self._registrations[key].draining and self._health.failed_within(
-            _RECENT_FAILURE_WINDOW
-        ):
-            self._lapsed_until[key] = self._clock.monotonic() + _LAPSE_GRACE
+        grace_ends_at = self._grace_ends_at()
+        if not self._registrations[key].draining and grace_ends_at > self._clock.monotonic():
+            self._lapsed_until[key] = grace_ends_at
             _LOGGER.info("upstream_lapsed", upstream=key)
             return
         self._drop(key)
@@ -211,6 +213,17 @@
             self._reported_versions.setdefault(upstream, {})[model] = version
             self._notify_versions(upstream)
 
+    def _grace_ends_at(self) -> timedelta:
+        """Return the time until which a registration that expired in an outage may be renewed.
+
+        Where no return of the store is known, a removal that was read now shows that it is back.
+        """
+        outage = self._health.last_outage(self._source)
+        if outage is None:
+            return timedelta()
+        returned_at = outage.returned_at
+        return (self._clock.monotonic() if returned_at is None else returned_at) + _LAPSE_GRACE
+
     def _notify_versions(self, key: str) -> None:
         for listener in self._version_listeners:
             listener(key)
--- a/tests/upstreams/test_directory.py
+++ b/tests/upstreams/test_directory.py
@@ -65,7 +65,7 @@
     were removed at once, every request of the service would be refused until they are back.
     """
     directory.put(attrs.evolve(ROW, id="i-2"))
-    health.failed(StoreError(StoreProblem.REFUSED), "read")
+    health.failed(StoreError(StoreProblem.REFUSED), "", clock.monotonic())
     directory.remove("i-1")
     directory.remove("i-2")
     directory.expire()
@@ -77,13 +77,56 @@
     assert _usable(directory) == ["i-1"]
 
 
+def test_registration_that_is_removed_after_the_grace_period_of_an_outage_is_removed_at_once(
+    directory: Directory, health: StoreHealth, clock: FakeClock
+) -> None:
+    """Guards against work for an upstream that left after the store's return.
+
+    A call that was made shortly before the return fails seconds after it.
+    """
+    health.failed(StoreError(StoreProblem.REFUSED), "jobs/0", clock.monotonic())
+    asked_at = clock.monotonic()
+    clock.advance(timedelta(milliseconds=100))
+    health.succeeded("jobs/0")
+    clock.advance(timedelta(milliseconds=2400))
+    health.failed(StoreError(StoreProblem.REFUSED), "", asked_at)
+    health.succeeded("")
+    clock.advance(timedelta(milliseconds=500))
+    directory.remove("i-1")
+    assert _usable(directory) == []
+
+
+def test_grace_period_ends_with_the_time_after_the_stores_return(
+    directory: Directory, health: StoreHealth, clock: FakeClock
+) -> None:
+    """Guards against a grace period that is counted from a late removal."""
+    health.failed(StoreError(StoreProblem.REFUSED), "", clock.monotonic())
+    health.succeeded("")
+    clock.advance(timedelta(seconds=2))
+    directory.remove("i-1")
+    directory.expire()
+    assert _usable(directory) == ["i-1"]
+    clock.advance(timedelta(milliseconds=400))
+    directory.expire()
+    assert _usable(directory) == []
+
+
+def test_outage_of_other_partitions_keeps_no_removed_registration(
+    directory: Directory, health: StoreHealth, clock: FakeClock
+) -> None:
+    """Guards against work for an upstream that left while the store was out for jobs only."""
+    health.failed(StoreError(StoreProblem.REFUSED), "jobs/0", clock.monotonic())
+    directory.remove("i-1")
+    assert _usable(directory) == []
+
+
 def test_draining_upstream_is_removed_at_once_in_a_store_outage(
-    directory: Directory, health: StoreHealth
+    directory: Directory, health: StoreHealth, clock: FakeClock
 ) -> None:
     """Its end was announced, so there is no grace period."""
     directory.put(attrs.evolve(ROW, id="i-2"))
     directory.put(attrs.evolve(ROW, draining=True))
-    health.failed(StoreError(StoreProblem.REFUSED), "read")
+    health.failed(StoreError(StoreProblem.REFUSED), "", clock.monotonic())
     directory.remove("i-1")
     assert directory.get("i-1") is None
 
@@ -174,7 +217,7 @@
     timed_directory: Directory, health: StoreHealth, clock: FakeClock
 ) -> None:
     """A registration lapses in a store outage; the upstream restarts in the grace period."""
-    health.failed(StoreError(StoreProblem.REFUSED), "read")
+    health.failed(StoreError(StoreProblem.REFUSED), "", clock.monotonic())
     timed_directory.remove("i-1")
     timed_directory.put(SECOND).unwrap()
     clock.advance(timedelta(seconds=5))
@@ -210,7 +253,7 @@
     assert _addresses(timed_directory) == []
     timed_directory.put(FIRST).unwrap()
     assert _addresses(timed_directory) == ["http://10.0.0.1:80"]
-    health.failed(StoreError(StoreProblem.REFUSED), "read")
+    health.failed(StoreError(StoreProblem.REFUSED), "", clock.monotonic())
     timed_directory.remove("i-1")
     timed_directory.reject("i-1", RegistrationProblem.BAD_ADDRESS)
     assert _addresses(timed_directory) == []
--- a/tests/upstreams/test_directory_any_order.py
+++ b/tests/upstreams/test_directory_any_order.py
@@ -70,7 +70,7 @@
     def advance_time(self, fails: bool) -> None:
         """Advance the time, perhaps after a store failure."""
         if fails:
-            self.health.failed(StoreError(StoreProblem.REFUSED), "read")
+            self.health.failed(StoreError(StoreProblem.REFUSED), "", self.clock.monotonic())
         self.clock.advance(timedelta(seconds=1))
         self.directory.expire()
 
