Place items again under which engines have crashed

A trainer's item under which three engines had crashed got no engine for the next 20 s, although all was calm and engines were free; its step was lost.

Cause: items and scoring requests were subject to the quarantine of requests that crash upstreams. Three crashes hold a request; its first trial comes 20 s later unless other requests crashed with it. Items are never requests that crash upstreams by themselves, so these crashes are bad luck and the item is owed.

Ruled out: the upstreams that an item avoids and its pauses; both pass over an engine for a short time, or only while there is another.

Change: `CallerRequest.exempt_from_hold`, set for items and scoring requests. Their crashes are not recorded: a history of an unlucky item could otherwise explain the crashes of a request that does cause them.

--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -160,7 +160,7 @@
 
     def may_crash_upstream(self, req: CallerRequest) -> bool:
         """Return whether an upstream crashed while it ran this request; it is not hedged then."""
-        guard = self._guard
+        guard = self._guard_of(req)
         return guard is not None and guard.has_suspects and guard.is_suspected(req.fingerprint)
 
     async def async_run(self, req: CallerRequest, sink: ResponseSink) -> Result[str, Refusal]:
@@ -172,6 +172,7 @@
             self.in_flight -= 1
 
     async def _async_run(self, req: CallerRequest, sink: ResponseSink) -> Result[str, Refusal]:
+        guard = self._guard_of(req)
         hold = self._hold_of(req)
         is_trial = hold is not None and await self._async_claim_trial(req)
         if hold is not None and not is_trial:
@@ -205,13 +206,11 @@
             if isinstance(outcome, AttemptNotRun):
                 sink.not_run()
             if isinstance(outcome, AttemptDone):
-                if self._guard is not None and outcome.status < _STATUS_SERVER_ERROR:
-                    self._guard.record_answer(req.fingerprint)
+                if guard is not None and outcome.status < _STATUS_SERVER_ERROR:
+                    guard.record_answer(req.fingerprint)
                 return Ok(reservation.upstream.id)
-            if self._guard is not None and may_be_crash(outcome, trace, self._clock.monotonic()):
-                await self._guard.async_report_broken_run(
-                    make_broken_run(req, reservation.upstream.id)
-                )
+            if guard is not None and may_be_crash(outcome, trace, self._clock.monotonic()):
+                await guard.async_report_broken_run(make_broken_run(req, reservation.upstream.id))
             outcomes.append(outcome)
             avoid = avoid | {reservation.upstream.id}
             decision = self._decide_retry(scheduler, req, outcomes, avoid)
@@ -220,8 +219,11 @@
             self._metrics.retry(reason_text(outcome))
             await self._clock.async_sleep(decision)
 
+    def _guard_of(self, req: CallerRequest) -> RequestGuard | None:
+        return None if req.exempt_from_hold else self._guard
+
     def _hold_of(self, req: CallerRequest) -> Held | None:
-        guard = self._guard
+        guard = self._guard_of(req)
         if guard is None or not guard.has_suspects:
             return None
         return guard.held(req.fingerprint)
--- a/cranberryline/dispatch/model.py
+++ b/cranberryline/dispatch/model.py
@@ -52,6 +52,8 @@
     `rank` orders requests of one caller class; requests of a lower rank are started first.
     `upstream` is the only upstream to use, on which a slot was granted; empty leaves the choice to
     routing.
+    `exempt_from_hold` says that the request crashes no upstream by itself, so crashes under it are not
+    attributed to it and it is never held.
     """
 
     service: str
@@ -78,6 +80,7 @@
     workspace: str = ""
     rank: int = 0
     upstream: str = ""
+    exempt_from_hold: bool = False
 
     def may_send_to(self, vm_id: str) -> bool:
         """Return whether the request may be sent to an upstream now."""
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -338,6 +338,7 @@
             token_rate=self._tokens_per_second,
             request_id=self.item.id,
             upstream=upstream,
+            exempt_from_hold=True,
         )
 
     def _may_move(self) -> bool:
--- a/cranberryline/jobs/score_request.py
+++ b/cranberryline/jobs/score_request.py
@@ -45,6 +45,7 @@
             is_wanted=is_wanted,
             max_attempts=1,
             request_id=scorer.id,
+            exempt_from_hold=True,
         )
 
     return HedgedRequest(
