Give items up only once their route has ended

Cause: `ItemRun` took a missing route for an ended one. The active table may be older than the job: 1.75 s at most while the store answers, any age while it does not, and none at all is known just after a start.

Ruled out: a tighter bound on the age of the table. No age above zero makes an absence certain.

Change: a missing route has ended if it is missing in a configuration that was read after this gateway first saw the job; the gateway that accepted the job had that one or an older one. `ConfigConfirmation.async_confirm_read_since` tells so, reading if need be. Until then the item waits. The scorer's route goes the same way. Lookups of routes move to `JobRoutes`.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -27,7 +27,7 @@
 from cranberryline.leases import LeaseKeeper
 from cranberryline.platform.ports import NamedVersion, PlatformPort
 from cranberryline.ports.store import KeyedRecord
-from cranberryline.routes import ActiveRoutes, ConfigConfirmation, RouteTable
+from cranberryline.routes import ActiveRoutes, RouteTable, confirm_by_tail
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.shift import VersionScheduler
@@ -159,6 +159,8 @@
             SlotStore(self.store, platform.topic_slots, self.health),
             self.controls.controls,
         )
+        self._config_tail = self._make_tail(platform.topic_operator, self._on_operator_record)
+        self.confirmation = confirm_by_tail(self._config_tail, clock, cfg.config_max_age)
         self.runner = JobRunner(
             RunnerDependencies(
                 self.jobs,
@@ -171,6 +173,7 @@
                 cfg.vm_id,
                 self.controls.live_nodes,
                 lambda: self.confirmation.async_confirm(clock.monotonic()),
+                self.confirmation.async_confirm_read_since,
                 self.slots.paces,
                 self.slots.source,
                 self.controls.may_start,
@@ -202,16 +205,12 @@
             clock,
             self.metrics,
         )
-        self._config_tail = self._make_tail(platform.topic_operator, self._on_operator_record)
         self._upstreams_tail = self._make_tail(
             platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
         )
         self._nodes_tail = self._make_tail(
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
         )
-        self.confirmation = ConfigConfirmation(
-            self._config_tail.age, self._config_tail.async_sync, clock, cfg.config_max_age
-        )
         self.key_check = KeyCheck(self._config_tail.unconfirmed_for, cfg.key_max_age)
         self.jobs.book.listen(needs.record_job)
         self.routes.listen(self._on_routes)
--- a/cranberryline/jobs/item.py
+++ b/cranberryline/jobs/item.py
@@ -15,6 +15,7 @@
 
 from .events import ItemText
 from .item_context import ItemContext
+from .job_routes import JobRoutes
 from .model import ItemResult, ItemState, TextPiece
 from .phases import ItemPhases
 from .pieces import PieceBuilder
@@ -51,6 +52,7 @@
         self.state = state
         self.index = index
         self.item = state.job.items[index]
+        self._routes = JobRoutes(context, state)
         self.text = ItemText()
         self.runs = 0
         self.resumed_events = 0
@@ -85,8 +87,13 @@
     async def _async_complete(self) -> ItemResult | None:
         """Generate what is missing of the text, and score it."""
         while await self._async_is_needed():
-            route = self._match_route(self.state.job.host, self.item.path)
-            if route is None or self._is_expired(route):
+            route = self._routes.match(self.state.job.host, self.item.path)
+            if route is None:
+                if await self._routes.async_has_ended(self.state.job.host, self.item.path):
+                    return ItemResult(ItemState.DEAD)
+                await self._async_back_off()
+                continue
+            if self._routes.is_expired(route):
                 return ItemResult(ItemState.DEAD)
             self._pieces.enabled = not route.single_version
             failed = await self._async_generate_text(route)
@@ -102,7 +109,7 @@
     def _get_earlier_result(self) -> ItemResult | None:
         """Return the result of the same item in an earlier job, if this job allows its versions."""
         stored = self.context.find_result(self.item, self.state.head.workspace)
-        route = self._match_route(self.state.job.host, self.item.path)
+        route = self._routes.match(self.state.job.host, self.item.path)
         if stored is None or route is None:
             return None
         return stored if self._allows_versions(stored.versions) else None
@@ -121,7 +128,7 @@
         The text is used only if the job allows the versions that generated it.
         """
         stored = self.context.find_partial_text(self.item, self.state.head.workspace)
-        route = self._match_route(self.state.job.host, self.item.path)
+        route = self._routes.match(self.state.job.host, self.item.path)
         if (
             stored is None
             or route is None
@@ -172,16 +179,6 @@
         self.job_data_age = self.context.freshness.age(self.state.job.id)
         return True
 
-    def _match_route(self, host: str, path: str) -> Route | None:
-        table = self.context.routes.table
-        return None if table is None else table.match(host, path)
-
-    def _is_expired(self, route: Route) -> bool:
-        if route.max_wait is None:
-            return False
-        age = self.context.clock.now().timestamp() - self.state.job.submitted
-        return age > route.max_wait.total_seconds()
-
     async def _async_back_off(self) -> None:
         await self.context.clock.async_sleep(self._retry_delay * (0.5 + self.context.rng.random()))
         self._retry_delay = min(self._retry_delay * 2, _MAX_RETRY_DELAY)
@@ -368,9 +365,12 @@
         self._retry_delay = _MIN_RETRY_DELAY
         failures = 0
         while await self._async_is_needed():
-            route = self._match_route(scorer.host, scorer.path)
+            route = self._routes.match(scorer.host, scorer.path)
             if route is None:
-                return ItemResult(ItemState.DEAD)
+                if await self._routes.async_has_ended(scorer.host, scorer.path):
+                    return ItemResult(ItemState.DEAD)
+                await self._async_back_off()
+                continue
             service = route.choose_service(self.context.rng)
             self.phases.scoring_queued(self.context.clock.monotonic())
             async with self.context.scoring_slots.slot(service):
--- a/cranberryline/jobs/item_context.py
+++ b/cranberryline/jobs/item_context.py
@@ -25,7 +25,7 @@
 from .scoring import ScoringSlots
 from .state import JobState
 
-__all__ = ["ItemContext", "async_confirm_always"]
+__all__ = ["ItemContext", "async_confirm_always", "async_have_all_routes"]
 
 
 async def _async_read_nothing(_state: JobState) -> None:
@@ -37,6 +37,11 @@
     return True
 
 
+async def async_have_all_routes(_moment: timedelta) -> bool:
+    """Default for `async_have_routes_since`; the routes do not change."""
+    return True
+
+
 @attrs.define
 class ItemContext:
     """Dependencies of `ItemRun`, and the state that all runs of this node share."""
@@ -57,6 +62,8 @@
     # Reads the stored partial texts of a job from the log.
     async_read_texts: Callable[[JobState], Awaitable[None]] = _async_read_nothing
     async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
+    # Returns whether the active routes have every change before a monotonic time.
+    async_have_routes_since: Callable[[timedelta], Awaitable[bool]] = async_have_all_routes
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     # Monotonic time of the last byte from each upstream.
     last_received_at: dict[str, timedelta] = attrs.field(factory=dict)
--- a/cranberryline/jobs/runner.py
+++ b/cranberryline/jobs/runner.py
@@ -22,7 +22,7 @@
 
 from .groups import group_of
 from .item import ItemRun
-from .item_context import ItemContext, async_confirm_always
+from .item_context import ItemContext, async_confirm_always, async_have_all_routes
 from .model import ItemResult, JobRecord, ResultRecord
 from .plan import JobPlan
 from .ports import EdgeFormat
@@ -61,6 +61,8 @@
     live_nodes: Callable[[timedelta], Collection[str]]
     # Returns whether work may be sent by the active routes.
     async_confirm_routes: Callable[[], Awaitable[bool]] = async_confirm_always
+    # Returns whether the active routes have every change before a monotonic time.
+    async_have_routes_since: Callable[[timedelta], Awaitable[bool]] = async_have_all_routes
     paces: EngineRates = attrs.field(factory=EngineRates)
     slots: SlotSource = attrs.field(factory=NoSlotSharing)
     # Returns whether this node starts items of a job that it first saw at a monotonic time.
@@ -124,6 +126,7 @@
             dependencies.jobs.book.find_partial_text,
             dependencies.jobs.texts.async_read,
             dependencies.async_confirm_routes,
+            dependencies.async_have_routes_since,
             lengths=dependencies.lengths,
             paces=dependencies.paces,
             slots=dependencies.slots,
--- a/cranberryline/routes/__init__.py
+++ b/cranberryline/routes/__init__.py
@@ -1,7 +1,7 @@
 """Routes: which service handles a request, and with which limits."""
 
 from .active import ActiveRoutes
-from .confirmation import ConfigConfirmation
+from .confirmation import ConfigConfirmation, confirm_by_tail
 from .model import EngineService, Limits, Route, RouteKind, RouteTable, ServiceShare
 
 __all__ = [
@@ -13,4 +13,5 @@
     "RouteKind",
     "RouteTable",
     "ServiceShare",
+    "confirm_by_tail",
 ]
--- a/cranberryline/routes/confirmation.py
+++ b/cranberryline/routes/confirmation.py
@@ -5,8 +5,9 @@
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.shared_calls import SharedCalls
+from cranberryline.helpers.tail import KeyedTail
 
-__all__ = ["ConfigConfirmation"]
+__all__ = ["ConfigConfirmation", "confirm_by_tail"]
 
 # Time between the confirmation and its effect on the request.
 CONFIRM_MARGIN = timedelta(milliseconds=250)
@@ -29,7 +30,8 @@
 
     `age` returns how old the active configuration may be, None if that is unknown. `read` reads up
     to the newest one and returns whether the store answered in time. `max_age` is the time within
-    which a change has to be in force, None for no limit.
+    which a change has to be in force, None for no limit. `unread_for` returns for how long a change may
+    stand unread, with suspensions and outages of the store, None before the first read.
     """
 
     def __init__(
@@ -38,8 +40,10 @@
         read: Callable[[timedelta], Awaitable[bool]],
         clock: Clock,
         max_age: timedelta | None = None,
+        unread_for: Callable[[], timedelta | None] = lambda: None,
     ) -> None:
         self.max_age = max_age
+        self._unread_for = unread_for
         self._age = age
         self._read = read
         self._clock = clock
@@ -57,6 +61,21 @@
         store_lost = await self._reads.async_run(None, self._async_read)
         return store_lost or self._is_recent(received_at)
 
+    async def async_confirm_read_since(self, moment: timedelta) -> bool:
+        """Return whether the active configuration has every change before a monotonic time.
+
+        False means that the store could not be asked, so what the active configuration lacks may have
+        been added since.
+        """
+        if self._was_read_since(moment):
+            return True
+        await self._reads.async_run(None, self._async_read)
+        return self._was_read_since(moment)
+
+    def _was_read_since(self, moment: timedelta) -> bool:
+        unread_for = self._unread_for()
+        return unread_for is not None and unread_for <= self._clock.monotonic() - moment
+
     def _is_recent(self, received_at: timedelta) -> bool:
         if self.max_age is None:
             return True
@@ -78,3 +97,10 @@
         if store_lost:
             self._lost_until = now + LOST_INTERVAL
         return store_lost
+
+
+def confirm_by_tail(
+    tail: KeyedTail, clock: Clock, max_age: timedelta | None = None
+) -> ConfigConfirmation:
+    """Return the confirmation of the configuration that a tail follows."""
+    return ConfigConfirmation(tail.age, tail.async_sync, clock, max_age, tail.unconfirmed_for)
--- a/tests/routes/test_confirmation.py
+++ b/tests/routes/test_confirmation.py
@@ -25,7 +25,9 @@
         self.reads = 0
         self.answers = True
         self.takes = timedelta(milliseconds=5)
-        self.confirmation = ConfigConfirmation(self._age, self._async_read, clock, max_age)
+        self.confirmation = ConfigConfirmation(
+            self._age, self._async_read, clock, max_age, self._age
+        )
 
     def _age(self) -> timedelta | None:
         return None if self.read_at is None else self.clock.monotonic() - self.read_at
@@ -127,3 +129,26 @@
     store = Store(clock, max_age=None)
     clock.advance(timedelta(hours=1))
     assert store.confirm() and store.reads == 0
+
+
+def _has_all_since(store: Store, moment: timedelta) -> bool:
+    return asyncio.run(store.confirmation.async_confirm_read_since(moment))
+
+
+def test_what_is_missing_is_looked_for_in_a_read_after_the_moment(clock: FakeClock) -> None:
+    """Guards against a route that seems to have ended since the table here is older than its job."""
+    store = Store(clock)
+    clock.advance(timedelta(milliseconds=10))
+    moment = clock.monotonic()
+    assert _has_all_since(store, moment) and store.reads == 1
+    assert _has_all_since(store, moment) and store.reads == 1
+
+
+def test_a_lost_store_confirms_no_absence(clock: FakeClock) -> None:
+    """Guards against routes that seem to have ended while the store cannot be asked."""
+    store = Store(clock)
+    store.answers = False
+    clock.advance(timedelta(seconds=1))
+    assert not _has_all_since(store, clock.monotonic())
+    store.read_at = None
+    assert not _has_all_since(store, clock.monotonic())
