Probe failing upstreams with any request where no other is left

Cause: upstreams that failed four times in a row come back by a probe, and only idempotent requests were probes. A service without such requests has none.

Ruled out: the back-off of probes.

Change: without a free sound upstream a request that may run once is a probe too, if one is due. It beats a refusal for its caller; where the upstream cannot be reached, the attempt has not run.

--- a/cranberryline/decisions/routing.py
+++ b/cranberryline/decisions/routing.py
@@ -83,7 +83,8 @@
     """A request as routing sees it.
 
     A cached prefix saves `prefix_tokens` of its `tokens`. `short` means that opening a connection
-    takes a noticeable part of the request's time. `may_probe` allows sending it as a health probe.
+    takes a noticeable part of the request's time. `may_probe` allows sending it as a health probe
+    while another upstream could take it; without one, any request may be a probe.
     """
 
     tokens: int
@@ -136,11 +137,10 @@
         """
         eligible = [upstream for upstream in upstreams if _is_eligible(upstream, req)]
         eligible = [upstream for upstream in eligible if not upstream.recently_refused] or eligible
-        if req.may_probe:
-            probes = [upstream.id for upstream in eligible if upstream.health.probe_due]
-            if probes:
-                return rng.choice(probes)
         healthy = [upstream for upstream in eligible if upstream.health.weight > 0]
+        probes = [upstream.id for upstream in eligible if upstream.health.probe_due]
+        if probes and (req.may_probe or not healthy):
+            return rng.choice(probes)
         candidates = Candidates(
             drawn=rng.sample(healthy, min(self.sample_size, len(healthy))),
             cached=self._expected_cached(healthy, req),
--- a/cranberryline/dispatch/candidates.py
+++ b/cranberryline/dispatch/candidates.py
@@ -76,7 +76,8 @@
                 return probe
         drawn = self._draw()
         if not drawn:
-            return None
+            # A service without idempotent requests would never use a failing upstream again.
+            return None if self._routed.may_probe else self._find_probe()
         candidates = Candidates(
             drawn=self._views(drawn),
             cached=self._views(self._find_home()),
--- a/tests/dispatch/test_pool.py
+++ b/tests/dispatch/test_pool.py
@@ -59,6 +59,7 @@
             prefix_key=req.prefix_key or None,
             prefix_tokens=req.prefix_tokens,
             excluded=excluded,
+            may_probe=req.idempotent,
             short=req.token_rate is None,
         )
         chosen = choose_upstream(self.pool, req, routed, NOW, Random(seed))
@@ -216,6 +217,30 @@
     assert [fleet.choose(seed=seed) for seed in range(20)] == ["vm-1"] * 20
 
 
+def test_a_request_that_may_run_once_is_a_probe_where_nothing_else_is_left() -> None:
+    """Guards against a service without idempotent requests that is never served again after a cut."""
+    fleet = Fleet(2)
+    failed_at = NOW - timedelta(seconds=9)
+    for vm_id in ("vm-0", "vm-1"):
+        for turn in range(5):
+            at = failed_at + timedelta(milliseconds=turn)
+            fleet.upstream(vm_id).attempt_failed(at, at)
+    fleet.upstream("vm-1").reserve(NOW)
+    assert fleet.choose(idempotent=False) == "vm-0"
+    fleet.upstream("vm-0").reserve(NOW)
+    assert fleet.choose(idempotent=False) is None
+
+
+def test_a_request_that_may_run_once_is_no_probe_beside_a_sound_upstream() -> None:
+    """Guards against a run that is lost at a failing upstream although another one was free."""
+    fleet = Fleet(2)
+    failed_at = NOW - timedelta(seconds=9)
+    for turn in range(5):
+        at = failed_at + timedelta(milliseconds=turn)
+        fleet.upstream("vm-0").attempt_failed(at, at)
+    assert [fleet.choose(seed=seed, idempotent=False) for seed in range(20)] == ["vm-1"] * 20
+
+
 def test_a_short_request_goes_where_a_connection_waits() -> None:
     """With many upstreams nearly every plain request opens a new connection."""
     fleet = Fleet(300)
