Teach the soak late answers and samplers that leave without a notice

The review's faults passed the soak: its samplers sent each answer once, and told that they drain before they left.

The stand-in can send an answer of a plain service, a refusal included, once more in front of the next one on its connection. In the soak a sampler's entry may go without a notice, half of the times shortly after the store was out, and the judge looks at what reaches it later than two seconds after. Both kinds of fault have draws of their own, so that seeds draw the others as they always have.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,10 +11,11 @@
 from stand_ins.platform_sampler import PlatformSampler
 
 from .entries import bad_entry
+from .judge import BOUND_S
 from .model import Book, SoakPlan
 from .world import World
 
-__all__ = ["Drawn", "async_faults", "draw"]
+__all__ = ["Drawn", "async_faults", "draw", "draw_further"]
 
 _AFTER_STOP_S = 6.0
 _QUIET_END_S = 6.0
@@ -22,6 +23,8 @@
 # Of two stops, one beside the other, the second forces the first within this.
 _BETWEEN_SIGNALS_S = 0.8
 _LOOK_S = 0.05
+_FURTHER_PAUSES = 4.0
+_AFTER_OUTAGE = 0.5
 
 
 class _Faults:
@@ -38,6 +41,11 @@
             "signals": self._async_signals,
             "stop": self._async_stop,
         }
+        # These have draws of their own, so that seeds draw the others as they always have.
+        self.further_kinds: dict[str, Callable[[Random], Awaitable[None]]] = {
+            "sampler_late": self._async_late,
+            "sampler_unlisted": self._async_unlist,
+        }
         self.kinds: dict[str, Callable[[Random], Awaitable[None]]] = {
             "at_end": self._async_at_end,
             "store_down": self._async_store_down,
@@ -60,7 +68,7 @@
         if kind in self.gateway_kinds:
             await self._async_at_gateway(kind, rng)
             return
-        await self.kinds[kind](rng)
+        await (self.kinds | self.further_kinds)[kind](rng)
 
     async def _async_at_gateway(self, kind: str, rng: Random) -> None:
         number = rng.randrange(len(self._world.gateways))
@@ -182,6 +190,20 @@
     async def _async_leave(self, rng: Random) -> None:
         self._world.replace_sampler(self._sampler(rng))
 
+    async def _async_late(self, rng: Random) -> None:
+        sampler = self._sampler(rng)
+        sampler.shed += rng.randint(0, 10)
+        sampler.late += rng.randint(1, 20)
+
+    async def _async_unlist(self, rng: Random) -> None:
+        """Let a sampler leave without a notice, perhaps after an outage of the store."""
+        if rng.random() < _AFTER_OUTAGE:
+            await self._async_store_down(rng)
+            await asyncio.sleep(BOUND_S + rng.uniform(0.05, 1.0))
+        sampler = self._sampler(rng)
+        if sampler not in self._world.dead:
+            self._world.unlist_sampler(sampler)
+
     async def _async_config(self, _rng: Random) -> None:
         self._world.configure()
 
@@ -200,21 +222,34 @@
 
 def draw(plan: SoakPlan) -> list[Drawn]:
     """Return the faults of a soak; the same for the same plan, however fast the machine is."""
-    rng, drawn, at = plan.luck("faults"), [], 0.0
     faults = _Faults(None, Book())  # type: ignore[arg-type]
-    kinds = sorted((*faults.kinds, *faults.gateway_kinds))
-    while (at := at + (pause := rng.expovariate(1 / plan.fault_every_s))) < (
-        plan.seconds - _QUIET_END_S
-    ):
+    return _draw(plan, "faults", sorted((*faults.kinds, *faults.gateway_kinds)))
+
+
+def draw_further(plan: SoakPlan) -> list[Drawn]:
+    """Return the faults that come beside those of `draw`, seldomer."""
+    faults = _Faults(None, Book())  # type: ignore[arg-type]
+    return _draw(plan, "further faults", sorted(faults.further_kinds), _FURTHER_PAUSES)
+
+
+def _draw(plan: SoakPlan, luck: str, kinds: list[str], pauses: float = 1.0) -> list[Drawn]:
+    rng, drawn, at = plan.luck(luck), [], 0.0
+    every_s = pauses * plan.fault_every_s
+    while (at := at + (pause := rng.expovariate(1 / every_s))) < plan.seconds - _QUIET_END_S:
         drawn.append(Drawn(pause, rng.choice(kinds), rng.random()))
     return drawn
 
 
 async def async_faults(world: World, plan: SoakPlan, book: Book) -> None:
     """Bring the drawn faults about; return when the last one is over."""
-    made, tasks = _Faults(world, book), []
-    for fault in draw(plan):
-        await asyncio.sleep(fault.pause_s)
-        book.counts[f"fault_{fault.kind}"] += 1
-        tasks.append(asyncio.ensure_future(made.async_play(fault.kind, Random(fault.luck))))
-    await asyncio.gather(*tasks)
+    made = _Faults(world, book)
+
+    async def async_bring(faults: list[Drawn]) -> None:
+        tasks = []
+        for fault in faults:
+            await asyncio.sleep(fault.pause_s)
+            book.counts[f"fault_{fault.kind}"] += 1
+            tasks.append(asyncio.ensure_future(made.async_play(fault.kind, Random(fault.luck))))
+        await asyncio.gather(*tasks)
+
+    await asyncio.gather(async_bring(draw(plan)), async_bring(draw_further(plan)))
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -12,11 +12,13 @@
 
 from .model import POISON, Book
 
-__all__ = ["BOUND_S", "Judge"]
+__all__ = ["BOUND_S", "UNLISTED_BOUND_S", "Judge"]
 
 # The platform's bound on work of an ended job, and the time without trouble after which a gateway is
 # held to it; the bench's days name 3,000 ms for both.
 BOUND_S = 3.0
+# The platform's bound on work for a sampler whose entry is gone.
+UNLISTED_BOUND_S = 2.0
 # Under this many crashes of samplers a request is to be known, and this many runs may follow.
 _KNOWN_AFTER = 3
 _MAY_FOLLOW = 3
@@ -42,6 +44,7 @@
         self._now = now
         self._ends: dict[str, float] = {}
         self._newest: dict[str, tuple[int, float]] = {}
+        self._unlisted: dict[str, float] = {}
         self._trouble: dict[int, float] = {}
         self._store_trouble = -math.inf
         self._crashes = 0
@@ -64,6 +67,11 @@
         if self._newest.get(sampler.id, (0, 0.0))[0] < sampler.born:
             self._newest[sampler.id] = (sampler.born, self._now())
 
+    def unlisted(self, sampler: PlatformSampler) -> None:
+        """Take that a sampler's entry is gone for good, unless the store was out within the bound."""
+        if self._now() - self._store_trouble > BOUND_S:
+            self._unlisted[sampler.id] = self._now()
+
     def frozen(self, gateway: int) -> None:
         """Take that a gateway stands still, until `calm`."""
         self._trouble[gateway] = math.inf
@@ -101,6 +109,9 @@
         ended = self._ends.get(f"job{work[1]}") if work else None
         if ended is not None and now - ended > BOUND_S:
             self._late("reached_after_end", now - ended, sampler, request_id, port)
+        unlisted_for = now - self._unlisted.get(sampler.id, now)
+        if unlisted_for > UNLISTED_BOUND_S:
+            self._late("reached_unlisted", unlisted_for, sampler, request_id, port)
         born, since = self._newest.get(sampler.id, (0, now))
         if born > sampler.born and now - since > BOUND_S:
             self._late("reached_former_start", now - since, sampler, request_id, port)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -211,6 +211,14 @@
         self.store.put("keyed.servers", sampler.id, sampler.beat("draining"))
         self.add_sampler(sampler.service, sampler.model)
 
+    def unlist_sampler(self, sampler: PlatformSampler) -> None:
+        """Let a sampler leave that never tells so: its entry goes, and another takes its part."""
+        self.samplers.remove(sampler)
+        self.left.append(sampler)
+        self.store.put("keyed.servers", sampler.id, None)
+        self.judge.unlisted(sampler)
+        self.add_sampler(sampler.service, sampler.model)
+
     async def async_beat(self) -> None:
         """Write what each sampler serves, about once a second."""
         while True:
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -52,6 +52,8 @@
     hang_after: int = 0
     seal: bool = True
     spoil_id: int = 0
+    # So many answers of plain services, refusals too, come once more before the next on their connection.
+    late: int = 0
     # Texts that run at once and that wait at most; without a queue, any number runs.
     slots: int = 4
     queue: int | None = None
@@ -187,6 +189,7 @@
 
 
 class _Serve(_Handler):
+    _body = b""
     _holds = False
     _run: "asyncio.Future[None] | None" = None
     SUPPORTED_METHODS = ("GET", "POST", "PUT", "DELETE")
@@ -194,6 +197,7 @@
     async def serve(self) -> None:
         """Run a request as the fields say, or turn it away."""
         made, headers = self.sampler, self.request.headers
+        await self._async_repeat()
         if made.watch is not None:
             caller = self.request.connection.context.address  # type: ignore[union-attr]
             made.watch(made, headers.get("Attempt-Id", ""), caller[1])
@@ -277,7 +281,27 @@
         if made.model:
             await self._async_events(name)
             return
-        self.finish((b"answer to " + name.encode()).ljust(made.length, b"."))
+        self._body = (b"answer to " + name.encode()).ljust(made.length, b".")
+        self.finish(self._body)
+
+    async def _async_repeat(self) -> None:
+        """Send the answer again that is to come late on this connection."""
+        conn: Any = self.request.connection
+        late, conn.context.late_answer = getattr(conn.context, "late_answer", b""), b""
+        if late:
+            await conn.stream.write(late)
+
+    def on_finish(self) -> None:
+        """Keep the answer for the next request on the connection, if it is to come late."""
+        made = self.sampler
+        if made.model or not made.late:
+            return
+        made.late -= 1
+        told = (f"{name}: {value}" for name, value in self._headers.get_all())
+        head = "\r\n".join((f"HTTP/1.1 {self.get_status()} X", *told, "", ""))
+        self.request.connection.context.late_answer = (  # type: ignore[union-attr]
+            head.encode() + self._body
+        )
 
     def _reset(self) -> None:
         self.request.connection.detach().close()  # type: ignore[union-attr]
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -12,7 +12,7 @@
 
 from bench.soak.callers import Callers
 from bench.soak.entries import bad_entry
-from bench.soak.faults import draw
+from bench.soak.faults import draw, draw_further
 from bench.soak.judge import Judge
 from bench.soak.keys import KeyCallers
 from bench.soak.main import async_soak
@@ -62,6 +62,7 @@
     plan = SoakPlan(seed=3, fault_every_s=0.5)
     assert draw(plan) == draw(plan) and len(draw(plan)) > 50
     assert draw(plan) != draw(SoakPlan(seed=4, fault_every_s=0.5))
+    assert draw_further(plan) == draw_further(plan) and len(draw_further(plan)) > 10
 
 
 def test_no_drawn_entry_names_a_sampler() -> None:
@@ -173,6 +174,26 @@
     assert judged.broken() == ["reached_former_start", "used_a_bad_entry"]
 
 
+def test_work_for_a_sampler_whose_entry_is_gone_is_seen() -> None:
+    """Within the bound, after it, and where the store was out shortly before the entry went."""
+    judged = _Judged()
+    judged.judge.unlisted(judged.sampler)
+    judged.now += 1.9
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    assert judged.broken() == []
+    judged.now += 0.2
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    assert judged.broken() == ["reached_unlisted"]
+    other = PlatformSampler("plain")
+    judged.judge.store(down=True)
+    judged.judge.store(down=False)
+    judged.now += 2.9
+    judged.judge.unlisted(other)
+    judged.now += 9
+    judged.judge.reached(other, "safe1", 1)
+    assert judged.broken() == []
+
+
 def test_a_process_that_ends_by_itself_is_seen_and_started_again(tmp_path: Path) -> None:
     """One that a fault holds down is left to that fault."""
 
