End connections whose headers take longer than the configuration allows

A sender who trickled the headers of a request held its connection for the whole time that one may rest between requests, 15 s on the users' platform and 75 s elsewhere, instead of `header_timeout_ms` (3 s).

Cause: tornado has one time from the last answer to the whole headers of the next request, and it is set to the time that a connection may rest.

Ruled out: setting it shorter. Callers use connections again that have rested for up to four fifths of their time, and would meet a closed one.

Change: a server checks the connections that have a part of a request's headers, twice a second while it has any connection, answers 408 `slow_headers` and closes once their time is over. Gateways take it from the configuration; elsewhere it is `slow_sender_seconds`, which is said to bound the whole request.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -378,6 +378,7 @@
     def _on_routes(self, table: RouteTable) -> None:
         self._limits.max_body_bytes = table.limits.body_bytes
         self._limits.max_header_bytes = table.limits.header_bytes
+        self._limits.slow_headers = table.limits.header_timeout
         for server in self._http_servers:
             # Closing an idle connection before this limit could lose the caller's next request.
             server.conn_params.header_timeout = table.limits.idle_timeout.total_seconds()
--- a/cranberryline/helpers/http_server.py
+++ b/cranberryline/helpers/http_server.py
@@ -11,6 +11,7 @@
 
 from .input_limits import DROPPED_BYTES, GuardedMessage, InputLimits, LimitsGuard
 from .metrics import Metrics
+from .slow_headers import SlowHeaders
 
 __all__ = [
     "GracefulServer",
@@ -21,7 +22,7 @@
 ]
 
 _HEADER_MARGIN_BYTES = 256 * 1024
-# Between requests a connection may rest this long; it is also the time for the headers.
+# Between requests a connection may rest this long.
 _REST = timedelta(seconds=75)
 _SLOW_SENDER_MARGIN = timedelta(seconds=5)
 
@@ -38,6 +39,13 @@
         super().initialize(*args, **kwargs)
         self._newest: dict[HTTP1ServerConnection, GuardedMessage] = {}
         self._ending = False
+        self._slow_headers: SlowHeaders | None = None
+
+    def limit_headers(self, limits: InputLimits, metrics: Metrics) -> None:
+        """End connections whose sender takes longer for the headers of a request than the limits allow."""
+        self._slow_headers = SlowHeaders(
+            limits, metrics, lambda: [conn for conn in self._newest if self._at_rest(conn)]
+        )
 
     @property
     def open_requests(self) -> int:
@@ -74,11 +82,15 @@
             asyncio.get_running_loop().call_soon(self._close_at_rest, server_conn)
         message: GuardedMessage = super().start_request(server_conn, request_conn)
         self._newest[server_conn] = message
+        if self._slow_headers is not None:
+            self._slow_headers.start()
         return message
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that has ended."""
         self._newest.pop(server_conn, None)
+        if self._slow_headers is not None and not self._newest:
+            self._slow_headers.stop()
         super().on_close(server_conn)
 
     def _at_rest(self, conn: HTTP1ServerConnection) -> bool:
@@ -145,6 +157,7 @@
         body_timeout=(limits.slow_sender + _SLOW_SENDER_MARGIN).total_seconds(),
         idle_connection_timeout=_REST.total_seconds(),
     )
+    server.limit_headers(limits, metrics)
     host, _, port = address.rpartition(":")
     server.listen(int(port), host.strip("[]"))
     return server
--- a/cranberryline/helpers/input_limits.py
+++ b/cranberryline/helpers/input_limits.py
@@ -22,11 +22,18 @@
 from .metrics import Metrics
 from .problem import CONTENT_TYPE_PROBLEM, problem_body
 
-__all__ = ["DROPPED_BYTES", "GuardedMessage", "InputLimits", "LimitsGuard"]
+__all__ = [
+    "DROPPED_BYTES",
+    "REASON_SLOW_HEADERS",
+    "GuardedMessage",
+    "InputLimits",
+    "LimitsGuard",
+]
 
 REASON_BODY_TOO_LARGE = "body_too_large"
 REASON_HEADERS_TOO_LARGE = "headers_too_large"
 REASON_SLOW_SENDER = "slow_sender"
+REASON_SLOW_HEADERS = "slow_headers"
 
 # A body over the limit is read to its end and dropped, so that the sender, who reads only when he
 # has sent, gets his answer. Past this much more the answer goes out at once and the connection ends.
@@ -35,14 +42,21 @@
 
 @attrs.define
 class InputLimits:
-    """What a request may be at most, and how long its sender may take for the body.
+    """What a request may be at most, and how long its sender may take for the body and the headers.
 
-    A change counts from the next request on, up to what the server was opened with.
+    A change counts from the next request on, up to what the server was opened with. Without
+    `slow_headers` the headers may take as long as the body.
     """
 
     max_body_bytes: int
     max_header_bytes: int
     slow_sender: timedelta
+    slow_headers: timedelta | None = None
+
+    @property
+    def header_timeout(self) -> timedelta:
+        """Return how long the headers of a request may take from their first byte on."""
+        return self.slow_sender if self.slow_headers is None else self.slow_headers
 
 
 @attrs.frozen
--- /dev/null
+++ b/cranberryline/helpers/slow_headers.py
@@ -0,0 +1,82 @@
+"""End connections whose sender takes too long for the headers of a request.
+
+Tornado has one time for both: from the last answer to the whole headers of the next request. It has to be
+as long as a connection may rest, so a sender who trickles headers could hold connections for as long.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from http import HTTPStatus
+
+from tornado.http1connection import HTTP1ServerConnection
+
+from .input_limits import REASON_SLOW_HEADERS, InputLimits
+from .metrics import Metrics
+from .problem import CONTENT_TYPE_PROBLEM, problem_body
+
+__all__ = ["SlowHeaders"]
+
+_CHECK_INTERVAL = timedelta(milliseconds=500)
+
+
+class SlowHeaders:
+    """Checks the connections of a server, as long as it has any.
+
+    `waiting` yields the connections on which no whole headers of a request have been read since its last
+    answer. A connection ends up to two check intervals after its time is over.
+    """
+
+    def __init__(
+        self,
+        limits: InputLimits,
+        metrics: Metrics,
+        waiting: Callable[[], Iterable[HTTP1ServerConnection]],
+    ) -> None:
+        self._limits = limits
+        self._metrics = metrics
+        self._waiting = waiting
+        self._begun_at: dict[HTTP1ServerConnection, float] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Check the connections from now on."""
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(
+                _CHECK_INTERVAL.total_seconds(), self._check
+            )
+
+    def stop(self) -> None:
+        """Check no more; there is no connection left."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self._begun_at.clear()
+
+    def _check(self) -> None:
+        self._timer = None
+        now = asyncio.get_running_loop().time()
+        begun = [conn for conn in self._waiting() if _has_bytes(conn)]
+        self._begun_at = {conn: self._begun_at.get(conn, now) for conn in begun}
+        limit = self._limits.header_timeout.total_seconds()
+        for conn, begun_at in self._begun_at.items():
+            if now - begun_at >= limit:
+                self._refuse(conn)
+        self.start()
+
+    def _refuse(self, conn: HTTP1ServerConnection) -> None:
+        """Answer with 408 and close; nothing of the request was passed on."""
+        self._metrics.refuse(REASON_SLOW_HEADERS)
+        status = HTTPStatus.REQUEST_TIMEOUT
+        body = problem_body(status, REASON_SLOW_HEADERS, status.phrase)
+        head = (
+            f"HTTP/1.1 {status.value} {status.phrase}\r\nConnection: close\r\n"
+            f"Content-Type: {CONTENT_TYPE_PROBLEM}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        conn.stream.write(head.encode() + body)
+        conn.stream.close()
+
+
+def _has_bytes(conn: HTTP1ServerConnection) -> bool:
+    """Tell whether a part of the headers has come."""
+    return bool(conn.stream._read_buffer_size)  # noqa: SLF001 - no public way to ask
--- a/tests/helpers/test_http_server.py
+++ b/tests/helpers/test_http_server.py
@@ -174,6 +174,44 @@
     assert metrics.value(_METRIC, reason="slow_sender") == 1
 
 
+def test_slow_headers_are_refused_and_let_go() -> None:
+    """Guards against a sender who holds a connection by a header every now and then."""
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Any:
+        writer.write(_post(3) + b"abc")
+        first = await _async_answer(reader)
+        answer = asyncio.ensure_future(_async_answer(reader))
+        began = asyncio.get_running_loop().time()
+        for byte in b"POST / HTTP/1.1":
+            if answer.done():
+                break
+            writer.write(bytes((byte,)))
+            await asyncio.sleep(0.15)
+        took = asyncio.get_running_loop().time() - began
+        return first, await answer, await reader.read(), took
+
+    (first, answer, rest, took), metrics, ran = _talk(talk)
+    assert first == (200, b"3")
+    _check_refusal(answer, 408, "slow_headers")
+    assert (rest, ran) == (b"", [3]) and took < 2.0
+    assert metrics.value(_METRIC, reason="slow_headers") == 1
+
+
+def test_a_connection_without_a_request_may_rest() -> None:
+    """Guards against the time for headers ending connections that callers keep for later."""
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Any:
+        answers = []
+        for _ in range(2):
+            await asyncio.sleep(1.5)
+            writer.write(_post(3) + b"abc")
+            answers.append(await _async_answer(reader))
+        return answers
+
+    answers, _, _ = _talk(talk)
+    assert answers == [(200, b"3")] * 2
+
+
 def test_a_body_in_time_leaves_no_timer_behind() -> None:
     """A request that was sent in time is not refused while it, or the next one, is served."""
 
