Start from a peer's records while the store answers nobody

Cause: routes and upstreams were read from the store only, and peers were found through the store only.

Ruled out: relayed reads. A peer relays to the same store.

Change: gateways keep the newest records of three topics as they read them and give them to peers, without secrets. A gateway that the store has not answered within a second takes them from a peer that its new setting `seeds` names, and its tails follow on from their offsets. How old the records are stays unknown, so requests still confirm the configuration where the store can be read. It is ready although jobs cannot be read.

`GatewayProcess._on_operator_record` moves to OperatorRecords.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -8,8 +8,6 @@
 from datetime import timedelta
 from typing import Any
 
-from result import Err
-
 from cranberryline.decisions.read_budget import ReadBudget
 from cranberryline.dispatch.direct import DirectUpstreams
 from cranberryline.dispatch.dispatch import Dispatcher
@@ -25,8 +23,7 @@
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
-from cranberryline.platform.ports import NamedVersion, PlatformPort
-from cranberryline.ports.store import KeyedRecord
+from cranberryline.platform.ports import PlatformPort
 from cranberryline.routes import ActiveRoutes, RouteTable, confirm_by_tail
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
@@ -39,7 +36,9 @@
 from .ingress import IngressHandler
 from .links import DirectLinks
 from .nodes import NodeHeartbeat, NodeRegistry
+from .operator_records import OperatorRecords
 from .paced_log import PacedLog
+from .peer_copies import PATH_COPIES, CopyHandler, PeerCopies
 from .refusing_log import RefusingLog
 from .registrations import Registrations
 from .relay import PATH_RELAY, RelayedLog, RelayHandler
@@ -81,6 +80,7 @@
         self.metrics = Metrics()
         self.routes = ActiveRoutes()
         self.health = StoreHealth(clock, self.metrics)
+        redaction = Redaction(platform.topic_operator, platform.without_secrets)
         self.store = RelayedLog(
             PacedLog(
                 platform.log,
@@ -92,8 +92,9 @@
             self._relay_peers,
             clock,
             self.metrics,
-            Redaction(platform.topic_operator, platform.without_secrets),
+            redaction,
         )
+        self.copies = PeerCopies(self._relay_peers, clock, redaction)
         self.directory = Directory(
             clock, self.health, run_soon, source_name(platform.topic_upstreams)
         )
@@ -159,7 +160,27 @@
             SlotStore(self.store, platform.topic_slots, self.health),
             self.controls.controls,
         )
-        self._config_tail = self._make_tail(platform.topic_operator, self._on_operator_record)
+        self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
+        needs = VersionNeeds(
+            self.routes, lambda model: self.version_scheduler.requested_versions.get(model, 0)
+        )
+        self.version_scheduler = VersionScheduler(
+            platform.orders(self.directory.get),
+            self.lease,
+            self.registrations.engines,
+            needs.models,
+            needs.allowed_lag,
+            needs.finish_runs,
+            self.directory.record_version,
+            clock,
+            self.metrics,
+        )
+        self.operator_records = OperatorRecords(
+            platform, self.routes, self.health, self.version_scheduler.request_version
+        )
+        self._config_tail = self._make_tail(
+            platform.topic_operator, self.operator_records.apply_record
+        )
         self.confirmation = confirm_by_tail(self._config_tail, clock, cfg.config_max_age)
         self.runner = JobRunner(
             RunnerDependencies(
@@ -180,30 +201,8 @@
                 self.slots.lengths,
             )
         )
-        self.lease = LeaseKeeper(self.store, cfg.vm_id, cfg.lease, clock, self.health)
         self.usage = GatewayUsage(
-            cfg,
-            platform,
-            self.store,
-            self.lease,
-            self.nodes,
-            clock,
-            self.health,
-            self.metrics,
-        )
-        needs = VersionNeeds(
-            self.routes, lambda model: self.version_scheduler.requested_versions.get(model, 0)
-        )
-        self.version_scheduler = VersionScheduler(
-            platform.orders(self.directory.get),
-            self.lease,
-            self.registrations.engines,
-            needs.models,
-            needs.allowed_lag,
-            needs.finish_runs,
-            self.directory.record_version,
-            clock,
-            self.metrics,
+            cfg, platform, self.store, self.lease, self.nodes, clock, self.health, self.metrics
         )
         self._upstreams_tail = self._make_tail(
             platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
@@ -225,7 +224,9 @@
         """Return whether the load balancer should send callers to this gateway."""
         loaded = self._config_tail.loaded.is_set() and self._upstreams_tail.loaded.is_set()
         loaded = loaded and self._is_quarantine_ready() and self.controls.ready
-        return not self.stopping and loaded and self.routes.table is not None and self.jobs.loaded
+        # While the store is out jobs cannot be read, here or by a peer that has just started.
+        loaded = loaded and (self.jobs.loaded or self.copies.in_use)
+        return not self.stopping and loaded and self.routes.table is not None
 
     def start(self) -> None:
         """Open the ports and start the background tasks; raises OSError if a port is in use."""
@@ -260,22 +261,30 @@
         )
         self._admin_server = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
         relay = make_application(
-            [(PATH_RELAY, RelayHandler, {"log": self.store}), *self.slots.peer_handlers]
+            [
+                (PATH_RELAY, RelayHandler, {"log": self.store}),
+                (PATH_COPIES, CopyHandler, {"copies": self.copies}),
+                *self.slots.peer_handlers,
+            ]
         )
         self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
         for tail in (*self._startup_tails(), self.lease.tail):
             self._start_task(tail.async_run())
-        self._start_task(self.quarantine.async_run())
-        for partition_tail in self.jobs.tails:
-            self._start_task(self._async_tail_partition(partition_tail))
-        self._start_task(self.marks.async_run())
-        self._start_task(self.nodes.async_run())
-        self._start_task(self.runner.async_run())
-        self._start_task(self.lease.async_run())
-        self._start_task(self.version_scheduler.async_run())
-        self._start_task(self._async_expire_registrations())
-        for coroutine in (*self.usage.tasks(), *self.controls.tasks(), *self.slots.tasks()):
+        for coroutine in (
+            self.copies.async_run(),
+            self.quarantine.async_run(),
+            *(self._async_tail_partition(tail) for tail in self.jobs.tails),
+            self.marks.async_run(),
+            self.nodes.async_run(),
+            self.runner.async_run(),
+            self.lease.async_run(),
+            self.version_scheduler.async_run(),
+            self._async_expire_registrations(),
+            *self.usage.tasks(),
+            *self.controls.tasks(),
+            *self.slots.tasks(),
+        ):
             self._start_task(coroutine)
         _LOGGER.info("started", vm_id=self._cfg.vm_id, data_center=self._cfg.data_center)
 
@@ -333,10 +342,13 @@
         return self.nodes.live_nodes(self._clock.monotonic())
 
     def _relay_peers(self) -> list[str]:
-        return self.nodes.relay_peers()
+        seeds = [address for address in self._cfg.seeds if address != self._cfg.peer]
+        return self.nodes.relay_peers() or seeds
 
     def _make_tail(self, topic: str, on_key: Any, poll_pause: timedelta = timedelta()) -> KeyedTail:
-        return KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause)
+        on_key = self.copies.keep(topic, on_key)
+        tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause)
+        return self.copies.follow(tail)
 
     async def _async_tail_partition(self, tail: PartitionTail) -> None:
         """Read a partition of jobs from the offset in its mark, once plain requests can be served.
@@ -362,19 +374,6 @@
             await self._clock.async_sleep(_EXPIRY_INTERVAL)
             self.directory.expire()
 
-    def _on_operator_record(self, record: KeyedRecord) -> None:
-        read = self._platform.read_operator(record)
-        if isinstance(read, Err):
-            # The previous configuration stays active until the operator publishes a valid record.
-            detail = read.unwrap_err()
-            self.health.unsound("operator_record_unreadable", key=record.key, detail=detail)
-            return
-        change = read.unwrap()
-        if isinstance(change, RouteTable):
-            self.routes.apply(change)
-        elif isinstance(change, NamedVersion):
-            self.version_scheduler.request_version(change.model, change.version)
-
     def _on_routes(self, table: RouteTable) -> None:
         self._limits.max_body_bytes = table.limits.body_bytes
         self._limits.max_header_bytes = table.limits.header_bytes
--- a/cranberryline/helpers/tail.py
+++ b/cranberryline/helpers/tail.py
@@ -10,7 +10,14 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.ports.store import KeyedRecord, LogRead, SharedLog, StoreError, StoreProblem
+from cranberryline.ports.store import (
+    KeyedRecord,
+    KeyedSnapshot,
+    LogRead,
+    SharedLog,
+    StoreError,
+    StoreProblem,
+)
 
 from .clock import Clock
 from .store_health import StoreHealth, source_name
@@ -261,7 +268,22 @@
         loaded = await self._log.async_newest(self.topic, _SNAPSHOT_TIMEOUT)
         if isinstance(loaded, Err):
             return loaded.unwrap_err()
-        snapshot = loaded.unwrap()
+        self._take_snapshot(loaded.unwrap())
+        self.at_end = True
+        self.current_at, self._read_at = asked.monotonic, asked.elapsed
+        return None
+
+    def start_from(self, snapshot: KeyedSnapshot) -> bool:
+        """Take what another node has read, and follow on from there; False if this tail has loaded.
+
+        How old that is stays unknown until the store answers.
+        """
+        if self.loaded.is_set():
+            return False
+        self._take_snapshot(snapshot)
+        return True
+
+    def _take_snapshot(self, snapshot: KeyedSnapshot) -> None:
         found = {record.key for record in snapshot.records}
         for key in [key for key in self._offsets if key not in found]:
             self._hand_on(self._hand_over, KeyedRecord(key, b"", snapshot.end))
@@ -270,10 +292,7 @@
         for _ in range(snapshot.unreadable):
             self._health.unsound("store_record_unreadable", topic=self.topic)
         self.offset = max(self.offset, snapshot.end)
-        self.at_end = True
-        self.current_at, self._read_at = asked.monotonic, asked.elapsed
         self.loaded.set()
-        return None
 
     def _fold(self, offset: int, record: bytes) -> None:
         keyed = self._log.unpack_keyed(record)
--- a/cranberryline/settings/fields.py
+++ b/cranberryline/settings/fields.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Address",
+    "Addresses",
     "Choice",
     "FieldKind",
     "Milliseconds",
@@ -107,6 +108,27 @@
         return Ok(raw)
 
 
+class Addresses(FieldKind):
+    """A list of addresses, each once."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._each = Address()
+
+    @property
+    def allowed(self) -> str:
+        """Return what is allowed."""
+        return f"a list of up to {self._most} different addresses, each {self._each.allowed}"
+
+    def parse(self, raw: Any) -> Result[tuple[str, ...], str]:
+        """Return the addresses as written."""
+        if not isinstance(raw, list) or len(raw) > self._most:
+            return Err(self.allowed)
+        if any(self._each.parse(address).is_err() for address in raw) or len(set(raw)) < len(raw):
+            return Err(self.allowed)
+        return Ok(tuple(raw))
+
+
 class PeerAddress(FieldKind):
     """An address for peers, "tcp://127.0.0.1:7001"."""
 
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -27,6 +27,7 @@
     MAX_HEADER_BYTES,
     MAX_LOG_RETENTION_SECONDS,
     MAX_PARTITIONS,
+    MAX_SEEDS,
     MIN_BODY_BYTES,
     MIN_HEADER_BYTES,
     SLOT_SHARING_AUTO,
@@ -35,6 +36,7 @@
 )
 from .fields import (
     Address,
+    Addresses,
     Choice,
     FieldKind,
     Identifier,
@@ -159,6 +161,11 @@
     listen: str = _setting(Address(), "Where callers reach it over HTTP.")
     ready_listen: str = _setting(Address(), "Where /ready and /metrics are served.", key="ready")
     peer: str = _setting(Address(), "Where other gateways reach it.")
+    seeds: tuple[str, ...] = _setting(
+        Addresses(MAX_SEEDS),
+        "Where some other gateways may be reached, for a start while the store is out.",
+        (),
+    )
     partitions: int = _setting(
         Size(1, MAX_PARTITIONS), "Partitions of the store's topics.", DEFAULT_PARTITIONS
     )
