Count only time in which this process runs against slow headers

A gateway that stood still for some seconds while the headers of a request were under way would have refused their sender with 408 as soon as it went on.

Cause: the time was taken from the clock at the first check that saw a part of the headers.

Change: each check counts one interval.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -224,7 +224,7 @@
         """Return whether the load balancer should send callers to this gateway."""
         loaded = self._config_tail.loaded.is_set() and self._upstreams_tail.loaded.is_set()
         loaded = loaded and self._is_quarantine_ready() and self.controls.ready
-        # While the store is out jobs cannot be read, here or by a peer that has just started.
+        # Jobs cannot be read while the store is out; other requests are served by a peer's records.
         loaded = loaded and (self.jobs.loaded or self.copies.in_use)
         return not self.stopping and loaded and self.routes.table is not None
 
--- a/cranberryline/helpers/slow_headers.py
+++ b/cranberryline/helpers/slow_headers.py
@@ -24,7 +24,8 @@
     """Checks the connections of a server, as long as it has any.
 
     `waiting` yields the connections on which no whole headers of a request have been read since its last
-    answer. A connection ends up to two check intervals after its time is over.
+    answer. A connection ends up to two check intervals after its time is over. Each check counts one
+    interval, so that time in which this process does not run is not counted as the sender's.
     """
 
     def __init__(
@@ -36,7 +37,7 @@
         self._limits = limits
         self._metrics = metrics
         self._waiting = waiting
-        self._begun_at: dict[HTTP1ServerConnection, float] = {}
+        self._waited: dict[HTTP1ServerConnection, timedelta] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
@@ -51,16 +52,17 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._begun_at.clear()
+        self._waited.clear()
 
     def _check(self) -> None:
         self._timer = None
-        now = asyncio.get_running_loop().time()
-        begun = [conn for conn in self._waiting() if _has_bytes(conn)]
-        self._begun_at = {conn: self._begun_at.get(conn, now) for conn in begun}
-        limit = self._limits.header_timeout.total_seconds()
-        for conn, begun_at in self._begun_at.items():
-            if now - begun_at >= limit:
+        self._waited = {
+            conn: self._waited.get(conn, timedelta()) + _CHECK_INTERVAL
+            for conn in self._waiting()
+            if _has_bytes(conn)
+        }
+        for conn, waited in self._waited.items():
+            if waited > self._limits.header_timeout:
                 self._refuse(conn)
         self.start()
 
--- a/tests/helpers/test_http_server.py
+++ b/tests/helpers/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import time
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any
@@ -40,13 +41,13 @@
     get = post
 
 
-def _talk(talk: Talk) -> tuple[Any, Metrics, list[int]]:
+def _talk(talk: Talk, slow: timedelta = _SLOW) -> tuple[Any, Metrics, list[int]]:
     """Run a conversation with a new server; return its result, the metrics and what was run."""
     metrics, ran = Metrics(), []
 
     async def async_run() -> Any:
         app = Application([(".*", _Echo, {"ran": ran})], log_function=lambda _: None)
-        limits = InputLimits(_MAX_BODY, _MAX_HEADER, _SLOW)
+        limits = InputLimits(_MAX_BODY, _MAX_HEADER, slow)
         port = _free_port()
         server = open_http_server(app, f"127.0.0.1:{port}", limits, metrics)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -197,6 +198,23 @@
     assert metrics.value(_METRIC, reason="slow_headers") == 1
 
 
+def test_a_pause_of_the_process_is_not_counted_as_the_senders() -> None:
+    """Guards against refusals of senders whose headers were under way while a gateway stood still."""
+    slow = timedelta(seconds=1.5)
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Any:
+        head = _post(3)
+        writer.write(head[:9])
+        await asyncio.sleep(0.7)
+        time.sleep(2 * slow.total_seconds())  # noqa: ASYNC251 - the process stands still
+        await asyncio.sleep(0.1)
+        writer.write(head[9:] + b"abc")
+        return await _async_answer(reader)
+
+    answer, _, _ = _talk(talk, slow)
+    assert answer == (200, b"3")
+
+
 def test_a_connection_without_a_request_may_rest() -> None:
     """Guards against the time for headers ending connections that callers keep for later."""
 
