Keep the health's question after recent failures, which embedders use

The page of the library asks the store's health whether a call failed within a span. The change of the grace period had made that method private, as nothing else in the tree used it; the page's code failed (test_library).

--- a/cranberryline/helpers/store_health.py
+++ b/cranberryline/helpers/store_health.py
@@ -60,7 +60,7 @@
         if source in self._failing:
             self._failing.discard(source)
             self._recover()
-        if self._lost and not self._failed_within(_REGAINED_AFTER):
+        if self._lost and not self.failed_within(_REGAINED_AFTER):
             self._lost = False
             _LOGGER.info("store_regained")
 
@@ -97,7 +97,8 @@
             self._metrics.drop(reason)
         self._records.warning(reason, **fields)
 
-    def _failed_within(self, span: timedelta) -> bool:
+    def failed_within(self, span: timedelta) -> bool:
+        """Tell whether a call failed within the last `span`."""
         if self._last_failure is None:
             return False
         return self._clock.monotonic() - self._last_failure < span
