Do not send a request again on the connection that refused it

Cause: a refused request goes out again under the same id. On the connection that it was refused on, a late copy of that refusal bears the id that is expected, so it counted as the answer and the request was sent once more while it ran. The log shows three attempts that could not connect, then the answer of the third upstream, which was full and sent late copies then; refusals are not logged, so that one came in between is inferred.

Ruled out: the comparison of ids, since they are the same.

Change: a kept connection remembers the request that it carried last and is passed over for the same one. `KeptStreams` moves to a module of its own.

--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -171,6 +171,7 @@
         """Send a request; an answer that says so, and only that, means that it was not run."""
         left = str(max(1, in_milliseconds(timeout)))
         own = {HEADER_INSTANCE.lower(), HEADER_TIME_LEFT.lower(), HEADER_HOST.lower()}
+        request_id = _find(req.headers, HEADER_REQUEST_ID)
         headers = [pair for pair in req.headers if pair[0].lower() not in own]
         headers += [(HEADER_INSTANCE, self._id), (HEADER_TIME_LEFT, left)]
         host = _find(req.headers, HEADER_HOST) or ""
@@ -179,7 +180,8 @@
             UpstreamRequest(req.method, req.path, tuple(headers), req.body, host),
             timeout,
             self._pool,
-            match=partial(_match, _find(req.headers, HEADER_REQUEST_ID)),
+            match=partial(_match, request_id),
+            request_id=request_id or "",
         )
         if isinstance(sent, Err):
             return sent
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import enum
-import re
 import socket
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
@@ -30,11 +29,10 @@
     DEFAULT_CONNECT_TIMEOUT,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
-    MAX_KEPT,
-    MAX_KEPT_STREAMS,
     MAX_QUEUED_CHUNKS,
 )
 from .errors import PlatformError, PlatformReason, UpstreamCut
+from .kept_streams import KeptStreams
 from .model import UpstreamBody, UpstreamHead, UpstreamRequest
 
 __all__ = ["AnswerTo", "HttpOrigin", "KeptStreams", "async_exchange"]
@@ -54,14 +52,6 @@
     max_header_size=MAX_HEADER_BYTES,
     max_body_size=MAX_BODY_BYTES,
 )
-# Kept connections that nobody closed may have gone silent; past this a new one is surer.
-_DEFAULT_KEPT = timedelta(seconds=4)
-# What an upstream announces is when it closes; a request sent just before would be lost. A second is many
-# round trips, so long times are used to their last second: engines that serve every second step of a
-# trainer rest for eight, and are told to be kept for ten.
-_KEPT_SHARE = 0.7
-_KEPT_MARGIN = 1.0
-_KEPT_SECONDS = re.compile(r"timeout=(\d+)")
 _MAX_STRAY_ANSWERS = 2
 
 
@@ -76,71 +66,6 @@
 MatchAnswer = Callable[[UpstreamHead], AnswerTo]
 
 
-class KeptStreams:
-    """Connections to one upstream that wait for their next request.
-
-    A connection on which bytes stand unread carries an answer that nobody asked for; given to the
-    next request it would be taken for that request's answer, so such a connection is closed.
-    """
-
-    def __init__(self, most: int = MAX_KEPT_STREAMS) -> None:
-        self._most = most
-        self._idle: list[tuple[float, IOStream]] = []
-
-    def take(self) -> IOStream | None:
-        """Return the connection that was used last and is still sound, or None."""
-        now = asyncio.get_running_loop().time()
-        while self._idle:
-            until, stream = self._idle.pop()
-            if now < until and _is_quiet(stream):
-                return stream
-            stream.close()
-        return None
-
-    def put(self, stream: IOStream, headers: HTTPHeaders) -> None:
-        """Keep a connection after a whole answer, unless its end was announced."""
-        closing = headers.get("Connection", "").lower() == "close"
-        if closing or len(self._idle) >= self._most or not _is_quiet(stream):
-            stream.close()
-            return
-        told = _KEPT_SECONDS.search(headers.get("Keep-Alive", ""))
-        seconds = _DEFAULT_KEPT.total_seconds()
-        if told is not None:
-            announced = int(told[1])
-            seconds = max(announced * _KEPT_SHARE, announced - _KEPT_MARGIN)
-            seconds = min(seconds, MAX_KEPT.total_seconds())
-        self._idle.append((asyncio.get_running_loop().time() + seconds, stream))
-
-    def ready(self) -> bool:
-        """Tell whether the next request would go out on a connection that waits."""
-        now = asyncio.get_running_loop().time()
-        return any(now < until and _is_quiet(stream) for until, stream in self._idle)
-
-    def count(self) -> int:
-        """Return how many connections wait and are still sound."""
-        now = asyncio.get_running_loop().time()
-        return sum(now < until and _is_quiet(stream) for until, stream in self._idle)
-
-    def close(self) -> None:
-        """Close every connection that waits."""
-        for _, stream in self._idle:
-            stream.close()
-        self._idle.clear()
-
-
-def _is_quiet(stream: IOStream) -> bool:
-    """Tell whether a connection is open and has nothing to read."""
-    if stream.closed() or stream._read_buffer_size:  # noqa: SLF001 - no public way to ask
-        return False
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
-    return False
-
-
 class HttpOrigin:
     """The address of an HTTP server, taken from its URL."""
 
@@ -263,7 +188,11 @@
 
 
 async def _async_receive(
-    conn: HTTP1Connection, stream: IOStream, receiver: _Receiver, pool: KeptStreams | None
+    conn: HTTP1Connection,
+    stream: IOStream,
+    receiver: _Receiver,
+    pool: KeptStreams | None,
+    request_id: str,
 ) -> None:
     """Read one answer; the receiver's `whole` says afterwards how it ended."""
     reusable = False
@@ -287,7 +216,7 @@
     # Given away before, while the end waits for room, the connection could be closed under another request
     # by a reader who leaves this answer.
     if pool is not None and keep and not stream.closed():
-        pool.put(conn.detach(), receiver.headers)
+        pool.put(conn.detach(), receiver.headers, request_id)
 
 
 async def _async_connect(origin: HttpOrigin, timeout: float) -> Result[IOStream, PlatformError]:
@@ -332,14 +261,16 @@
     pool: KeptStreams | None = None,
     connect: timedelta = DEFAULT_CONNECT_TIMEOUT,
     match: MatchAnswer | None = None,
+    request_id: str = "",
 ) -> Result[UpstreamBody, PlatformError]:
     """Send a request and return once its answer's head is there; `timeout` bounds it all.
 
-    Where `match` is given, answers to other requests that stand before this one's are passed over.
+    Where `match` is given, answers to other requests that stand before this one's are passed over. A
+    request with the same `request_id` goes out on another connection of the pool than the last one.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout.total_seconds()
-    stream = None if pool is None else pool.take()
+    stream = None if pool is None else pool.take(request_id)
     if stream is None:
         connect_s = min(timeout, connect).total_seconds()
         match await _async_connect(origin, connect_s):
@@ -357,7 +288,7 @@
     except ValueError as exc:
         stream.close()
         return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc), may_have_run=False))
-    task = asyncio.create_task(_async_receive(conn, stream, receiver, pool))
+    task = asyncio.create_task(_async_receive(conn, stream, receiver, pool, request_id))
     body = _HttpBody(stream, receiver, task, deadline, pool is not None)
     return await _async_head(body, receiver, deadline)
 
