Measure how long after its leave an upstream still gets requests

The report of requests that reached draining upstreams names no times, and nothing here measured any: the soak judged only upstreams whose entry had gone, and told neither the last arrival nor the margin to the bound.

DrainBook keeps both. The soak judges samplers that report that they drain, too, prints drain_last_ms and drain_margin_ms, and reaches the store through a relay whose open connections can go silent. `script/bench drain` lets upstreams leave beside one disruption at a time.

No product code is changed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "fold",
     "steps",
     "soak",
+    "drain",
     "fairness",
     "keys",
     "slots",
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -1,4 +1,4 @@
-"""What may not reach a sampler: work of ended jobs, work for a former start, work for no sampler."""
+"""What may not reach a sampler: work of ended jobs, work for one that left, work for no sampler."""
 
 import math
 import os
@@ -8,17 +8,18 @@
 from contextlib import suppress
 from pathlib import Path
 
+from stand_ins.drains import DrainBook
 from stand_ins.platform_sampler import PlatformSampler
 
 from .model import POISON, Book
 
-__all__ = ["BOUND_S", "UNLISTED_BOUND_S", "Judge"]
+__all__ = ["BOUND_S", "DRAIN_BOUND_S", "Judge"]
 
 # The platform's bound on work of an ended job, and the time without trouble after which a gateway is
 # held to it; the bench's days name 3,000 ms for both.
 BOUND_S = 3.0
-# The platform's bound on work for a sampler whose entry is gone.
-UNLISTED_BOUND_S = 2.0
+# The platform's bound on work for a sampler that drains or whose entry is gone.
+DRAIN_BOUND_S = 2.0
 # Under this many crashes of samplers a request is to be known, and this many runs may follow.
 _KNOWN_AFTER = 3
 _MAY_FOLLOW = 3
@@ -44,7 +45,8 @@
         self._now = now
         self._ends: dict[str, float] = {}
         self._newest: dict[str, tuple[int, float]] = {}
-        self._unlisted: dict[str, float] = {}
+        self.drains = DrainBook(now)
+        self._unlisted: set[str] = set()
         self._trouble: dict[int, float] = {}
         self._store_trouble = -math.inf
         self._crashes = 0
@@ -70,7 +72,13 @@
     def unlisted(self, sampler: PlatformSampler) -> None:
         """Take that a sampler's entry is gone for good, unless the store was out within the bound."""
         if self._now() - self._store_trouble > BOUND_S:
-            self._unlisted[sampler.id] = self._now()
+            self._unlisted.add(sampler.id)
+            self.drains.left(sampler.id)
+
+    def draining(self, sampler: PlatformSampler) -> None:
+        """Take that a sampler has told that it drains, unless the store was out within the bound."""
+        if self._now() - self._store_trouble > BOUND_S:
+            self.drains.left(sampler.id)
 
     def frozen(self, gateway: int) -> None:
         """Take that a gateway stands still, until `calm`."""
@@ -109,9 +117,9 @@
         ended = self._ends.get(f"job{work[1]}") if work else None
         if ended is not None and now - ended > BOUND_S:
             self._late("reached_after_end", now - ended, sampler, request_id, port)
-        unlisted_for = now - self._unlisted.get(sampler.id, now)
-        if unlisted_for > UNLISTED_BOUND_S:
-            self._late("reached_unlisted", unlisted_for, sampler, request_id, port)
+        left_for = self.drains.since_left(sampler.id)
+        if left_for is not None:
+            self._reached_leaving(left_for, sampler, request_id, port)
         born, since = self._newest.get(sampler.id, (0, now))
         if born > sampler.born and now - since > BOUND_S:
             self._late("reached_former_start", now - since, sampler, request_id, port)
@@ -119,6 +127,16 @@
             # Sent to the former start, whose id and address it has; nobody could know of this one.
             self._book.counts[f"{'work' if work else 'plain'}_reached_before_entry"] += 1
 
+    def _reached_leaving(
+        self, left_for: float, sampler: PlatformSampler, request_id: str, port: int
+    ) -> None:
+        if left_for > DRAIN_BOUND_S:
+            gone = sampler.id in self._unlisted
+            kind = "reached_unlisted" if gone else "reached_draining"
+            if not self._late(kind, left_for, sampler, request_id, port):
+                return
+        self.drains.reached(sampler.id)
+
     def _late_poison(
         self, late: float, sampler: PlatformSampler, request_id: str, port: int
     ) -> None:
@@ -136,12 +154,14 @@
 
     def _late(
         self, what: str, late: float, sampler: PlatformSampler, request_id: str, port: int
-    ) -> None:
+    ) -> bool:
+        """Note what came too late; return False if its gateway is excused."""
         if self._excused(port):
             self._book.counts[f"excused_{what}"] += 1
-            return
+            return False
         told = f"{self._told(sampler, request_id, port)}, {late:.2f} s after"
         self._book.break_promise(what, told)
+        return True
 
     def _told(self, sampler: PlatformSampler, request_id: str, port: int) -> str:
         return f"{request_id} at {sampler.id}@{sampler.born} from front-{self._gateway(port)}"
--- a/bench/soak/main.py
+++ b/bench/soak/main.py
@@ -8,9 +8,12 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from stand_ins.drains import DrainBook
+
 from .callers import Callers
 from .faults import async_faults
 from .holders import Holders
+from .judge import DRAIN_BOUND_S
 from .keys import KeyCallers
 from .model import Book, SoakPlan
 from .poison import Poisoner
@@ -57,6 +60,7 @@
         callers.check_runs()
         keys.check_runs()
         world.reports.check()
+        _note_drains(world.judge.drains, book)
         for task in (*minded, *kept):
             if task.done():
                 task.result()  # it never ends, so this tells why it has
@@ -66,6 +70,13 @@
     return book
 
 
+def _note_drains(drains: DrainBook, book: Book) -> None:
+    """Note how long after its leave the last request reached a sampler, and the margin to the bound."""
+    book.counts["drain_leaves"] = len(drains.leaves)
+    book.counts["drain_last_ms"] = round(1000 * drains.last_after)
+    book.counts["drain_margin_ms"] = round(1000 * (DRAIN_BOUND_S - drains.last_after))
+
+
 def main(argv: list[str]) -> int:
     """Run a soak; the exit code is 1 if a promise was broken."""
     parser = argparse.ArgumentParser(prog="script/bench soak", description=__doc__)
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -18,6 +18,7 @@
 from stand_ins.process import Process, free_ports
 
 from .judge import Judge
+from .links import StoreLinks
 from .model import ALPHA_KEY, ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
 from .reports import LATE_S, WINDOW_S, Reports
 
@@ -46,6 +47,7 @@
         self.trap = PlatformSampler("trap", watch=self.judge.trapped)
         self.dead: set[PlatformSampler] = set()
         self.store = PlatformStore()
+        self.links = StoreLinks()
         self.samplers: list[PlatformSampler] = []
         self.version = 1
         self.fronts: list[int] = []
@@ -72,7 +74,7 @@
             for _ in range(_SAMPLERS):
                 self.add_sampler(service, model)
         for number in range(self._plan.gateways):
-            self._make_gateway(number)
+            self._make_gateway(number, await self.links.async_add(self.store.address))
         async with asyncio.timeout(_READY_S):
             for port in self.ready:
                 while not await self._async_is_ready(port):  # noqa: ASYNC110 - another process
@@ -85,6 +87,7 @@
             gateway.kill()
         for sampler in (*self.samplers, *self.left, self.trap):
             sampler.stop()
+        self.links.stop()
         self.store.stop()
         self.reports.api.stop()
 
@@ -209,6 +212,7 @@
         self.samplers.remove(sampler)
         self.left.append(sampler)
         self.store.put("keyed.servers", sampler.id, sampler.beat("draining"))
+        self.judge.draining(sampler)
         self.add_sampler(sampler.service, sampler.model)
 
     def unlist_sampler(self, sampler: PlatformSampler) -> None:
@@ -259,12 +263,12 @@
         except (OSError, HTTPError):
             return None
 
-    def _make_gateway(self, number: int) -> None:
+    def _make_gateway(self, number: int, store: str) -> None:
         front, ready, peer = free_ports(3)
         settings = {
             "vm_id": f"front-{number}",
             "data_center": "levis",
-            "store": self.store.address,
+            "store": store,
             "listen": f"127.0.0.1:{front}",
             "ready": f"127.0.0.1:{ready}",
             "peer": f"127.0.0.1:{peer}",
--- a/stand_ins/relay.py
+++ b/stand_ins/relay.py
@@ -1,6 +1,7 @@
 """A TCP relay between two processes, whose open connections can go silent while new ones work."""
 
 import asyncio
+from contextlib import suppress
 from typing import Any
 
 import attrs
@@ -20,11 +21,13 @@
     """`silence` names links ("*" for all) whose present connections carry nothing any more.
 
     They stay open at both ends; connections made later work. `way` is "both", "forth" (what the
-    dialling end sends is lost) or "back". `delay_s` holds back each piece.
+    dialling end sends is lost) or "back". `delay_s` holds back each piece. While `refused` is set,
+    connections are closed, new ones too.
     """
 
     silence: list[str] = attrs.field(factory=list)
     way: str = WAY_BOTH
+    refused: bool = False
     delay_s: float = 0.0
 
 
@@ -36,6 +39,7 @@
     silent: bool = False
     lost_ways: frozenset[str] = frozenset()
     passed: int = 0
+    task: "asyncio.Task[None] | None" = None
 
 
 class RelayStandIn(StandIn):
@@ -62,17 +66,26 @@
         for name, listen, target in self._plans:
             self._servers.append(await self._async_listen(name, int(listen), int(target)))
 
+    def stop(self) -> None:
+        """Stop listening; open connections stay."""
+        for server in self._servers:
+            server.close()
+
     def changed(self) -> None:
-        """Silence the connections that are open now; the wish does not outlive them."""
+        """Silence or close the connections that are open now; the wish does not outlive them."""
         wanted, self.controls.silence = set(self.controls.silence), []
         for link in self._links:
             if wanted & {link.name, "*"}:
                 link.silent = True
                 link.lost_ways |= _lost_ways(self.controls.way)
+            if self.controls.refused and link.task is not None:
+                link.task.cancel()
 
     async def _async_listen(self, name: str, listen: int, target: int) -> asyncio.Server:
         async def async_accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await self._async_link(_Link(name), target, reader, writer)
+            # asyncio reports a handler that is cancelled at the end of its loop as an error.
+            with suppress(asyncio.CancelledError):
+                await self._async_link(_Link(name), target, reader, writer)
 
         return await asyncio.start_server(async_accept, "127.0.0.1", listen)
 
@@ -80,6 +93,10 @@
         self, link: _Link, port: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Relay one connection both ways until an end closes it."""
+        if self.controls.refused:
+            writer.close()
+            return
+        link.task = asyncio.current_task()
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", port)
         except OSError:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -194,6 +194,23 @@
     assert judged.broken() == []
 
 
+def test_work_for_a_sampler_that_drains_is_seen_and_its_margin_told() -> None:
+    """Within the bound, after it, and from a gateway that stood still, which does not count."""
+    judged = _Judged()
+    judged.judge.draining(judged.sampler)
+    judged.now += 1.5
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    assert judged.broken() == [] and judged.judge.drains.last_after == pytest.approx(1.5)
+    judged.now += 1.0
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        judged.judge.frozen(0)
+        judged.judge.reached(judged.sampler, "safe1", server.getsockname()[1])
+    assert judged.broken() == [] and judged.judge.drains.last_after == pytest.approx(1.5)
+    judged.judge.reached(judged.sampler, "safe1", 1)
+    assert judged.broken() == ["reached_draining"]
+    assert judged.judge.drains.last_after == pytest.approx(2.5)
+
+
 def test_a_process_that_ends_by_itself_is_seen_and_started_again(tmp_path: Path) -> None:
     """One that a fault holds down is left to that fault."""
 
