Tell how old what is known of upstreams is, and what is sent to leaving ones

Nothing in the logs or metrics could tell why a draining upstream still gets requests: by a registration that was read late, by one that was kept though its entry had gone, or by a request that had been handed over before.

upstream_registered and upstream_gone tell in unread_ms for how long their record may have stood unread; the histogram registrations_age_seconds tells the same at each send; sent_to_leaving counts sends to upstreams that this process knows to be leaving. The hook for both is UpstreamRequest.may_send, asked once a connection is there; it never refuses yet.

No logic is changed.

--- a/cranberryline/dispatch/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 from cranberryline.configs import ServiceSpec
 from cranberryline.configs.const import DEFAULT_CONCURRENCY
@@ -172,7 +173,11 @@
 
 
 class DirectUpstreams:
-    """Create direct links to upstreams, and drain all of them on a planned shutdown."""
+    """Create direct links to upstreams, and drain all of them on a planned shutdown.
+
+    `on_send` is called directly before a request's first byte is written, with whether its upstream is
+    known to be leaving.
+    """
 
     def __init__(
         self,
@@ -184,7 +189,9 @@
         spec: Callable[[str], ServiceSpec | None],
         on_slot_free: Callable[[], None],
         connect: Callable[[VmEntry], PlainServicePort] | None = None,
+        on_send: Callable[[bool], None] = lambda _draining: None,
     ) -> None:
+        self._on_send = on_send
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -213,6 +220,7 @@
             port.connected,
             port.idle_connections,
         )
+        execution.may_send = partial(self._record_send, link)
         self._prune(vm.id)
         if len(self._links) >= self._prune_at:
             for vm_id in list(self._links):
@@ -250,6 +258,10 @@
         await asyncio.gather(*(link.runner.async_wait_idle() for link in self._all_links()))
         await asyncio.gather(*(claims.async_stop() for claims in self._claims.values()))
 
+    def _record_send(self, link: DirectUpstream) -> bool:
+        self._on_send(link.draining)
+        return True
+
     def _all_links(self) -> list[DirectUpstream]:
         return [link for links in self._links.values() for link in links]
 
--- a/cranberryline/execution/execution.py
+++ b/cranberryline/execution/execution.py
@@ -56,13 +56,16 @@
 
 @attrs.define
 class Execution:
-    """Run requests at an upstream, with a claim for those that have an idempotency key."""
+    """Run requests at an upstream, with a claim for those that have an idempotency key.
+
+    `may_send` is called directly before the first byte of a request is written.
+    """
 
     clock: Clock
     metrics: Metrics
     upstream: PlainServicePort
     claims: ClaimService
-    may_start: Callable[[], bool] = lambda: True
+    may_send: Callable[[], bool] = lambda: True
 
     async def async_run(self, request: Held) -> None:
         """Run a request; every path out of this method sends the entry a final message."""
@@ -101,7 +104,7 @@
             # The event loop may have been busy for any time since the request left the queue.
             send_not_run(msg.id, RunnerReason.NO_LONGER_WANTED.value, request.reply, self.metrics)
             return
-        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body)
+        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body, may_send=self.may_send)
         request.sent = True
         sent = await self.upstream.async_send(req, self._time_left(request))
         if isinstance(sent, Err):
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -15,7 +15,7 @@
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.logging import Level, get_logger, set_level
-from cranberryline.helpers.metrics import Metrics, MetricsHandler
+from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.shutdown import StopOutcome
 from cranberryline.helpers.store_health import StoreHealth, source_name
 from cranberryline.helpers.tail import KeyedTail, PartitionTail
@@ -31,18 +31,20 @@
 from cranberryline.workspaces import KeyCheck
 
 from .controls import GatewayControls
-from .handler import GatewayContext, ReadyHandler
-from .holds import PATH_HOLDS, HoldsHandler, QuarantineParts, make_quarantine
+from .handler import GatewayContext
+from .holds import QuarantineParts, make_quarantine
 from .ingress import IngressHandler
 from .links import DirectLinks
 from .nodes import NodeHeartbeat, NodeRegistry
 from .operator_records import OperatorRecords
 from .paced_log import PacedLog
-from .peer_copies import PATH_COPIES, CopyHandler, PeerCopies
+from .peer_copies import PeerCopies
 from .refusing_log import RefusingLog
+from .registration_age import RegistrationAge
 from .registrations import Registrations
-from .relay import PATH_RELAY, RelayedLog, RelayHandler
+from .relay import RelayedLog
 from .relay_calls import Redaction
+from .servers import make_peer_application, make_status_application
 from .slots import GatewaySlots, SlotStore
 from .stop import StopParts, async_stop_gateway
 from .tasks import log_task_failure, make_application, run_soon
@@ -95,8 +97,13 @@
             redaction,
         )
         self.copies = PeerCopies(self._relay_peers, clock, redaction)
+        self.registration_age = RegistrationAge(self.metrics)
         self.directory = Directory(
-            clock, self.health, run_soon, source_name(platform.topic_upstreams)
+            clock,
+            self.health,
+            run_soon,
+            source_name(platform.topic_upstreams),
+            self.registration_age.unread_for,
         )
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.upstreams = UpstreamTable(self.directory.served_versions)
@@ -109,6 +116,7 @@
             self.routes.spec,
             self._wake,
             platform.connect,
+            self.registration_age.record_send,
         )
         self.controls = GatewayControls(cfg, platform, self.store, clock, self.health, self.metrics)
         self.links = DirectLinks(self.upstreams, self.direct_upstreams, self.controls.is_cordoned)
@@ -204,8 +212,10 @@
         self.usage = GatewayUsage(
             cfg, platform, self.store, self.lease, self.nodes, clock, self.health, self.metrics
         )
-        self._upstreams_tail = self._make_tail(
-            platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
+        self._upstreams_tail = self.registration_age.follow(
+            self._make_tail(
+                platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
+            )
         )
         self._nodes_tail = self._make_tail(
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
@@ -250,24 +260,15 @@
         )
         app = make_application([(r".*", IngressHandler, {"context": context})])
         self._caller_server = open_http_server(app, self._cfg.listen, limits, self.metrics)
-        status = make_application(
-            [
-                (r"/metrics", MetricsHandler, {"metrics": self.metrics}),
-                (PATH_HOLDS, HoldsHandler, {"quarantine": self.quarantine}),
-                *self.slots.status_handlers,
-                *self.controls.handlers(),
-                (r".*", ReadyHandler, {"ready": lambda: self.ready}),
-            ]
+        status = make_status_application(
+            self.metrics,
+            self.quarantine,
+            lambda: self.ready,
+            [*self.slots.status_handlers, *self.controls.handlers()],
         )
         self._admin_server = open_http_server(status, self._cfg.ready_listen, limits, self.metrics)
-        relay = make_application(
-            [
-                (PATH_RELAY, RelayHandler, {"log": self.store}),
-                (PATH_COPIES, CopyHandler, {"copies": self.copies}),
-                *self.slots.peer_handlers,
-            ]
-        )
-        self._peer_server = open_http_server(relay, self._cfg.peer, limits, self.metrics)
+        peers = make_peer_application(self.store, self.copies, self.slots.peer_handlers)
+        self._peer_server = open_http_server(peers, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
         for tail in (*self._startup_tails(), self.lease.tail):
             self._start_task(tail.async_run())
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -19,6 +19,7 @@
 # From a loopback answer to the longest sample that a trainer would still wait for.
 _LATENCY_BUCKETS = (0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0, 10.0, 30.0, 100.0, 300.0)
 
+_AGE_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75, 2.0, 2.5, 3.0, 5.0, 10.0)
 
 # The time of each counter's first use doubles the page and tells nothing here.
 disable_created_metrics()
@@ -80,6 +81,19 @@
             namespace=_NAMESPACE,
             registry=self.registry,
         )
+        self.registrations_age = Histogram(
+            "registrations_age_seconds",
+            "For how long a change of the registrations may have stood unread at each send.",
+            namespace=_NAMESPACE,
+            buckets=_AGE_BUCKETS,
+            registry=self.registry,
+        )
+        self.sent_to_leaving = Counter(
+            "sent_to_leaving",
+            "Requests sent to an upstream that this process knew to be leaving.",
+            namespace=_NAMESPACE,
+            registry=self.registry,
+        )
         self.usage_reports = self._counter(
             "usage_reports", "Reports of use that were sent.", "outcome"
         )
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -7,6 +7,7 @@
 from ipaddress import IPv6Address
 from typing import Annotated, Any
 
+import attrs
 import msgspec
 from result import Err, Ok, Result
 
@@ -177,7 +178,7 @@
         host = _find(req.headers, HEADER_HOST) or ""
         sent = await async_exchange(
             self._origin,
-            UpstreamRequest(req.method, req.path, tuple(headers), req.body, host),
+            attrs.evolve(req, headers=tuple(headers), host=host),
             timeout,
             self._pool,
             match=partial(_match, request_id),
--- a/cranberryline/ports/errors.py
+++ b/cranberryline/ports/errors.py
@@ -17,6 +17,7 @@
     TIMEOUT = "timeout"
     CUT = "cut"  # the connection ended before the answer did
     BAD_ANSWER = "bad_answer"
+    WITHHELD = "withheld"  # the sender no longer wanted it sent once a connection was there
     START_OVER = "start_over"  # the start that was asked for is over; another may be there
 
 
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -278,6 +278,9 @@
                 return err
             case Ok(stream):
                 pass
+    if req.may_send is not None and not req.may_send():
+        stream.close()
+        return Err(PlatformError(PlatformReason.WITHHELD, "not wanted", may_have_run=False))
     params = _PARAMS if pool is None else _KEPT_PARAMS
     conn = HTTP1Connection(stream, is_client=True, params=params)
     receiver = _Receiver(match)
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -2,7 +2,7 @@
 
 import abc
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from datetime import datetime, timedelta
 from typing import Any
 
@@ -118,13 +118,18 @@
 
 @attrs.frozen
 class UpstreamRequest:
-    """What goes to an upstream; `path` keeps its query, an empty `host` names the upstream's own."""
+    """What goes to an upstream; `path` keeps its query, an empty `host` names the upstream's own.
+
+    `may_send` is asked once a connection is there, directly before the first byte is written; where it
+    returns False nothing is sent.
+    """
 
     method: str
     path: str
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     host: str = ""
+    may_send: Callable[[], bool] | None = None
 
 
 @attrs.frozen
--- a/cranberryline/upstreams/directory.py
+++ b/cranberryline/upstreams/directory.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
-from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.clock import Clock, in_milliseconds
 from cranberryline.helpers.logging import get_logger
 from cranberryline.helpers.tail import StoreHealth
 from cranberryline.ports.model import VmEntry, VmRole, VmState
@@ -64,7 +64,8 @@
     Registrations are addressed by upstream id, all other methods and listeners by incarnation key.
     `call_later` schedules one callback soon, so that N entries that are read at once are published
     once, and listeners of the membership do the work of a change once. `source` names the partition
-    of the store that the registrations are read from.
+    of the store that the registrations are read from. `unread_for` returns for how long a change of it
+    may have stood unread, None before the first read.
     """
 
     def __init__(
@@ -73,7 +74,9 @@
         health: StoreHealth,
         call_later: Callable[[Callable[[], None]], object] | None = None,
         source: str = "",
+        unread_for: Callable[[], timedelta | None] = lambda: None,
     ) -> None:
+        self._unread_for = unread_for
         self._source = source
         self.membership = Membership(may_be_empty=True)
         self._clock = clock
@@ -136,6 +139,7 @@
                 upstream=registration.key,
                 service=registration.service,
                 draining=registration.draining,
+                unread_ms=self._unread_ms(),
             )
             self._publish()
         return Ok(None)
@@ -251,7 +255,12 @@
         self._key_by_id.pop(registration.id, None)
         self._lapsed_until.pop(key, None)
         self._reported_versions.pop(key, None)
-        _LOGGER.info("upstream_gone", upstream=key)
+        _LOGGER.info("upstream_gone", upstream=key, unread_ms=self._unread_ms())
+
+    def _unread_ms(self) -> int | None:
+        """Return the milliseconds that a record may have stood unread that is applied now."""
+        unread_for = self._unread_for()
+        return None if unread_for is None else in_milliseconds(unread_for)
 
     def _publish(self) -> None:
         if self._call_later is None:
