Reproduce late work for upstreams that leave

- tests/platform/test_drain.py: two gateways, whose open connections to the store go silent 0 or 0.4 s before an upstream drains or its entry is removed; new connections work.
- tests/dispatch/test_direct_drain.py: a request that waits for its connection, or behind others, at an upstream that leaves is sent to it; three upstreams that leave in turn use up the attempts of a request that was never sent.

The stand-in for the store's links moved from the soak to stand_ins, since these scenes share it.

--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -16,9 +16,9 @@
 from stand_ins.platform_store import PlatformStore
 from stand_ins.ports import holders
 from stand_ins.process import Process, free_ports
+from stand_ins.store_links import StoreLinks
 
 from .judge import Judge
-from .links import StoreLinks
 from .model import ALPHA_KEY, ENGINES, HOST, MODEL, PLAIN, POISON, Book, SoakPlan, config
 from .reports import LATE_S, WINDOW_S, Reports
 
--- a/bench/soak/links.py
+++ b/stand_ins/store_links.py
@@ -1,7 +1,7 @@
 """The links between gateways and the store, whose open connections can go silent while new ones work."""
 
-from stand_ins.process import free_ports
-from stand_ins.relay import RelayControls, RelayStandIn
+from .process import free_ports
+from .relay import RelayControls, RelayStandIn
 
 __all__ = ["StoreLinks"]
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -14,9 +14,11 @@
 from cranberryline.helpers.clock import SystemClock
 from cranberryline.platform.adapter import UsersPlatform
 from cranberryline.settings import GatewaySettings
+from stand_ins.drains import DrainBook
 from stand_ins.platform_sampler import PlatformSampler
 from stand_ins.platform_store import PlatformStore
 from stand_ins.process import free_ports
+from stand_ins.store_links import StoreLinks
 
 HOST = "files.example"
 MODEL = "m0"
@@ -92,6 +94,9 @@
     gateways: list[GatewayProcess] = attrs.field(factory=list)
     addresses: list[str] = attrs.field(factory=list)
     settings: list[GatewaySettings] = attrs.field(factory=list)
+    # Relays between the store and the gateways that are added; None lets them reach it directly.
+    links: StoreLinks | None = None
+    drains: DrainBook = attrs.field(factory=DrainBook)
     # Further settings of the gateways that are added.
     more: dict[str, Any] = attrs.field(factory=dict)
 
@@ -103,6 +108,16 @@
         self.store.put("keyed.servers", sampler.id, sampler.beat())
         return sampler
 
+    def drain(self, sampler: PlatformSampler) -> None:
+        """Let a sampler tell that it drains."""
+        self.store.put("keyed.servers", sampler.id, sampler.beat("draining"))
+        self.drains.left(sampler.id)
+
+    def remove(self, sampler: PlatformSampler) -> None:
+        """Remove the entry of a sampler that leaves without telling that it drains."""
+        self.store.put("keyed.servers", sampler.id, None)
+        self.drains.left(sampler.id)
+
     def start_again(self, sampler: PlatformSampler, **fields: Any) -> PlatformSampler:
         """Start a sampler again under its id, and let it register."""
         again = sampler.start_again(**fields)
@@ -112,11 +127,14 @@
 
     async def async_add_gateway(self) -> GatewayProcess:
         """Start a gateway and wait until it is ready."""
+        store = self.store.address
+        if self.links is not None:
+            store = await self.links.async_add(store)
         front, ready, peer = (f"127.0.0.1:{port}" for port in free_ports(3))
         cfg = GatewaySettings(
             vm_id=f"front-{len(self.gateways)}",
             data_center="levis",
-            store=self.store.address,
+            store=store,
             listen=front,
             ready_listen=ready,
             peer=peer,
