Check overdue polls of urgent topics by a read on another connection

Callers lost requests at upstreams that had left, since these got work for up to 4.9 s after the store had acknowledged their leave (drain_ms is 2 s).

Cause: a poll whose connection has gone silent was given up 2.5 s after it was sent, and its peers, asked next, had just lost theirs; the next probe was up to 0.6 s away (logged: unread_ms 3131 to 4169).

A poll of the registrations or the configuration that is 250 ms overdue is checked by a read on a new connection. If that is answered, it tells all that the poll would have, nothing counts as failed, and the silent connection is let go. A store that is slow answers either; one that is out answers neither, which is an outage as before.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -187,7 +187,7 @@
             platform, self.routes, self.health, self.version_scheduler.request_version
         )
         self._config_tail = self._make_tail(
-            platform.topic_operator, self.operator_records.apply_record
+            platform.topic_operator, self.operator_records.apply_record, is_urgent=True
         )
         self.confirmation = confirm_by_tail(self._config_tail, clock, cfg.config_max_age)
         self.runner = JobRunner(
@@ -214,7 +214,10 @@
         )
         self._upstreams_tail = self.registration_age.follow(
             self._make_tail(
-                platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
+                platform.topic_upstreams,
+                self.registrations.apply_record,
+                _UPSTREAMS_POLL_PAUSE,
+                is_urgent=True,
             )
         )
         self._nodes_tail = self._make_tail(
@@ -346,9 +349,15 @@
         seeds = [address for address in self._cfg.seeds if address != self._cfg.peer]
         return self.nodes.relay_peers() or seeds
 
-    def _make_tail(self, topic: str, on_key: Any, poll_pause: timedelta = timedelta()) -> KeyedTail:
+    def _make_tail(
+        self,
+        topic: str,
+        on_key: Any,
+        poll_pause: timedelta = timedelta(),
+        is_urgent: bool = False,
+    ) -> KeyedTail:
         on_key = self.copies.keep(topic, on_key)
-        tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause)
+        tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause, is_urgent)
         return self.copies.follow(tail)
 
     async def _async_tail_partition(self, tail: PartitionTail) -> None:
