Ask another peer where a read through the first is overdue

A gateway that is cut from the store reads through the peer that answered it last.

A read that its first peer has not answered 600 ms after its wait goes to the next one, as one does whose peer does not accept. Appends stay as they are, since a second one could be a second record. New test, which fails without it: the read lasts its whole 2.5 s and brings nothing.

--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -51,6 +51,8 @@
 _MAX_PEERS_ASKED = 2
 # Added to the timeout that the peer applies to the store call, for the network in between.
 _PEER_MARGIN = timedelta(milliseconds=100)
+# A peer that answers a read this much later than the read's wait may be frozen; another one is asked.
+_PEER_READ_OVERDUE = timedelta(milliseconds=600)
 # A running peer accepts within milliseconds, one that lost power not at all. With the connect
 # timeout of other servers, a dead peer used up a caller's whole timeout, and the caller left
 # without an answer.
@@ -265,10 +267,14 @@
         if self._preferred_peer in peers:
             peers.remove(self._preferred_peer)
             peers.insert(0, self._preferred_peer)
-        for peer in peers[:_MAX_PEERS_ASKED]:
+        asked = peers[:_MAX_PEERS_ASKED]
+        for peer in asked:
             remaining = give_up_at - self._clock.monotonic()
             if remaining <= timedelta():
                 break
+            if isinstance(call, RelayRead) and peer != asked[-1]:
+                wait = timedelta(milliseconds=call.wait_ms)
+                remaining = min(remaining, wait + _PEER_READ_OVERDUE)
             relayed_call = await self._async_call_peer(peer, call, remaining)
             if isinstance(relayed_call, Err):
                 error = relayed_call.unwrap_err()
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -189,6 +189,31 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("wait", [timedelta(), timedelta(milliseconds=300)])
+def test_peer_that_froze_leaves_time_to_read_through_another(wait: timedelta) -> None:
+    """Guards against hearing of no change while the peer that answered before is frozen.
+
+    Its machine still accepts connections, so that only the answer is missing.
+    """
+
+    async def scenario() -> None:
+        store = FakeStore()
+        link, sound = StoreLink(store), Peer(store)
+        _refuse_all(link)
+        with socket.create_server(("127.0.0.1", 0)) as frozen:
+            address = f"127.0.0.1:{frozen.getsockname()[1]}"
+            log = _log(link, sound.address, address)
+            log._preferred_peer = address
+            store.append("t", 0, [b"a"])
+            began = asyncio.get_running_loop().time()
+            read = await log.async_read("t", 0, 0, wait, timedelta(seconds=2.5))
+            took = asyncio.get_running_loop().time() - began
+            assert read.unwrap().records == (b"a",) and took < 1.2
+            assert log._preferred_peer == sound.address
+
+    asyncio.run(scenario())
+
+
 def test_append_is_not_sent_to_a_store_known_to_be_silent() -> None:
     """A read timed out and there is no peer: appends are refused at once and never sent."""
 
