Look at the upstream once more before a request's first byte

A request that was handed to an upstream waits for a connection, for up to 1.2 s, or behind others. It went out then even if the upstream had left meanwhile, and nothing on its way asked how old the list of upstreams was: a process that had no processor time for some seconds, or read nothing for another reason, sent by what it had known before.

Directly before the first byte, once the connection is there, Execution asks whether the upstream is leaving, whether its sender still wants it there, and whether the registrations were read within registrations_max_age_ms (a new setting, 2 s by default, drain_ms on the platform). The configuration and the registrations are confirmed at the same time, so that a request waits for a lost store once. Requests that wait at an upstream that leaves are told as not run at once and go elsewhere without using up an attempt.

What a gateway has to have read before it serves got a module of its own.

--- a/cranberryline/dispatch/direct.py
+++ b/cranberryline/dispatch/direct.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
-from functools import partial
 
 from cranberryline.configs import ServiceSpec
 from cranberryline.configs.const import DEFAULT_CONCURRENCY
 from cranberryline.execution.claims import ClaimService
 from cranberryline.execution.execution import Execution
+from cranberryline.execution.gate import OpenGate, SendGate
 from cranberryline.execution.runner import Runner
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
@@ -55,6 +55,7 @@
         self.service = vm.service
         self.runner = runner
         self.draining = False
+        self.leaving = False
         self.welcome = None
         self.load = None
         self.load_at = timedelta()
@@ -152,10 +153,16 @@
         self._changed()
 
     def drain(self) -> None:
-        """Accept no new requests; those that run finish."""
+        """Accept no new requests; those that were accepted finish."""
         self.draining = True
         self._changed()
 
+    def leave(self) -> None:
+        """Accept no new requests, and send none of those that have not been sent yet."""
+        self.leaving = True
+        self.drain()
+        self.runner.drain()
+
     def _deliver(self, msg: Message) -> None:
         request_id = getattr(msg, "id", 0)
         if _is_final(msg):
@@ -175,8 +182,7 @@
 class DirectUpstreams:
     """Create direct links to upstreams, and drain all of them on a planned shutdown.
 
-    `on_send` is called directly before a request's first byte is written, with whether its upstream is
-    known to be leaving.
+    `gate` is asked directly before a request's first byte is written.
     """
 
     def __init__(
@@ -189,9 +195,9 @@
         spec: Callable[[str], ServiceSpec | None],
         on_slot_free: Callable[[], None],
         connect: Callable[[VmEntry], PlainServicePort] | None = None,
-        on_send: Callable[[bool], None] = lambda _draining: None,
+        gate: SendGate | None = None,
     ) -> None:
-        self._on_send = on_send
+        self._gate = gate or OpenGate()
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -207,7 +213,8 @@
     def make(self, vm: VmEntry) -> DirectUpstream:
         """Return a new direct link to an upstream."""
         port = self._connect(vm)
-        execution = Execution(self._clock, self._metrics, port, self._claims_for(vm.service))
+        claims = self._claims_for(vm.service)
+        execution = Execution(self._clock, self._metrics, port, claims, self._gate)
         book = RequestRegistry(self._incarnation)
         limit = self._service_concurrency(vm.service)
         runner = Runner(self._clock, execution, self._metrics, book, limit)
@@ -220,7 +227,7 @@
             port.connected,
             port.idle_connections,
         )
-        execution.may_send = partial(self._record_send, link)
+        execution.leaving = lambda: link.leaving
         self._prune(vm.id)
         if len(self._links) >= self._prune_at:
             for vm_id in list(self._links):
@@ -230,8 +237,11 @@
         return link
 
     def drain(self, link: DirectUpstream) -> None:
-        """Send no new requests to an upstream that was removed; its running requests finish."""
-        link.drain()
+        """Send no more requests to an upstream that was removed; those that were sent finish.
+
+        Requests that have not been sent are told as not run, so that another upstream runs them.
+        """
+        link.leave()
 
     def abort_requests(self, vm_id: str) -> None:
         """End all requests at an upstream whose process has been replaced.
@@ -242,7 +252,7 @@
         all others may have run.
         """
         for link in self._links.pop(vm_id, []):
-            link.drain()
+            link.leave()
             link.runner.abort_all()
 
     def update_concurrency(self) -> None:
@@ -258,10 +268,6 @@
         await asyncio.gather(*(link.runner.async_wait_idle() for link in self._all_links()))
         await asyncio.gather(*(claims.async_stop() for claims in self._claims.values()))
 
-    def _record_send(self, link: DirectUpstream) -> bool:
-        self._on_send(link.draining)
-        return True
-
     def _all_links(self) -> list[DirectUpstream]:
         return [link for links in self._links.values() for link in links]
 
--- a/cranberryline/dispatch/outcomes.py
+++ b/cranberryline/dispatch/outcomes.py
@@ -67,7 +67,7 @@
 }
 # Reasons that show a stale registration: the request is sent to another upstream without a delay,
 # and the failed attempt does not count against the attempt limit.
-_STALE_REGISTRATION = frozenset({"upstream_unreachable", "upstream_replaced"})
+_STALE_REGISTRATION = frozenset({"upstream_unreachable", "upstream_replaced", "draining"})
 # Reasons for which an attempt at another upstream could not succeed.
 _FINAL_REASONS = frozenset(
     reason.name
@@ -88,7 +88,7 @@
 
 
 def is_stale_registration(outcome: AttemptOutcome) -> bool:
-    """Return whether the upstream of an attempt no longer exists at its registered address."""
+    """Return whether the upstream of an attempt had left, which its registration did not tell yet."""
     return reason_text(outcome) in _STALE_REGISTRATION
 
 
--- a/cranberryline/execution/execution.py
+++ b/cranberryline/execution/execution.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 import attrs
-from result import Err
+from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import Clock
 from cranberryline.helpers.metrics import Metrics
@@ -18,6 +19,7 @@
 
 from .claims import ClaimGrant, ClaimService, recorded_outcome
 from .errors import FailReason, RunnerReason
+from .gate import OpenGate, SendGate
 from .model import Held, Reply
 
 __all__ = ["Execution", "send_not_run"]
@@ -58,14 +60,16 @@
 class Execution:
     """Run requests at an upstream, with a claim for those that have an idempotency key.
 
-    `may_send` is called directly before the first byte of a request is written.
+    `gate` and `leaving` are asked directly before the first byte of a request is written; `leaving`
+    returns whether the upstream gets no new requests any more.
     """
 
     clock: Clock
     metrics: Metrics
     upstream: PlainServicePort
     claims: ClaimService
-    may_send: Callable[[], bool] = lambda: True
+    gate: SendGate = attrs.field(factory=OpenGate)
+    leaving: Callable[[], bool] = lambda: False
 
     async def async_run(self, request: Held) -> None:
         """Run a request; every path out of this method sends the entry a final message."""
@@ -99,14 +103,14 @@
             self.claims.end_without_outcome(grant)
 
     async def _async_run_once(self, request: Held, grant: ClaimGrant | None) -> None:
-        msg = request.msg
-        if request.is_eligible is not None and not request.is_eligible():
+        reason = self._reason_not_to_send(request)
+        if reason is not None:
             # The event loop may have been busy for any time since the request left the queue.
-            send_not_run(msg.id, RunnerReason.NO_LONGER_WANTED.value, request.reply, self.metrics)
+            if grant is not None:
+                await self.claims.async_abandon(grant)
+            send_not_run(request.msg.id, reason.value, request.reply, self.metrics)
             return
-        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body, may_send=self.may_send)
-        request.sent = True
-        sent = await self.upstream.async_send(req, self._time_left(request))
+        sent = await self._async_send(request)
         if isinstance(sent, Err):
             await self._async_handle_send_error(request, sent.unwrap_err(), grant)
             return
@@ -116,6 +120,38 @@
         if grant is not None and outcome is not None:
             await self.claims.async_settle(grant, outcome)
 
+    async def _async_send(self, request: Held) -> Result[UpstreamBody, PlatformError]:
+        """Send a request by recent knowledge of its upstream.
+
+        That may have become too old while a connection was made, which takes up to a second.
+        """
+        msg = request.msg
+        may_send = partial(self._may_send, request)
+        req = UpstreamRequest(msg.method, msg.path, msg.headers, msg.body, may_send=may_send)
+        request.sent = True
+        while True:
+            if not self.gate.is_current():
+                await self.gate.async_confirm()
+            sent = await self.upstream.async_send(req, self._time_left(request))
+            if isinstance(sent, Ok) or sent.unwrap_err().reason is not PlatformReason.WITHHELD:
+                return sent
+            if self._reason_not_to_send(request) is not None or not self._time_left(request):
+                return sent
+
+    def _may_send(self, request: Held) -> bool:
+        if self._reason_not_to_send(request) is not None or not self.gate.is_current():
+            return False
+        self.gate.record_send()
+        return True
+
+    def _reason_not_to_send(self, request: Held) -> RunnerReason | None:
+        """Return why the upstream may not get a request any more, None if it may."""
+        if self.leaving():
+            return RunnerReason.DRAINING
+        if request.is_eligible is not None and not request.is_eligible():
+            return RunnerReason.NO_LONGER_WANTED
+        return None
+
     async def _async_handle_send_error(
         self, request: Held, error: PlatformError, grant: ClaimGrant | None
     ) -> None:
@@ -123,6 +159,8 @@
             if grant is not None:
                 await self.claims.async_abandon(grant)
             reason = _NOT_RUN_BY_SEND_ERROR.get(error.reason, RunnerReason.UPSTREAM_UNREACHABLE)
+            if error.reason is PlatformReason.WITHHELD:
+                reason = self._reason_not_to_send(request) or RunnerReason.DEADLINE
             send_not_run(request.msg.id, reason.value, request.reply, self.metrics)
             return
         timed_out = error.reason is PlatformReason.TIMEOUT
--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -13,18 +13,19 @@
 from cranberryline.dispatch.dispatch import Dispatcher
 from cranberryline.dispatch.table import UpstreamTable
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.confirmation import confirm_by_tail
 from cranberryline.helpers.http_server import GracefulServer, InputLimits, open_http_server
 from cranberryline.helpers.logging import Level, get_logger, set_level
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.helpers.shutdown import StopOutcome
 from cranberryline.helpers.store_health import StoreHealth, source_name
-from cranberryline.helpers.tail import KeyedTail, PartitionTail
+from cranberryline.helpers.tail import KeyedTail
 from cranberryline.jobs.mark_keeper import MarkManager
 from cranberryline.jobs.runner import JobRunner, RunnerDependencies
 from cranberryline.jobs.service import JobService
 from cranberryline.leases import LeaseKeeper
 from cranberryline.platform.ports import PlatformPort
-from cranberryline.routes import ActiveRoutes, RouteTable, confirm_by_tail
+from cranberryline.routes import ActiveRoutes, RouteTable
 from cranberryline.settings import GatewaySettings
 from cranberryline.upstreams.directory import Directory, Registration
 from cranberryline.weights.shift import VersionScheduler
@@ -39,13 +40,15 @@
 from .operator_records import OperatorRecords
 from .paced_log import PacedLog
 from .peer_copies import PeerCopies
+from .recent_reads import RecentReads
 from .refusing_log import RefusingLog
-from .registration_age import RegistrationAge
+from .registration_gate import RegistrationGate
 from .registrations import Registrations
 from .relay import RelayedLog
 from .relay_calls import Redaction
 from .servers import make_peer_application, make_status_application
 from .slots import GatewaySlots, SlotStore
+from .startup import StartupTails
 from .stop import StopParts, async_stop_gateway
 from .tasks import log_task_failure, make_application, run_soon
 from .usage import GatewayUsage
@@ -61,11 +64,6 @@
 # time limit: for giving no more work to a draining upstream, and for detecting a dead node.
 _UPSTREAMS_POLL_PAUSE = timedelta(milliseconds=200)
 _HEARTBEATS_POLL_PAUSE = timedelta(milliseconds=300)
-# Longest delay of reading jobs, per startup tail; a healthy store delivers each within 20 ms.
-_STARTUP_TAIL_TIMEOUT = timedelta(milliseconds=300)
-# How long startup waits for the requests that other gateways hold in quarantine. A store that fails
-# for that topic alone must not keep callers from healthy upstreams.
-_HOLDS_TIMEOUT = timedelta(seconds=2)
 
 
 class GatewayProcess:
@@ -97,13 +95,13 @@
             redaction,
         )
         self.copies = PeerCopies(self._relay_peers, clock, redaction)
-        self.registration_age = RegistrationAge(self.metrics)
+        self.registration_gate = RegistrationGate(clock, self.metrics)
         self.directory = Directory(
             clock,
             self.health,
             run_soon,
             source_name(platform.topic_upstreams),
-            self.registration_age.unread_for,
+            self.registration_gate.unread_for,
         )
         self.registrations = Registrations(platform, self.directory, self.routes, self.metrics)
         self.upstreams = UpstreamTable(self.directory.served_versions)
@@ -116,7 +114,7 @@
             self.routes.spec,
             self._wake,
             platform.connect,
-            self.registration_age.record_send,
+            self.registration_gate,
         )
         self.controls = GatewayControls(cfg, platform, self.store, clock, self.health, self.metrics)
         self.links = DirectLinks(self.upstreams, self.direct_upstreams, self.controls.is_cordoned)
@@ -190,6 +188,7 @@
             platform.topic_operator, self.operator_records.apply_record, is_urgent=True
         )
         self.confirmation = confirm_by_tail(self._config_tail, clock, cfg.config_max_age)
+        self.recent_reads = RecentReads(self.confirmation, self.registration_gate)
         self.runner = JobRunner(
             RunnerDependencies(
                 self.jobs,
@@ -201,7 +200,7 @@
                 self.metrics,
                 cfg.vm_id,
                 self.controls.live_nodes,
-                lambda: self.confirmation.async_confirm(clock.monotonic()),
+                lambda: self.recent_reads.async_confirm(clock.monotonic()),
                 self.confirmation.async_confirm_read_since,
                 self.slots.paces,
                 self.slots.source,
@@ -212,17 +211,21 @@
         self.usage = GatewayUsage(
             cfg, platform, self.store, self.lease, self.nodes, clock, self.health, self.metrics
         )
-        self._upstreams_tail = self.registration_age.follow(
-            self._make_tail(
-                platform.topic_upstreams,
-                self.registrations.apply_record,
-                _UPSTREAMS_POLL_PAUSE,
-                is_urgent=True,
-            )
+        self._upstreams_tail = self._make_tail(
+            platform.topic_upstreams,
+            self.registrations.apply_record,
+            _UPSTREAMS_POLL_PAUSE,
+            is_urgent=True,
         )
+        self.registration_gate.follow(self._upstreams_tail, cfg.registrations_max_age)
         self._nodes_tail = self._make_tail(
             platform.topic_nodes, self.nodes.apply_record, _HEARTBEATS_POLL_PAUSE
         )
+        self._startup = StartupTails(
+            (self._config_tail, self._upstreams_tail, self._nodes_tail),
+            self._quarantine_tail,
+            clock,
+        )
         self.key_check = KeyCheck(self._config_tail.unconfirmed_for, cfg.key_max_age)
         self.jobs.book.listen(needs.record_job)
         self.routes.listen(self._on_routes)
@@ -236,14 +239,13 @@
     def ready(self) -> bool:
         """Return whether the load balancer should send callers to this gateway."""
         loaded = self._config_tail.loaded.is_set() and self._upstreams_tail.loaded.is_set()
-        loaded = loaded and self._is_quarantine_ready() and self.controls.ready
+        loaded = loaded and self._startup.is_quarantine_ready() and self.controls.ready
         # Jobs cannot be read while the store is out; other requests are served by a peer's records.
         loaded = loaded and (self.jobs.loaded or self.copies.in_use)
         return not self.stopping and loaded and self.routes.table is not None
 
     def start(self) -> None:
         """Open the ports and start the background tasks; raises OSError if a port is in use."""
-        self._started_at = self._clock.monotonic()
         context = GatewayContext(
             self._clock,
             self.metrics,
@@ -253,9 +255,9 @@
             self.jobs,
             random.Random(),
             self.key_check,
-            self.confirmation,
+            self.recent_reads,
             self.usage.counter,
-            quarantine_ready=self._is_quarantine_ready,
+            quarantine_ready=self._startup.is_quarantine_ready,
         )
         self._context = context
         limits = self._limits = InputLimits(
@@ -273,12 +275,15 @@
         peers = make_peer_application(self.store, self.copies, self.slots.peer_handlers)
         self._peer_server = open_http_server(peers, self._cfg.peer, limits, self.metrics)
         self._http_servers += (self._caller_server, self._peer_server)
-        for tail in (*self._startup_tails(), self.lease.tail):
+        for tail in (*self._startup.tails, self.lease.tail):
             self._start_task(tail.async_run())
         for coroutine in (
             self.copies.async_run(),
             self.quarantine.async_run(),
-            *(self._async_tail_partition(tail) for tail in self.jobs.tails),
+            *(
+                self._startup.async_follow_partition(tail, self.marks.loaded)
+                for tail in self.jobs.tails
+            ),
             self.marks.async_run(),
             self.nodes.async_run(),
             self.runner.async_run(),
@@ -298,6 +303,7 @@
         self.lease.set_length(cfg.lease)
         self.key_check.max_age = cfg.key_max_age
         self.confirmation.max_age = cfg.config_max_age
+        self.registration_gate.set_max_age(cfg.registrations_max_age)
         self._cfg = cfg
 
     async def async_stop(self) -> StopOutcome:
@@ -333,15 +339,6 @@
         await self.quarantine.async_close()
         await self.version_scheduler.async_close()
 
-    def _startup_tails(self) -> tuple[KeyedTail, ...]:
-        """Return the tails that have to be loaded before requests and jobs can be served."""
-        return (self._config_tail, self._upstreams_tail, self._nodes_tail, self._quarantine_tail)
-
-    def _is_quarantine_ready(self) -> bool:
-        """Return whether the held requests are loaded, or loading them has timed out."""
-        now = self._clock.monotonic()
-        return self._quarantine_tail.loaded.is_set() or now - self._started_at >= _HOLDS_TIMEOUT
-
     def _live_nodes(self) -> Collection[str]:
         return self.nodes.live_nodes(self._clock.monotonic())
 
@@ -360,20 +357,6 @@
         tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause, is_urgent)
         return self.copies.follow(tail)
 
-    async def _async_tail_partition(self, tail: PartitionTail) -> None:
-        """Read a partition of jobs from the offset in its mark, once plain requests can be served.
-
-        Callers wait for routes and upstreams, which load in a tenth of the time for recent jobs.
-        """
-        for startup_tail in self._startup_tails():
-            try:
-                async with asyncio.timeout(_STARTUP_TAIL_TIMEOUT.total_seconds()):
-                    await startup_tail.loaded.wait()
-            except TimeoutError:
-                break
-        await self.marks.loaded.wait()
-        await tail.async_run()
-
     def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.ensure_future(coroutine)
         task.add_done_callback(log_task_failure)
--- a/cranberryline/gateway/handler.py
+++ b/cranberryline/gateway/handler.py
@@ -21,10 +21,12 @@
 from cranberryline.helpers.problem import ProblemHandler, problem_body
 from cranberryline.jobs.ports import EdgeFormat
 from cranberryline.jobs.service import JobService
-from cranberryline.routes import ActiveRoutes, ConfigConfirmation
+from cranberryline.routes import ActiveRoutes
 from cranberryline.usage import UsageCounter
 from cranberryline.workspaces import KeyCheck
 
+from .recent_reads import RecentReads
+
 __all__ = ["RETRY_AFTER", "CallerHandler", "GatewayContext", "ReadyHandler"]
 
 _LOGGER = get_logger(__name__)
@@ -44,7 +46,7 @@
     jobs: JobService
     rng: random.Random
     key_check: KeyCheck
-    confirmation: ConfigConfirmation
+    confirmation: RecentReads
     usage: UsageCounter | None = None
     hedge_budget: HedgeBudget = attrs.field(factory=HedgeBudget)
     quarantine_ready: Callable[[], bool] = lambda: True
--- a/cranberryline/routes/confirmation.py
+++ b/cranberryline/helpers/confirmation.py
@@ -1,13 +1,13 @@
-"""Confirm that the active configuration is recent enough to serve a request by it."""
+"""Confirm that what was read of a topic is recent enough to act by it."""
 
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
-from cranberryline.helpers.clock import Clock
-from cranberryline.helpers.shared_calls import SharedCalls
-from cranberryline.helpers.tail import KeyedTail
+from .clock import Clock
+from .shared_calls import SharedCalls
+from .tail import KeyedTail
 
-__all__ = ["ConfigConfirmation", "confirm_by_tail"]
+__all__ = ["ReadConfirmation", "confirm_by_tail"]
 
 # Time between the confirmation and its effect on the request.
 CONFIRM_MARGIN = timedelta(milliseconds=250)
@@ -20,16 +20,16 @@
 MAX_LATENESS = timedelta(milliseconds=250)
 
 
-class ConfigConfirmation:
-    """Keeps requests from being served by a configuration that was replaced too long ago.
+class ReadConfirmation:
+    """Keeps requests from being served by records that were replaced too long ago.
 
     Following the store's changes is not enough: a process that gets too little processor time
     takes a change in seconds late, and refuses routes until then that callers know to be there, or
     sends to services that they have been moved from. So the age of what was read is checked for
-    each request, and the configuration is read again where it may be too old.
+    each request, and the topic is read again where that may be too old.
 
-    `age` returns how old the active configuration may be, None if that is unknown. `read` reads up
-    to the newest one and returns whether the store answered in time. `max_age` is the time within
+    `age` returns how old what was read may be, None if that is unknown. `read` reads up to the
+    newest record and returns whether the store answered in time. `max_age` is the time within
     which a change has to be in force, None for no limit. `unread_for` returns for how long a change may
     stand unread, with suspensions and outages of the store, None before the first read.
     """
@@ -51,21 +51,24 @@
         self._lost_until = timedelta()
 
     async def async_confirm(self, received_at: timedelta) -> bool:
-        """Return whether a request may be served by the active configuration.
+        """Return whether a request may be served by what was read.
 
-        `received_at` is on the monotonic clock. While the store does not answer, the active
-        configuration stays in force, unless this process is too late itself to tell.
+        `received_at` is on the monotonic clock. While the store does not answer, what was read stays
+        in force, unless this process is too late itself to tell.
         """
-        if self._is_recent(received_at) or self._clock.monotonic() < self._lost_until:
+        if self.is_recent(received_at):
             return True
         store_lost = await self._reads.async_run(None, self._async_read)
-        return store_lost or self._is_recent(received_at)
+        return store_lost or self.is_recent(received_at)
+
+    def is_recent(self, received_at: timedelta) -> bool:
+        """Return whether no read is needed: what was read is recent, or the store was just lost."""
+        return self._is_young(received_at) or self._clock.monotonic() < self._lost_until
 
     async def async_confirm_read_since(self, moment: timedelta) -> bool:
-        """Return whether the active configuration has every change before a monotonic time.
+        """Return whether every change before a monotonic time has been read.
 
-        False means that the store could not be asked, so what the active configuration lacks may have
-        been added since.
+        False means that the store could not be asked, so what is missing may have been added since.
         """
         if self._was_read_since(moment):
             return True
@@ -76,7 +79,7 @@
         unread_for = self._unread_for()
         return unread_for is not None and unread_for <= self._clock.monotonic() - moment
 
-    def _is_recent(self, received_at: timedelta) -> bool:
+    def _is_young(self, received_at: timedelta) -> bool:
         if self.max_age is None:
             return True
         age = self._age()
@@ -86,7 +89,7 @@
         return age_then <= self.max_age - CONFIRM_MARGIN
 
     async def _async_read(self) -> bool:
-        """Read the configuration; return True if the store did not answer in time."""
+        """Read the topic; return True if the store did not answer in time."""
         give_up_at = self._clock.monotonic() + READ_TIMEOUT
         while (left := give_up_at - self._clock.monotonic()) > timedelta():
             if await self._read(left):
@@ -101,6 +104,6 @@
 
 def confirm_by_tail(
     tail: KeyedTail, clock: Clock, max_age: timedelta | None = None
-) -> ConfigConfirmation:
-    """Return the confirmation of the configuration that a tail follows."""
-    return ConfigConfirmation(tail.age, tail.async_sync, clock, max_age, tail.unconfirmed_for)
+) -> ReadConfirmation:
+    """Return the confirmation of the topic that a tail follows."""
+    return ReadConfirmation(tail.age, tail.async_sync, clock, max_age, tail.unconfirmed_for)
--- a/cranberryline/helpers/metrics.py
+++ b/cranberryline/helpers/metrics.py
@@ -88,12 +88,6 @@
             buckets=_AGE_BUCKETS,
             registry=self.registry,
         )
-        self.sent_to_leaving = Counter(
-            "sent_to_leaving",
-            "Requests sent to an upstream that this process knew to be leaving.",
-            namespace=_NAMESPACE,
-            registry=self.registry,
-        )
         self.usage_reports = self._counter(
             "usage_reports", "Reports of use that were sent.", "outcome"
         )
--- a/cranberryline/settings/model.py
+++ b/cranberryline/settings/model.py
@@ -16,6 +16,7 @@
     DEFAULT_MAX_HEADER_BYTES,
     DEFAULT_OPERATOR_CONTROLS,
     DEFAULT_PARTITIONS,
+    DEFAULT_REGISTRATIONS_MAX_AGE,
     DEFAULT_REPORT_LATE,
     DEFAULT_SIDE_LISTEN,
     DEFAULT_SIDE_PEER,
@@ -187,6 +188,12 @@
         None,
         key="config_max_age_ms",
     )
+    registrations_max_age: timedelta = _setting(
+        Milliseconds(),
+        "Within which time an upstream that leaves gets no more requests.",
+        DEFAULT_REGISTRATIONS_MAX_AGE,
+        key="registrations_max_age_ms",
+    )
     key_max_age: timedelta | None = _setting(
         Milliseconds(),
         "How long keys are accepted without a confirmed configuration; without it, for any time.",
--- a/tests/routes/test_confirmation.py
+++ b/tests/helpers/test_confirmation.py
@@ -4,13 +4,13 @@
 from datetime import timedelta
 
 from cranberryline.helpers.clock import FakeClock
-from cranberryline.routes import ConfigConfirmation
-from cranberryline.routes.confirmation import (
+from cranberryline.helpers.confirmation import (
     CONFIRM_MARGIN,
     LOST_INTERVAL,
     MAX_LATENESS,
     READ_RETRY_DELAY,
     READ_TIMEOUT,
+    ReadConfirmation,
 )
 
 MAX_AGE = timedelta(seconds=2)
@@ -25,9 +25,7 @@
         self.reads = 0
         self.answers = True
         self.takes = timedelta(milliseconds=5)
-        self.confirmation = ConfigConfirmation(
-            self._age, self._async_read, clock, max_age, self._age
-        )
+        self.confirmation = ReadConfirmation(self._age, self._async_read, clock, max_age, self._age)
 
     def _age(self) -> timedelta | None:
         return None if self.read_at is None else self.clock.monotonic() - self.read_at
--- a/tests/ports/test_clients.py
+++ b/tests/ports/test_clients.py
@@ -62,6 +62,31 @@
     _run(async_main())
 
 
+@pytest.mark.parametrize("may_send", [True, False])
+def test_a_request_that_may_not_be_sent_once_connected_leaves_no_byte(may_send: bool) -> None:
+    """Guards against sending what is no longer wanted since its connection took long to be made."""
+
+    async def async_main() -> None:
+        came = asyncio.get_running_loop().create_future()
+
+        async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            came.set_result(await reader.read(10))
+            writer.write(b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        server = await asyncio.start_server(async_serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        req = UpstreamRequest("GET", "/x", may_send=lambda: may_send)
+        sent = await HttpPlainService(f"http://127.0.0.1:{port}").async_send(req, _TIMEOUT)
+        assert bool(await came) is may_send and sent.is_ok() is may_send
+        if not may_send:
+            err = sent.unwrap_err()
+            assert (err.reason, err.may_have_run) == (PlatformReason.WITHHELD, False)
+        server.close()
+
+    _run(async_main())
+
+
 @pytest.mark.parametrize("chunked", [False, True])
 def test_cut_body_is_not_taken_for_a_whole_one(chunked: bool) -> None:
     """The caller gets the first half, then an error.
