--- a/cranberryline/gateway/holds.py
+++ b/cranberryline/gateway/holds.py
@@ -66,7 +66,9 @@
         async_refuses_connections,
         lambda: tail.offset if tail.loaded.is_set() else None,
     )
-    tail = KeyedTail(parts.store, topic, parts.clock, parts.health, quarantine.apply_record)
+    tail = KeyedTail(
+        parts.store, topic, parts.clock, parts.health, quarantine.apply_record, is_urgent=True
+    )
     return quarantine, tail
 
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -200,12 +200,14 @@
     asyncio.run(scene)
 
 
-async def async_platform(gateways: int = 1, **more: Any) -> Platform:
+async def async_platform(
+    gateways: int = 1, links: StoreLinks | None = None, **more: Any
+) -> Platform:
     """Return a platform with two plain services, two engines and some gateways.
 
     `more` is passed to `config`.
     """
-    platform = Platform()
+    platform = Platform(links=links)
     platform.store.start()
     platform.store.put("keyed.op", "config", config(**more))
     for _ in range(2):
--- a/tests/platform/crash_scene.py
+++ b/tests/platform/crash_scene.py
@@ -8,6 +8,7 @@
 import attrs
 
 from stand_ins.platform_sampler import PlatformSampler, Run
+from stand_ins.store_links import StoreLinks
 
 from .conftest import MODEL, Platform, async_platform, async_until
 
@@ -67,9 +68,9 @@
         ]
 
 
-async def async_scene() -> Scene:
+async def async_scene(links: StoreLinks | None = None) -> Scene:
     """Return two gateways before eight plain upstreams and eight engines."""
-    scene = Scene(await async_platform(2))
+    scene = Scene(await async_platform(2, links))
     for sampler in scene.platform.samplers:
         scene.platform.store.put("keyed.servers", sampler.id, None)
     scene.platform.samplers.clear()
--- a/tests/platform/test_quarantine.py
+++ b/tests/platform/test_quarantine.py
@@ -9,10 +9,15 @@
 import pytest
 from tornado.httpclient import AsyncHTTPClient
 
+from cranberryline.gateway.app import GatewayProcess
+from stand_ins.store_links import StoreLinks
+
 from .conftest import Platform, async_until, job, play
 from .crash_scene import Scene, async_scene
 
 _PATH = "/files/crash-me"
+# The platform's bound: until then a gateway may not have heard of the crash of a third upstream.
+_CONTACT_S = 3.0
 
 
 async def _async_holds(
@@ -56,6 +61,29 @@
     play(scene())
 
 
+def test_a_gateway_hears_of_crashes_in_time_as_its_connections_to_the_store_go_silent() -> None:
+    """Guards against a gateway that sends a request on to upstreams which has crashed three elsewhere."""
+
+    async def scene() -> None:
+        links = StoreLinks()
+        made = await async_scene(links)
+        first, second = made.platform.gateways
+        await made.platform.async_call("POST", _PATH, 0, b"", Attempt_Id="first")
+        await async_until(lambda: bool(second.quarantine.suspected_requests()))
+        links.silence()
+        while not _holds(first):
+            await made.platform.async_call("POST", _PATH, 0, b"", Attempt_Id=f"n{time.time()}")
+        held_at = time.monotonic()
+        await async_until(lambda: _holds(second))
+        assert time.monotonic() - held_at < _CONTACT_S
+
+    play(scene())
+
+
+def _holds(gateway: GatewayProcess) -> bool:
+    return any(row.trial_in is not None for row in gateway.quarantine.suspected_requests())
+
+
 def test_others_are_served_beside_a_request_that_crashes_upstreams() -> None:
     """Plain requests of other paths and bodies, and a job with its scores, while upstreams go one after the other."""
 
