Bound what an upstream in trouble sends without an end

Reports and orders took bodies of up to a gigabyte and more than 96 MiB; so did late answers to other requests, refusals were read for as long as the request had time; the store's answers in chunks of a byte stalled the process; lines between events went on for a stream's whole time. Plain answers were collected up to a gigabyte each.

Each has a limit now, at which its connection is closed: interim answers 16, late answers of others 1 MiB, refusals 64 KiB and 100 ms, reports 1 MiB, chunks of the store's answers 64 Ki, trailers 64 KiB, lines between events 1 MiB. Answers that are collected have 32 MiB each and 64 MiB together; beyond that, ones of up to 1 MiB still go on. A kept connection that is not used in its time is closed, which also ends those to upstreams that are gone.

--- a/cranberryline/jobs/events.py
+++ b/cranberryline/jobs/events.py
@@ -28,6 +28,7 @@
     def __init__(self, version_field: str) -> None:
         self._version_field = version_field
         self._buffer = b""
+        self._filler_bytes = 0
 
     @property
     def at_event_boundary(self) -> bool:
@@ -37,18 +38,32 @@
     def feed(self, data: bytes) -> list[Event]:
         """Return the events that are completed by `data`.
 
-        Raises ValueError if an event is malformed or longer than `_MAX_EVENT_BYTES`.
+        Raises ValueError if an event is malformed, or it or the lines before it are longer than
+        `_MAX_EVENT_BYTES`.
         """
         self._buffer += data.replace(b"\r\n", b"\n")
         events: list[Event] = []
-        while (end := self._buffer.find(_EVENT_END)) >= 0:
+        while True:
+            self._drop_filler()
+            end = self._buffer.find(_EVENT_END)
+            if end < 0:
+                break
             block, self._buffer = self._buffer[:end], self._buffer[end + len(_EVENT_END) :]
-            if block.strip():
-                events.append(self._parse(block))
-        if len(self._buffer) > _MAX_EVENT_BYTES:
+            if not block.strip():
+                self._filler_bytes += len(block)
+                continue
+            events.append(self._parse(block))
+            self._filler_bytes = 0
+        if len(self._buffer) + self._filler_bytes > _MAX_EVENT_BYTES:
             raise ValueError("event exceeds the maximum size")
         return events
 
+    def _drop_filler(self) -> None:
+        """Drop the empty lines before the next event."""
+        rest = self._buffer.lstrip(b"\n")
+        self._filler_bytes += len(self._buffer) - len(rest)
+        self._buffer = rest
+
     def _parse(self, block: bytes) -> Event:
         event_id, version = None, None
         data: list[str] = []
--- a/cranberryline/platform/adapter.py
+++ b/cranberryline/platform/adapter.py
@@ -5,8 +5,14 @@
 from result import Err, Ok, Result
 
 from cranberryline.jobs.ports import EdgeFormat
+from cranberryline.ports.const import (
+    MAX_ALL_COLLECTED_BYTES,
+    MAX_COLLECTED_BYTES,
+    SMALL_RESPONSE_BYTES,
+)
 from cranberryline.ports.model import PlainServicePort, VmEntry
 from cranberryline.ports.orders import OrderPort
+from cranberryline.ports.response_memory import ResponseMemory
 from cranberryline.ports.store import KeyedRecord, SharedLog
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
@@ -47,6 +53,9 @@
     def __init__(self, store: str) -> None:
         self._log = HttpStore(store)
         self._edge = PlatformEdge()
+        self._response_memory = ResponseMemory(
+            MAX_COLLECTED_BYTES, MAX_ALL_COLLECTED_BYTES, SMALL_RESPONSE_BYTES
+        )
 
     @property
     def log(self) -> SharedLog:
@@ -83,7 +92,7 @@
 
     def connect(self, row: VmEntry) -> PlainServicePort:
         """Return the client of one incarnation of an upstream."""
-        return SamplerClient(row)
+        return SamplerClient(row, self._response_memory)
 
     def usage(self, address: str) -> UsagePort:
         """Return the client for reports of use."""
--- a/cranberryline/platform/samplers.py
+++ b/cranberryline/platform/samplers.py
@@ -1,5 +1,6 @@
 """The platform's upstreams: their registrations, requests to them, orders to engines."""
 
+import asyncio
 import re
 from collections.abc import Callable
 from datetime import timedelta
@@ -12,6 +13,7 @@
 from result import Err, Ok, Result
 
 from cranberryline.helpers.clock import in_milliseconds
+from cranberryline.ports.const import MAX_REPORT_BYTES
 from cranberryline.ports.errors import PlatformError, PlatformReason, UpstreamCut
 from cranberryline.ports.http import AnswerTo, HttpOrigin, KeptStreams, async_exchange
 from cranberryline.ports.model import (
@@ -22,6 +24,7 @@
     VmEntry,
 )
 from cranberryline.ports.orders import EngineReport, OrderOutcome, OrderPort, VersionOrder
+from cranberryline.ports.response_memory import ResponseMemory
 from cranberryline.upstreams.const import MAX_TEXT_LENGTH
 from cranberryline.upstreams.directory import Registration
 from cranberryline.upstreams.errors import RegistrationProblem
@@ -45,6 +48,9 @@
 __all__ = ["SamplerClient", "SamplerOrders", "read_registration"]
 
 _CALL_TIMEOUT = timedelta(milliseconds=1200)
+# A refusal has some bytes at most and comes with its head; one that goes on costs its connection.
+_READ_OUT_TIMEOUT = timedelta(milliseconds=100)
+_MAX_REFUSAL_BYTES = 64 * 1024
 _SUCCESS = range(200, 300)
 _STATE_READY = "ready"
 _STATE_DRAINING = "draining"
@@ -151,9 +157,13 @@
 
 
 class SamplerClient(PlainServicePort):
-    """Send requests to one upstream over kept connections, for this incarnation only."""
+    """Send requests to one upstream over kept connections, for this incarnation only.
 
-    def __init__(self, row: VmEntry) -> None:
+    `memory` bounds the responses that this process receives.
+    """
+
+    def __init__(self, row: VmEntry, memory: ResponseMemory | None = None) -> None:
+        self._memory = memory
         self._id = row.name or row.id
         self._origin = HttpOrigin(row.address)
         self._pool = KeptStreams()
@@ -183,6 +193,7 @@
             self._pool,
             match=partial(_match, request_id),
             request_id=request_id or "",
+            memory=self._memory,
         )
         if isinstance(sent, Err):
             return sent
@@ -278,7 +289,7 @@
             return Err(sent.unwrap_err())
         answer = sent.unwrap()
         try:
-            data = await answer.async_whole()
+            data = await answer.async_whole(MAX_REPORT_BYTES)
         except UpstreamCut as exc:
             return Err(PlatformError(PlatformReason.CUT, str(exc)))
         return Ok((answer.head.status, data))
@@ -316,12 +327,12 @@
 
 
 async def _async_read_out(body: UpstreamBody) -> None:
-    """Read a refusal to its end, so that its connection can be used again."""
+    """Read a refusal to its end, so that its connection can be used again, unless that takes long."""
     try:
-        async for _ in body.chunks():
-            pass
-    except UpstreamCut:
-        return
+        async with asyncio.timeout(_READ_OUT_TIMEOUT.total_seconds()):
+            await body.async_whole(_MAX_REFUSAL_BYTES)
+    except (UpstreamCut, TimeoutError):
+        await body.async_close()
 
 
 def _find(headers: tuple[tuple[str, str], ...], name: str) -> str | None:
--- a/cranberryline/ports/const.py
+++ b/cranberryline/ports/const.py
@@ -11,6 +11,17 @@
 # An answer of the store has at most 1 MiB of records, and one record more.
 MAX_SHORT_BYTES = 8 * 1024 * 1024
 MAX_JSON_BYTES = 64 * 1024 * 1024
+# An engine's report or its answer to an order; it has some bytes for each model.
+MAX_REPORT_BYTES = 1024 * 1024
+# Responses that are collected whole; a gateway has some 100 MiB for them.
+MAX_COLLECTED_BYTES = 32 * 1024 * 1024
+MAX_ALL_COLLECTED_BYTES = 64 * 1024 * 1024
+SMALL_RESPONSE_BYTES = 1024 * 1024
+# Bytes of late answers to other requests that are passed over.
+MAX_STRAY_BYTES = 1024 * 1024
+# Interim answers and chunks of one answer; each costs as much time as thousands of its bytes.
+MAX_INTERIM_ANSWERS = 16
+MAX_SHORT_CHUNKS = 64 * 1024
 MAX_QUEUED_CHUNKS = 4
 MAX_KEPT_STREAMS = 16
 MAX_KEPT = timedelta(seconds=10)
--- a/cranberryline/ports/http.py
+++ b/cranberryline/ports/http.py
@@ -29,11 +29,14 @@
     DEFAULT_CONNECT_TIMEOUT,
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
+    MAX_INTERIM_ANSWERS,
     MAX_QUEUED_CHUNKS,
+    MAX_STRAY_BYTES,
 )
 from .errors import PlatformError, PlatformReason, UpstreamCut
 from .kept_streams import KeptStreams
 from .model import UpstreamBody, UpstreamHead, UpstreamRequest
+from .response_memory import ResponseBytes, ResponseMemory
 
 __all__ = ["AnswerTo", "HttpOrigin", "KeptStreams", "async_exchange"]
 
@@ -88,13 +91,17 @@
     """Turn tornado's callbacks into a head and a bounded queue of chunks.
 
     `match` tells which request an answer belongs to; only this one's is handed on. `answer_to` is what
-    it told of the last answer, and `strays` counts the answers to other requests.
+    it told of the last answer, and `strays` counts the answers to other requests. `give_up` is called
+    where more of what is passed over came than an upstream in order sends.
     """
 
-    def __init__(self, match: MatchAnswer | None = None) -> None:
+    def __init__(self, match: MatchAnswer | None, give_up: Callable[[], None]) -> None:
         self._match = match
+        self._give_up = give_up
         self.answer_to = AnswerTo.THIS
         self.strays = 0
+        self._stray_bytes = 0
+        self._interim_answers = 0
         self.head: asyncio.Future[UpstreamHead] = asyncio.get_running_loop().create_future()
         self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(MAX_QUEUED_CHUNKS)
         self.whole = False
@@ -105,6 +112,9 @@
     ) -> None:
         """Take the head, passing over interim answers."""
         if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:  # noqa: PLR2004
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                self._give_up()
             return
         head = UpstreamHead(start_line.code, tuple(headers.get_all()))
         if self._match is not None:
@@ -120,6 +130,10 @@
         """Queue a chunk; waiting for room is what slows the sender down."""
         if self.answer_to is AnswerTo.THIS:
             await self.queue.put(chunk)
+            return
+        self._stray_bytes += len(chunk)
+        if self._stray_bytes > MAX_STRAY_BYTES:
+            self._give_up()
 
     def finish(self) -> None:
         """Note that the answer reached its own declared end."""
@@ -146,8 +160,10 @@
         task: asyncio.Task[None],
         deadline: float,
         kept: bool,
+        received: ResponseBytes | None = None,
     ) -> None:
         self._kept = kept
+        self._received = received
         self._stream = stream
         self._receiver = receiver
         self._task = task
@@ -162,6 +178,8 @@
         """Yield the body; raise UpstreamCut when it ends before its own declared end."""
         try:
             while (chunk := await self._async_next()) is not None:
+                if self._received is not None:
+                    self._received.add(len(chunk))
                 yield chunk
         finally:
             await self.async_close()
@@ -180,6 +198,8 @@
 
     async def async_close(self) -> None:
         """Stop receiving and let go of the connection."""
+        if self._received is not None:
+            self._received.release()
         if self._kept and self._task.done():
             return
         self._task.cancel()
@@ -262,11 +282,13 @@
     connect: timedelta = DEFAULT_CONNECT_TIMEOUT,
     match: MatchAnswer | None = None,
     request_id: str = "",
+    memory: ResponseMemory | None = None,
 ) -> Result[UpstreamBody, PlatformError]:
     """Send a request and return once its answer's head is there; `timeout` bounds it all.
 
     Where `match` is given, answers to other requests that stand before this one's are passed over. A
     request with the same `request_id` goes out on another connection of the pool than the last one.
+    `memory` bounds the answer's length, which is cut beyond that.
     """
     loop = asyncio.get_running_loop()
     deadline = loop.time() + timeout.total_seconds()
@@ -283,7 +305,7 @@
         return Err(PlatformError(PlatformReason.WITHHELD, "not wanted", may_have_run=False))
     params = _PARAMS if pool is None else _KEPT_PARAMS
     conn = HTTP1Connection(stream, is_client=True, params=params)
-    receiver = _Receiver(match)
+    receiver = _Receiver(match, stream.close)
     try:
         start = RequestStartLine(req.method, origin.base_path + req.path, "")
         conn.write_headers(start, _headers(origin, req, pool is not None), req.body or None)
@@ -292,7 +314,8 @@
         stream.close()
         return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc), may_have_run=False))
     task = asyncio.create_task(_async_receive(conn, stream, receiver, pool, request_id))
-    body = _HttpBody(stream, receiver, task, deadline, pool is not None)
+    received = None if memory is None else memory.open()
+    body = _HttpBody(stream, receiver, task, deadline, pool is not None, received)
     return await _async_head(body, receiver, deadline)
 
 
--- a/cranberryline/ports/kept_streams.py
+++ b/cranberryline/ports/kept_streams.py
@@ -38,6 +38,9 @@
     A connection on which bytes stand unread carries an answer that nobody asked for; given to the
     next request it would be taken for that request's answer, so such a connection is closed.
 
+    One that is not used until its time is over is closed: nobody may ask for it again, and what its
+    upstream sends on it would stay unread.
+
     A request that is sent again does not go out on the connection that it was sent on last: a late
     copy of its first answer there could not be told from the next one.
     """
@@ -45,6 +48,7 @@
     def __init__(self, most: int = MAX_KEPT_STREAMS) -> None:
         self._most = most
         self._idle: list[_IdleStream] = []
+        self._expiry: asyncio.TimerHandle | None = None
 
     def take(self, request_id: str = "") -> IOStream | None:
         """Return the connection that was used last and is still sound for a request, or None."""
@@ -72,6 +76,7 @@
             seconds = min(seconds, MAX_KEPT.total_seconds())
         until = asyncio.get_running_loop().time() + seconds
         self._idle.append(_IdleStream(stream, until, request_id))
+        self._schedule_expiry()
 
     def ready(self) -> bool:
         """Tell whether the next request would go out on a connection that waits."""
@@ -88,6 +93,23 @@
         for idle in self._idle:
             idle.stream.close()
         self._idle.clear()
+        if self._expiry is not None:
+            self._expiry.cancel()
+
+    def _schedule_expiry(self) -> None:
+        if self._expiry is None and self._idle:
+            loop = asyncio.get_running_loop()
+            due = min(idle.until for idle in self._idle)
+            self._expiry = loop.call_at(due, self._expire)
+
+    def _expire(self) -> None:
+        """Close the connections whose time is over."""
+        self._expiry = None
+        now = asyncio.get_running_loop().time()
+        for idle in [idle for idle in self._idle if idle.until <= now]:
+            self._idle.remove(idle)
+            idle.stream.close()
+        self._schedule_expiry()
 
 
 def _is_quiet(stream: IOStream) -> bool:
--- a/cranberryline/ports/model.py
+++ b/cranberryline/ports/model.py
@@ -9,7 +9,8 @@
 import attrs
 from result import Result
 
-from .errors import PlatformError
+from .const import MAX_JSON_BYTES
+from .errors import PlatformError, UpstreamCut
 
 __all__ = [
     "EngineLoad",
@@ -152,9 +153,17 @@
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body; raise UpstreamCut when it ends before its own declared end."""
 
-    async def async_whole(self) -> bytes:
-        """Return the whole body; raise UpstreamCut when it ends before its own declared end."""
-        return b"".join([chunk async for chunk in self.chunks()])
+    async def async_whole(self, max_bytes: int = MAX_JSON_BYTES) -> bytes:
+        """Return the whole body; raise UpstreamCut when it ends early or is longer than `max_bytes`."""
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > max_bytes:
+                await self.async_close()
+                raise UpstreamCut("the answer is too long")
+            parts.append(chunk)
+        return b"".join(parts)
 
     @abc.abstractmethod
     async def async_close(self) -> None:
--- a/cranberryline/ports/short_call.py
+++ b/cranberryline/ports/short_call.py
@@ -11,7 +11,13 @@
 import attrs
 from result import Err, Ok, Result
 
-from .const import DEFAULT_CONNECT_TIMEOUT, MAX_HEADER_BYTES, MAX_SHORT_BYTES
+from .const import (
+    DEFAULT_CONNECT_TIMEOUT,
+    MAX_HEADER_BYTES,
+    MAX_INTERIM_ANSWERS,
+    MAX_SHORT_BYTES,
+    MAX_SHORT_CHUNKS,
+)
 from .errors import PlatformError, PlatformReason, UpstreamCut
 from .http import HttpOrigin
 
@@ -28,6 +34,7 @@
 
     def __init__(self) -> None:
         self.ended = False
+        self.idle = False
         self._error: Exception | None = None
         self._data = bytearray()
         self._waiter: asyncio.Future[None] | None = None
@@ -44,7 +51,10 @@
         self._transport = transport
 
     def data_received(self, data: bytes) -> None:
-        """Keep what came."""
+        """Keep what came; while nobody reads, it is no answer, and the connection ends."""
+        if self.idle:
+            self.close()
+            return
         self._data += data
         self._tell()
 
@@ -136,6 +146,8 @@
         deadline = asyncio.get_running_loop().time() + timeout.total_seconds()
         data = self._request(method, path, body, bool(poll))
         kept = self._kept.pop(poll, None)
+        if kept is not None:
+            kept.idle = False
         if kept is not None and kept.quiet:
             answer = await self._async_on(kept, data, deadline, poll)
             if isinstance(answer, Ok) or answer.unwrap_err().reason is not PlatformReason.CUT:
@@ -196,6 +208,7 @@
             return Err(PlatformError(PlatformReason.BAD_ANSWER, str(exc)))
         finally:
             if reusable and conn.quiet and poll not in self._kept:
+                conn.idle = True
                 self._kept[poll] = conn
             else:
                 conn.close()
@@ -203,7 +216,7 @@
 
 async def _async_head(conn: _Connection) -> _Head:
     """Read a head, passing over interim answers; raise ValueError for what is none."""
-    while True:
+    for _ in range(MAX_INTERIM_ANSWERS):
         lines = (await conn.async_until(_END_OF_HEAD)).split(_LINE)
         protocol, _, rest = lines[0].partition(b" ")
         if not protocol.startswith(b"HTTP/1."):
@@ -219,6 +232,7 @@
         chunked = fields.get(b"transfer-encoding") == b"chunked"
         closing = fields.get(b"connection") == b"close" or protocol == b"HTTP/1.0"
         return _Head(status, None if size is None else int(size), chunked, closing)
+    raise ValueError("too many interim answers")
 
 
 async def _async_body(conn: _Connection, head: _Head) -> bytes:
@@ -241,6 +255,11 @@
         if not 0 < length <= size <= MAX_SHORT_BYTES:
             raise ValueError("the answer is too long")
         pieces.append((await conn.async_exactly(length + len(_LINE)))[: -len(_LINE)])
-    while await conn.async_until(_LINE) != _LINE:
-        pass
+        if len(pieces) > MAX_SHORT_CHUNKS:
+            raise ValueError("the answer has too many chunks")
+    trailers = 0
+    while (line := await conn.async_until(_LINE)) != _LINE:
+        trailers += len(line)
+        if trailers > MAX_HEADER_BYTES:
+            raise ValueError("the trailers of the answer are too long")
     return b"".join(pieces)
