--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -15,7 +15,7 @@
 from .model import Book, SoakPlan
 from .world import World
 
-__all__ = ["Drawn", "async_faults", "draw", "draw_further"]
+__all__ = ["Drawn", "async_faults", "draw", "draw_further", "draw_links"]
 
 _AFTER_STOP_S = 6.0
 _QUIET_END_S = 6.0
@@ -25,6 +25,7 @@
 _LOOK_S = 0.05
 _FURTHER_PAUSES = 4.0
 _AFTER_OUTAGE = 0.5
+_UNLISTED = 0.5
 
 
 class _Faults:
@@ -46,6 +47,11 @@
             "sampler_late": self._async_late,
             "sampler_unlisted": self._async_unlist,
         }
+        self.link_kinds: dict[str, Callable[[Random], Awaitable[None]]] = {
+            "leaves_unheard": self._async_leave_unheard,
+            "sampler_endless": self._async_endless,
+            "store_silent": self._async_store_silent,
+        }
         self.kinds: dict[str, Callable[[Random], Awaitable[None]]] = {
             "at_end": self._async_at_end,
             "store_down": self._async_store_down,
@@ -68,7 +74,7 @@
         if kind in self.gateway_kinds:
             await self._async_at_gateway(kind, rng)
             return
-        await (self.kinds | self.further_kinds)[kind](rng)
+        await (self.kinds | self.further_kinds | self.link_kinds)[kind](rng)
 
     async def _async_at_gateway(self, kind: str, rng: Random) -> None:
         number = rng.randrange(len(self._world.gateways))
@@ -200,10 +206,27 @@
         if rng.random() < _AFTER_OUTAGE:
             await self._async_store_down(rng)
             await asyncio.sleep(BOUND_S + rng.uniform(0.05, 1.0))
+        await self._async_unlist_now(rng)
+
+    async def _async_unlist_now(self, rng: Random) -> None:
         sampler = self._sampler(rng)
         if sampler not in self._world.dead:
             self._world.unlist_sampler(sampler)
 
+    async def _async_store_silent(self, rng: Random) -> None:
+        """Let the open connections of one gateway to the store, or of all, go silent for good."""
+        numbers = range(len(self._world.gateways))
+        self._world.links.silence(rng.choice((None, *numbers)))
+
+    async def _async_leave_unheard(self, rng: Random) -> None:
+        """Let samplers leave about when open connections to the store go silent."""
+        await self._async_store_silent(rng)
+        await asyncio.sleep(rng.choice((0.0, rng.uniform(0.0, 2.5))))
+        await (self._async_unlist_now if rng.random() < _UNLISTED else self._async_leave)(rng)
+
+    async def _async_endless(self, rng: Random) -> None:
+        self._sampler(rng).endless += rng.randint(1, 6)
+
     async def _async_config(self, _rng: Random) -> None:
         self._world.configure()
 
@@ -232,6 +255,12 @@
     return _draw(plan, "further faults", sorted(faults.further_kinds), _FURTHER_PAUSES)
 
 
+def draw_links(plan: SoakPlan) -> list[Drawn]:
+    """Return the faults of links that come beside the others."""
+    faults = _Faults(None, Book())  # type: ignore[arg-type]
+    return _draw(plan, "link faults", sorted(faults.link_kinds), _FURTHER_PAUSES)
+
+
 def _draw(plan: SoakPlan, luck: str, kinds: list[str], pauses: float = 1.0) -> list[Drawn]:
     rng, drawn, at = plan.luck(luck), [], 0.0
     every_s = pauses * plan.fault_every_s
@@ -252,4 +281,5 @@
             tasks.append(asyncio.ensure_future(made.async_play(fault.kind, Random(fault.luck))))
         await asyncio.gather(*tasks)
 
-    await asyncio.gather(async_bring(draw(plan)), async_bring(draw_further(plan)))
+    drawn = (draw(plan), draw_further(plan), draw_links(plan))
+    await asyncio.gather(*map(async_bring, drawn))
--- a/stand_ins/platform_sampler.py
+++ b/stand_ins/platform_sampler.py
@@ -17,6 +17,9 @@
 _ids = itertools.count(1)
 EVENTS = 6
 EVENT_PAUSE = 0.01
+# Of an answer without an end; other stand-ins in this process have to go on beside it.
+_FILLER_BYTES = 64 * 1024
+_FILLER_PAUSE = 0.005
 
 
 @attrs.frozen
@@ -54,6 +57,8 @@
     spoil_id: int = 0
     # So many answers of plain services, refusals too, come once more before the next on their connection.
     late: int = 0
+    # So many answers go on until their caller closes.
+    endless: int = 0
     # Texts that run at once and that wait at most; without a queue, any number runs.
     slots: int = 4
     queue: int | None = None
@@ -278,12 +283,26 @@
             return
         if made.seal:
             self.set_header("Response-Seal", f"seal-{name}")
+        if made.endless:
+            made.endless -= 1
+            await self._async_endless()
+            return
         if made.model:
             await self._async_events(name)
             return
         self._body = (b"answer to " + name.encode()).ljust(made.length, b".")
         self.finish(self._body)
 
+    async def _async_endless(self) -> None:
+        """Send bytes that are no answer until the caller closes."""
+        while True:
+            self.write(b"." * _FILLER_BYTES)
+            try:
+                await self.flush()
+            except StreamClosedError:
+                return
+            await asyncio.sleep(_FILLER_PAUSE)
+
     async def _async_repeat(self) -> None:
         """Send the answer again that is to come late on this connection."""
         conn: Any = self.request.connection
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -12,7 +12,7 @@
 
 from bench.soak.callers import Callers
 from bench.soak.entries import bad_entry
-from bench.soak.faults import draw, draw_further
+from bench.soak.faults import draw, draw_further, draw_links
 from bench.soak.judge import Judge
 from bench.soak.keys import KeyCallers
 from bench.soak.main import async_soak
@@ -63,6 +63,7 @@
     assert draw(plan) == draw(plan) and len(draw(plan)) > 50
     assert draw(plan) != draw(SoakPlan(seed=4, fault_every_s=0.5))
     assert draw_further(plan) == draw_further(plan) and len(draw_further(plan)) > 10
+    assert draw_links(plan) == draw_links(plan) and len(draw_links(plan)) > 10
 
 
 def test_no_drawn_entry_names_a_sampler() -> None:
