--- a/cranberryline/dispatch/dispatch.py
+++ b/cranberryline/dispatch/dispatch.py
@@ -11,6 +11,7 @@
 from cranberryline.decisions import AttemptOutcome as RetryOutcome
 from cranberryline.decisions import GiveUp, RetryPolicy, RetryRequest
 from cranberryline.helpers.clock import Clock
+from cranberryline.helpers.logging import once_per_burst
 from cranberryline.helpers.metrics import Metrics
 from cranberryline.quarantine import Held, RequestGuard
 from cranberryline.requests import (
@@ -45,6 +46,8 @@
 # Attempts of one request at upstreams with stale registrations that are repeated without a delay;
 # after these, the retry policy decides.
 _MAX_STALE_ATTEMPTS = 16
+# Upstreams that are full reject many requests at once.
+_REJECTION_LOG_INTERVAL = timedelta(seconds=1)
 _NO_LONGER_ELIGIBLE = Refusal(RefusalReason.NO_UPSTREAM, detail="no longer eligible")
 
 
@@ -121,6 +124,7 @@
         self._data_center = data_center
         self._schedulers: dict[str, ServiceScheduler] = {}
         self._retry = RetryPolicy()
+        self._rejections = once_per_burst(__name__, clock, _REJECTION_LOG_INTERVAL)
         self.in_flight = 0
         metrics.queued.set_function(
             lambda: sum(scheduler.queued for scheduler in self._schedulers.values())
@@ -265,6 +269,14 @@
             reservation.upstream.request_rejected(cooldown, now)
         if is_upstream_fault(outcome) or is_stale_registration(outcome):
             log_failed_attempt(req, reservation, outcome, now)
+        elif cooldown is not None:
+            self._rejections.info(
+                "attempt_rejected",
+                request_id=req.request_id,
+                service=req.service,
+                upstream=reservation.upstream.id,
+                reason=reason_text(outcome),
+            )
 
     def _decide_retry(
         self,
--- a/cranberryline/gateway/peer_copies.py
+++ b/cranberryline/gateway/peer_copies.py
@@ -18,7 +18,8 @@
 from cranberryline.ports.model import UpstreamRequest
 from cranberryline.ports.store import KeyedRecord, KeyedSnapshot
 
-from .relay_calls import Redaction
+from .const import PEER_CONNECT_TIMEOUT
+from .relay_calls import Redaction, unchanged
 
 __all__ = ["PATH_COPIES", "CopyHandler", "PeerCopies"]
 
@@ -30,8 +31,6 @@
 _FIRST_DELAY = timedelta(seconds=1)
 _RETRY_INTERVAL = timedelta(milliseconds=500)
 _CALL_TIMEOUT = timedelta(seconds=2)
-# A running peer accepts within milliseconds.
-_CONNECT_TIMEOUT = timedelta(milliseconds=200)
 _MAX_PEERS_ASKED = 3
 
 
@@ -100,12 +99,8 @@
         tail = self._tails.get(topic)
         if tail is None or not tail.loaded.is_set():
             return None
-        redaction = self._redaction
-        secret = redaction is not None and redaction.topic == topic
-        rows = [
-            (row.key, redaction.redact(row) if redaction and secret else row.value, row.offset)
-            for row in self._records[topic].values()
-        ]
+        value_of = unchanged if self._redaction is None else self._redaction.for_topic(topic)
+        rows = [(row.key, value_of(row), row.offset) for row in self._records[topic].values()]
         return TopicCopy(tail.offset, rows)
 
     async def async_run(self) -> None:
@@ -135,7 +130,7 @@
     async def _async_ask(self, peer: str, topic: str) -> TopicCopy | None:
         req = UpstreamRequest("POST", PATH_COPIES, (), msgspec.msgpack.encode(CopyCall(topic)))
         origin = HttpOrigin(f"http://{peer}")
-        response = await async_exchange(origin, req, _CALL_TIMEOUT, connect=_CONNECT_TIMEOUT)
+        response = await async_exchange(origin, req, _CALL_TIMEOUT, connect=PEER_CONNECT_TIMEOUT)
         if isinstance(response, Err):
             return None
         body = response.unwrap()
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -29,6 +29,7 @@
     problem_of_call,
 )
 
+from .const import PEER_CONNECT_TIMEOUT
 from .relay_calls import Redaction, async_execute
 from .relay_messages import ANSWERS, CALLS, RelayAnswer, RelayAppend, RelayNewest, RelayRead
 from .wrapped_log import WrappedLog
@@ -53,10 +54,6 @@
 _PEER_MARGIN = timedelta(milliseconds=100)
 # A peer that answers a read this much later than the read's wait may be frozen; another one is asked.
 _PEER_READ_OVERDUE = timedelta(milliseconds=600)
-# A running peer accepts within milliseconds, one that lost power not at all. With the connect
-# timeout of other servers, a dead peer used up a caller's whole timeout, and the caller left
-# without an answer.
-_PEER_CONNECT_TIMEOUT = timedelta(milliseconds=200)
 # Definite answers of the store; a call through a peer would have the same result.
 _FINAL_PROBLEMS = (StoreProblem.CONFLICT, StoreProblem.GONE)
 
@@ -315,7 +312,7 @@
     ) -> Result[RelayAnswer, StoreError]:
         req = UpstreamRequest("POST", PATH_RELAY, (), msgspec.msgpack.encode(call))
         response = await async_exchange(
-            HttpOrigin(f"http://{peer}"), req, timeout + _PEER_MARGIN, connect=_PEER_CONNECT_TIMEOUT
+            HttpOrigin(f"http://{peer}"), req, timeout + _PEER_MARGIN, connect=PEER_CONNECT_TIMEOUT
         )
         if isinstance(response, Err):
             failure = response.unwrap_err()
--- a/cranberryline/gateway/slot_calls.py
+++ b/cranberryline/gateway/slot_calls.py
@@ -24,6 +24,8 @@
 )
 from cranberryline.slots.messages import ANSWERS, EXCHANGES
 
+from .const import PEER_CONNECT_TIMEOUT
+
 __all__ = [
     "PATH_SLOTS",
     "HttpSlotTransport",
@@ -34,8 +36,6 @@
 
 PATH_SLOTS = "/slots"
 
-# A running peer accepts within milliseconds; one that lost power does not answer at all.
-_CONNECT_TIMEOUT = timedelta(milliseconds=200)
 # A gateway has few exchanges with one keeper at a time.
 _MAX_STREAMS = 4
 # A gateway asks the keepers of a few shards, which change with the live gateways.
@@ -64,7 +64,7 @@
             return Err(KeeperError(KeeperProblem.UNREACHABLE, str(exc)))
         req = UpstreamRequest("POST", PATH_SLOTS, (), msgspec.msgpack.encode(msg))
         streams = self._streams_to(peer)
-        response = await async_exchange(origin, req, timeout, streams, _CONNECT_TIMEOUT)
+        response = await async_exchange(origin, req, timeout, streams, PEER_CONNECT_TIMEOUT)
         if isinstance(response, Err):
             return Err(_keeper_error(response.unwrap_err()))
         body = response.unwrap()
