Neither pace nor repeat the wrong reads where many gateways share the store

Both have many gateways, whose polls are paced so that all together stay within the store's limit.

Polls of the urgent topics are counted, but wait for no turn, so that they are overdue only where something is wrong. Only reads of these topics are made again through a second peer. Tests of both, which fail without.

--- a/cranberryline/gateway/app.py
+++ b/cranberryline/gateway/app.py
@@ -80,6 +80,12 @@
         self.metrics = Metrics()
         self.routes = ActiveRoutes()
         self.health = StoreHealth(clock, self.metrics)
+        # Topics whose changes have to be in force within a bound.
+        urgent = self._urgent_topics = (
+            platform.topic_operator,
+            platform.topic_upstreams,
+            platform.topic_quarantine,
+        )
         redaction = Redaction(platform.topic_operator, platform.without_secrets)
         self.store = RelayedLog(
             PacedLog(
@@ -88,11 +94,13 @@
                 lambda: self.nodes.live_count,
                 clock,
                 self.metrics.reads_paced.inc,
+                urgent,
             ),
             self._relay_peers,
             clock,
             self.metrics,
             redaction,
+            urgent,
         )
         self.copies = PeerCopies(self._relay_peers, clock, redaction)
         self.registration_gate = RegistrationGate(clock, self.metrics)
@@ -185,7 +193,7 @@
             platform, self.routes, self.health, self.version_scheduler.request_version
         )
         self._config_tail = self._make_tail(
-            platform.topic_operator, self.operator_records.apply_record, is_urgent=True
+            platform.topic_operator, self.operator_records.apply_record
         )
         self.confirmation = confirm_by_tail(self._config_tail, clock, cfg.config_max_age)
         self.recent_reads = RecentReads(self.confirmation, self.registration_gate)
@@ -212,10 +220,7 @@
             cfg, platform, self.store, self.lease, self.nodes, clock, self.health, self.metrics
         )
         self._upstreams_tail = self._make_tail(
-            platform.topic_upstreams,
-            self.registrations.apply_record,
-            _UPSTREAMS_POLL_PAUSE,
-            is_urgent=True,
+            platform.topic_upstreams, self.registrations.apply_record, _UPSTREAMS_POLL_PAUSE
         )
         self.registration_gate.follow(self._upstreams_tail, cfg.registrations_max_age)
         self._nodes_tail = self._make_tail(
@@ -346,15 +351,9 @@
         seeds = [address for address in self._cfg.seeds if address != self._cfg.peer]
         return self.nodes.relay_peers() or seeds
 
-    def _make_tail(
-        self,
-        topic: str,
-        on_key: Any,
-        poll_pause: timedelta = timedelta(),
-        is_urgent: bool = False,
-    ) -> KeyedTail:
-        on_key = self.copies.keep(topic, on_key)
-        tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause, is_urgent)
+    def _make_tail(self, topic: str, on_key: Any, poll_pause: timedelta = timedelta()) -> KeyedTail:
+        on_key, urgent = self.copies.keep(topic, on_key), topic in self._urgent_topics
+        tail = KeyedTail(self.store, topic, self._clock, self.health, on_key, poll_pause, urgent)
         return self.copies.follow(tail)
 
     def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> None:
--- a/cranberryline/gateway/relay.py
+++ b/cranberryline/gateway/relay.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from datetime import timedelta
 from typing import TypeVar
 
@@ -66,6 +66,9 @@
     A store that rejects this VM, or that this VM cannot reach, may still serve other VMs. Without
     relaying, the node could not accept jobs, list results or renew leases during that time. Trims
     are not relayed, since the next one deletes what this one did not.
+
+    Only reads of `urgent` topics are made again through another peer when one is late. Peers pace
+    the others, so that each of them would be made twice exactly when there are too many.
     """
 
     def __init__(
@@ -75,8 +78,10 @@
         clock: Clock,
         metrics: Metrics,
         redaction: Redaction | None = None,
+        urgent: Collection[str] = (),
     ) -> None:
         super().__init__(direct)
+        self._urgent = urgent
         self._redaction = redaction
         self._peers = peers
         self._clock = clock
@@ -269,7 +274,7 @@
             remaining = give_up_at - self._clock.monotonic()
             if remaining <= timedelta():
                 break
-            if isinstance(call, RelayRead) and peer != asked[-1]:
+            if isinstance(call, RelayRead) and call.topic in self._urgent and peer != asked[-1]:
                 wait = timedelta(milliseconds=call.wait_ms)
                 remaining = min(remaining, wait + _PEER_READ_OVERDUE)
             relayed_call = await self._async_call_peer(peer, call, remaining)
--- a/tests/gateway/test_paced_log.py
+++ b/tests/gateway/test_paced_log.py
@@ -15,7 +15,10 @@
 
 
 def _log(store: FakeStore) -> PacedLog:
-    return PacedLog(StoreLink(store), ReadBudget(LIMIT), lambda: SHARERS, LoopClock())
+    clock = LoopClock()
+    return PacedLog(
+        StoreLink(store), ReadBudget(LIMIT), lambda: SHARERS, clock, urgent=("keyed.servers",)
+    )
 
 
 def test_polls_that_bring_records_are_paced() -> None:
@@ -33,6 +36,25 @@
     run_virtual(scene())
 
 
+def test_polls_of_urgent_topics_are_not_delayed_by_the_others() -> None:
+    """Guards against reading drains late, and again since they were late, where polls are paced."""
+
+    async def scene() -> None:
+        store = FakeStore()
+        store.append("jobs", 0, [b"x"])
+        store.append("keyed.servers", 0, [b"x"])
+        log, loop = _log(store), asyncio.get_running_loop()
+        for _ in range(20):
+            await log.async_read("jobs", 0, 0, timedelta(), TIMEOUT)
+        began = loop.time()
+        await log.async_read("keyed.servers", 0, 0, POLL, TIMEOUT)
+        assert loop.time() - began < 0.1
+        await log.async_read("jobs", 0, 0, POLL, TIMEOUT)
+        assert loop.time() - began > 1
+
+    run_virtual(scene())
+
+
 def test_a_read_that_somebody_waits_for_is_not_delayed() -> None:
     """A request waits for seconds for the configuration or the end of a job."""
 
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from datetime import timedelta
+from typing import Any
 
 import pytest
 from result import Ok
@@ -31,8 +32,8 @@
         self.address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
 
 
-def _log(link: StoreLink, *peers: str) -> RelayedLog:
-    return RelayedLog(link, lambda: list(peers), SystemClock(), Metrics())
+def _log(link: StoreLink, *peers: str, urgent: tuple[str, ...] = ()) -> RelayedLog:
+    return RelayedLog(link, lambda: list(peers), SystemClock(), Metrics(), urgent=urgent)
 
 
 def _refuse_all(link: StoreLink) -> None:
@@ -202,7 +203,7 @@
         _refuse_all(link)
         with socket.create_server(("127.0.0.1", 0)) as frozen:
             address = f"127.0.0.1:{frozen.getsockname()[1]}"
-            log = _log(link, sound.address, address)
+            log = _log(link, sound.address, address, urgent=("t",))
             log._preferred_peer = address
             store.append("t", 0, [b"a"])
             began = asyncio.get_running_loop().time()
@@ -214,6 +215,31 @@
     asyncio.run(scenario())
 
 
+def test_late_read_of_another_topic_is_not_made_again_through_a_second_peer() -> None:
+    """Guards against as many more reads as there are late ones, where peers pace them."""
+
+    async def scenario() -> None:
+        store = FakeStore()
+        link, slow, sound = StoreLink(store), Peer(store), Peer(store)
+        _refuse_all(link)
+        read, reads = slow.link.async_read, []
+
+        async def async_late(*args: Any, **more: Any) -> Any:
+            await asyncio.sleep(0.9)
+            reads.append(args)
+            return await read(*args, **more)
+
+        slow.link.async_read = async_late  # type: ignore[method-assign]
+        log = _log(link, slow.address, sound.address)
+        log._preferred_peer = slow.address
+        store.append("jobs", 0, [b"a"])
+        found = await log.async_read("jobs", 0, 0, timedelta(), timedelta(seconds=2.5))
+        assert found.unwrap().records == (b"a",)
+        assert len(reads) == 1 and log._preferred_peer == slow.address
+
+    asyncio.run(scenario())
+
+
 def test_append_is_not_sent_to_a_store_known_to_be_silent() -> None:
     """A read timed out and there is no peer: appends are refused at once and never sent."""
 
